Add the skeleton and one path from a caller to a worker

Cause: the shape (interfaces and named types in the root package, commands and queries apart, sharded state, pure decisions) has to stand before parts are built in parallel. Conclusion: the path works in one process; separate processes, limits over several entry hosts and faults follow.

--- /dev/null
+++ b/cmd/jaybarrow/main.go
@@ -0,0 +1,58 @@
+// Command jaybarrow runs an entry host, checks its settings, runs the demo, and carries operators' commands.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Exit codes of the command.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// version is set by the linker for releases.
+var version = "dev"
+
+// subcommand runs with the arguments after its name and returns the exit code.
+type subcommand func(ctx context.Context, args []string, stdout, stderr io.Writer) int
+
+var subcommands = map[string]subcommand{
+	"demo":    runDemo,
+	"version": runVersion,
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	if len(args) == 0 {
+		usage(stderr)
+		return exitUsage
+	}
+	command, ok := subcommands[args[0]]
+	if !ok {
+		fmt.Fprintf(stderr, "jaybarrow: unknown command %q\n", args[0])
+		usage(stderr)
+		return exitUsage
+	}
+	return command(ctx, args[1:], stdout, stderr)
+}
+
+func usage(w io.Writer) {
+	fmt.Fprintln(w, "usage: jaybarrow demo|version")
+}
+
+func runVersion(_ context.Context, _ []string, stdout, _ io.Writer) int {
+	fmt.Fprintln(stdout, "jaybarrow", version)
+	return exitOK
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,147 @@
+package jaybarrow
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrorKind is one of the closed list of error kinds that reach callers and operators.
+type ErrorKind string
+
+// The error kinds.
+const (
+	KindBadRequest           ErrorKind = "badRequest"
+	KindBodyTooLarge         ErrorKind = "bodyTooLarge"
+	KindBodyTruncated        ErrorKind = "bodyTruncated"
+	KindBadKey               ErrorKind = "badKey"
+	KindForbidden            ErrorKind = "forbidden"
+	KindUnknownQueue         ErrorKind = "unknownQueue"
+	KindNotFound             ErrorKind = "notFound"
+	KindNeverRunnable        ErrorKind = "neverRunnable"
+	KindQueueFull            ErrorKind = "queueFull"
+	KindDeadlineUnattainable ErrorKind = "deadlineUnattainable"
+	KindDeadlinePassed       ErrorKind = "deadlinePassed"
+	KindNoPermit             ErrorKind = "noPermit"
+	KindDuplicateRequest     ErrorKind = "duplicateRequest"
+	KindClaimUnavailable     ErrorKind = "claimUnavailable"
+	KindStaleConfiguration   ErrorKind = "staleConfiguration"
+	KindCancelled            ErrorKind = "cancelled"
+	KindWorkerRefused        ErrorKind = "workerRefused"
+	KindWorkerFailed         ErrorKind = "workerFailed"
+	KindWorkerLost           ErrorKind = "workerLost"
+	KindPeerLost             ErrorKind = "peerLost"
+	KindHandOver             ErrorKind = "handOver"
+	KindShuttingDown         ErrorKind = "shuttingDown"
+	KindConflict             ErrorKind = "conflict"
+	KindBudgetSpent          ErrorKind = "budgetSpent"
+	KindStoreUnavailable     ErrorKind = "storeUnavailable"
+	KindInternal             ErrorKind = "internal"
+)
+
+// Effect says whether the request ran.
+type Effect string
+
+// The effects.
+const (
+	EffectRan        Effect = "ran"
+	EffectNotRun     Effect = "notRun"
+	EffectMayHaveRun Effect = "mayHaveRun"
+)
+
+// Answer is what the table gives for an error kind.
+type Answer struct {
+	Status    int    // HTTP status
+	Effect    Effect // default effect; an Error may carry a weaker one
+	Retryable bool   // whether the same request may succeed later
+}
+
+var answers = map[ErrorKind]Answer{
+	KindBadRequest:           {http.StatusBadRequest, EffectNotRun, false},
+	KindBodyTooLarge:         {http.StatusRequestEntityTooLarge, EffectNotRun, false},
+	KindBodyTruncated:        {http.StatusBadRequest, EffectNotRun, true},
+	KindBadKey:               {http.StatusUnauthorized, EffectNotRun, false},
+	KindForbidden:            {http.StatusForbidden, EffectNotRun, false},
+	KindUnknownQueue:         {http.StatusNotFound, EffectNotRun, false},
+	KindNotFound:             {http.StatusNotFound, EffectNotRun, false},
+	KindNeverRunnable:        {http.StatusUnprocessableEntity, EffectNotRun, false},
+	KindQueueFull:            {http.StatusTooManyRequests, EffectNotRun, true},
+	KindDeadlineUnattainable: {http.StatusTooManyRequests, EffectNotRun, true},
+	KindDeadlinePassed:       {http.StatusGatewayTimeout, EffectNotRun, true},
+	KindNoPermit:             {http.StatusTooManyRequests, EffectNotRun, true},
+	KindDuplicateRequest:     {http.StatusConflict, EffectMayHaveRun, false},
+	KindClaimUnavailable:     {http.StatusServiceUnavailable, EffectNotRun, true},
+	KindStaleConfiguration:   {http.StatusServiceUnavailable, EffectNotRun, true},
+	KindCancelled:            {499, EffectNotRun, false},
+	KindWorkerRefused:        {http.StatusServiceUnavailable, EffectNotRun, true},
+	KindWorkerFailed:         {http.StatusBadGateway, EffectRan, false},
+	KindWorkerLost:           {http.StatusGatewayTimeout, EffectMayHaveRun, false},
+	KindPeerLost:             {http.StatusBadGateway, EffectMayHaveRun, false},
+	KindHandOver:             {http.StatusServiceUnavailable, EffectNotRun, true},
+	KindShuttingDown:         {http.StatusServiceUnavailable, EffectNotRun, true},
+	KindConflict:             {http.StatusConflict, EffectNotRun, true},
+	KindBudgetSpent:          {http.StatusConflict, EffectNotRun, true},
+	KindStoreUnavailable:     {http.StatusServiceUnavailable, EffectMayHaveRun, true},
+	KindInternal:             {http.StatusInternalServerError, EffectMayHaveRun, false},
+}
+
+// Kinds returns every error kind with its answer.
+func Kinds() map[ErrorKind]Answer {
+	all := make(map[ErrorKind]Answer, len(answers))
+	for kind, answer := range answers {
+		all[kind] = answer
+	}
+	return all
+}
+
+// Answer returns the table's line for the kind, and that of KindInternal for an unknown kind.
+func (k ErrorKind) Answer() Answer {
+	if a, ok := answers[k]; ok {
+		return a
+	}
+	return answers[KindInternal]
+}
+
+// Error is an error of a closed kind, with the effect on the request.
+type Error struct {
+	Kind    ErrorKind
+	Effect  Effect
+	Message string
+	Cause   error
+}
+
+// Error returns the kind and the message.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s", e.Kind, e.Message)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Errorf returns an Error with the kind's default effect; a %w operand becomes its cause.
+func Errorf(kind ErrorKind, format string, args ...any) *Error {
+	wrapped := fmt.Errorf(format, args...)
+	return &Error{Kind: kind, Effect: kind.Answer().Effect, Message: wrapped.Error(), Cause: errors.Unwrap(wrapped)}
+}
+
+// WithEffect returns a copy of the error with another effect.
+func (e *Error) WithEffect(effect Effect) *Error {
+	c := *e
+	c.Effect = effect
+	return &c
+}
+
+// AsError returns err as an Error, and as KindInternal when it is none.
+func AsError(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Kind: KindInternal, Effect: EffectMayHaveRun, Message: err.Error(), Cause: err}
+}
+
+// IsKind reports whether err is an Error of the kind.
+func IsKind(err error, kind ErrorKind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
--- /dev/null
+++ b/internal/command/request/doc.go
@@ -0,0 +1,2 @@
+// Package request holds the callers' commands: submit and cancel.
+package request
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,149 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/command/request"
+	"github.com/jaybarrow/jaybarrow/internal/entry"
+	"github.com/jaybarrow/jaybarrow/internal/standin/store"
+	"github.com/jaybarrow/jaybarrow/internal/standin/worker"
+	"github.com/jaybarrow/jaybarrow/internal/task"
+)
+
+// The keys that the demo's two teams use.
+const (
+	TrailKey = "demo-trail-key"
+	ClubsKey = "demo-clubs-key"
+)
+
+// Demo is a running demo.
+type Demo struct {
+	Callers jaybarrow.Address
+	workers []*worker.Server
+	entry   *entry.Entry
+}
+
+const (
+	entryID      = jaybarrow.EntryID("entry-1")
+	dataCentre   = jaybarrow.DataCentreID("demo")
+	workerCount  = 4
+	workerSlots  = 8
+	teamLimit    = 16
+	quickTarget  = 4 * time.Second
+	slowTarget   = time.Hour
+	loopbackPort = "127.0.0.1:0"
+)
+
+// New starts the demo; the entry host listens on the callers' address.
+func New(ctx context.Context, log zerolog.Logger, callers string) (*Demo, error) {
+	core := store.NewCore(jaybarrow.SystemClock{})
+	d := &Demo{}
+	for i := range workerCount {
+		host, err := d.startWorker(i)
+		if err != nil {
+			d.Close(ctx)
+			return nil, err
+		}
+		if err := put(ctx, core, jaybarrow.HostKey(host.ID), host); err != nil {
+			d.Close(ctx)
+			return nil, err
+		}
+	}
+	if err := configure(ctx, core); err != nil {
+		d.Close(ctx)
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", callers)
+	if err != nil {
+		d.Close(ctx)
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	d.Callers = jaybarrow.Address(listener.Addr().String())
+	d.entry, err = entry.New(ctx, entry.Deps{
+		Clock: jaybarrow.SystemClock{}, Log: log, Store: core, ID: entryID, DataCentre: dataCentre,
+		Callers: listener, MaxBody: 1 << 20, MaxWaiting: 1000,
+		Task: task.Settings{ConnectionsPerWorker: 16, DialTimeout: time.Second, CallTimeout: time.Second, RunTimeout: time.Hour},
+	})
+	if err != nil {
+		d.Close(ctx)
+		return nil, err
+	}
+	return d, nil
+}
+
+// Close stops the demo.
+func (d *Demo) Close(ctx context.Context) {
+	if d.entry != nil {
+		_ = d.entry.Close(ctx)
+	}
+	for _, w := range d.workers {
+		w.Close()
+	}
+}
+
+func (d *Demo) startWorker(i int) (jaybarrow.Host, error) {
+	listener, err := net.Listen("tcp", loopbackPort)
+	if err != nil {
+		return jaybarrow.Host{}, fmt.Errorf("listen for a worker: %w", err)
+	}
+	host := jaybarrow.Host{
+		ID:         jaybarrow.HostID(fmt.Sprintf("host-%d", i+1)),
+		Pool:       []jaybarrow.PoolID{"desk", "batch"}[i%2],
+		DataCentre: dataCentre,
+		Rack:       "rack-1",
+		Address:    jaybarrow.Address(listener.Addr().String()),
+		Capacity:   jaybarrow.Demand{Slots: workerSlots, Memory: 128000},
+	}
+	w := worker.New(jaybarrow.SystemClock{}, host.ID, host.Capacity)
+	d.workers = append(d.workers, worker.NewServer(w, listener))
+	return host, nil
+}
+
+func configure(ctx context.Context, s jaybarrow.Store) error {
+	records := []struct {
+		key   jaybarrow.Key
+		value any
+	}{
+		{jaybarrow.PoolKey("desk"), jaybarrow.Pool{ID: "desk", MaxUnavailable: 1}},
+		{jaybarrow.PoolKey("batch"), jaybarrow.Pool{ID: "batch", MaxUnavailable: 1}},
+		{jaybarrow.QueueKey("match"), jaybarrow.Queue{ID: "match", Pool: "desk", Class: jaybarrow.ClassQuick, TargetMs: quickTarget.Milliseconds()}},
+		{jaybarrow.QueueKey("render"), jaybarrow.Queue{ID: "render", Pool: "batch", Class: jaybarrow.ClassSlow, TargetMs: slowTarget.Milliseconds()}},
+		{jaybarrow.TeamKey("trail"), jaybarrow.Team{ID: "trail", Share: 2}},
+		{jaybarrow.TeamKey("clubs"), jaybarrow.Team{ID: "clubs", Share: 1}},
+		{jaybarrow.AccessKeyKey(request.Hash(TrailKey)), jaybarrow.AccessKey{Hash: request.Hash(TrailKey), Team: "trail"}},
+		{jaybarrow.AccessKeyKey(request.Hash(ClubsKey)), jaybarrow.AccessKey{Hash: request.Hash(ClubsKey), Team: "clubs"}},
+		{jaybarrow.PermitKey("trail"), allotment("trail")},
+		{jaybarrow.PermitKey("clubs"), allotment("clubs")},
+	}
+	for _, r := range records {
+		if err := put(ctx, s, r.key, r.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func allotment(team jaybarrow.TeamID) jaybarrow.Allotment {
+	return jaybarrow.Allotment{
+		Team: team, Limit: teamLimit,
+		Grants: map[jaybarrow.EntryID]jaybarrow.Grant{entryID: {Incarnation: 1, Slots: teamLimit}},
+	}
+}
+
+func put(ctx context.Context, s jaybarrow.Store, key jaybarrow.Key, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", key, err)
+	}
+	if _, err := s.CompareAndSwap(ctx, key, 0, data, 0); err != nil {
+		return fmt.Errorf("write %s: %w", key, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/directory/table.go
@@ -0,0 +1,101 @@
+package directory
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/shard"
+)
+
+// Versioned is a value with the revision of its last change.
+type Versioned[V any] struct {
+	Value    V
+	Revision jaybarrow.Revision
+	Deleted  bool // Value is empty; kept so that an older copy cannot bring the record back
+}
+
+// Table is the copy of the records below one prefix.
+type Table[K ~string, V any] struct {
+	prefix  jaybarrow.Key
+	records *shard.Map[K, Versioned[V]]
+	notify  notifier
+}
+
+func newTable[K ~string, V any](prefix jaybarrow.Key) *Table[K, V] {
+	return &Table[K, V]{prefix: prefix, records: shard.New[K, Versioned[V]](), notify: notifier{changed: make(chan struct{})}}
+}
+
+// Get returns the value, or false when there is none.
+func (t *Table[K, V]) Get(id K) (V, bool) {
+	v, ok := t.records.Get(id)
+	return v.Value, ok && !v.Deleted
+}
+
+// Versioned returns the value with its revision; the revision is 0 when there is none.
+func (t *Table[K, V]) Versioned(id K) Versioned[V] {
+	v, ok := t.records.Get(id)
+	if !ok || v.Deleted {
+		return Versioned[V]{}
+	}
+	return v
+}
+
+// Each calls visit for every value.
+func (t *Table[K, V]) Each(visit func(id K, value V)) {
+	t.records.Each(func(id K, v Versioned[V]) {
+		if !v.Deleted {
+			visit(id, v.Value)
+		}
+	})
+}
+
+// Changed returns a channel that is closed at the next change of the table.
+func (t *Table[K, V]) Changed() <-chan struct{} { return t.notify.channel() }
+
+// apply takes the record if it belongs to the table and is newer; it reports whether it did.
+func (t *Table[K, V]) apply(record jaybarrow.Record) (bool, error) {
+	id, ok := strings.CutPrefix(string(record.Key), string(t.prefix))
+	if !ok {
+		return false, nil
+	}
+	next := Versioned[V]{Revision: record.Revision, Deleted: record.Deleted}
+	if !record.Deleted {
+		if err := json.Unmarshal(record.Value, &next.Value); err != nil {
+			return false, fmt.Errorf("record %s at revision %d: %w", record.Key, record.Revision, err)
+		}
+	}
+	applied := false
+	t.records.Update(K(id), func(old Versioned[V], _ bool) (Versioned[V], bool) {
+		if old.Revision >= next.Revision {
+			return old, true
+		}
+		applied = true
+		return next, true
+	})
+	if applied {
+		t.notify.signal()
+	}
+	return applied, nil
+}
+
+// notifier wakes any number of waiters at each change.
+type notifier struct {
+	sync.Mutex
+	changed chan struct{}
+}
+
+func (n *notifier) channel() <-chan struct{} {
+	n.Lock()
+	defer n.Unlock()
+	return n.changed
+}
+
+func (n *notifier) signal() {
+	n.Lock()
+	defer n.Unlock()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry assembles one entry host from its parts; the parts start and stop together.
+package entry
--- /dev/null
+++ b/internal/identity/doc.go
@@ -0,0 +1,2 @@
+// Package identity makes unique ids.
+package identity
--- /dev/null
+++ b/internal/identity/identity.go
@@ -0,0 +1,30 @@
+package identity
+
+import (
+	"strconv"
+	"sync/atomic"
+
+	"github.com/google/uuid"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// NewRequestID returns a unique request id.
+func NewRequestID() jaybarrow.RequestID { return jaybarrow.RequestID(uuid.NewString()) }
+
+// NewChangeID returns a unique change id.
+func NewChangeID() jaybarrow.ChangeID { return jaybarrow.ChangeID(uuid.NewString()) }
+
+// Tasks makes task ids that are unique over all entry hosts and incarnations.
+type Tasks struct {
+	process string
+	next    atomic.Int64
+}
+
+// NewTasks returns a source of task ids for this process.
+func NewTasks() *Tasks { return &Tasks{process: uuid.NewString()[:18]} }
+
+// New returns a task id.
+func (t *Tasks) New(jaybarrow.RequestID) jaybarrow.TaskID {
+	return jaybarrow.TaskID(t.process + "-" + strconv.FormatInt(t.next.Add(1), 10))
+}
--- /dev/null
+++ b/internal/order/doc.go
@@ -0,0 +1,2 @@
+// Package order is the folder of queue orders; each subpackage implements jaybarrow.Order.
+package order
--- /dev/null
+++ b/internal/order/fifo/doc.go
@@ -0,0 +1,2 @@
+// Package fifo orders waiting requests by arrival; it is a baseline for measurements.
+package fifo
--- /dev/null
+++ b/internal/order/fifo/fifo.go
@@ -0,0 +1,94 @@
+package fifo
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// Order is a first-in, first-out queue that skips items that cannot run now.
+type Order struct {
+	items []jaybarrow.Item
+}
+
+// New returns an empty Order.
+func New() *Order { return &Order{} }
+
+// Push adds a waiting item at the end.
+func (o *Order) Push(_ time.Time, item jaybarrow.Item) { o.items = append(o.items, item) }
+
+// Remove takes a waiting item out.
+func (o *Order) Remove(id jaybarrow.RequestID) (jaybarrow.Item, bool) {
+	i := slices.IndexFunc(o.items, func(it jaybarrow.Item) bool { return it.ID == id })
+	if i < 0 {
+		return jaybarrow.Item{}, false
+	}
+	item := o.items[i]
+	o.items = slices.Delete(o.items, i, i+1)
+	return item, true
+}
+
+type ask struct {
+	team   jaybarrow.TeamID
+	demand jaybarrow.Demand
+}
+
+// Next removes and returns the oldest item that accepts takes.
+func (o *Order) Next(_ time.Time, accepts func(jaybarrow.Item) bool) (jaybarrow.Item, bool) {
+	refused := make(map[ask]bool)
+	for i, item := range o.items {
+		a := ask{item.Team, item.Demand}
+		if refused[a] {
+			continue
+		}
+		if accepts(item) {
+			o.items = slices.Delete(o.items, i, i+1)
+			return item, true
+		}
+		refused[a] = true
+	}
+	return jaybarrow.Item{}, false
+}
+
+// Started does nothing, since arrival order ignores service.
+func (o *Order) Started(time.Time, jaybarrow.Item) {}
+
+// Finished does nothing, since arrival order ignores service.
+func (o *Order) Finished(time.Time, jaybarrow.Item, time.Duration) {}
+
+// Expired removes and returns the items whose deadline passed.
+func (o *Order) Expired(now time.Time) []jaybarrow.Item {
+	var expired []jaybarrow.Item
+	o.items = slices.DeleteFunc(o.items, func(it jaybarrow.Item) bool {
+		if it.Deadline.IsZero() || it.Deadline.After(now) {
+			return false
+		}
+		expired = append(expired, it)
+		return true
+	})
+	return expired
+}
+
+// NextDeadline returns the earliest deadline of a waiting item.
+func (o *Order) NextDeadline() (time.Time, bool) {
+	var earliest time.Time
+	for _, it := range o.items {
+		if !it.Deadline.IsZero() && (earliest.IsZero() || it.Deadline.Before(earliest)) {
+			earliest = it.Deadline
+		}
+	}
+	return earliest, !earliest.IsZero()
+}
+
+// Len is the number of waiting items.
+func (o *Order) Len() int { return len(o.items) }
+
+// Ahead returns the estimated slot time of all waiting items.
+func (o *Order) Ahead(time.Time, jaybarrow.Item) time.Duration {
+	var ahead time.Duration
+	for _, it := range o.items {
+		ahead += it.Estimate * time.Duration(it.Slots)
+	}
+	return ahead
+}
--- /dev/null
+++ b/internal/permit/doc.go
@@ -0,0 +1,2 @@
+// Package permit keeps this entry host's part of each team's limit.
+package permit
--- /dev/null
+++ b/internal/query/doc.go
@@ -0,0 +1,2 @@
+// Package query declares the handler type of queries, which read a snapshot and change nothing.
+package query
--- /dev/null
+++ b/internal/standin/store/core.go
@@ -0,0 +1,220 @@
+package store
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// Core is the stand-in's state: records with revisions, leases and a log of changes for watches.
+type Core struct {
+	sync.Mutex
+	clock    jaybarrow.Clock
+	revision jaybarrow.Revision
+	records  map[jaybarrow.Key]entry
+	leases   map[jaybarrow.LeaseID]lease
+	nextID   jaybarrow.LeaseID
+	log      []jaybarrow.Record // every change, in order of revision
+	changed  chan struct{}      // closed and replaced at each change
+}
+
+type entry struct {
+	record jaybarrow.Record
+	lease  jaybarrow.LeaseID
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// NewCore returns an empty Core.
+func NewCore(clock jaybarrow.Clock) *Core {
+	return &Core{
+		clock:   clock,
+		records: make(map[jaybarrow.Key]entry),
+		leases:  make(map[jaybarrow.LeaseID]lease),
+		changed: make(chan struct{}),
+	}
+}
+
+// Get returns a record, or KindNotFound.
+func (c *Core) Get(_ context.Context, key jaybarrow.Key) (jaybarrow.Record, error) {
+	c.Lock()
+	defer c.Unlock()
+	c.expire()
+	e, ok := c.records[key]
+	if !ok {
+		return jaybarrow.Record{}, jaybarrow.Errorf(jaybarrow.KindNotFound, "no record %s", key)
+	}
+	return e.record, nil
+}
+
+// List returns the records below the prefix, in order of key.
+func (c *Core) List(_ context.Context, prefix jaybarrow.Key) ([]jaybarrow.Record, jaybarrow.Revision, error) {
+	c.Lock()
+	defer c.Unlock()
+	c.expire()
+	var list []jaybarrow.Record
+	for key, e := range c.records {
+		if strings.HasPrefix(string(key), string(prefix)) {
+			list = append(list, e.record)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list, c.revision, nil
+}
+
+// CompareAndSwap writes the value if the record's revision is previous.
+func (c *Core) CompareAndSwap(_ context.Context, key jaybarrow.Key, previous jaybarrow.Revision, value []byte, id jaybarrow.LeaseID) (jaybarrow.Revision, error) {
+	c.Lock()
+	defer c.Unlock()
+	c.expire()
+	if have := c.records[key].record.Revision; have != previous {
+		return 0, jaybarrow.Errorf(jaybarrow.KindConflict, "%s has revision %d, not %d", key, have, previous)
+	}
+	if _, ok := c.leases[id]; id != 0 && !ok {
+		return 0, jaybarrow.Errorf(jaybarrow.KindNotFound, "no lease %d", id)
+	}
+	c.revision++
+	record := jaybarrow.Record{Key: key, Value: append([]byte(nil), value...), Revision: c.revision}
+	c.records[key] = entry{record, id}
+	c.append(record)
+	return c.revision, nil
+}
+
+// Delete removes the record if its revision is previous.
+func (c *Core) Delete(_ context.Context, key jaybarrow.Key, previous jaybarrow.Revision) (jaybarrow.Revision, error) {
+	c.Lock()
+	defer c.Unlock()
+	c.expire()
+	if have := c.records[key].record.Revision; have != previous || have == 0 {
+		return 0, jaybarrow.Errorf(jaybarrow.KindConflict, "%s has revision %d, not %d", key, have, previous)
+	}
+	c.remove(key)
+	return c.revision, nil
+}
+
+// GrantLease creates a lease.
+func (c *Core) GrantLease(_ context.Context, ttl time.Duration) (jaybarrow.LeaseID, error) {
+	c.Lock()
+	defer c.Unlock()
+	c.nextID++
+	c.leases[c.nextID] = lease{ttl, c.clock.Now().Add(ttl)}
+	return c.nextID, nil
+}
+
+// KeepAlive renews a lease, or returns KindNotFound when it has ended.
+func (c *Core) KeepAlive(_ context.Context, id jaybarrow.LeaseID) error {
+	c.Lock()
+	defer c.Unlock()
+	c.expire()
+	l, ok := c.leases[id]
+	if !ok {
+		return jaybarrow.Errorf(jaybarrow.KindNotFound, "no lease %d", id)
+	}
+	l.end = c.clock.Now().Add(l.ttl)
+	c.leases[id] = l
+	return nil
+}
+
+// RevokeLease ends a lease and deletes its records.
+func (c *Core) RevokeLease(_ context.Context, id jaybarrow.LeaseID) error {
+	c.Lock()
+	defer c.Unlock()
+	c.end(id)
+	return nil
+}
+
+// Expire ends the leases whose time has passed; a caller runs it regularly so that watches see the deletions.
+func (c *Core) Expire() {
+	c.Lock()
+	defer c.Unlock()
+	c.expire()
+}
+
+func (c *Core) expire() {
+	now := c.clock.Now()
+	for id, l := range c.leases {
+		if now.After(l.end) {
+			c.end(id)
+		}
+	}
+}
+
+func (c *Core) end(id jaybarrow.LeaseID) {
+	delete(c.leases, id)
+	for key, e := range c.records {
+		if e.lease == id {
+			c.remove(key)
+		}
+	}
+}
+
+func (c *Core) remove(key jaybarrow.Key) {
+	c.revision++
+	delete(c.records, key)
+	c.append(jaybarrow.Record{Key: key, Revision: c.revision, Deleted: true})
+}
+
+func (c *Core) append(record jaybarrow.Record) {
+	c.log = append(c.log, record)
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Watch returns a watch of the changes below the prefix after the revision.
+func (c *Core) Watch(ctx context.Context, prefix jaybarrow.Key, from jaybarrow.Revision) (jaybarrow.Watch, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	return &coreWatch{core: c, ctx: ctx, cancel: cancel, prefix: prefix, reached: from}, nil
+}
+
+type coreWatch struct {
+	core    *Core
+	ctx     context.Context
+	cancel  context.CancelFunc
+	prefix  jaybarrow.Key
+	reached jaybarrow.Revision
+}
+
+// progressInterval is how often an idle watch says that it works.
+const progressInterval = time.Second
+
+// Next waits for changes, or for the progress interval.
+func (w *coreWatch) Next() (jaybarrow.WatchEvent, error) {
+	progress := w.core.clock.After(progressInterval)
+	for {
+		event, changed := w.core.since(w.prefix, w.reached)
+		w.reached = event.Revision
+		if len(event.Records) > 0 {
+			return event, nil
+		}
+		select {
+		case <-w.ctx.Done():
+			return jaybarrow.WatchEvent{}, w.ctx.Err()
+		case <-progress:
+			return event, nil
+		case <-changed:
+		}
+	}
+}
+
+// Close ends the watch.
+func (w *coreWatch) Close() { w.cancel() }
+
+func (c *Core) since(prefix jaybarrow.Key, from jaybarrow.Revision) (jaybarrow.WatchEvent, <-chan struct{}) {
+	c.Lock()
+	defer c.Unlock()
+	event := jaybarrow.WatchEvent{Revision: c.revision}
+	first := sort.Search(len(c.log), func(i int) bool { return c.log[i].Revision > from })
+	for _, record := range c.log[first:] {
+		if strings.HasPrefix(string(record.Key), string(prefix)) {
+			event.Records = append(event.Records, record)
+		}
+	}
+	return event, c.changed
+}
