--- a/clock.go
+++ b/clock.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// Clock is the source of time; its Now carries a monotonic reading.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+}
+
 // SystemClock is the operating system's clock.
 type SystemClock struct{}
 
--- /dev/null
+++ b/internal/peer/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb is the generated code of the protocol between entry hosts.
+package peerpb
