Add membership, gossip, forwarding and the choice of a scheduler

Cause: entry hosts have to know each other, agree on who schedules a pool and forward requests to it. Change: rendezvous hashing, members with liveness and freshness, gRPC peer front end with heartbeats that travel through one partner in turn and one relay for each data centre, and a router that retries only what certainly did not run or is idempotent. A full mesh of heartbeats was ruled out by its traffic.

--- /dev/null
+++ b/internal/member/members.go
@@ -0,0 +1,97 @@
+package member
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/rendezvous"
+	"github.com/jaybarrow/jaybarrow/internal/shard"
+)
+
+// Members holds the last known state of each other entry host, in shards by id.
+type Members struct {
+	self       jaybarrow.EntryID
+	dataCentre jaybarrow.DataCentreID
+	timeouts   Timeouts
+	states     *shard.Map[jaybarrow.EntryID, State]
+}
+
+// New returns Members that have heard of nobody.
+func New(self jaybarrow.EntryID, dataCentre jaybarrow.DataCentreID, timeouts Timeouts) *Members {
+	return &Members{self: self, dataCentre: dataCentre, timeouts: timeouts, states: shard.New[jaybarrow.EntryID, State]()}
+}
+
+// Observe takes a state if it is newer than the known one; it reports whether it did.
+func (m *Members) Observe(s State) bool {
+	if s.ID == m.self {
+		return false
+	}
+	taken := false
+	m.states.Update(s.ID, func(old State, present bool) (State, bool) {
+		if present && !s.newer(old) {
+			return old, true
+		}
+		taken = true
+		return s, true
+	})
+	return taken
+}
+
+// Forget drops an entry host, for example one that the platform's list calls gone.
+func (m *Members) Forget(id jaybarrow.EntryID) { m.states.Delete(id) }
+
+// Known returns all states, live or not, in order of id.
+func (m *Members) Known() []State {
+	var known []State
+	m.states.Each(func(_ jaybarrow.EntryID, s State) { known = append(known, s) })
+	slices.SortFunc(known, func(a, b State) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return known
+}
+
+// Get returns the last known state of an entry host.
+func (m *Members) Get(id jaybarrow.EntryID) (State, bool) { return m.states.Get(id) }
+
+// Live reports whether the state was heard recently and does not say that the entry host leaves.
+func (m *Members) Live(now time.Time, s State) bool {
+	limit := m.timeouts.Far
+	if s.DataCentre == m.dataCentre {
+		limit = m.timeouts.Near
+	}
+	return !s.Leaving && now.Sub(s.Heard) <= limit
+}
+
+// LiveStates returns the states of the other live entry hosts, in order of id.
+func (m *Members) LiveStates(now time.Time) []State {
+	return slices.DeleteFunc(m.Known(), func(s State) bool { return !m.Live(now, s) })
+}
+
+// Owner returns the entry host that schedules the pool in the data centre; self is a candidate when selfReady, and those in
+// avoid are not.
+func (m *Members) Owner(now time.Time, pool jaybarrow.PoolID, dataCentre jaybarrow.DataCentreID, selfReady bool, avoid map[jaybarrow.EntryID]bool) (jaybarrow.EntryID, bool) {
+	var candidates []jaybarrow.EntryID
+	if selfReady && dataCentre == m.dataCentre && !avoid[m.self] {
+		candidates = append(candidates, m.self)
+	}
+	for _, s := range m.LiveStates(now) {
+		if s.DataCentre == dataCentre && s.Ready && !avoid[s.ID] {
+			candidates = append(candidates, s.ID)
+		}
+	}
+	return rendezvous.Owner(string(pool), candidates)
+}
+
+// Relay returns the entry host that exchanges heartbeats with other data centres for the data centre.
+func (m *Members) Relay(now time.Time, dataCentre jaybarrow.DataCentreID) (jaybarrow.EntryID, bool) {
+	var candidates []jaybarrow.EntryID
+	if dataCentre == m.dataCentre {
+		candidates = append(candidates, m.self)
+	}
+	for _, s := range m.LiveStates(now) {
+		if s.DataCentre == dataCentre {
+			candidates = append(candidates, s.ID)
+		}
+	}
+	return rendezvous.Owner("relay/"+string(dataCentre), candidates)
+}
--- /dev/null
+++ b/internal/member/members_test.go
@@ -0,0 +1,86 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/member"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+const limit = 5 * time.Second
+
+func state(id jaybarrow.EntryID, dc jaybarrow.DataCentreID, heardAgo, confirmedAgo time.Duration, newest jaybarrow.Revision) member.State {
+	s := member.State{ID: id, DataCentre: dc, Incarnation: 1, Sequence: 1, Ready: true, Heard: now.Add(-heardAgo), Newest: newest}
+	if confirmedAgo >= 0 {
+		s.Confirmed = now.Add(-confirmedAgo)
+	}
+	return s
+}
+
+// Guards against serving a withdrawn key behind a cut, and against refusing keyed work when nothing can be withdrawn.
+func TestFresh(t *testing.T) {
+	const never = -1 * time.Second
+	all := []jaybarrow.DataCentreID{"a", "b", "c"}
+	cases := []struct {
+		name   string
+		own    member.Own
+		others []member.State
+		want   bool
+	}{
+		{"own store contact", member.Own{Applied: 7, Confirmed: now.Add(-time.Second)}, nil, true},
+		{"own contact too old, alone", member.Own{Applied: 7, Confirmed: now.Add(-6 * time.Second)}, nil, false},
+		{"peer confirms the same revision", member.Own{Applied: 7}, []member.State{state("b1", "b", 0, time.Second, 7)}, true},
+		{"peer has a newer record", member.Own{Applied: 7}, []member.State{state("b1", "b", 0, time.Second, 8)}, false},
+		{"store down everywhere", member.Own{Applied: 7}, []member.State{
+			state("b1", "b", 0, time.Minute, 7), state("c1", "c", 0, never, 7),
+		}, true},
+		{"store down, one data centre not reached", member.Own{Applied: 7}, []member.State{state("b1", "b", 0, time.Minute, 7)}, false},
+		{"confirming peer not heard any more", member.Own{Applied: 7}, []member.State{state("b1", "b", time.Minute, time.Second, 7)}, false},
+		{"no configuration at all", member.Own{}, []member.State{state("b1", "b", 0, never, 0), state("c1", "c", 0, never, 0)}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := member.New("a1", "a", member.DefaultTimeouts)
+			for _, s := range c.others {
+				m.Observe(s)
+			}
+			assert.Equal(t, m.Fresh(now, c.own, limit, all), c.want)
+		})
+	}
+}
+
+// Guards against a late or relayed older state replacing a newer one, for example one that says "leaving".
+func TestObserveTakesOnlyNewerStates(t *testing.T) {
+	m := member.New("a1", "a", member.DefaultTimeouts)
+	leaving := state("a2", "a", 0, 0, 1)
+	leaving.Sequence, leaving.Leaving = 5, true
+	assert.Assert(t, m.Observe(leaving))
+	older := state("a2", "a", 0, 0, 1)
+	older.Sequence = 4
+	assert.Assert(t, !m.Observe(older))
+	assert.Equal(t, len(m.LiveStates(now)), 0)
+	restarted := state("a2", "a", 0, 0, 1)
+	restarted.Incarnation = 2
+	assert.Assert(t, m.Observe(restarted))
+	assert.Equal(t, len(m.LiveStates(now)), 1)
+}
+
+// Guards against a pool that is owned by an entry host that is silent, leaving or not ready.
+func TestOwnerIsLiveAndReady(t *testing.T) {
+	m := member.New("a1", "a", member.DefaultTimeouts)
+	silent := state("a2", "a", 4*time.Second, 0, 1)
+	unready := state("a3", "a", 0, 0, 1)
+	unready.Ready = false
+	m.Observe(silent)
+	m.Observe(unready)
+	owner, ok := m.Owner(now, "pool", "a", true, nil)
+	assert.Assert(t, ok)
+	assert.Equal(t, owner, jaybarrow.EntryID("a1"))
+	_, ok = m.Owner(now, "pool", "a", false, nil)
+	assert.Assert(t, !ok)
+}
--- /dev/null
+++ b/internal/member/state.go
@@ -0,0 +1,41 @@
+package member
+
+import (
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/schedule"
+)
+
+// State is what one entry host last said of itself, with times converted to the local clock.
+type State struct {
+	ID          jaybarrow.EntryID
+	DataCentre  jaybarrow.DataCentreID
+	PeerAddress jaybarrow.Address
+	Incarnation jaybarrow.Incarnation
+	Sequence    int64 // increases with each heartbeat of the incarnation
+	Ready       bool  // registered, and has a configuration
+	Leaving     bool
+	Applied     jaybarrow.Revision // all changes up to it are applied
+	Newest      jaybarrow.Revision // newest record that is applied
+	Confirmed   time.Time          // when the store last proved its configuration current; zero: never
+	Loads       map[jaybarrow.PoolID]schedule.Load
+	Heard       time.Time // when it said so
+}
+
+// newer reports whether s was said after old.
+func (s State) newer(old State) bool {
+	if s.Incarnation != old.Incarnation {
+		return s.Incarnation > old.Incarnation
+	}
+	return s.Sequence > old.Sequence
+}
+
+// Timeouts say how long an entry host counts as live after it was last heard.
+type Timeouts struct {
+	Near time.Duration // in the own data centre
+	Far  time.Duration // in another data centre, where heartbeats take turns and pass a relay
+}
+
+// DefaultTimeouts are three heartbeats of one second within a data centre, and twice that through two relays.
+var DefaultTimeouts = Timeouts{Near: 3 * time.Second, Far: 6 * time.Second}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,151 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/member"
+	"github.com/jaybarrow/jaybarrow/internal/peer"
+	"github.com/jaybarrow/jaybarrow/internal/schedule"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echo answers each request with its id and body.
+type echo struct{ fault error }
+
+func (e echo) Run(_ context.Context, r jaybarrow.Request) ([]byte, error) {
+	return []byte(string(r.ID) + ":" + string(r.Body)), e.fault
+}
+
+func (e echo) Cancel(_ context.Context, _ jaybarrow.TeamID, id jaybarrow.RequestID) (bool, error) {
+	return id == "known", nil
+}
+
+type noRecords struct{}
+
+func (noRecords) Since(jaybarrow.Revision) ([]jaybarrow.Record, jaybarrow.Revision) {
+	return []jaybarrow.Record{{Key: "k", Value: []byte("v"), Revision: 3}}, 9
+}
+
+type node struct {
+	self    member.State
+	members *member.Members
+	client  *peer.Client
+	server  *peer.Server
+	gossip  *peer.Gossip
+	behind  atomic.Int64
+}
+
+// startNode starts an entry host's peer parts; it hears the seeds.
+func startNode(t *testing.T, id, dc string, local jaybarrow.Runner, listener net.Listener, seeds []peer.Seed) *node {
+	t.Helper()
+	n := &node{client: peer.NewClient(jaybarrow.SystemClock{})}
+	begun := time.Now()
+	n.self = member.State{
+		ID: jaybarrow.EntryID(id), DataCentre: jaybarrow.DataCentreID(dc), Incarnation: 1, Ready: true,
+		PeerAddress: jaybarrow.Address(listener.Addr().String()), Applied: 5, Newest: 5,
+		Loads: map[jaybarrow.PoolID]schedule.Load{"pool": {Waiting: 1, Running: 2, FreeSlots: 3}},
+	}
+	n.members = member.New(n.self.ID, n.self.DataCentre, member.DefaultTimeouts)
+	n.gossip = peer.NewGossip(peer.GossipDeps{
+		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Client: n.client, Members: n.members,
+		Interval: 50 * time.Millisecond,
+		Self: func() member.State {
+			s := n.self
+			s.Heard, s.Confirmed, s.Sequence = time.Now(), time.Now(), time.Since(begun).Microseconds()
+			return s
+		},
+		Seeds:  func() []peer.Seed { return seeds },
+		Behind: func(member.State) { n.behind.Add(1) },
+	})
+	n.server = peer.NewServer(jaybarrow.SystemClock{}, zerolog.Nop(), listener, local, noRecords{}, n.gossip)
+	t.Cleanup(func() {
+		n.gossip.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		n.server.Close(ctx)
+		n.client.Close()
+	})
+	return n
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return l
+}
+
+// Guards against entry hosts that never hear of each other when no two data centres share more than a relay.
+func TestEveryEntryHostHearsOfEveryOther(t *testing.T) {
+	var listeners []net.Listener
+	var seeds []peer.Seed
+	for i := range 6 {
+		listeners = append(listeners, listen(t))
+		seeds = append(seeds, peer.Seed{
+			ID:         jaybarrow.EntryID(fmt.Sprintf("e%d", i)),
+			DataCentre: jaybarrow.DataCentreID(fmt.Sprintf("dc%d", i%2)),
+			Address:    jaybarrow.Address(listeners[i].Addr().String()),
+		})
+	}
+	var nodes []*node
+	for i, s := range seeds {
+		nodes = append(nodes, startNode(t, string(s.ID), string(s.DataCentre), echo{}, listeners[i], seeds))
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, n := range nodes {
+			live := n.members.LiveStates(time.Now())
+			if len(live) != len(nodes)-1 {
+				return poll.Continue("%s hears of %d", n.self.ID, len(live))
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	heard, _ := nodes[0].members.Get("e3")
+	assert.Equal(t, heard.Loads["pool"].FreeSlots, jaybarrow.Slots(3))
+	assert.Equal(t, heard.Newest, jaybarrow.Revision(5))
+	assert.Equal(t, nodes[0].behind.Load(), int64(0))
+}
+
+// Guards against a fault that loses its kind or its effect on the way, and against an unsent request that counts as sent.
+func TestSubmitKeepsKindAndEffect(t *testing.T) {
+	fault := jaybarrow.Errorf(jaybarrow.KindWorkerLost, "silent")
+	ok := startNode(t, "ok", "dc", echo{}, listen(t), nil)
+	failing := startNode(t, "failing", "dc", echo{fault: fault}, listen(t), nil)
+	ctx := context.Background()
+	request := jaybarrow.Request{ID: "r1", Body: []byte("body"), Arrived: time.Now(), Target: time.Now()}
+
+	body, err := ok.client.Submit(ctx, ok.self.PeerAddress, request)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "r1:body")
+
+	_, err = ok.client.Submit(ctx, failing.self.PeerAddress, request)
+	assert.Equal(t, jaybarrow.AsError(err).Kind, jaybarrow.KindWorkerLost)
+	assert.Equal(t, jaybarrow.AsError(err).Effect, jaybarrow.EffectMayHaveRun)
+
+	closed := listen(t)
+	assert.NilError(t, closed.Close())
+	_, err = ok.client.Submit(ctx, jaybarrow.Address(closed.Addr().String()), request)
+	assert.Equal(t, jaybarrow.AsError(err).Kind, jaybarrow.KindPeerLost)
+	assert.Equal(t, jaybarrow.AsError(err).Effect, jaybarrow.EffectNotRun)
+
+	known, err := ok.client.Cancel(ctx, failing.self.PeerAddress, "team", "known")
+	assert.NilError(t, err)
+	assert.Assert(t, known)
+
+	records, reached, err := ok.client.Changes(ctx, failing.self.PeerAddress, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, reached, jaybarrow.Revision(9))
+	assert.Equal(t, records[0].Revision, jaybarrow.Revision(3))
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/peer/peerpb"
+)
+
+// Copy is the local copy of the configuration, as peers need it.
+type Copy interface {
+	// Since returns the records newer than the revision and the revision up to which they are complete.
+	Since(after jaybarrow.Revision) ([]jaybarrow.Record, jaybarrow.Revision)
+}
+
+// maxMessage bounds a gRPC message; answers of workers may be larger than requests.
+const maxMessage = 16 << 20
+
+// Server serves the peer protocol; it runs forwarded requests on the local schedulers only and never forwards them again.
+type Server struct {
+	peerpb.UnimplementedPeerServer
+	clock  jaybarrow.Clock
+	local  jaybarrow.Runner
+	config Copy
+	gossip *Gossip
+	grpc   *grpc.Server
+	group  conc.WaitGroup
+}
+
+// NewServer returns a running Server on the listener.
+func NewServer(clock jaybarrow.Clock, log zerolog.Logger, listener net.Listener, local jaybarrow.Runner, config Copy, gossip *Gossip) *Server {
+	s := &Server{clock: clock, local: local, config: config, gossip: gossip}
+	s.grpc = grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+	)
+	peerpb.RegisterPeerServer(s.grpc, s)
+	s.group.Go(func() {
+		if err := s.grpc.Serve(listener); err != nil {
+			log.Error().Err(err).Msg("peer server ended")
+		}
+	})
+	return s
+}
+
+// Close refuses new calls and waits for running ones until ctx ends.
+func (s *Server) Close(ctx context.Context) {
+	done := make(chan struct{})
+	s.group.Go(func() {
+		defer close(done)
+		s.grpc.GracefulStop()
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+		s.grpc.Stop()
+	}
+	s.group.Wait()
+}
+
+// Submit runs a forwarded request on the local schedulers.
+func (s *Server) Submit(ctx context.Context, m *peerpb.SubmitRequest) (*peerpb.SubmitAnswer, error) {
+	body, err := s.local.Run(ctx, decodeRequest(s.clock.Now(), m))
+	return &peerpb.SubmitAnswer{Id: m.Id, Body: body, Fault: encodeFault(err)}, nil
+}
+
+// Cancel ends a request that is queued or running here.
+func (s *Server) Cancel(ctx context.Context, m *peerpb.CancelRequest) (*peerpb.CancelAnswer, error) {
+	known, err := s.local.Cancel(ctx, jaybarrow.TeamID(m.Team), jaybarrow.RequestID(m.Id))
+	return &peerpb.CancelAnswer{Known: known, Fault: encodeFault(err)}, nil
+}
+
+// Beat takes the sender's heartbeat and answers with this entry host's.
+func (s *Server) Beat(_ context.Context, m *peerpb.Heartbeat) (*peerpb.Heartbeat, error) {
+	return s.gossip.receive(m), nil
+}
+
+// Changes returns configuration records newer than a revision.
+func (s *Server) Changes(_ context.Context, m *peerpb.ChangesRequest) (*peerpb.ChangesAnswer, error) {
+	records, reached := s.config.Since(jaybarrow.Revision(m.AfterRevision))
+	return &peerpb.ChangesAnswer{Records: encodeRecords(records), Reached: int64(reached)}, nil
+}
+
+// Keepalive pings end a call on a connection that has gone silent; grpc-go allows no client interval below 10 s.
+const (
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 3 * time.Second
+)
--- /dev/null
+++ b/internal/route/doc.go
@@ -0,0 +1,2 @@
+// Package route chooses the entry host whose scheduler runs a request, and forwards the request to it.
+package route
--- /dev/null
+++ b/internal/route/router.go
@@ -0,0 +1,205 @@
+package route
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/member"
+	"github.com/jaybarrow/jaybarrow/internal/schedule"
+	"github.com/jaybarrow/jaybarrow/internal/shard"
+)
+
+// Forwarder calls the schedulers of other entry hosts.
+type Forwarder interface {
+	// Submit runs the request at the peer; KindPeerLost says whether it may have run.
+	Submit(ctx context.Context, to jaybarrow.Address, request jaybarrow.Request) ([]byte, error)
+	// Cancel ends a request at the peer; it reports whether the request was known there.
+	Cancel(ctx context.Context, to jaybarrow.Address, team jaybarrow.TeamID, id jaybarrow.RequestID) (bool, error)
+}
+
+// Deps are what a Router depends on.
+type Deps struct {
+	Clock      jaybarrow.Clock
+	Self       jaybarrow.EntryID
+	DataCentre jaybarrow.DataCentreID
+	Local      jaybarrow.Runner
+	Peers      Forwarder
+	Members    *member.Members
+	// Ready reports whether the local schedulers take requests.
+	Ready func() bool
+	// DataCentres returns the data centres in which the pool has hosts.
+	DataCentres func(pool jaybarrow.PoolID) []jaybarrow.DataCentreID
+	// LocalLoad returns the load of the pool at the local scheduler; false when it does not run the pool.
+	LocalLoad func(pool jaybarrow.PoolID) (schedule.Load, bool)
+	Journal   jaybarrow.Journal
+}
+
+// Router runs each request on the scheduler that owns its pool, here or at a peer.
+type Router struct {
+	deps    Deps
+	pending *shard.Map[ownerPool, *pending]
+	placed  *shard.Map[jaybarrow.RequestID, jaybarrow.Address] // forwarded requests; an empty address is the local scheduler
+}
+
+// ownerPool is "entry host/pool".
+type ownerPool string
+
+// pending counts requests forwarded since the owner's last report of its load.
+type pending struct {
+	sequence atomic.Int64
+	count    atomic.Int64
+}
+
+// New returns a Router.
+func New(deps Deps) *Router {
+	return &Router{
+		deps:    deps,
+		pending: shard.New[ownerPool, *pending](),
+		placed:  shard.New[jaybarrow.RequestID, jaybarrow.Address](),
+	}
+}
+
+// maxAttempts bounds how often one request is forwarded; more than that many owners in a row do not leave or fail.
+const maxAttempts = 6
+
+// retryDelay is the wait before another attempt, in which the membership can change.
+const retryDelay = 150 * time.Millisecond
+
+// Run runs the request on the owner of its pool. Another attempt is made only when the last one certainly did not run the
+// request, or when the request is idempotent and its entry host was lost.
+func (r *Router) Run(ctx context.Context, request jaybarrow.Request) ([]byte, error) {
+	if !r.reserve(request.ID) {
+		return nil, jaybarrow.Errorf(jaybarrow.KindDuplicateRequest, "request %s is already here", request.ID)
+	}
+	defer r.placed.Delete(request.ID)
+	effect := jaybarrow.EffectNotRun
+	avoid := make(map[jaybarrow.EntryID]bool)
+	for attempt := 1; ; attempt++ {
+		body, err := r.attempt(ctx, request, avoid)
+		if err == nil {
+			return body, nil
+		}
+		e := jaybarrow.AsError(err)
+		if e.Effect != jaybarrow.EffectNotRun {
+			effect = e.Effect
+		}
+		if attempt == maxAttempts || !again(request, e) || r.expired(request) {
+			return nil, e.WithEffect(effect)
+		}
+		r.deps.Journal.Note(jaybarrow.Subject{Kind: jaybarrow.SubjectRequest, ID: string(request.ID)}, "forwarded again", e.Message)
+		select {
+		case <-ctx.Done():
+			return nil, jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled between attempts").WithEffect(effect)
+		case <-r.deps.Clock.After(retryDelay):
+		}
+	}
+}
+
+// reserve notes that the request is here; it reports whether it was not.
+func (r *Router) reserve(id jaybarrow.RequestID) bool {
+	reserved := false
+	r.placed.Update(id, func(old jaybarrow.Address, present bool) (jaybarrow.Address, bool) {
+		reserved = !present
+		return old, true
+	})
+	return reserved
+}
+
+// again reports whether another owner may be tried after the error.
+func again(request jaybarrow.Request, e *jaybarrow.Error) bool {
+	switch e.Kind {
+	case jaybarrow.KindHandOver, jaybarrow.KindShuttingDown:
+		return e.Effect == jaybarrow.EffectNotRun
+	case jaybarrow.KindPeerLost:
+		return e.Effect == jaybarrow.EffectNotRun || request.Idempotent
+	default:
+		return false
+	}
+}
+
+func (r *Router) expired(request jaybarrow.Request) bool {
+	return !request.Deadline.IsZero() && !r.deps.Clock.Now().Before(request.Deadline)
+}
+
+// attempt runs the request on the owner of its pool; an owner that fails it is avoided by the next attempt, which is harmless
+// because no limit depends on who schedules a pool.
+func (r *Router) attempt(ctx context.Context, request jaybarrow.Request, avoid map[jaybarrow.EntryID]bool) ([]byte, error) {
+	options := r.options(request.Pool, avoid)
+	if len(options) == 0 {
+		clear(avoid)
+		return nil, jaybarrow.Errorf(jaybarrow.KindHandOver, "no live entry host schedules pool %s", request.Pool)
+	}
+	option := options[Choose(options)]
+	avoid[option.Owner] = true
+	if option.Owner == r.deps.Self {
+		r.placed.Set(request.ID, "")
+		return r.deps.Local.Run(ctx, request)
+	}
+	state, ok := r.deps.Members.Get(option.Owner)
+	if !ok {
+		return nil, jaybarrow.Errorf(jaybarrow.KindHandOver, "entry host %s is not known any more", option.Owner)
+	}
+	r.placed.Set(request.ID, state.PeerAddress)
+	r.count(state, request.Pool).Add(1)
+	return r.deps.Peers.Submit(ctx, state.PeerAddress, request)
+}
+
+// options lists the data centres that can run the pool's work, with their owners and loads.
+func (r *Router) options(pool jaybarrow.PoolID, avoid map[jaybarrow.EntryID]bool) []Option {
+	now, ready := r.deps.Clock.Now(), r.deps.Ready()
+	var options []Option
+	for _, dc := range r.deps.DataCentres(pool) {
+		owner, ok := r.deps.Members.Owner(now, pool, dc, ready, avoid)
+		if !ok {
+			continue
+		}
+		o := Option{DataCentre: dc, Owner: owner, Own: dc == r.deps.DataCentre}
+		if owner == r.deps.Self {
+			o.Load, o.Known = r.deps.LocalLoad(pool)
+		} else if state, ok := r.deps.Members.Get(owner); ok {
+			o.Load, o.Known = state.Loads[pool]
+			o.Pending = int(r.count(state, pool).Load())
+		}
+		options = append(options, o)
+	}
+	slices.SortFunc(options, func(a, b Option) int { return strings.Compare(string(a.DataCentre), string(b.DataCentre)) })
+	return options
+}
+
+// count returns the counter of requests forwarded to the owner since it reported this state.
+func (r *Router) count(s member.State, pool jaybarrow.PoolID) *atomic.Int64 {
+	p := r.pending.GetOrCreate(ownerPool(string(s.ID)+"/"+string(pool)), func() *pending { return &pending{} })
+	if p.sequence.Swap(s.Sequence) != s.Sequence {
+		p.count.Store(0)
+	}
+	return &p.count
+}
+
+// Cancel ends the request wherever this entry host placed it, or asks every live entry host when it came in through another.
+func (r *Router) Cancel(ctx context.Context, team jaybarrow.TeamID, id jaybarrow.RequestID) (bool, error) {
+	if address, ok := r.placed.Get(id); ok && address != "" {
+		return r.deps.Peers.Cancel(ctx, address, team, id)
+	}
+	if known, err := r.deps.Local.Cancel(ctx, team, id); known || err != nil {
+		return known, err
+	}
+	return r.cancelElsewhere(ctx, team, id)
+}
+
+func (r *Router) cancelElsewhere(ctx context.Context, team jaybarrow.TeamID, id jaybarrow.RequestID) (bool, error) {
+	var failed error
+	for _, s := range r.deps.Members.LiveStates(r.deps.Clock.Now()) {
+		known, err := r.deps.Peers.Cancel(ctx, s.PeerAddress, team, id)
+		if known {
+			return true, nil
+		}
+		if err != nil {
+			failed = err
+		}
+	}
+	return false, failed
+}
