Add drains, moves, reboots and waves by compare-and-swap steps

Cause: hosts have to reach maintenance within the pools' availability budgets, and any entry host must be able to go on where another stopped. The driver has no test against a store yet.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -54,7 +54,7 @@
 	scheduler := pool.New(pool.Deps{
 		Clock:   deps.Clock,
 		Log:     logging.For(deps.Log, "pool"),
-		Hosts:   roster.New(d, deps.DataCentre),
+		Hosts:   roster.New(d, allLive{}, allLive{}, deps.DataCentre),
 		Workers: task.New(deps.Clock, deps.Task),
 		Permits: permit.New(deps.ID, d.Allotments),
 		NewPool: func() *schedule.Pool {
@@ -78,3 +78,14 @@
 	e.scheduler.Close()
 	return err
 }
+
+// allLive stands for the platform's list and the workers' health until they are joined to the entry host.
+type allLive struct{}
+
+func (allLive) Condition(string) jaybarrow.HostCondition { return jaybarrow.HostLive }
+
+func (allLive) GoneFor(string) (time.Duration, bool) { return 0, false }
+
+func (allLive) Changed() <-chan struct{} { return nil }
+
+func (allLive) Accepting(jaybarrow.PoolID, jaybarrow.HostID) bool { return true }
--- /dev/null
+++ b/internal/maintenance/operators.go
@@ -0,0 +1,58 @@
+package maintenance
+
+import (
+	"context"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/drain"
+)
+
+// BeginDrain begins to drain the host if its pool's budget allows it; moveTo is only for PurposeMove.
+func (m *Manager) BeginDrain(ctx context.Context, id jaybarrow.HostID, purpose jaybarrow.DrainPurpose, moveTo jaybarrow.PoolID) (jaybarrow.Revision, error) {
+	var host jaybarrow.Host
+	if _, err := read(ctx, m.deps.Store, jaybarrow.HostKey(id), &host); err != nil {
+		return 0, err
+	}
+	view, err := m.view(ctx, host.Pool)
+	if err != nil {
+		return 0, err
+	}
+	revision, err := m.change(ctx, host.Pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
+		return drain.Begin(record, view, jaybarrow.Drain{Host: id, Purpose: purpose, MoveTo: moveTo}, m.deps.Clock.Now())
+	})
+	if err != nil {
+		return 0, err
+	}
+	m.note(jaybarrow.SubjectHost, string(id), "drain begun", "an operator asked for "+string(purpose))
+	return revision, nil
+}
+
+// EndDrain returns the host to service.
+func (m *Manager) EndDrain(ctx context.Context, id jaybarrow.HostID) (jaybarrow.Revision, error) {
+	var host jaybarrow.Host
+	if _, err := read(ctx, m.deps.Store, jaybarrow.HostKey(id), &host); err != nil {
+		return 0, err
+	}
+	revision, err := m.change(ctx, host.Pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
+		return drain.Cancel(record, id, m.deps.Clock.Now())
+	})
+	if err == nil {
+		m.note(jaybarrow.SubjectHost, string(id), "drain cancelled", "an operator asked for it")
+	}
+	return revision, err
+}
+
+// BeginWave plans a reboot of every host of the pool, one rack at a time within the pool's budget.
+func (m *Manager) BeginWave(ctx context.Context, pool jaybarrow.PoolID) (jaybarrow.Revision, error) {
+	view, err := m.view(ctx, pool)
+	if err != nil {
+		return 0, err
+	}
+	revision, err := m.change(ctx, pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
+		return drain.BeginWave(record, view, m.deps.Clock.Now())
+	})
+	if err == nil {
+		m.note(jaybarrow.SubjectPool, string(pool), "wave begun", "an operator asked for it")
+	}
+	return revision, err
+}
--- /dev/null
+++ b/internal/maintenance/steps.go
@@ -0,0 +1,161 @@
+package maintenance
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/drain"
+)
+
+// step carries one drain on by at most one phase; what fails is tried again in the next round.
+func (m *Manager) step(pool jaybarrow.PoolID, host jaybarrow.Host, d jaybarrow.Drain) {
+	ctx, cancel := context.WithTimeout(m.ctx, m.deps.Settings.CallTimeout)
+	defer cancel()
+	err := m.advance(ctx, pool, host, d)
+	if err != nil && !jaybarrow.IsKind(err, jaybarrow.KindConflict) {
+		m.deps.Log.Warn().Err(err).Str("host", string(d.Host)).Str("phase", string(d.Phase)).Msg("drain step failed; trying again")
+	}
+}
+
+func (m *Manager) advance(ctx context.Context, pool jaybarrow.PoolID, host jaybarrow.Host, d jaybarrow.Drain) error {
+	if host.ID == "" || m.deps.Conditions.Condition(string(d.Host)) == jaybarrow.HostGone {
+		return m.remove(ctx, pool, d, "the host is gone")
+	}
+	switch d.Phase {
+	case jaybarrow.PhaseDraining:
+		return m.empty(ctx, pool, host, d)
+	case jaybarrow.PhaseDrained:
+		return m.fulfil(ctx, pool, d)
+	case jaybarrow.PhaseRebooting:
+		return m.awaitReboot(ctx, pool, host, d)
+	default:
+		if err := m.deps.Workers.SetDraining(ctx, host, false); err != nil {
+			return err
+		}
+		return m.remove(ctx, pool, d, "the worker accepts work again")
+	}
+}
+
+// empty makes the worker refuse new tasks and waits until none runs; past the patience it asks for checkpoints, and never
+// stops a task.
+func (m *Manager) empty(ctx context.Context, pool jaybarrow.PoolID, host jaybarrow.Host, d jaybarrow.Drain) error {
+	if err := m.deps.Workers.SetDraining(ctx, host, true); err != nil {
+		return err
+	}
+	status, err := m.deps.Workers.Status(ctx, host)
+	if err != nil {
+		return err
+	}
+	if status.Draining && len(status.Running) == 0 {
+		return m.phase(ctx, pool, d, jaybarrow.PhaseDrained, "no task runs")
+	}
+	if m.since(d) < m.deps.Settings.Patience {
+		return nil
+	}
+	for _, id := range status.Running {
+		if err := m.deps.Workers.Checkpoint(ctx, host, id); err != nil {
+			m.deps.Log.Debug().Err(err).Str("task", string(id)).Msg("task cannot be checkpointed; waiting for its end")
+		}
+	}
+	return nil
+}
+
+// fulfil does what the host was drained for.
+func (m *Manager) fulfil(ctx context.Context, pool jaybarrow.PoolID, d jaybarrow.Drain) error {
+	switch d.Purpose {
+	case jaybarrow.PurposeMove:
+		if err := m.moveHost(ctx, d.Host, pool, d.MoveTo); err != nil {
+			return err
+		}
+		return m.phase(ctx, pool, d, jaybarrow.PhaseReturning, "moved to pool "+string(d.MoveTo))
+	case jaybarrow.PurposeReboot:
+		if err := m.phase(ctx, pool, d, jaybarrow.PhaseRebooting, "reboot requested"); err != nil {
+			return err
+		}
+		return m.deps.Platform.Reboot(ctx, d.Host)
+	default:
+		return nil
+	}
+}
+
+// awaitReboot waits until the worker has restarted since the phase began. The platform's list may still be from before the
+// reboot, so the worker's own clock decides.
+func (m *Manager) awaitReboot(ctx context.Context, pool jaybarrow.PoolID, host jaybarrow.Host, d jaybarrow.Drain) error {
+	status, err := m.deps.Workers.Status(ctx, host)
+	if err != nil {
+		return nil // it is rebooting
+	}
+	elapsed := m.since(d)
+	if time.Duration(status.Clock)*time.Millisecond < elapsed {
+		return m.phase(ctx, pool, d, jaybarrow.PhaseReturning, "the worker has restarted")
+	}
+	if elapsed > m.deps.Settings.RebootAgain && elapsed%m.deps.Settings.RebootAgain < m.deps.Settings.Interval {
+		return m.deps.Platform.Reboot(ctx, d.Host)
+	}
+	return nil
+}
+
+func (m *Manager) since(d jaybarrow.Drain) time.Duration {
+	return m.deps.Clock.Now().Sub(time.UnixMilli(d.PhaseMs))
+}
+
+func (m *Manager) phase(ctx context.Context, pool jaybarrow.PoolID, d jaybarrow.Drain, to jaybarrow.DrainPhase, reason string) error {
+	_, err := m.change(ctx, pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
+		return drain.Advance(record, d.Host, d.Phase, to, m.deps.Clock.Now())
+	})
+	if err == nil {
+		m.note(jaybarrow.SubjectHost, string(d.Host), fmt.Sprintf("drain is %s", to), reason)
+	}
+	return err
+}
+
+func (m *Manager) remove(ctx context.Context, pool jaybarrow.PoolID, d jaybarrow.Drain, reason string) error {
+	_, err := m.change(ctx, pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
+		return drain.Remove(record, d.Host, m.deps.Clock.Now())
+	})
+	if err == nil {
+		m.note(jaybarrow.SubjectHost, string(d.Host), "drain ended", reason)
+	}
+	return err
+}
+
+// stepWave begins as many drains of the wave as the budget and the rack order allow.
+func (m *Manager) stepWave(pool jaybarrow.PoolID) {
+	for {
+		ctx, cancel := context.WithTimeout(m.ctx, m.deps.Settings.CallTimeout)
+		begun, err := m.beginNext(ctx, pool)
+		cancel()
+		if err != nil && !jaybarrow.IsKind(err, jaybarrow.KindBudgetSpent) && !jaybarrow.IsKind(err, jaybarrow.KindConflict) {
+			m.deps.Log.Warn().Err(err).Str("pool", string(pool)).Msg("wave step failed; trying again")
+		}
+		if !begun || err != nil {
+			return
+		}
+	}
+}
+
+func (m *Manager) beginNext(ctx context.Context, pool jaybarrow.PoolID) (begun bool, err error) {
+	view, err := m.view(ctx, pool)
+	if err != nil {
+		return false, err
+	}
+	var host jaybarrow.HostID
+	_, err = m.change(ctx, pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
+		host, begun = "", false
+		if pruned, changed := drain.Prune(record, view, m.deps.Clock.Now()); changed {
+			return pruned, nil
+		}
+		next, ok := drain.NextOfWave(record, view, m.deps.DataCentre)
+		if !ok {
+			return record, jaybarrow.Errorf(jaybarrow.KindBudgetSpent, "no host of pool %s may drain now", pool)
+		}
+		host, begun = next, true
+		return drain.Begin(record, view, jaybarrow.Drain{Host: next, Purpose: jaybarrow.PurposeReboot, Wave: true}, m.deps.Clock.Now())
+	})
+	if err == nil && begun {
+		m.note(jaybarrow.SubjectHost, string(host), "drain begun", "wave over pool "+string(pool))
+	}
+	return begun, err
+}
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -15,12 +15,17 @@
 	self       jaybarrow.EntryID
 	dataCentre jaybarrow.DataCentreID
 	timeouts   Timeouts
+	addresses  map[jaybarrow.EntryID]jaybarrow.Address
 	states     *shard.Map[jaybarrow.EntryID, State]
 }
 
-// New returns Members that have heard of nobody.
-func New(self jaybarrow.EntryID, dataCentre jaybarrow.DataCentreID, timeouts Timeouts) *Members {
-	return &Members{self: self, dataCentre: dataCentre, timeouts: timeouts, states: shard.New[jaybarrow.EntryID, State]()}
+// New returns Members that have heard of nobody; an address of the settings goes before the one that an entry host tells,
+// since the way to it may differ between data centres.
+func New(self jaybarrow.EntryID, dataCentre jaybarrow.DataCentreID, timeouts Timeouts, addresses map[jaybarrow.EntryID]jaybarrow.Address) *Members {
+	return &Members{
+		self: self, dataCentre: dataCentre, timeouts: timeouts, addresses: addresses,
+		states: shard.New[jaybarrow.EntryID, State](),
+	}
 }
 
 // Observe takes a state if it is newer than the known one; it reports whether it did.
@@ -28,6 +33,9 @@
 	if s.ID == m.self {
 		return false
 	}
+	if address, ok := m.addresses[s.ID]; ok {
+		s.PeerAddress = address
+	}
 	taken := false
 	m.states.Update(s.ID, func(old State, present bool) (State, bool) {
 		if present && !s.newer(old) {
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -45,7 +45,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			m := member.New("a1", "a", member.DefaultTimeouts)
+			m := member.New("a1", "a", member.DefaultTimeouts, nil)
 			for _, s := range c.others {
 				m.Observe(s)
 			}
@@ -56,7 +56,7 @@
 
 // Guards against a late or relayed older state replacing a newer one, for example one that says "leaving".
 func TestObserveTakesOnlyNewerStates(t *testing.T) {
-	m := member.New("a1", "a", member.DefaultTimeouts)
+	m := member.New("a1", "a", member.DefaultTimeouts, nil)
 	leaving := state("a2", "a", 0, 0, 1)
 	leaving.Sequence, leaving.Leaving = 5, true
 	assert.Assert(t, m.Observe(leaving))
@@ -72,7 +72,7 @@
 
 // Guards against a pool that is owned by an entry host that is silent, leaving or not ready.
 func TestOwnerIsLiveAndReady(t *testing.T) {
-	m := member.New("a1", "a", member.DefaultTimeouts)
+	m := member.New("a1", "a", member.DefaultTimeouts, nil)
 	silent := state("a2", "a", 4*time.Second, 0, 1)
 	unready := state("a3", "a", 0, 0, 1)
 	unready.Ready = false
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -57,7 +57,7 @@
 		PeerAddress: jaybarrow.Address(listener.Addr().String()), Applied: 5, Newest: 5,
 		Loads: map[jaybarrow.PoolID]schedule.Load{"pool": {Waiting: 1, Running: 2, FreeSlots: 3}},
 	}
-	n.members = member.New(n.self.ID, n.self.DataCentre, member.DefaultTimeouts)
+	n.members = member.New(n.self.ID, n.self.DataCentre, member.DefaultTimeouts, nil)
 	n.gossip = peer.NewGossip(peer.GossipDeps{
 		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Client: n.client, Members: n.members,
 		Interval: 50 * time.Millisecond,
--- a/records.go
+++ b/records.go
@@ -74,6 +74,7 @@
 	PhaseDraining  DrainPhase = "draining"
 	PhaseDrained   DrainPhase = "drained"
 	PhaseRebooting DrainPhase = "rebooting"
+	PhaseReturning DrainPhase = "returning" // the worker is told to accept work again, then the drain is removed
 )
 
 // DrainPurpose says what follows a drain.
@@ -93,14 +94,20 @@
 	Phase     DrainPhase   `json:"phase"`
 	Purpose   DrainPurpose `json:"purpose"`
 	MoveTo    PoolID       `json:"moveTo,omitempty"`
-	StartedMs int64        `json:"startedMs"` // wall clock, for display only
+	Wave      bool         `json:"wave,omitempty"` // begun by the wave over the pool
+	StartedMs int64        `json:"startedMs"`      // wall clock, when the drain began
+	PhaseMs   int64        `json:"phaseMs"`        // wall clock, when the phase began
 }
 
 // PoolDrains holds the drains of one pool; beginning a drain and spending the budget are one write to it.
 type PoolDrains struct {
-	Pool   PoolID           `json:"pool"`
-	Drains map[HostID]Drain `json:"drains"`
-	Change ChangeID         `json:"change"`
+	Pool          PoolID           `json:"pool"`
+	Drains        map[HostID]Drain `json:"drains"`
+	Pending       []HostID         `json:"pending,omitempty"`       // hosts that the wave has not begun to drain
+	WaveStartedMs int64            `json:"waveStartedMs,omitempty"` // wall clock of the last wave
+	WaveEndedMs   int64            `json:"waveEndedMs,omitempty"`   // 0 while it runs
+	Moves         int64            `json:"moves,omitempty"`         // hosts moved out of the pool so far
+	Change        ChangeID         `json:"change"`
 }
 
 // Grant is the part of a team's limit that an entry host may use.
