--- /dev/null
+++ b/internal/limit/doc.go
@@ -0,0 +1,2 @@
+// Package limit says from a team's allotment whether its limit is in force and which entry hosts still hold too much.
+package limit
