Add the operators' commands

Cause: teams, keys, pools, queues, hosts and limits change at any time, by several operators at once, over a store whose answers may be lost. Allotment.LimitFrom lets a change of the limit be compared with the last change of the limit, since entry hosts move grants in the same record. Conclusion: front ends can offer every change; drains and waves need an implementation of fleet.Maintenance.

--- /dev/null
+++ b/internal/command/fleet/maintenance.go
@@ -0,0 +1,17 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// Maintenance begins and ends drains and waves; every step is a compare-and-swap on the pool's drains.
+type Maintenance interface {
+	// BeginDrain begins to drain the host; moveTo is only for PurposeMove.
+	BeginDrain(ctx context.Context, host jaybarrow.HostID, purpose jaybarrow.DrainPurpose, moveTo jaybarrow.PoolID) (jaybarrow.Revision, error)
+	// EndDrain returns the host to service.
+	EndDrain(ctx context.Context, host jaybarrow.HostID) (jaybarrow.Revision, error)
+	// BeginWave requests a reboot of every host of the pool, one rack at a time within the pool's budget.
+	BeginWave(ctx context.Context, pool jaybarrow.PoolID) (jaybarrow.Revision, error)
+}
--- /dev/null
+++ b/internal/command/fleet/put_pool.go
@@ -0,0 +1,31 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// PutPool creates or replaces a pool.
+type PutPool struct {
+	Pool     jaybarrow.Pool
+	Revision jaybarrow.Revision // 0: the pool must not exist
+}
+
+// PutPoolHandler carries out PutPool.
+type PutPoolHandler struct {
+	records *Records
+}
+
+// NewPutPool returns a PutPoolHandler.
+func NewPutPool(records *Records) *PutPoolHandler { return &PutPoolHandler{records: records} }
+
+// Handle writes the pool.
+func (h *PutPoolHandler) Handle(ctx context.Context, in PutPool) (Changed, error) {
+	err := check(named("id", in.Pool.ID), between("maxUnavailable", in.Pool.MaxUnavailable, 0, maxUnavailable), revisionRule(in.Revision))
+	if err != nil {
+		return Changed{}, err
+	}
+	revision, err := h.records.put(ctx, jaybarrow.PoolKey(in.Pool.ID), in.Revision, in.Pool)
+	return Changed{revision}, err
+}
--- /dev/null
+++ b/internal/command/fleet/put_team.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// PutTeam creates a team with its limit, or changes its share.
+type PutTeam struct {
+	ID       jaybarrow.TeamID
+	Share    jaybarrow.Share
+	Limit    jaybarrow.Slots    // only for a new team; SetLimit changes it later
+	Revision jaybarrow.Revision // 0: the team must not exist
+}
+
+// PutTeamHandler carries out PutTeam.
+type PutTeamHandler struct {
+	records     *Records
+	newChangeID func() jaybarrow.ChangeID
+}
+
+// NewPutTeam returns a PutTeamHandler.
+func NewPutTeam(records *Records, newChangeID func() jaybarrow.ChangeID) *PutTeamHandler {
+	return &PutTeamHandler{records: records, newChangeID: newChangeID}
+}
+
+// Handle writes the team; a new team's allotment is written first, so that no team is ever without one.
+func (h *PutTeamHandler) Handle(ctx context.Context, in PutTeam) (Changed, error) {
+	err := check(named("id", in.ID), shareRule(in.Share), limitRule(in.Limit), revisionRule(in.Revision),
+		rule{"limit", in.Revision == 0 || in.Limit == 0, "none for a team that exists; its limit is changed on its own"})
+	if err != nil {
+		return Changed{}, err
+	}
+	if in.Revision == 0 {
+		return h.create(ctx, in)
+	}
+	revision, err := h.records.put(ctx, jaybarrow.TeamKey(in.ID), in.Revision, jaybarrow.Team{ID: in.ID, Share: in.Share})
+	return Changed{revision}, err
+}
+
+// create writes the allotment, then the team. An allotment that is left from an interrupted creation or deletion, or that
+// belongs to a concurrent creation, gets the limit only after this creation has won the team's record.
+func (h *PutTeamHandler) create(ctx context.Context, in PutTeam) (Changed, error) {
+	present, err := h.records.current(ctx, jaybarrow.TeamKey(in.ID))
+	if err != nil {
+		return Changed{}, readFault(err)
+	}
+	if !present.Deleted {
+		return Changed{}, h.records.conflict(ctx, jaybarrow.TeamKey(in.ID), 0, jaybarrow.EffectNotRun)
+	}
+	// LimitFrom is the store's revision now, so that a change made from an earlier team of this name loses.
+	allotment := jaybarrow.Allotment{
+		Team: in.ID, Limit: in.Limit, LimitFrom: present.Revision, Grants: map[jaybarrow.EntryID]jaybarrow.Grant{}, Change: h.newChangeID(),
+	}
+	_, err = h.records.put(ctx, jaybarrow.PermitKey(in.ID), 0, allotment)
+	found := jaybarrow.IsKind(err, jaybarrow.KindConflict)
+	if err != nil && !found {
+		return Changed{}, err
+	}
+	revision, err := h.records.put(ctx, jaybarrow.TeamKey(in.ID), 0, jaybarrow.Team{ID: in.ID, Share: in.Share})
+	if err != nil || !found {
+		return Changed{revision}, err
+	}
+	if _, _, err = setLimit(ctx, h.records, in.ID, in.Limit, anyLimit, h.newChangeID); err != nil {
+		e := jaybarrow.AsError(err)
+		err = jaybarrow.Errorf(e.Kind, "team %s is created, but its limit is not set; set it: %w", in.ID, err).WithEffect(jaybarrow.EffectRan)
+	}
+	return Changed{revision}, err
+}
--- a/records.go
+++ b/records.go
@@ -111,11 +111,14 @@
 
 // Allotment is a team's limit and its division over entry hosts; every change is one compare-and-swap.
 type Allotment struct {
-	Team   TeamID            `json:"team"`
-	Limit  Slots             `json:"limit"`
-	Grants map[EntryID]Grant `json:"grants"`
-	Wants  map[EntryID]Slots `json:"wants,omitempty"`
-	Change ChangeID          `json:"change"`
+	Team  TeamID `json:"team"`
+	Limit Slots  `json:"limit"`
+	// LimitFrom is the revision from which the limit was last set. Grants change the record all the time, so an operator's
+	// change of the limit is compared with this and not with the record's last revision.
+	LimitFrom Revision          `json:"limitFrom,omitempty"`
+	Grants    map[EntryID]Grant `json:"grants"`
+	Wants     map[EntryID]Slots `json:"wants,omitempty"`
+	Change    ChangeID          `json:"change"`
 }
 
 // EntryHost is the presence record of an entry host.
