Add the operators' queries

Cause: operators need to see the configuration, where it is in force, and why the system decided as it did.

--- /dev/null
+++ b/internal/query/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet holds the queries for teams, keys, pools, queues, hosts, drains and entry hosts.
+package fleet
