Serve the operators' routes over HTTP

Cause: operators change and read the fleet through any entry host. Conclusion: the demo's entry host serves operators; drains and waves appear once entry.Deps has a Maintenance.

--- a/cmd/jaybarrow/demo.go
+++ b/cmd/jaybarrow/demo.go
@@ -28,8 +28,10 @@
 		return exitFailure
 	}
 	fmt.Fprintf(stdout, "entry host with 4 workers in pools desk and batch; try:\n"+
-		"  curl -sS -H 'Authorization: Bearer %s' -d '{\"runMs\":50,\"echo\":\"hello\"}' http://%s/v1/queues/match/requests\n",
-		demo.TrailKey, d.Callers)
+		"  curl -sS -H 'Authorization: Bearer %s' -d '{\"runMs\":50,\"echo\":\"hello\"}' http://%s/v1/queues/match/requests\n"+
+		"as an operator:\n"+
+		"  JAYBARROW_KEY=%s jaybarrow team list -entry %s\n",
+		demo.TrailKey, d.Callers, demo.OperatorKey, d.Callers)
 	<-ctx.Done()
 	d.Close(context.WithoutCancel(ctx))
 	fmt.Fprintln(stdout, "stopped")
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -17,10 +17,11 @@
 	"github.com/jaybarrow/jaybarrow/internal/task"
 )
 
-// The keys that the demo's two teams use.
+// The keys that the demo's two teams and its operators use.
 const (
-	TrailKey = "demo-trail-key"
-	ClubsKey = "demo-clubs-key"
+	TrailKey    = "demo-trail-key"
+	ClubsKey    = "demo-clubs-key"
+	OperatorKey = "demo-operator-key"
 )
 
 // Demo is a running demo.
@@ -69,7 +70,8 @@
 	d.entry, err = entry.New(ctx, entry.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: log, Store: core, ID: entryID, DataCentre: dataCentre,
 		Callers: listener, MaxBody: 1 << 20, MaxWaiting: 1000,
-		Task: task.Settings{ConnectionsPerWorker: 16, DialTimeout: time.Second, CallTimeout: time.Second, RunTimeout: time.Hour},
+		Task:            task.Settings{ConnectionsPerWorker: 16, DialTimeout: time.Second, CallTimeout: time.Second, RunTimeout: time.Hour},
+		OperatorKeyHash: request.Hash(OperatorKey),
 	})
 	if err != nil {
 		d.Close(ctx)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/command/fleet"
 	"github.com/jaybarrow/jaybarrow/internal/command/request"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
 	"github.com/jaybarrow/jaybarrow/internal/httpapi"
@@ -33,6 +34,10 @@
 	MaxBody    int
 	MaxWaiting int
 	Task       task.Settings
+	// OperatorKeyHash opens the operators' routes to the key with this hash; empty keeps them closed.
+	OperatorKeyHash jaybarrow.KeyHash
+	// Maintenance carries out drains and waves; nil leaves their routes out.
+	Maintenance fleet.Maintenance
 }
 
 // Entry is a running entry host.
@@ -65,9 +70,12 @@
 		Incarnation: func() jaybarrow.Incarnation { return 1 },
 		StartWindow: 2 * time.Second,
 	})
-	server := httpapi.New(logging.For(deps.Log, "http"), deps.Callers, deps.MaxBody, httpapi.Handlers{
-		Submit: request.NewSubmit(deps.Clock, d, scheduler, identity.NewRequestID),
-		Cancel: request.NewCancel(d, scheduler),
+	settings := httpapi.Settings{MaxBody: deps.MaxBody, OperatorKeyHash: deps.OperatorKeyHash}
+	server := httpapi.New(logging.For(deps.Log, "http"), deps.Callers, settings, httpapi.Handlers{
+		Submit:   request.NewSubmit(deps.Clock, d, scheduler, identity.NewRequestID),
+		Cancel:   request.NewCancel(d, scheduler),
+		Commands: commands(deps),
+		Queries:  queries(deps, d),
 	})
 	return &Entry{scheduler: scheduler, http: server}, nil
 }
--- /dev/null
+++ b/internal/httpapi/guard.go
@@ -0,0 +1,29 @@
+package httpapi
+
+import (
+	"crypto/subtle"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/command/request"
+)
+
+// guarded lets only requests with the operators' key pass.
+func (s *Server) guarded(next fiber.Handler) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		d := headerDecoder{ctx: c}
+		d.checkAll()
+		key := d.bearer()
+		want := []byte(s.settings.OperatorKeyHash)
+		switch {
+		case d.err != nil:
+			return d.err
+		case len(want) == 0:
+			return jaybarrow.Errorf(jaybarrow.KindForbidden, "no operators' key is set on this entry host")
+		case subtle.ConstantTimeCompare([]byte(request.Hash(key)), want) != 1:
+			return jaybarrow.Errorf(jaybarrow.KindBadKey, "this is not the operators' key")
+		}
+		return next(c)
+	}
+}
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -14,26 +14,46 @@
 	"github.com/jaybarrow/jaybarrow/internal/command/request"
 )
 
+// Settings bounds the front end and names the operators' key.
+type Settings struct {
+	MaxBody         int               // bytes
+	OperatorKeyHash jaybarrow.KeyHash // empty: the operators' routes answer forbidden
+}
+
 // Handlers are the commands and queries that the front end serves.
 type Handlers struct {
-	Submit command.Handler[request.Submit, request.Submitted]
-	Cancel command.Handler[request.Cancel, jaybarrow.RequestID]
+	Submit   command.Handler[request.Submit, request.Submitted]
+	Cancel   command.Handler[request.Cancel, jaybarrow.RequestID]
+	Commands Commands
+	Queries  Queries
 }
 
 // Server is a running HTTP front end.
 type Server struct {
 	app      *fiber.App
+	settings Settings
 	handlers Handlers
 	log      zerolog.Logger
 	group    conc.WaitGroup
 }
 
-// New returns a running Server on the listener; a body above maxBody bytes is refused.
-func New(log zerolog.Logger, listener net.Listener, maxBody int, handlers Handlers) *Server {
-	s := &Server{handlers: handlers, log: log}
-	s.app = fiber.New(fiber.Config{BodyLimit: maxBody, ErrorHandler: s.fail, IdleTimeout: IdleTimeout})
+const (
+	// IdleTimeout closes a caller's idle connection, so that a graceful shutdown does not wait for it.
+	IdleTimeout = 30 * time.Second
+	// ReadTimeout ends a request whose body stops arriving, so that it holds neither memory nor a graceful shutdown.
+	ReadTimeout = 30 * time.Second
+)
+
+// New returns a running Server on the listener.
+func New(log zerolog.Logger, listener net.Listener, settings Settings, handlers Handlers) *Server {
+	s := &Server{settings: settings, handlers: handlers, log: log}
+	s.app = fiber.New(fiber.Config{
+		BodyLimit: settings.MaxBody, ErrorHandler: s.fail, IdleTimeout: IdleTimeout, ReadTimeout: ReadTimeout,
+	})
 	s.app.Post("/v1/queues/:queue/requests", s.submit)
 	s.app.Delete("/v1/requests/:id", s.cancel)
+	s.commandRoutes(handlers.Commands)
+	s.queryRoutes(handlers.Queries)
 	s.group.Go(func() {
 		if err := s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 			s.log.Error().Err(err).Msg("HTTP server ended")
@@ -48,6 +68,3 @@
 	s.group.Wait()
 	return err
 }
-
-// IdleTimeout closes a caller's idle connection, so that a graceful shutdown does not wait for it.
-const IdleTimeout = 30 * time.Second
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -1,6 +1,7 @@
 package identity
 
 import (
+	"crypto/rand"
 	"strconv"
 	"sync/atomic"
 
@@ -15,6 +16,9 @@
 // NewChangeID returns a unique change id.
 func NewChangeID() jaybarrow.ChangeID { return jaybarrow.ChangeID(uuid.NewString()) }
 
+// NewSecret returns a new key for callers; it carries at least 128 random bits.
+func NewSecret() string { return "jb-" + rand.Text() }
+
 // Tasks makes task ids that are unique over all entry hosts and incarnations.
 type Tasks struct {
 	process string
--- a/internal/query/fleet/hosts.go
+++ b/internal/query/fleet/hosts.go
@@ -15,14 +15,21 @@
 	jaybarrow.Host
 	Revision  jaybarrow.Revision      `json:"revision"`
 	Drain     *jaybarrow.Drain        `json:"drain,omitempty"`
-	Condition jaybarrow.HostCondition `json:"condition"`
-	Ejected   bool                    `json:"ejectedHere"`
+	Condition jaybarrow.HostCondition `json:"condition,omitempty"`   // absent without the platform's list
+	Ejected   *bool                   `json:"ejectedHere,omitempty"` // absent when health is not observed
 }
 
-// NewHosts returns the queries for all hosts and for one host.
+// NewHosts returns the queries for all hosts and for one host; nil conditions or ejections are left out.
 func NewHosts(d *directory.Directory, conditions jaybarrow.HostConditions, ejections Ejections) (*All[jaybarrow.HostID, jaybarrow.Host, Host], *One[jaybarrow.HostID, jaybarrow.Host, Host]) {
 	return pair(d.Hosts, "host", func(id jaybarrow.HostID, v directory.Versioned[jaybarrow.Host]) Host {
-		view := Host{Host: v.Value, Revision: v.Revision, Condition: conditions.Condition(string(id)), Ejected: ejections.Ejected(id)}
+		view := Host{Host: v.Value, Revision: v.Revision}
+		if conditions != nil {
+			view.Condition = conditions.Condition(string(id))
+		}
+		if ejections != nil {
+			ejected := ejections.Ejected(id)
+			view.Ejected = &ejected
+		}
 		drains, _ := d.Drains.Get(v.Value.Pool)
 		if drain, ok := drains.Drains[id]; ok {
 			view.Drain = &drain
--- a/internal/query/fleet/teams.go
+++ b/internal/query/fleet/teams.go
@@ -16,16 +16,19 @@
 	jaybarrow.Team
 	Revision jaybarrow.Revision `json:"revision"`
 	Limit    limit.State        `json:"limit"`
-	InUse    jaybarrow.Slots    `json:"inUseHere"` // on the entry host that answers
+	InUse    *jaybarrow.Slots   `json:"inUseHere,omitempty"` // on the entry host that answers; absent when not counted
 }
 
-// NewTeams returns the queries for all teams and for one team.
+// NewTeams returns the queries for all teams and for one team; a nil usage leaves the use of limits out.
 func NewTeams(d *directory.Directory, usage Usage) (*All[jaybarrow.TeamID, jaybarrow.Team, Team], *One[jaybarrow.TeamID, jaybarrow.Team, Team]) {
 	return pair(d.Teams, "team", func(id jaybarrow.TeamID, v directory.Versioned[jaybarrow.Team]) Team {
 		allotment := d.Allotments.Versioned(id)
-		return Team{
-			Team: v.Value, Revision: v.Revision, InUse: usage.InUse(id), Limit: limit.Of(allotment.Value, allotment.Revision),
+		view := Team{Team: v.Value, Revision: v.Revision, Limit: limit.Of(allotment.Value, allotment.Revision)}
+		if usage != nil {
+			slots := usage.InUse(id)
+			view.InUse = &slots
 		}
+		return view
 	})
 }
 
--- a/internal/query/status/measures.go
+++ b/internal/query/status/measures.go
@@ -37,7 +37,7 @@
 type Measures struct {
 	SpareHosts int             `json:"spareHosts"` // buffer cost: hosts in spare pools
 	SpareSlots jaybarrow.Slots `json:"spareSlots"`
-	Moves      int             `json:"moves"`
+	Moves      *int            `json:"moves"`     // null when moves are not counted
 	RollOutMs  *int64          `json:"rollOutMs"` // of the last finished wave; null before the first
 	Shares     []TeamShare     `json:"sharesHere"`
 }
@@ -49,23 +49,27 @@
 	service   Service
 }
 
-// NewMeasures returns a MeasuresHandler.
+// NewMeasures returns a MeasuresHandler; without movements, moves and roll-out times are left out.
 func NewMeasures(d *directory.Directory, movements Movements, service Service) *MeasuresHandler {
 	return &MeasuresHandler{directory: d, movements: movements, service: service}
 }
 
 // Answer returns the measures.
 func (h *MeasuresHandler) Answer(context.Context, AllMeasures) (Measures, error) {
-	m := Measures{Moves: h.movements.Moves(), Shares: h.shares()}
+	m := Measures{Shares: h.shares()}
 	h.directory.Hosts.Each(func(_ jaybarrow.HostID, host jaybarrow.Host) {
 		if pool, ok := h.directory.Pools.Get(host.Pool); ok && pool.Spare {
 			m.SpareHosts++
 			m.SpareSlots += host.Capacity.Slots
 		}
 	})
-	if took, ok := h.movements.LastRollOut(); ok {
-		ms := took.Milliseconds()
-		m.RollOutMs = &ms
+	if h.movements != nil {
+		moves := h.movements.Moves()
+		m.Moves = &moves
+		if took, ok := h.movements.LastRollOut(); ok {
+			ms := took.Milliseconds()
+			m.RollOutMs = &ms
+		}
 	}
 	return m, nil
 }
