Add the operators' commands to the command line, and check

Cause: operators work from a shell through any entry host, and settings are checked before a start. Change: subcommands for teams, keys, pools, queues, hosts, drains, waves, limits, shares, targets, status, explanations, submit and cancel over pkg/client; check lists every fault of a settings file.

--- a/cmd/jaybarrow/main.go
+++ b/cmd/jaybarrow/main.go
@@ -5,8 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 	"syscall"
 )
 
@@ -24,8 +27,24 @@
 type subcommand func(ctx context.Context, args []string, stdout, stderr io.Writer) int
 
 var subcommands = map[string]subcommand{
+	"check":   runCheck,
 	"demo":    runDemo,
 	"version": runVersion,
+
+	"team":    operatorCommand("team", teamVerbs),
+	"key":     operatorCommand("key", keyVerbs),
+	"pool":    operatorCommand("pool", poolVerbs),
+	"queue":   operatorCommand("queue", queueVerbs),
+	"host":    operatorCommand("host", hostVerbs),
+	"drain":   operatorCommand("drain", drainVerbs),
+	"wave":    operatorCommand("wave", waveVerbs),
+	"limit":   operatorCommand("limit", limitVerbs),
+	"share":   operatorCommand("share", shareVerbs),
+	"target":  operatorCommand("target", targetVerbs),
+	"status":  operatorCommand("status", statusVerbs),
+	"explain": operatorCommand("explain", explainVerbs),
+	"submit":  operatorCommand("submit", submitVerbs),
+	"cancel":  operatorCommand("cancel", cancelVerbs),
 }
 
 func main() {
@@ -49,7 +68,8 @@
 }
 
 func usage(w io.Writer) {
-	fmt.Fprintln(w, "usage: jaybarrow demo|version")
+	names := slices.Sorted(maps.Keys(subcommands))
+	fmt.Fprintln(w, "usage: jaybarrow", strings.Join(names, "|"))
 }
 
 func runVersion(_ context.Context, _ []string, stdout, _ io.Writer) int {
--- a/internal/command/fleet/commands_test.go
+++ b/internal/command/fleet/commands_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,11 +25,11 @@
 	drop   int    // answers to lose
 	apply  bool   // whether a write with a lost answer takes effect
 	after  func() // runs after a lost write, before its outcome is read back
-	writes int
+	writes atomic.Int64
 }
 
 func (l *lossy) lose(write func() (jaybarrow.Revision, error)) (jaybarrow.Revision, error) {
-	l.writes++
+	l.writes.Add(1)
 	if l.drop == 0 {
 		return write()
 	}
@@ -132,7 +134,7 @@
 				}
 			}
 			out, err := fleet.NewPutPool(records).Handle(ctx, fleet.PutPool{Pool: pool})
-			assert.Equal(t, l.writes, 1)
+			assert.Equal(t, l.writes.Load(), int64(1))
 			if c.kind != "" {
 				expect(t, err, c.kind, c.effect, "desk")
 				return
@@ -170,6 +172,30 @@
 	assert.Equal(t, load[jaybarrow.Allotment](t, l, jaybarrow.PermitKey("left")).Limit, jaybarrow.Slots(5))
 }
 
+// Guards against a creation that loses the race and still changes the winner's limit.
+func TestOneOfSeveralCreationsWins(t *testing.T) {
+	l, records := newStore()
+	put := fleet.NewPutTeam(records, identity.NewChangeID)
+	errs := make([]error, 8)
+	var group sync.WaitGroup
+	for i := range errs {
+		group.Go(func() {
+			_, errs[i] = put.Handle(ctx, fleet.PutTeam{ID: "trail", Share: 1, Limit: jaybarrow.Slots(i + 1)})
+		})
+	}
+	group.Wait()
+	var winners []int
+	for i, err := range errs {
+		if err == nil {
+			winners = append(winners, i)
+		} else {
+			expect(t, err, jaybarrow.KindConflict, jaybarrow.EffectNotRun, "trail")
+		}
+	}
+	assert.Equal(t, len(winners), 1)
+	assert.Equal(t, load[jaybarrow.Allotment](t, l, jaybarrow.PermitKey("trail")).Limit, jaybarrow.Slots(winners[0]+1))
+}
+
 // Guards against a limit change that loses to moving grants, that overwrites a concurrent limit, or that hides who holds on.
 func TestSetLimit(t *testing.T) {
 	l, records := newStore()
@@ -319,3 +345,54 @@
 	_, err = put.Handle(ctx, fleet.PutHost{Host: other})
 	expect(t, err, jaybarrow.KindBadRequest, jaybarrow.EffectNotRun, "no other host")
 }
+
+// driver records the calls that reach the maintenance driver.
+type driver struct{ calls []string }
+
+func (d *driver) BeginDrain(_ context.Context, host jaybarrow.HostID, purpose jaybarrow.DrainPurpose, moveTo jaybarrow.PoolID) (jaybarrow.Revision, error) {
+	d.calls = append(d.calls, strings.Join([]string{string(host), string(purpose), string(moveTo)}, " "))
+	return 7, nil
+}
+
+func (d *driver) EndDrain(context.Context, jaybarrow.HostID) (jaybarrow.Revision, error) {
+	return 8, nil
+}
+
+func (d *driver) BeginWave(context.Context, jaybarrow.PoolID) (jaybarrow.Revision, error) {
+	return 0, jaybarrow.Errorf(jaybarrow.KindBudgetSpent, "no budget")
+}
+
+// Guards against a drain that is begun with a wrong purpose or towards a pool that does not exist.
+func TestBeginDrain(t *testing.T) {
+	l, records := newStore()
+	seed(t, l, jaybarrow.PoolKey("batch"), jaybarrow.Pool{ID: "batch"})
+	cases := []struct {
+		name string
+		in   fleet.BeginDrain
+		part string
+	}{
+		{"reboot", fleet.BeginDrain{Host: "h1", Purpose: jaybarrow.PurposeReboot}, ""},
+		{"move", fleet.BeginDrain{Host: "h1", Purpose: jaybarrow.PurposeMove, MoveTo: "batch"}, ""},
+		{"no host", fleet.BeginDrain{Purpose: jaybarrow.PurposeReboot}, "host"},
+		{"no purpose", fleet.BeginDrain{Host: "h1"}, "purpose"},
+		{"move to nowhere", fleet.BeginDrain{Host: "h1", Purpose: jaybarrow.PurposeMove}, "moveTo"},
+		{"move to an unknown pool", fleet.BeginDrain{Host: "h1", Purpose: jaybarrow.PurposeMove, MoveTo: "none"}, "moveTo"},
+		{"reboot with a pool", fleet.BeginDrain{Host: "h1", Purpose: jaybarrow.PurposeReboot, MoveTo: "batch"}, "moveTo"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := &driver{}
+			out, err := fleet.NewBeginDrain(records, d).Handle(ctx, c.in)
+			if c.part != "" {
+				expect(t, err, jaybarrow.KindBadRequest, jaybarrow.EffectNotRun, c.part)
+				assert.Equal(t, len(d.calls), 0)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, out.Revision, jaybarrow.Revision(7))
+			assert.Equal(t, len(d.calls), 1)
+		})
+	}
+	_, err := fleet.NewBeginWave(&driver{}).Handle(ctx, fleet.BeginWave{Pool: "batch"})
+	expect(t, err, jaybarrow.KindBudgetSpent, jaybarrow.EffectNotRun, "budget")
+}
--- a/pkg/client/types.go
+++ b/pkg/client/types.go
@@ -56,6 +56,6 @@
 
 // Answer is the answer to a Request.
 type Answer struct {
-	ID   jaybarrow.RequestID
-	Body []byte
+	ID   jaybarrow.RequestID `json:"requestId"`
+	Body []byte              `json:"body"`
 }
