--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -80,3 +80,18 @@
 	_, faults = Check(file + ".missing")
 	assert.Assert(t, cmp.Len(faults, 1))
 }
+
+// Guards against a settings table in the operators' page that differs from the keys and ranges that are checked.
+func TestSettingsTableInTheOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators.md")
+	assert.NilError(t, err)
+	for _, f := range fields {
+		found := false
+		for _, line := range strings.Split(string(page), "\n") {
+			cells := strings.Split(line, " | ")
+			found = found || len(cells) == 5 && cells[0] == "| `["+f.section+"]`" && cells[1] == "`"+f.key+"`" && cells[3] == f.allowed
+		}
+		assert.Assert(t, found, "no row for [%s] %s: %s", f.section, f.key, f.allowed)
+	}
+	assert.Equal(t, strings.Count(string(page), "\n| `["), len(fields))
+}
