Show drains and entry hosts as tables, and tighten request ids

Cause: a request id such as '..' cannot be cancelled by its path, and a missing route answered with two bare words. Change: request ids start with a letter or digit; a call that an entry host does not have says so. Conclusion: none.

--- a/cmd/jaybarrow/show.go
+++ b/cmd/jaybarrow/show.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -59,6 +61,12 @@
 		}), true
 	case []client.Host:
 		return rowsOf(row("HOST", "POOL", "DATA CENTRE", "RACK", "ADDRESS", "SLOTS", "DRAIN", "REVISION"), v, hostRow), true
+	case []client.Drains:
+		return drainRows(v), true
+	case []client.EntryHost:
+		return rowsOf(row("ENTRY HOST", "DATA CENTRE", "CALLERS", "PEERS", "INCARNATION"), v, func(e client.EntryHost) []string {
+			return row(e.ID, e.DataCentre, e.HTTPAddress, e.PeerAddress, e.Incarnation)
+		}), true
 	case []client.Load:
 		return rowsOf(row("POOL", "DATA CENTRE", "SCHEDULER", "WAITING", "RUNNING", "FREE SLOTS"), v, func(l client.Load) []string {
 			return row(l.Pool, l.DataCentre, l.Entry, l.Waiting, l.Running, l.FreeSlots)
@@ -99,6 +107,18 @@
 	return row(h.ID, h.Pool, h.DataCentre, h.Rack, h.Address, h.Capacity.Slots, drain, h.Revision)
 }
 
+func drainRows(pools []client.Drains) [][]string {
+	rows := [][]string{row("HOST", "POOL", "RACK", "PHASE", "PURPOSE", "MOVE TO", "STARTED")}
+	for _, p := range pools {
+		for _, id := range slices.Sorted(maps.Keys(p.Drains)) {
+			d := p.Drains[id]
+			started := time.UnixMilli(d.StartedMs).Format(time.RFC3339)
+			rows = append(rows, row(d.Host, p.Pool, d.Rack, d.Phase, d.Purpose, d.MoveTo, started))
+		}
+	}
+	return rows
+}
+
 func limitRows(l client.Limit) [][]string {
 	rows := [][]string{row(fmt.Sprintf("limit %d, granted %d, in force: %t, revision %d", l.Limit, l.Granted, l.InForce, l.Revision))}
 	for _, p := range l.Pending {
--- a/internal/httpapi/caller.go
+++ b/internal/httpapi/caller.go
@@ -37,6 +37,7 @@
 
 func (s *Server) cancel(c fiber.Ctx) error {
 	d := headerDecoder{ctx: c}
+	d.checkAll()
 	in := request.Cancel{Key: d.bearer(), ID: d.requestID(c.Params("id"))}
 	if d.err != nil {
 		return d.err
--- a/internal/httpapi/fault.go
+++ b/internal/httpapi/fault.go
@@ -36,7 +36,7 @@
 	case fasthttp.StatusRequestEntityTooLarge:
 		return jaybarrow.Errorf(jaybarrow.KindBodyTooLarge, "the body is larger than this entry host accepts")
 	case fasthttp.StatusNotFound, fasthttp.StatusMethodNotAllowed:
-		return jaybarrow.Errorf(jaybarrow.KindNotFound, "%s", f.Message)
+		return jaybarrow.Errorf(jaybarrow.KindNotFound, "this entry host has no such path and method")
 	// The library reports a read that timed out or failed as one of these two; the request was not complete.
 	case fasthttp.StatusRequestTimeout, fasthttp.StatusBadGateway:
 		return jaybarrow.Errorf(jaybarrow.KindBodyTruncated, "the request was not received to its end: %s", f.Message)
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -187,6 +187,7 @@
 	s := start(t, "")
 	cases := []struct{ name, header, value string }{
 		{"request id with a slash", "Request-Id", "a/b"},
+		{"request id that is a path step", "Request-Id", ".."},
 		{"long request id", "Request-Id", strings.Repeat("a", 129)},
 		{"negative slots", "Slots", "-1"},
 		{"overflowing time", "Answer-Within-Ms", "99999999999999"},
@@ -211,6 +212,9 @@
 
 // Guards against a body that runs although it is incomplete or too large.
 func TestIncompleteAndLargeBodies(t *testing.T) {
+	s := start(t, "")
+	response, _ := s.call(t, http.MethodPost, "/v1/queues/match/requests", strings.Repeat("b", maxBody))
+	assert.Equal(t, response.StatusCode, http.StatusOK, "a body of exactly the limit")
 	cases := []struct {
 		name, head, body string
 		kind             jaybarrow.ErrorKind
--- a/internal/validate/validate.go
+++ b/internal/validate/validate.go
@@ -11,7 +11,7 @@
 	NameForm      = "1 to 64 letters, digits, '.', '_' or '-', starting with a letter or digit"
 	AddressForm   = "an IP address and a port from 1 to 65535, such as 10.0.0.7:8080"
 	HashForm      = "the hex SHA-256 of a key: 64 digits from 0-9 and a-f"
-	RequestIDForm = "1 to 128 letters, digits, '.', '_', ':' or '-'"
+	RequestIDForm = "1 to 128 letters, digits, '.', '_', ':' or '-', starting with a letter or digit"
 )
 
 const (
@@ -26,9 +26,9 @@
 	return text != "" && len(text) <= maxName && alphanumeric(text[0]) && made(text, "._-")
 }
 
-// RequestID reports whether the text can be a request id given by a caller.
+// RequestID reports whether the text can be a request id given by a caller; like a name it is part of keys and paths.
 func RequestID(text string) bool {
-	return text != "" && len(text) <= maxRequestID && made(text, "._:-")
+	return text != "" && len(text) <= maxRequestID && alphanumeric(text[0]) && made(text, "._:-")
 }
 
 // Address reports whether the text is an IP address that a connection can be opened to, and a port.
