Test the maintenance driver with racing drivers, lost answers and kills

Change: three managers share a store whose answers are lost, operators drain hosts of the pool in a wave, a driver is killed before and after each of its writes, a rack fails; a checker reads the history of accepted writes and is itself tested.

--- /dev/null
+++ b/internal/maintenance/manager_test.go
@@ -0,0 +1,184 @@
+package maintenance_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// checkHistory reads the accepted writes: no drain may begin above the budget, and a host's pool may only change while its
+// drain in the old pool has nothing running.
+func checkHistory(records []jaybarrow.Record) error {
+	drains := make(map[jaybarrow.PoolID]jaybarrow.PoolDrains)
+	hosts := make(map[jaybarrow.HostID]jaybarrow.Host)
+	for _, r := range records {
+		switch {
+		case strings.HasPrefix(string(r.Key), string(jaybarrow.DrainPrefix)):
+			var next jaybarrow.PoolDrains
+			if err := json.Unmarshal(r.Value, &next); err != nil {
+				return err
+			}
+			if len(next.Drains) > budget && len(next.Drains) > len(drains[next.Pool].Drains) {
+				return fmt.Errorf("revision %d: %d hosts of pool %s drain", r.Revision, len(next.Drains), next.Pool)
+			}
+			drains[next.Pool] = next
+		case strings.HasPrefix(string(r.Key), string(jaybarrow.HostPrefix)):
+			var next jaybarrow.Host
+			if err := json.Unmarshal(r.Value, &next); err != nil {
+				return err
+			}
+			if old, ok := hosts[next.ID]; ok && old.Pool != next.Pool && drains[old.Pool].Drains[next.ID].Phase != jaybarrow.PhaseDrained {
+				return fmt.Errorf("revision %d: host %s moved from %s in phase %q", r.Revision, next.ID, old.Pool, drains[old.Pool].Drains[next.ID].Phase)
+			}
+			hosts[next.ID] = next
+		}
+	}
+	return nil
+}
+
+func (f *fleet) check(t *testing.T) {
+	t.Helper()
+	list, _, err := f.core.List(context.Background(), jaybarrow.HostPrefix)
+	assert.NilError(t, err)
+	f.log.Lock()
+	defer f.log.Unlock()
+	assert.NilError(t, checkHistory(f.log.records))
+	assert.Assert(t, len(f.log.records) > 0 && len(list) > 0, "an empty history proves nothing")
+}
+
+// Guards against a checker that passes every history.
+func TestCheckerFindsBrokenPromises(t *testing.T) {
+	encode := func(key jaybarrow.Key, value any) jaybarrow.Record {
+		data, err := json.Marshal(value)
+		assert.NilError(t, err)
+		return jaybarrow.Record{Key: key, Value: data}
+	}
+	three := map[jaybarrow.HostID]jaybarrow.Drain{"a": {}, "b": {}, "c": {}}
+	over := []jaybarrow.Record{encode(jaybarrow.DrainKey("p"), jaybarrow.PoolDrains{Pool: "p", Drains: three})}
+	assert.ErrorContains(t, checkHistory(over), "3 hosts")
+	moved := []jaybarrow.Record{
+		encode(jaybarrow.HostKey("a"), jaybarrow.Host{ID: "a", Pool: "p"}),
+		encode(jaybarrow.HostKey("a"), jaybarrow.Host{ID: "a", Pool: "q"}),
+	}
+	assert.ErrorContains(t, checkHistory(moved), "moved")
+}
+
+// Guards against a wave that exceeds the budget, stops, or reboots a host twice when three entry hosts drive it at once, an
+// operator drains hosts of the same pool and answers of the store are lost.
+func TestWaveWithRacingDriversAndLostAnswers(t *testing.T) {
+	f := newFleet(t, 8, "p")
+	managers := []interface {
+		BeginWave(context.Context, jaybarrow.PoolID) (jaybarrow.Revision, error)
+		BeginDrain(context.Context, jaybarrow.HostID, jaybarrow.DrainPurpose, jaybarrow.PoolID) (jaybarrow.Revision, error)
+		EndDrain(context.Context, jaybarrow.HostID) (jaybarrow.Revision, error)
+	}{
+		f.manager(t, &unreliable{Core: f.core, log: f.log, loseEvery: 3}),
+		f.manager(t, &unreliable{Core: f.core, log: f.log, loseEvery: 4}),
+		f.manager(t, &unreliable{Core: f.core, log: f.log}),
+	}
+	ctx := context.Background()
+	_, err := managers[2].BeginWave(ctx, "p")
+	assert.NilError(t, err)
+	var operators sync.WaitGroup
+	for _, m := range managers[:2] {
+		operators.Go(func() {
+			for i := range 8 {
+				id := jaybarrow.HostID(fmt.Sprintf("h%02d", i))
+				if _, err := m.BeginDrain(ctx, id, jaybarrow.PurposeHold, ""); err == nil {
+					_, _ = m.EndDrain(ctx, id)
+				}
+			}
+		})
+	}
+	operators.Wait()
+	for id, d := range f.drains(t, "p").Drains {
+		// A hold whose answer was lost is still there; ending a drain of the wave would take its host out of the wave.
+		if d.Purpose == jaybarrow.PurposeHold && d.Phase != jaybarrow.PhaseReturning {
+			_, _ = managers[2].EndDrain(ctx, id)
+		}
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		record := f.drains(t, "p")
+		if record.WaveEndedMs == 0 || len(record.Drains) > 0 {
+			return poll.Continue("pending %v, drains %v", record.Pending, record.Drains)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+	f.check(t)
+	f.Lock()
+	defer f.Unlock()
+	assert.Equal(t, len(f.reboots), 8, "%v", f.reboots)
+	for id, draining := range f.draining {
+		assert.Assert(t, !draining, "host %s was left draining", id)
+	}
+}
+
+// Guards against a move that is lost, doubled or left half done when its driver is killed before or after any of its writes.
+func TestMoveGoesOnAfterItsDriverIsKilled(t *testing.T) {
+	for last := int64(1); last <= 4; last++ {
+		for _, effective := range []bool{true, false} {
+			t.Run(fmt.Sprintf("write %d effective %t", last, effective), func(t *testing.T) {
+				f := newFleet(t, 4, "p", "q")
+				operator := f.manager(t, &unreliable{Core: f.core, log: f.log, last: last, effective: effective})
+				ctx := context.Background()
+				_, err := operator.BeginDrain(ctx, "h01", jaybarrow.PurposeMove, "q")
+				second := f.manager(t, &unreliable{Core: f.core, log: f.log})
+				if err != nil && len(f.drains(t, "p").Drains) == 0 {
+					_, err = second.BeginDrain(ctx, "h01", jaybarrow.PurposeMove, "q")
+					assert.NilError(t, err)
+				}
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					record := f.drains(t, "p")
+					if len(record.Drains) > 0 || record.Moves != 1 {
+						return poll.Continue("%+v", record)
+					}
+					return poll.Success()
+				}, poll.WithTimeout(20*time.Second))
+				r, err := f.core.Get(ctx, jaybarrow.HostKey("h01"))
+				assert.NilError(t, err)
+				var host jaybarrow.Host
+				assert.NilError(t, json.Unmarshal(r.Value, &host))
+				assert.Equal(t, host.Pool, jaybarrow.PoolID("q"))
+				f.check(t)
+			})
+		}
+	}
+}
+
+// Guards against a drain that begins although hosts that failed by themselves have spent the budget, and against a wave that
+// stays stopped after they return.
+func TestFailedRackHoldsTheWave(t *testing.T) {
+	f := newFleet(t, 8, "p")
+	for _, name := range []string{"h04", "h05"} {
+		f.down[name] = true
+	}
+	m := f.manager(t, &unreliable{Core: f.core, log: f.log})
+	ctx := context.Background()
+	_, err := m.BeginDrain(ctx, "h00", jaybarrow.PurposeReboot, "")
+	assert.Assert(t, jaybarrow.IsKind(err, jaybarrow.KindBudgetSpent), "%v", err)
+	_, err = m.BeginWave(ctx, "p")
+	assert.NilError(t, err)
+	assert.Equal(t, len(f.drains(t, "p").Drains), 0)
+	f.Lock()
+	f.down = make(map[string]bool)
+	f.Unlock()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.drains(t, "p").WaveEndedMs == 0 {
+			return poll.Continue("%+v", f.drains(t, "p"))
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	f.check(t)
+}
