Serve the store's stand-in over HTTP with faults

Cause: entry hosts run as separate processes and need the store and the host list over the network, with the faults that the requirements name. Change: a subset of the etcd v3 JSON gateway in front of Core (ranges, one-key compare-and-swap, leases, watches), the lagging host list with reboots, and control endpoints on a listener of their own for outages, delays, lost answers, frozen watches, stale reads, compaction, call counts and the log of writes. An empty store has revision 1, as in etcd, so that revision 0 means "nothing read". Lease expiry skips the scan until the earliest lease can have ended. Store.Watch says that compaction is KindNotFound. Conclusion: clients can be written against the published protocol.

--- /dev/null
+++ b/internal/notify/doc.go
@@ -0,0 +1,2 @@
+// Package notify wakes any number of waiters at each change.
+package notify
--- a/internal/standin/store/core.go
+++ b/internal/standin/store/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/notify"
 )
 
 // Core is the stand-in's state: records with revisions, leases and a log of changes for watches.
@@ -17,9 +18,24 @@
 	revision jaybarrow.Revision
 	records  map[jaybarrow.Key]entry
 	leases   map[jaybarrow.LeaseID]lease
+	soonest  time.Time // no lease ends earlier
 	nextID   jaybarrow.LeaseID
-	log      []jaybarrow.Record // every change, in order of revision
-	changed  chan struct{}      // closed and replaced at each change
+	log      []Change // every change, in order of revision
+	compact  jaybarrow.Revision
+	changed  *notify.Notifier
+}
+
+// Change is one accepted write or deletion.
+type Change struct {
+	Key      jaybarrow.Key      `json:"key"`
+	Revision jaybarrow.Revision `json:"revision"`
+	Value    []byte             `json:"value,omitempty"`
+	Deleted  bool               `json:"deleted,omitempty"`
+	TimeNs   int64              `json:"timeNs"` // wall clock
+}
+
+func (c Change) record() jaybarrow.Record {
+	return jaybarrow.Record{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}
 }
 
 type entry struct {
@@ -32,13 +48,17 @@
 	end time.Time
 }
 
+// firstRevision is the revision of an empty store, as in etcd; a reader that has revision 0 has read nothing.
+const firstRevision jaybarrow.Revision = 1
+
 // NewCore returns an empty Core.
 func NewCore(clock jaybarrow.Clock) *Core {
 	return &Core{
-		clock:   clock,
-		records: make(map[jaybarrow.Key]entry),
-		leases:  make(map[jaybarrow.LeaseID]lease),
-		changed: make(chan struct{}),
+		clock:    clock,
+		revision: firstRevision,
+		records:  make(map[jaybarrow.Key]entry),
+		leases:   make(map[jaybarrow.LeaseID]lease),
+		changed:  notify.New(),
 	}
 }
 
@@ -56,17 +76,8 @@
 
 // List returns the records below the prefix, in order of key.
 func (c *Core) List(_ context.Context, prefix jaybarrow.Key) ([]jaybarrow.Record, jaybarrow.Revision, error) {
-	c.Lock()
-	defer c.Unlock()
-	c.expire()
-	var list []jaybarrow.Record
-	for key, e := range c.records {
-		if strings.HasPrefix(string(key), string(prefix)) {
-			list = append(list, e.record)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
-	return list, c.revision, nil
+	list, revision := c.Current(func(key jaybarrow.Key) bool { return strings.HasPrefix(string(key), string(prefix)) })
+	return list, revision, nil
 }
 
 // CompareAndSwap writes the value if the record's revision is previous.
@@ -104,22 +115,34 @@
 	c.Lock()
 	defer c.Unlock()
 	c.nextID++
-	c.leases[c.nextID] = lease{ttl, c.clock.Now().Add(ttl)}
+	end := c.clock.Now().Add(ttl)
+	if len(c.leases) == 0 || end.Before(c.soonest) {
+		c.soonest = end
+	}
+	c.leases[c.nextID] = lease{ttl, end}
 	return c.nextID, nil
 }
 
 // KeepAlive renews a lease, or returns KindNotFound when it has ended.
 func (c *Core) KeepAlive(_ context.Context, id jaybarrow.LeaseID) error {
+	if _, ok := c.renew(id); !ok {
+		return jaybarrow.Errorf(jaybarrow.KindNotFound, "no lease %d", id)
+	}
+	return nil
+}
+
+// renew extends a lease by its time to live, which it returns; false when the lease has ended.
+func (c *Core) renew(id jaybarrow.LeaseID) (time.Duration, bool) {
 	c.Lock()
 	defer c.Unlock()
 	c.expire()
 	l, ok := c.leases[id]
 	if !ok {
-		return jaybarrow.Errorf(jaybarrow.KindNotFound, "no lease %d", id)
+		return 0, false
 	}
 	l.end = c.clock.Now().Add(l.ttl)
 	c.leases[id] = l
-	return nil
+	return l.ttl, true
 }
 
 // RevokeLease ends a lease and deletes its records.
@@ -139,9 +162,15 @@
 
 func (c *Core) expire() {
 	now := c.clock.Now()
+	if len(c.leases) == 0 || !now.After(c.soonest) {
+		return
+	}
+	c.soonest = time.Time{}
 	for id, l := range c.leases {
 		if now.After(l.end) {
 			c.end(id)
+		} else if c.soonest.IsZero() || l.end.Before(c.soonest) {
+			c.soonest = l.end
 		}
 	}
 }
@@ -162,13 +191,18 @@
 }
 
 func (c *Core) append(record jaybarrow.Record) {
-	c.log = append(c.log, record)
-	close(c.changed)
-	c.changed = make(chan struct{})
+	c.log = append(c.log, Change{
+		Key: record.Key, Revision: record.Revision, Value: record.Value, Deleted: record.Deleted,
+		TimeNs: c.clock.Now().UnixNano(),
+	})
+	c.changed.Signal()
 }
 
 // Watch returns a watch of the changes below the prefix after the revision.
 func (c *Core) Watch(ctx context.Context, prefix jaybarrow.Key, from jaybarrow.Revision) (jaybarrow.Watch, error) {
+	if compacted := c.Compacted(); from < compacted {
+		return nil, jaybarrow.Errorf(jaybarrow.KindNotFound, "changes up to revision %d have been compacted", compacted)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	return &coreWatch{core: c, ctx: ctx, cancel: cancel, prefix: prefix, reached: from}, nil
 }
@@ -211,10 +245,10 @@
 	defer c.Unlock()
 	event := jaybarrow.WatchEvent{Revision: c.revision}
 	first := sort.Search(len(c.log), func(i int) bool { return c.log[i].Revision > from })
-	for _, record := range c.log[first:] {
-		if strings.HasPrefix(string(record.Key), string(prefix)) {
-			event.Records = append(event.Records, record)
+	for _, change := range c.log[first:] {
+		if strings.HasPrefix(string(change.Key), string(prefix)) {
+			event.Records = append(event.Records, change.record())
 		}
 	}
-	return event, c.changed
+	return event, c.changed.Changed()
 }
--- /dev/null
+++ b/internal/standin/store/loopback.go
@@ -0,0 +1,29 @@
+package store
+
+import (
+	"net"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// NewLoopback returns a running Server with an empty store on free ports of the loopback network.
+func NewLoopback(clock jaybarrow.Clock, timing Timing) (*Server, error) {
+	listen, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	control, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		_ = listen.Close()
+		return nil, err
+	}
+	return NewServer(ServerDeps{
+		Clock: clock, Core: NewCore(clock), Hosts: NewHosts(clock, timing), Listen: listen, Control: control,
+	}), nil
+}
+
+// Core returns the store behind the server, which faults do not reach.
+func (s *Server) Core() *Core { return s.core }
+
+// Hosts returns the list of hosts behind the server.
+func (s *Server) Hosts() *Hosts { return s.hosts }
--- /dev/null
+++ b/internal/standin/store/watch.go
@@ -0,0 +1,74 @@
+package store
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/platform/gateway"
+)
+
+// watch streams changes from the start revision on, and progress while there are none.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	var request gateway.WatchRequest
+	if !decode(w, r, &request) {
+		return
+	}
+	selected, err := selection(request.Create.Key, request.Create.RangeEnd)
+	if err != nil {
+		fail(w, http.StatusBadRequest, gateway.CodeInvalidArgument, err.Error())
+		return
+	}
+	stream := &stream{w: w, encoder: json.NewEncoder(w), frozen: s.frozenWatch(r)}
+	revision := s.core.Revision()
+	stream.send(gateway.WatchResult{Header: gateway.Header{Revision: revision}, Created: true})
+	from := request.Create.StartRevision - 1
+	if request.Create.StartRevision == 0 {
+		from = revision
+	}
+	running, err := s.core.Watch(r.Context(), jaybarrow.Key(request.Create.Key), from)
+	if err != nil {
+		stream.send(gateway.WatchResult{Header: s.header(), Canceled: true, CompactRevision: s.core.Compacted()})
+		return
+	}
+	defer running.Close()
+	for {
+		event, err := running.Next()
+		if err != nil {
+			return
+		}
+		result := gateway.WatchResult{Header: gateway.Header{Revision: event.Revision}}
+		for _, record := range event.Records {
+			if selected(record.Key) {
+				result.Events = append(result.Events, gateway.FromChange(record))
+			}
+		}
+		stream.send(result)
+	}
+}
+
+// frozenWatch numbers a new watch and returns the check that blocks while it is frozen, which is until its client leaves.
+func (s *Server) frozenWatch(r *http.Request) func() bool {
+	number := s.faults.openWatch()
+	return func() bool {
+		if !s.faults.frozen(number) {
+			return false
+		}
+		<-r.Context().Done()
+		return true
+	}
+}
+
+type stream struct {
+	w       http.ResponseWriter
+	encoder *json.Encoder
+	frozen  func() bool
+}
+
+func (s *stream) send(result gateway.WatchResult) {
+	if s.frozen() {
+		return
+	}
+	_ = s.encoder.Encode(gateway.WatchResponse{Result: result})
+	_ = http.NewResponseController(s.w).Flush()
+}
--- a/store.go
+++ b/store.go
@@ -31,7 +31,8 @@
 	// RevokeLease ends a lease and deletes its records.
 	RevokeLease(ctx context.Context, lease LeaseID) error
 	// Watch delivers every change below the prefix with a revision above from, in order, until it fails or ctx ends.
-	// Progress is delivered at least each second while the watch works, so that a silent connection is noticed.
+	// Progress is delivered at least each second while the watch works, so that a silent connection is noticed. Watch or
+	// Next fails with KindNotFound when the store no longer keeps the changes after from; the caller must list again.
 	Watch(ctx context.Context, prefix Key, from Revision) (Watch, error)
 }
 
