--- /dev/null
+++ b/internal/platform/confirm.go
@@ -0,0 +1,78 @@
+package platform
+
+import (
+	"context"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// Outcome is what a read-back tells about a write whose answer was lost.
+type Outcome string
+
+// The outcomes.
+const (
+	// OutcomeWritten means that the record holds the writer's own value.
+	OutcomeWritten Outcome = "written"
+	// OutcomeReplaced means that the record was changed after the previous revision and does not hold the writer's value: the
+	// write either never took effect and never will, or was overwritten.
+	OutcomeReplaced Outcome = "replaced"
+	// OutcomeUnchanged means that the record is still at the previous revision. The write may yet take effect, when it is
+	// delayed on its way; another compare-and-swap from the same revision is safe, because at most one of them succeeds.
+	OutcomeUnchanged Outcome = "unchanged"
+)
+
+// Confirm reads a record back after a write from the previous revision had an unknown outcome; it never writes. own says
+// whether a record holds the writer's value; it is called with Deleted set when the record does not exist any more. The
+// returned record is the one that was read. A failed or stale read is KindStoreUnavailable, and tells nothing.
+func Confirm(ctx context.Context, store jaybarrow.Store, key jaybarrow.Key, previous jaybarrow.Revision, own func(jaybarrow.Record) bool) (Outcome, jaybarrow.Record, error) {
+	record, err := readBack(ctx, store, key, previous)
+	switch {
+	case err != nil:
+		return "", record, err
+	case record.Revision == previous:
+		return OutcomeUnchanged, record, nil
+	case own(record):
+		return OutcomeWritten, record, nil
+	}
+	return OutcomeReplaced, record, nil
+}
+
+// readBack returns the record, or for one that does not exist a deletion at the store's revision, or revision 0 if it did
+// not exist before either.
+func readBack(ctx context.Context, store jaybarrow.Store, key jaybarrow.Key, previous jaybarrow.Revision) (jaybarrow.Record, error) {
+	record, err := store.Get(ctx, key)
+	missing := jaybarrow.IsKind(err, jaybarrow.KindNotFound)
+	switch {
+	case missing && previous == 0:
+		return jaybarrow.Record{Key: key, Deleted: true}, nil
+	case missing:
+		return deletion(ctx, store, key, previous)
+	case err != nil:
+		return jaybarrow.Record{}, err
+	case record.Revision < previous:
+		return jaybarrow.Record{}, staleRead(key, record.Revision, previous)
+	}
+	return record, nil
+}
+
+// deletion distinguishes a deleted record from an answer that is older than the record.
+func deletion(ctx context.Context, store jaybarrow.Store, key jaybarrow.Key, previous jaybarrow.Revision) (jaybarrow.Record, error) {
+	records, at, err := store.List(ctx, key)
+	if err != nil {
+		return jaybarrow.Record{}, err
+	}
+	if at <= previous {
+		return jaybarrow.Record{}, staleRead(key, at, previous)
+	}
+	for _, r := range records {
+		if r.Key == key {
+			return r, nil
+		}
+	}
+	return jaybarrow.Record{Key: key, Revision: at, Deleted: true}, nil
+}
+
+func staleRead(key jaybarrow.Key, got, previous jaybarrow.Revision) error {
+	return jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "%s: the answer is from revision %d, no newer than %d", key, got, previous).
+		WithEffect(jaybarrow.EffectNotRun)
+}
