Keep the directory current from the store and from peers

Cause: the directory was read once at start and never again. ApplyList notices records deleted while the watch was broken; Since serves raw records, deletions included, to a peer. Tables use the shared notifier.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync/atomic"
 
 	"github.com/jaybarrow/jaybarrow"
@@ -53,16 +54,54 @@
 }
 
 func (d *Directory) apply(record jaybarrow.Record) error {
-	for _, apply := range []func(jaybarrow.Record) (bool, error){
-		d.Teams.apply, d.AccessKeys.apply, d.Pools.apply, d.Queues.apply,
-		d.Hosts.apply, d.Drains.apply, d.Allotments.apply, d.Entries.apply,
-	} {
-		if applied, err := apply(record); applied || err != nil {
+	for _, t := range d.tables() {
+		if applied, err := t.apply(record); applied || err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// table is what the directory needs of a Table of any type.
+type table interface {
+	apply(record jaybarrow.Record) (bool, error)
+	since(after jaybarrow.Revision) []jaybarrow.Record
+	missing(listed map[jaybarrow.Key]bool, at jaybarrow.Revision) []jaybarrow.Record
+}
+
+func (d *Directory) tables() []table {
+	return []table{d.Teams, d.AccessKeys, d.Pools, d.Queues, d.Hosts, d.Drains, d.Allotments, d.Entries}
+}
+
+// ApplyList takes a complete list of all records at the revision; a known record that is missing from it and older has been
+// deleted. A list older than the copy is not applied; ApplyList then returns false.
+func (d *Directory) ApplyList(records []jaybarrow.Record, at jaybarrow.Revision) (bool, error) {
+	if at < d.Applied() {
+		return false, nil
+	}
+	listed := make(map[jaybarrow.Key]bool, len(records))
+	for _, r := range records {
+		listed[r.Key] = true
+	}
+	all := slices.Clone(records)
+	for _, t := range d.tables() {
+		all = append(all, t.missing(listed, at)...)
+	}
+	return true, d.Apply(all, at)
+}
+
+// Since returns the raw records changed after the revision, deletions included, and the revision up to which the answer is
+// complete. Deletions are kept for the life of the process: ids are reused (an entry host keeps its id when it is
+// replaced), so their number is bounded by the ids ever used.
+func (d *Directory) Since(after jaybarrow.Revision) ([]jaybarrow.Record, jaybarrow.Revision) {
+	// Read before the records, so that a change applied meanwhile cannot be counted as included and missed.
+	reached := d.Applied()
+	var newer []jaybarrow.Record
+	for _, t := range d.tables() {
+		newer = append(newer, t.since(after)...)
+	}
+	return newer, reached
+}
+
 // Applied returns the revision up to which all changes are known; 0 before the first.
 func (d *Directory) Applied() jaybarrow.Revision { return jaybarrow.Revision(d.applied.Load()) }
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -4,9 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"strings"
-	"sync"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/notify"
 	"github.com/jaybarrow/jaybarrow/internal/shard"
 )
 
@@ -15,17 +15,19 @@
 	Value    V
 	Revision jaybarrow.Revision
 	Deleted  bool // Value is empty; kept so that an older copy cannot bring the record back
+
+	raw []byte // the encoded value, for peers
 }
 
 // Table is the copy of the records below one prefix.
 type Table[K ~string, V any] struct {
 	prefix  jaybarrow.Key
 	records *shard.Map[K, Versioned[V]]
-	notify  notifier
+	notify  *notify.Notifier
 }
 
 func newTable[K ~string, V any](prefix jaybarrow.Key) *Table[K, V] {
-	return &Table[K, V]{prefix: prefix, records: shard.New[K, Versioned[V]](), notify: notifier{changed: make(chan struct{})}}
+	return &Table[K, V]{prefix: prefix, records: shard.New[K, Versioned[V]](), notify: notify.New()}
 }
 
 // Get returns the value, or false when there is none.
@@ -53,7 +55,7 @@
 }
 
 // Changed returns a channel that is closed at the next change of the table.
-func (t *Table[K, V]) Changed() <-chan struct{} { return t.notify.channel() }
+func (t *Table[K, V]) Changed() <-chan struct{} { return t.notify.Changed() }
 
 // apply takes the record if it belongs to the table and is newer; it reports whether it did.
 func (t *Table[K, V]) apply(record jaybarrow.Record) (bool, error) {
@@ -61,7 +63,7 @@
 	if !ok {
 		return false, nil
 	}
-	next := Versioned[V]{Revision: record.Revision, Deleted: record.Deleted}
+	next := Versioned[V]{Revision: record.Revision, Deleted: record.Deleted, raw: record.Value}
 	if !record.Deleted {
 		if err := json.Unmarshal(record.Value, &next.Value); err != nil {
 			return false, fmt.Errorf("record %s at revision %d: %w", record.Key, record.Revision, err)
@@ -76,26 +78,32 @@
 		return next, true
 	})
 	if applied {
-		t.notify.signal()
+		t.notify.Signal()
 	}
 	return applied, nil
 }
 
-// notifier wakes any number of waiters at each change.
-type notifier struct {
-	sync.Mutex
-	changed chan struct{}
-}
-
-func (n *notifier) channel() <-chan struct{} {
-	n.Lock()
-	defer n.Unlock()
-	return n.changed
+// since returns the records with a revision above after, deletions included.
+func (t *Table[K, V]) since(after jaybarrow.Revision) []jaybarrow.Record {
+	var newer []jaybarrow.Record
+	t.records.Each(func(id K, v Versioned[V]) {
+		if v.Revision > after {
+			newer = append(newer, jaybarrow.Record{
+				Key: t.prefix + jaybarrow.Key(id), Value: v.raw, Revision: v.Revision, Deleted: v.Deleted,
+			})
+		}
+	})
+	return newer
 }
 
-func (n *notifier) signal() {
-	n.Lock()
-	defer n.Unlock()
-	close(n.changed)
-	n.changed = make(chan struct{})
+// missing returns deletions at revision at for the values that are older and not among the listed keys.
+func (t *Table[K, V]) missing(listed map[jaybarrow.Key]bool, at jaybarrow.Revision) []jaybarrow.Record {
+	var deletions []jaybarrow.Record
+	t.records.Each(func(id K, v Versioned[V]) {
+		key := t.prefix + jaybarrow.Key(id)
+		if !v.Deleted && v.Revision < at && !listed[key] {
+			deletions = append(deletions, jaybarrow.Record{Key: key, Revision: at, Deleted: true})
+		}
+	})
+	return deletions
 }
