Bind each step of a drain to the drain that it was decided for

Cause: a driver with an old copy of the record ended, or advanced, a later drain of the same host; the wave then passed over the host, and a host could count as drained while its worker accepted tasks again. Ruled out: the budget and the wave's order of hosts. Change: each drain has an id; Advance and Remove fail when the drain or its phase is not the one that was seen; the worker is asked once more before the reboot or the move.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -69,16 +69,25 @@
 	return next.PoolDrains, nil
 }
 
-// Advance moves a drain from one phase to the next; it returns KindConflict when the drain is not in the phase any more.
-func Advance(record jaybarrow.PoolDrains, host jaybarrow.HostID, from, to jaybarrow.DrainPhase, now time.Time) (jaybarrow.PoolDrains, error) {
-	d, ok := record.Drains[host]
-	if !ok || d.Phase != from {
-		return record, jaybarrow.Errorf(jaybarrow.KindConflict, "the drain of host %s is not %s any more", host, from)
+// current returns KindConflict when the record does not hold the drain in the phase in which it was seen: a driver with an
+// older copy of the record must not act on a later drain of the same host.
+func current(record jaybarrow.PoolDrains, seen jaybarrow.Drain) error {
+	if d, ok := record.Drains[seen.Host]; !ok || d.ID != seen.ID || d.Phase != seen.Phase {
+		return jaybarrow.Errorf(jaybarrow.KindConflict, "the drain of host %s is not %s any more", seen.Host, seen.Phase)
+	}
+	return nil
+}
+
+// Advance moves a drain to the next phase; it returns KindConflict when the drain has changed since it was seen.
+func Advance(record jaybarrow.PoolDrains, seen jaybarrow.Drain, to jaybarrow.DrainPhase, now time.Time) (jaybarrow.PoolDrains, error) {
+	if err := current(record, seen); err != nil {
+		return record, err
 	}
 	next := clone(record, record.Pool)
+	d := record.Drains[seen.Host]
 	d.Phase, d.PhaseMs = to, now.UnixMilli()
-	next.Drains[host] = d
-	if d.Purpose == jaybarrow.PurposeMove && from == jaybarrow.PhaseDrained && to == jaybarrow.PhaseReturning {
+	next.Drains[seen.Host] = d
+	if d.Purpose == jaybarrow.PurposeMove && seen.Phase == jaybarrow.PhaseDrained && to == jaybarrow.PhaseReturning {
 		next.Moves++
 	}
 	return next.PoolDrains, nil
@@ -99,15 +108,15 @@
 	return next.PoolDrains, nil
 }
 
-// Remove ends a drain whose worker accepts work again, and the wave when this was its last host.
-func Remove(record jaybarrow.PoolDrains, host jaybarrow.HostID, now time.Time) (jaybarrow.PoolDrains, error) {
-	d, ok := record.Drains[host]
-	if !ok {
-		return record, jaybarrow.Errorf(jaybarrow.KindConflict, "host %s is not draining any more", host)
+// Remove ends a drain whose worker accepts work again, and the wave when this was its last host; it returns KindConflict when
+// the drain has changed since it was seen.
+func Remove(record jaybarrow.PoolDrains, seen jaybarrow.Drain, now time.Time) (jaybarrow.PoolDrains, error) {
+	if err := current(record, seen); err != nil {
+		return record, err
 	}
 	next := clone(record, record.Pool)
-	delete(next.Drains, host)
-	if d.Wave {
+	delete(next.Drains, seen.Host)
+	if seen.Wave {
 		next.endWave(now)
 	}
 	return next.PoolDrains, nil
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -122,9 +122,9 @@
 				}
 				continue
 			}
-			for id := range record.Drains {
+			for id, d := range record.Drains {
 				rebooted[id]++
-				record, err = drain.Remove(record, id, now)
+				record, err = drain.Remove(record, d, now)
 				assert.NilError(t, err)
 				break
 			}
@@ -136,3 +136,19 @@
 		}
 	})
 }
+
+// Guards against a driver with an old copy of the record that ends or advances a later drain of the same host.
+func TestOldCopyDoesNotTouchALaterDrain(t *testing.T) {
+	view := poolOf(1, host("a", "r1", false))
+	first, err := drain.Begin(draining(), view, jaybarrow.Drain{ID: "first", Host: "a", Purpose: jaybarrow.PurposeHold}, now)
+	assert.NilError(t, err)
+	seen := first.Drains["a"]
+	ended, err := drain.Remove(first, seen, now)
+	assert.NilError(t, err)
+	second, err := drain.Begin(ended, view, jaybarrow.Drain{ID: "second", Host: "a", Purpose: jaybarrow.PurposeReboot}, now)
+	assert.NilError(t, err)
+	_, err = drain.Remove(second, seen, now)
+	assert.Assert(t, jaybarrow.IsKind(err, jaybarrow.KindConflict), "%v", err)
+	_, err = drain.Advance(second, seen, jaybarrow.PhaseDrained, now)
+	assert.Assert(t, jaybarrow.IsKind(err, jaybarrow.KindConflict), "%v", err)
+}
--- a/internal/maintenance/operators.go
+++ b/internal/maintenance/operators.go
@@ -18,7 +18,7 @@
 		return 0, err
 	}
 	revision, err := m.change(ctx, host.Pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
-		return drain.Begin(record, view, jaybarrow.Drain{Host: id, Purpose: purpose, MoveTo: moveTo}, m.deps.Clock.Now())
+		return drain.Begin(record, view, jaybarrow.Drain{ID: m.deps.NewChange(), Host: id, Purpose: purpose, MoveTo: moveTo}, m.deps.Clock.Now())
 	})
 	if err != nil {
 		return 0, err
--- a/internal/maintenance/steps.go
+++ b/internal/maintenance/steps.go
@@ -27,7 +27,7 @@
 	case jaybarrow.PhaseDraining:
 		return m.empty(ctx, pool, host, d)
 	case jaybarrow.PhaseDrained:
-		return m.fulfil(ctx, pool, d)
+		return m.fulfil(ctx, pool, host, d)
 	case jaybarrow.PhaseRebooting:
 		return m.awaitReboot(ctx, pool, host, d)
 	default:
@@ -41,14 +41,11 @@
 // empty makes the worker refuse new tasks and waits until none runs; past the patience it asks for checkpoints, and never
 // stops a task.
 func (m *Manager) empty(ctx context.Context, pool jaybarrow.PoolID, host jaybarrow.Host, d jaybarrow.Drain) error {
-	if err := m.deps.Workers.SetDraining(ctx, host, true); err != nil {
-		return err
-	}
-	status, err := m.deps.Workers.Status(ctx, host)
+	status, err := m.refuseTasks(ctx, host)
 	if err != nil {
 		return err
 	}
-	if status.Draining && len(status.Running) == 0 {
+	if len(status.Running) == 0 {
 		return m.phase(ctx, pool, d, jaybarrow.PhaseDrained, "no task runs")
 	}
 	if m.since(d) < m.deps.Settings.Patience {
@@ -62,8 +59,20 @@
 	return nil
 }
 
-// fulfil does what the host was drained for.
-func (m *Manager) fulfil(ctx context.Context, pool jaybarrow.PoolID, d jaybarrow.Drain) error {
+// refuseTasks makes the worker refuse new tasks and returns what it still runs.
+func (m *Manager) refuseTasks(ctx context.Context, host jaybarrow.Host) (jaybarrow.WorkerStatus, error) {
+	if err := m.deps.Workers.SetDraining(ctx, host, true); err != nil {
+		return jaybarrow.WorkerStatus{}, err
+	}
+	return m.deps.Workers.Status(ctx, host)
+}
+
+// fulfil does what the host was drained for, after asking the worker once more: a driver of an earlier drain that was paused
+// may have made it accept tasks again.
+func (m *Manager) fulfil(ctx context.Context, pool jaybarrow.PoolID, host jaybarrow.Host, d jaybarrow.Drain) error {
+	if status, err := m.refuseTasks(ctx, host); err != nil || len(status.Running) > 0 {
+		return err
+	}
 	switch d.Purpose {
 	case jaybarrow.PurposeMove:
 		if err := m.moveHost(ctx, d.Host, pool, d.MoveTo); err != nil {
@@ -103,7 +112,7 @@
 
 func (m *Manager) phase(ctx context.Context, pool jaybarrow.PoolID, d jaybarrow.Drain, to jaybarrow.DrainPhase, reason string) error {
 	_, err := m.change(ctx, pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
-		return drain.Advance(record, d.Host, d.Phase, to, m.deps.Clock.Now())
+		return drain.Advance(record, d, to, m.deps.Clock.Now())
 	})
 	if err == nil {
 		m.note(jaybarrow.SubjectHost, string(d.Host), fmt.Sprintf("drain is %s", to), reason)
@@ -113,7 +122,7 @@
 
 func (m *Manager) remove(ctx context.Context, pool jaybarrow.PoolID, d jaybarrow.Drain, reason string) error {
 	_, err := m.change(ctx, pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
-		return drain.Remove(record, d.Host, m.deps.Clock.Now())
+		return drain.Remove(record, d, m.deps.Clock.Now())
 	})
 	if err == nil {
 		m.note(jaybarrow.SubjectHost, string(d.Host), "drain ended", reason)
@@ -152,7 +161,7 @@
 			return record, jaybarrow.Errorf(jaybarrow.KindBudgetSpent, "no host of pool %s may drain now", pool)
 		}
 		host, begun = next, true
-		return drain.Begin(record, view, jaybarrow.Drain{Host: next, Purpose: jaybarrow.PurposeReboot, Wave: true}, m.deps.Clock.Now())
+		return drain.Begin(record, view, jaybarrow.Drain{ID: m.deps.NewChange(), Host: next, Purpose: jaybarrow.PurposeReboot, Wave: true}, m.deps.Clock.Now())
 	})
 	if err == nil && begun {
 		m.note(jaybarrow.SubjectHost, string(host), "drain begun", "wave over pool "+string(pool))
--- a/records.go
+++ b/records.go
@@ -89,6 +89,7 @@
 
 // Drain is one host's entry in its pool's PoolDrains.
 type Drain struct {
+	ID        ChangeID     `json:"id"` // tells a drain from a later one of the same host
 	Host      HostID       `json:"host"`
 	Rack      RackID       `json:"rack"`
 	Phase     DrainPhase   `json:"phase"`
