Move permits between entry hosts through the store

Cause: the keeper only counted against fixed grants; a limit must hold over several entry hosts whose demand moves. Change: internal/allotment decides on one record; internal/permit writes the decisions and accounts for writes of unknown outcome; internal/presence registers the entry host; internal/claim claims request ids; internal/ratelimit is a token bucket. Allotment.Units is new, so that a task larger than its host's even part gets permits. The entry host uses the new keeper. Conclusion: property tests of the fleet pass; presence and claims have no tests yet.

--- /dev/null
+++ b/internal/allotment/decide.go
@@ -0,0 +1,188 @@
+package allotment
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// Decide returns the change that the entry host makes to the record, if any. A change lowers only the entry host's own
+// grant and those of ended hosts, and never raises the sum of the grants above the limit.
+func Decide(record jaybarrow.Allotment, self Self, fleet Fleet) Decision {
+	d := newDraft(record, self, fleet)
+	d.reclaim()
+	if !d.stamp() {
+		return d.decision()
+	}
+	d.shed()
+	d.rivals = d.findRivals()
+	switch {
+	case self.Leaving:
+		d.leave()
+	case len(d.rivals) == 0:
+		d.alone()
+	default:
+		d.contend()
+	}
+	d.writeWant()
+	return d.decision()
+}
+
+// draft is a record that is being changed.
+type draft struct {
+	self    Self
+	fleet   Fleet
+	old     jaybarrow.Allotment
+	next    jaybarrow.Allotment
+	held    jaybarrow.Slots // own grant
+	want    jaybarrow.Slots
+	floor   jaybarrow.Slots
+	ceiling jaybarrow.Slots
+	rivals  []claimant // others with wants, in cyclic order of id after the entry host
+	changed bool
+}
+
+func newDraft(record jaybarrow.Allotment, self Self, fleet Fleet) *draft {
+	d := &draft{self: self, fleet: fleet, old: record, next: record}
+	d.next.Grants, d.next.Wants, d.next.Units = clone(record.Grants), clone(record.Wants), clone(record.Units)
+	for id := range d.next.Wants {
+		if _, live := fleet.Live[id]; !live && id != self.Entry {
+			delete(d.next.Wants, id)
+			delete(d.next.Units, id)
+		}
+	}
+	d.floor = Floor(record.Team, record.Limit, fleet.Live, self.Entry)
+	return d
+}
+
+func clone[V any](m map[jaybarrow.EntryID]V) map[jaybarrow.EntryID]V {
+	if m == nil {
+		return make(map[jaybarrow.EntryID]V)
+	}
+	return maps.Clone(m)
+}
+
+// reclaim frees the grants of ended hosts. A registered host is left alone even if its id is said to have ended.
+func (d *draft) reclaim() {
+	for id, ended := range d.fleet.Ended {
+		_, holds := d.next.Grants[id]
+		_, live := d.fleet.Live[id]
+		if ended && holds && !live && id != d.self.Entry {
+			delete(d.next.Grants, id)
+			d.changed = true
+		}
+	}
+}
+
+// stamp takes over the grant of an older incarnation once its tasks have ended; it returns false when the grant is not
+// usable: the older tasks may still run, or a newer incarnation has taken over.
+func (d *draft) stamp() bool {
+	grant := d.next.Grants[d.self.Entry]
+	switch {
+	case d.self.Incarnation == 0 || grant.Incarnation > d.self.Incarnation:
+		return false
+	case grant.Incarnation < d.self.Incarnation && grant.Slots > 0:
+		if !d.self.Settled {
+			return false
+		}
+		d.changed = true
+	}
+	d.held, d.ceiling = grant.Slots, grant.Slots
+	if d.changed && d.held > 0 {
+		d.store()
+	}
+	return true
+}
+
+// shed gives back idle permits above the entry host's part of a lowered limit and stops starts above that part.
+func (d *draft) shed() {
+	if InForce(d.next) {
+		return
+	}
+	part := Part(d.next, d.self.Entry)
+	d.ceiling = min(d.held, part)
+	d.lower(max(d.self.Used, part))
+}
+
+// lower reduces the own grant to the given value.
+func (d *draft) lower(to jaybarrow.Slots) {
+	if to < d.held {
+		d.held = to
+		d.changed = true
+	}
+	d.store()
+}
+
+// take raises the own grant from free permits towards the goal.
+func (d *draft) take(goal jaybarrow.Slots) {
+	if n := min(d.free(), goal-d.held); n > 0 {
+		d.held += n
+		d.ceiling += n
+		d.changed = true
+		d.store()
+	}
+}
+
+func (d *draft) store() {
+	d.next.Grants[d.self.Entry] = jaybarrow.Grant{Incarnation: d.self.Incarnation, Slots: d.held}
+}
+
+func (d *draft) free() jaybarrow.Slots { return max(0, d.next.Limit-Sum(d.next)) }
+
+// findRivals returns the live hosts that want permits. A host with a grant of an older incarnation is left out, because it
+// cannot use permits yet.
+func (d *draft) findRivals() []claimant {
+	var rivals []claimant
+	for id, want := range d.next.Wants {
+		if id == d.self.Entry || want <= 0 || !d.usable(id) {
+			continue
+		}
+		have := d.next.Grants[id].Slots
+		rivals = append(rivals, claimant{id: id, have: have, need: have + want, unit: max(1, d.next.Units[id])})
+	}
+	slices.SortFunc(rivals, func(a, b claimant) int {
+		if after := btoi(b.id > d.self.Entry) - btoi(a.id > d.self.Entry); after != 0 {
+			return after
+		}
+		return byID(a, b)
+	})
+	return rivals
+}
+
+// usable reports whether the host is live and can use its grant now.
+func (d *draft) usable(id jaybarrow.EntryID) bool {
+	incarnation, live := d.fleet.Live[id]
+	grant := d.next.Grants[id]
+	return live && (grant.Slots == 0 || grant.Incarnation == incarnation)
+}
+
+// alone handles a team whose permits nobody else wants.
+func (d *draft) alone() {
+	if d.self.Demand > 0 {
+		need := max(d.floor, d.self.Used+d.self.Demand)
+		d.take(need + slack(need))
+		d.want = need - d.held
+		return
+	}
+	d.take(d.floor)
+	d.want = d.floor - d.held
+	d.returnIdle()
+}
+
+// returnIdle frees the permits above the floor and recent use. Above the floor a small surplus is kept, so that traffic
+// that varies a little around its mean does not return and regain permits all the time.
+func (d *draft) returnIdle() {
+	keep := max(d.self.Used, d.self.Peak+slack(d.self.Peak))
+	if keep <= d.floor {
+		d.lower(max(d.self.Used, d.floor))
+	} else if d.held-keep > slack(keep) {
+		d.lower(keep)
+	}
+}
+
+func (d *draft) decision() Decision {
+	return Decision{
+		Next: d.next, Write: d.changed, Ceiling: d.ceiling, Above: d.held > d.floor, Rivals: len(d.rivals) > 0,
+	}
+}
--- /dev/null
+++ b/internal/allotment/doc.go
@@ -0,0 +1,2 @@
+// Package allotment decides how one entry host changes a team's allotment; it does no I/O and reads no clock.
+package allotment
--- /dev/null
+++ b/internal/claim/claim.go
@@ -0,0 +1,173 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/ratelimit"
+)
+
+// Settings are the times and rates of Claims.
+type Settings struct {
+	Retention   time.Duration // a claim is kept at least this long
+	Window      time.Duration // claims made within it share one lease
+	CallTimeout time.Duration // of one call to the store
+	ReleaseWait time.Duration // how long Release may delay an answer
+	PerSecond   int           // claims of this entry host
+}
+
+// DefaultSettings returns the settings for production. Nine entry hosts at 40 claims a second stay within the several
+// hundred writes a second of the store.
+func DefaultSettings() Settings {
+	return Settings{
+		Retention: time.Hour, Window: 10 * time.Minute, CallTimeout: time.Second,
+		ReleaseWait: 200 * time.Millisecond, PerSecond: 40,
+	}
+}
+
+// Deps are what Claims depend on.
+type Deps struct {
+	Clock     jaybarrow.Clock
+	Log       zerolog.Logger
+	Store     jaybarrow.Store
+	Entry     jaybarrow.EntryID
+	NewChange func() jaybarrow.ChangeID
+	Settings  Settings
+}
+
+// Claims makes and releases claims.
+type Claims struct {
+	deps   Deps
+	budget *ratelimit.Bucket
+	leases leases
+	group  conc.WaitGroup
+}
+
+// New returns Claims.
+func New(deps Deps) *Claims {
+	return &Claims{
+		deps: deps, budget: ratelimit.New(deps.Settings.PerSecond, deps.Settings.PerSecond),
+		leases: leases{deps: deps, turn: make(chan struct{}, 1)},
+	}
+}
+
+// Close waits for releases that are under way.
+func (c *Claims) Close() { c.group.Wait() }
+
+// Held is a claim that this process made.
+type Held struct {
+	claims   *Claims
+	key      jaybarrow.Key
+	revision jaybarrow.Revision
+}
+
+// record is the stored form of a claim.
+type record struct {
+	Entry  jaybarrow.EntryID  `json:"entry"`
+	Change jaybarrow.ChangeID `json:"change"`
+}
+
+// Claim claims the request's id for the team. It returns KindDuplicateRequest when the id is claimed already, and
+// KindClaimUnavailable, always with notRun, when it is not certain that this call made the claim.
+func (c *Claims) Claim(ctx context.Context, team jaybarrow.TeamID, id jaybarrow.RequestID) (Held, error) {
+	if _, ok := c.budget.Take(c.deps.Clock.Now()); !ok {
+		return Held{}, jaybarrow.Errorf(jaybarrow.KindClaimUnavailable, "more than %d claims a second", c.deps.Settings.PerSecond)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.deps.Settings.CallTimeout)
+	defer cancel()
+	own := record{Entry: c.deps.Entry, Change: c.deps.NewChange()}
+	value, err := json.Marshal(own)
+	if err != nil {
+		return Held{}, unavailable(fmt.Errorf("encode the claim: %w", err))
+	}
+	held := Held{claims: c, key: jaybarrow.ClaimKey(team, id)}
+	held.revision, err = c.create(ctx, held.key, value)
+	switch {
+	case err == nil:
+		return held, nil
+	case jaybarrow.IsKind(err, jaybarrow.KindConflict):
+		return Held{}, duplicate(id)
+	case jaybarrow.AsError(err).Effect == jaybarrow.EffectNotRun:
+		return Held{}, unavailable(err)
+	}
+	return c.readBack(held, id, own.Change, err)
+}
+
+func duplicate(id jaybarrow.RequestID) error {
+	return jaybarrow.Errorf(jaybarrow.KindDuplicateRequest, "request %s was claimed before", id)
+}
+
+func unavailable(cause error) error {
+	return jaybarrow.Errorf(jaybarrow.KindClaimUnavailable, "claim not confirmed: %w", cause)
+}
+
+// create writes the claim, once more with a new lease when the store does not know the lease.
+func (c *Claims) create(ctx context.Context, key jaybarrow.Key, value []byte) (jaybarrow.Revision, error) {
+	for attempt := 0; ; attempt++ {
+		lease, err := c.leases.current(ctx)
+		if err != nil {
+			return 0, jaybarrow.AsError(err).WithEffect(jaybarrow.EffectNotRun)
+		}
+		revision, err := c.deps.Store.CompareAndSwap(ctx, key, 0, value, lease)
+		if attempt > 0 || !jaybarrow.IsKind(err, jaybarrow.KindNotFound) {
+			return revision, err
+		}
+		c.leases.drop(lease)
+	}
+}
+
+// readBack decides after a lost answer. A claim that is not found may still arrive, so only a found one counts.
+func (c *Claims) readBack(held Held, id jaybarrow.RequestID, change jaybarrow.ChangeID, cause error) (Held, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.deps.Settings.CallTimeout)
+	defer cancel()
+	found, err := c.deps.Store.Get(ctx, held.key)
+	if err != nil {
+		return Held{}, unavailable(cause)
+	}
+	var r record
+	if err := json.Unmarshal(found.Value, &r); err != nil {
+		return Held{}, unavailable(cause)
+	}
+	if r.Change != change {
+		return Held{}, duplicate(id)
+	}
+	held.revision = found.Revision
+	return held, nil
+}
+
+// Release deletes the claim of a request that certainly did not run, so that its id may be tried again. It waits only
+// briefly; a claim that could not be deleted ends with its lease.
+func (h Held) Release(ctx context.Context) {
+	if h.claims == nil {
+		return
+	}
+	done := make(chan struct{})
+	h.claims.group.Go(func() {
+		defer close(done)
+		h.delete()
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-h.claims.deps.Clock.After(h.claims.deps.Settings.ReleaseWait):
+	}
+}
+
+// delete is repeated once; it is safe to repeat because it names the claim's revision.
+func (h Held) delete() {
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), h.claims.deps.Settings.CallTimeout)
+		_, err := h.claims.deps.Store.Delete(ctx, h.key, h.revision)
+		cancel()
+		if err == nil || jaybarrow.IsKind(err, jaybarrow.KindConflict) {
+			return
+		}
+		h.claims.deps.Log.Warn().Err(err).Str("key", string(h.key)).Msg("claim not deleted")
+	}
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -131,10 +131,7 @@
 }
 
 func allotment(team jaybarrow.TeamID) jaybarrow.Allotment {
-	return jaybarrow.Allotment{
-		Team: team, Limit: teamLimit,
-		Grants: map[jaybarrow.EntryID]jaybarrow.Grant{entryID: {Incarnation: 1, Slots: teamLimit}},
-	}
+	return jaybarrow.Allotment{Team: team, Limit: teamLimit}
 }
 
 func put(ctx context.Context, s jaybarrow.Store, key jaybarrow.Key, value any) error {
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -52,6 +52,15 @@
 	})
 }
 
+// EachVersioned calls visit for every value and every deletion, with its revision.
+func (t *Table[K, V]) EachVersioned(visit func(id K, v Versioned[V])) { t.records.Each(visit) }
+
+// Latest returns the newest value or deletion; the revision is 0 when there was none.
+func (t *Table[K, V]) Latest(id K) Versioned[V] {
+	v, _ := t.records.Get(id)
+	return v
+}
+
 // Changed returns a channel that is closed at the next change of the table.
 func (t *Table[K, V]) Changed() <-chan struct{} { return t.notify.channel() }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"errors"
 	"net"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -17,6 +17,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/permit"
 	"github.com/jaybarrow/jaybarrow/internal/placement/leastloaded"
 	"github.com/jaybarrow/jaybarrow/internal/pool"
+	"github.com/jaybarrow/jaybarrow/internal/presence"
 	"github.com/jaybarrow/jaybarrow/internal/roster"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
 	"github.com/jaybarrow/jaybarrow/internal/task"
@@ -38,6 +39,8 @@
 // Entry is a running entry host.
 type Entry struct {
 	scheduler *pool.Scheduler
+	permits   *permit.Keeper
+	presence  *presence.Presence
 	http      *httpapi.Server
 }
 
@@ -51,30 +54,41 @@
 	if err := d.Apply(records, revision); err != nil {
 		return nil, err
 	}
+	registration := presence.New(presence.Deps{
+		Clock: deps.Clock, Log: logging.For(deps.Log, "presence"), Store: deps.Store, NewChange: identity.NewChangeID,
+		Host: jaybarrow.EntryHost{
+			ID: deps.ID, DataCentre: deps.DataCentre, HTTPAddress: jaybarrow.Address(deps.Callers.Addr().String()),
+		},
+		Settings: presence.DefaultSettings(),
+	})
+	permits := permit.New(permit.Deps{
+		Clock: deps.Clock, Log: logging.For(deps.Log, "permit"), Store: deps.Store, Directory: d, Registration: registration,
+		Entry: deps.ID, NewChange: identity.NewChangeID, Settings: permit.DefaultSettings(),
+	})
 	scheduler := pool.New(pool.Deps{
 		Clock:   deps.Clock,
 		Log:     logging.For(deps.Log, "pool"),
 		Hosts:   roster.New(d, deps.DataCentre),
 		Workers: task.New(deps.Clock, deps.Task),
-		Permits: permit.New(deps.ID, d.Allotments),
+		Permits: permits,
 		NewPool: func() *schedule.Pool {
 			return schedule.New(schedule.Settings{MaxWaiting: deps.MaxWaiting}, fifo.New(), leastloaded.New())
 		},
 		NewTaskID:   identity.NewTasks().New,
 		Entry:       deps.ID,
-		Incarnation: func() jaybarrow.Incarnation { return 1 },
-		StartWindow: 2 * time.Second,
+		Incarnation: registration.Incarnation,
+		StartWindow: permit.DefaultSettings().StartWindow,
 	})
 	server := httpapi.New(logging.For(deps.Log, "http"), deps.Callers, deps.MaxBody, httpapi.Handlers{
 		Submit: request.NewSubmit(deps.Clock, d, scheduler, identity.NewRequestID),
 		Cancel: request.NewCancel(d, scheduler),
 	})
-	return &Entry{scheduler: scheduler, http: server}, nil
+	return &Entry{scheduler: scheduler, permits: permits, presence: registration, http: server}, nil
 }
 
 // Close stops accepting callers, finishes what runs and stops all parts.
 func (e *Entry) Close(ctx context.Context) error {
 	err := e.http.Close(ctx)
 	e.scheduler.Close()
-	return err
+	return errors.Join(err, e.permits.Close(ctx), e.presence.Leave(ctx))
 }
--- /dev/null
+++ b/internal/permit/demand.go
@@ -0,0 +1,99 @@
+package permit
+
+import (
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// demand estimates how many permits beyond the grant are wanted. A refused start says only that something waits, so the
+// estimate starts small and doubles each time it was met and starts are still refused.
+type demand struct {
+	lacking  bool
+	renewed  bool // a start was refused since the last probe
+	refused  bool // a start was refused since the last signal to the schedulers
+	unit     jaybarrow.Slots
+	estimate jaybarrow.Slots // wanted beyond the grant
+	last     jaybarrow.Slots // estimate at the last refusal that began a lack
+	met      time.Time
+	probed   time.Time
+}
+
+// demandMemory is how long after a lack was met a new lack counts as its continuation.
+const demandMemory = time.Second
+
+// fail records a refused start and reports whether this changes the demand.
+func (d *demand) fail(now time.Time, slots, limit jaybarrow.Slots) bool {
+	d.renewed, d.refused = true, true
+	if limit > 0 && slots > limit {
+		return false // never runnable under this limit; permits must not move for it
+	}
+	if d.lacking {
+		raised := slots > d.unit
+		d.unit = max(d.unit, slots)
+		return raised
+	}
+	d.estimate = max(slots, limit/16)
+	if now.Sub(d.met) < demandMemory {
+		d.estimate = max(d.estimate, min(2*d.last, limit))
+	}
+	d.lacking, d.unit, d.last, d.probed = true, slots, d.estimate, now
+	return true
+}
+
+// gain counts permits towards the estimate.
+func (d *demand) gain(slots jaybarrow.Slots) { d.estimate = max(0, d.estimate-slots) }
+
+// want returns the permits wanted beyond those in use, and ends the lack when the grant covers it.
+func (d *demand) want(granted, used jaybarrow.Slots) jaybarrow.Slots {
+	if !d.lacking {
+		return 0
+	}
+	return max(d.unit, granted-used+d.estimate)
+}
+
+// settle ends the lack when the usable permits cover it.
+func (d *demand) settle(now time.Time, usable, used jaybarrow.Slots) {
+	if d.lacking && d.estimate == 0 && usable-used >= d.unit {
+		d.lacking, d.unit, d.met = false, 0, now
+	}
+}
+
+// probe drops a lack that was not renewed; it reports whether the schedulers should try again, so that a lack that still
+// exists is renewed.
+func (d *demand) probe(now time.Time, every time.Duration) bool {
+	if !d.lacking || now.Sub(d.probed) < every {
+		return false
+	}
+	d.probed = now
+	if !d.renewed {
+		d.lacking, d.unit, d.estimate = false, 0, 0
+		return false
+	}
+	d.renewed = false
+	return true
+}
+
+// takeRefused reports whether a start was refused since it last returned true.
+func (d *demand) takeRefused() bool {
+	refused := d.refused
+	d.refused = false
+	return refused
+}
+
+// idleWindow measures the highest use over the current and the previous window.
+type idleWindow struct {
+	begun    time.Time
+	current  jaybarrow.Slots
+	previous jaybarrow.Slots
+}
+
+func (w *idleWindow) observe(used jaybarrow.Slots) { w.current = max(w.current, used) }
+
+func (w *idleWindow) peak() jaybarrow.Slots { return max(w.current, w.previous) }
+
+func (w *idleWindow) advance(now time.Time, length time.Duration, used jaybarrow.Slots) {
+	if now.Sub(w.begun) >= length {
+		w.previous, w.current, w.begun = w.current, used, now
+	}
+}
--- a/internal/permit/doc.go
+++ b/internal/permit/doc.go
@@ -1,2 +1,3 @@
-// Package permit keeps this entry host's part of each team's limit.
+// Package permit keeps this entry host's part of each team's limit and moves permits between entry hosts by
+// compare-and-swap on the teams' allotments.
 package permit
--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -1,54 +1,182 @@
 package permit
 
 import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
+	"github.com/jaybarrow/jaybarrow/internal/ratelimit"
 	"github.com/jaybarrow/jaybarrow/internal/shard"
 )
 
-// Keeper counts the permits in use against the grants in the teams' allotments.
+// Keeper holds this entry host's permits and moves them through the store; each team has its own lock and its own loop.
 type Keeper struct {
-	entry      jaybarrow.EntryID
-	allotments *directory.Table[jaybarrow.TeamID, jaybarrow.Allotment]
-	inUse      *shard.Map[jaybarrow.TeamID, jaybarrow.Slots]
-	available  chan struct{}
+	deps      Deps
+	span      time.Duration // longest run of a task without renewal, from the decision to start it
+	holdings  *shard.Map[jaybarrow.TeamID, *holding]
+	fleet     atomic.Pointer[fleetView]
+	budget    *ratelimit.Bucket
+	available chan struct{}
+	progress  chan struct{} // a holding may have become empty
+	group     conc.WaitGroup
+	ctx       context.Context // ends the calls to the store at Close
+	cancel    context.CancelFunc
+	leaving   atomic.Bool
+	close     sync.Once
 }
 
-// New returns a Keeper with no permits in use.
-func New(entry jaybarrow.EntryID, allotments *directory.Table[jaybarrow.TeamID, jaybarrow.Allotment]) *Keeper {
-	return &Keeper{
-		entry:      entry,
-		allotments: allotments,
-		inUse:      shard.New[jaybarrow.TeamID, jaybarrow.Slots](),
-		available:  make(chan struct{}, 1),
+// New returns a running Keeper without permits in use.
+func New(deps Deps) *Keeper {
+	k := &Keeper{
+		deps:      deps,
+		span:      taskSpan(deps.Settings.StartWindow),
+		holdings:  shard.New[jaybarrow.TeamID, *holding](),
+		budget:    ratelimit.New(deps.Settings.WritesPerSecond, deps.Settings.WritesPerSecond),
+		available: make(chan struct{}, 1),
+		progress:  make(chan struct{}, 1),
 	}
+	k.ctx, k.cancel = context.WithCancel(context.Background())
+	k.fleet.Store(&fleetView{})
+	k.group.Go(k.follow)
+	return k
 }
 
-// TryAcquire takes permits if the grant covers them.
+// TryAcquire takes permits for a start, or records the lack as demand and returns false.
 func (k *Keeper) TryAcquire(team jaybarrow.TeamID, slots jaybarrow.Slots) bool {
-	allotment, _ := k.allotments.Get(team)
-	granted := allotment.Grants[k.entry].Slots
-	acquired := false
-	k.inUse.Update(team, func(used jaybarrow.Slots, _ bool) (jaybarrow.Slots, bool) {
-		if used+slots > granted {
-			return used, used > 0
-		}
-		acquired = true
-		return used + slots, true
-	})
-	return acquired
+	h, ok := k.holdings.Get(team)
+	if !ok {
+		return false // no limit is known for the team; its record creates the holding
+	}
+	return h.tryAcquire(k.deps.Clock.Now(), slots)
 }
 
 // Release returns permits after the end of the task is known.
 func (k *Keeper) Release(team jaybarrow.TeamID, slots jaybarrow.Slots) {
-	k.inUse.Update(team, func(used jaybarrow.Slots, _ bool) (jaybarrow.Slots, bool) {
-		return used - slots, used > slots
+	h, ok := k.holdings.Get(team)
+	if ok && h.release(slots) {
+		k.announce()
+	}
+	if k.leaving.Load() {
+		notify(k.progress)
+	}
+}
+
+// Available signals when permits may have become available.
+func (k *Keeper) Available() <-chan struct{} { return k.available }
+
+// ReleaseAll begins a planned stop: no more starts, idle permits are given away and the rest as tasks end.
+func (k *Keeper) ReleaseAll() {
+	k.leaving.Store(true)
+	k.holdings.Each(func(_ jaybarrow.TeamID, h *holding) {
+		h.Lock()
+		h.leaving = true
+		h.Unlock()
+		h.signal()
 	})
+}
+
+// Close releases everything, waits until nothing is held or ctx ends, and stops the Keeper. It returns ctx's error when
+// permits are still held.
+func (k *Keeper) Close(ctx context.Context) error {
+	k.ReleaseAll()
+	var err error
+	for err == nil && k.holdsAny() {
+		select {
+		case <-k.progress:
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+	}
+	k.Abandon()
+	return err
+}
+
+// Abandon stops the Keeper without releasing anything, as a crash would.
+func (k *Keeper) Abandon() {
+	k.close.Do(k.cancel)
+	k.group.Wait()
+}
+
+func (k *Keeper) holdsAny() bool {
+	holds := false
+	k.holdings.Each(func(_ jaybarrow.TeamID, h *holding) {
+		h.Lock()
+		defer h.Unlock()
+		_, granted := h.record.Grants[h.entry]
+		writable := h.incarnation != 0 && !h.fenced
+		holds = holds || h.used > 0 || (writable && (granted || h.pending.open))
+	})
+	return holds
+}
+
+// announce tells the schedulers that permits may be available.
+func (k *Keeper) announce() { notify(k.available) }
+
+func notify(signal chan struct{}) {
 	select {
-	case k.available <- struct{}{}:
+	case signal <- struct{}{}:
 	default:
 	}
 }
 
-// Available signals when permits may have become available.
-func (k *Keeper) Available() <-chan struct{} { return k.available }
+// holding returns the team's holding; the first call starts its loop.
+func (k *Keeper) holding(team jaybarrow.TeamID) *holding {
+	created := false
+	h := k.holdings.GetOrCreate(team, func() *holding {
+		created = true
+		return &holding{
+			id: team, entry: k.deps.Entry, limits: k.deps.Settings, wake: make(chan struct{}, 1), leaving: k.leaving.Load(),
+		}
+	})
+	if created {
+		k.group.Go(func() { k.loop(h) })
+	}
+	return h
+}
+
+// follow wakes the holdings whose record, or whose view of the fleet, changed.
+func (k *Keeper) follow() {
+	ready, fenced := k.deps.Registration.Ready(), k.deps.Registration.Fenced()
+	tables := k.deps.Directory
+	evidence := false // the platform's list changed, so that every holding looks for ended hosts
+	for {
+		allotments, entries, conditions := tables.Allotments.Changed(), tables.Entries.Changed(), k.conditionsChanged()
+		all := k.refreshFleet() || evidence
+		evidence = false
+		tables.Allotments.EachVersioned(func(id jaybarrow.TeamID, v directory.Versioned[jaybarrow.Allotment]) {
+			h := k.holding(id)
+			if all || h.isOlder(v.Revision) {
+				h.signal()
+			}
+		})
+		select {
+		case <-k.ctx.Done():
+			return
+		case <-allotments:
+		case <-entries:
+		case <-conditions:
+			evidence = true
+		case <-ready:
+			ready = nil
+		case <-fenced:
+			fenced = nil
+		}
+		// Changes often come in groups; a pause lets one scan take several.
+		select {
+		case <-k.ctx.Done():
+			return
+		case <-k.deps.Clock.After(k.deps.Settings.ScanPace):
+		}
+	}
+}
+
+func (h *holding) isOlder(revision jaybarrow.Revision) bool {
+	h.Lock()
+	defer h.Unlock()
+	return h.revision < revision
+}
--- /dev/null
+++ b/internal/ratelimit/doc.go
@@ -0,0 +1,2 @@
+// Package ratelimit bounds how often an operation may happen.
+package ratelimit
--- a/records.go
+++ b/records.go
@@ -115,6 +115,7 @@
 	Limit  Slots             `json:"limit"`
 	Grants map[EntryID]Grant `json:"grants"`
 	Wants  map[EntryID]Slots `json:"wants,omitempty"`
+	Units  map[EntryID]Slots `json:"units,omitempty"` // slots of the largest waiting task of a host with a want, if above 1
 	Change ChangeID          `json:"change"`
 }
 
