--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/permit"
 	"github.com/jaybarrow/jaybarrow/internal/placement/leastloaded"
 	"github.com/jaybarrow/jaybarrow/internal/pool"
+	"github.com/jaybarrow/jaybarrow/internal/presence"
 	"github.com/jaybarrow/jaybarrow/internal/roster"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
 	"github.com/jaybarrow/jaybarrow/internal/task"
@@ -43,6 +45,8 @@
 // Entry is a running entry host.
 type Entry struct {
 	scheduler *pool.Scheduler
+	permits   *permit.Keeper
+	presence  *presence.Presence
 	http      *httpapi.Server
 }
 
@@ -56,19 +60,30 @@
 	if err := d.Apply(records, revision); err != nil {
 		return nil, err
 	}
+	registration := presence.New(presence.Deps{
+		Clock: deps.Clock, Log: logging.For(deps.Log, "presence"), Store: deps.Store, NewChange: identity.NewChangeID,
+		Host: jaybarrow.EntryHost{
+			ID: deps.ID, DataCentre: deps.DataCentre, HTTPAddress: jaybarrow.Address(deps.Callers.Addr().String()),
+		},
+		Settings: presence.DefaultSettings(),
+	})
+	permits := permit.New(permit.Deps{
+		Clock: deps.Clock, Log: logging.For(deps.Log, "permit"), Store: deps.Store, Directory: d, Registration: registration,
+		Entry: deps.ID, NewChange: identity.NewChangeID, Settings: permit.DefaultSettings(),
+	})
 	scheduler := pool.New(pool.Deps{
 		Clock:   deps.Clock,
 		Log:     logging.For(deps.Log, "pool"),
 		Hosts:   roster.New(d, allLive{}, allLive{}, deps.DataCentre),
 		Workers: task.New(deps.Clock, deps.Task),
-		Permits: permit.New(deps.ID, d.Allotments),
+		Permits: permits,
 		NewPool: func() *schedule.Pool {
 			return schedule.New(schedule.Settings{MaxWaiting: deps.MaxWaiting}, fifo.New(), leastloaded.New())
 		},
 		NewTaskID:   identity.NewTasks().New,
 		Entry:       deps.ID,
-		Incarnation: func() jaybarrow.Incarnation { return 1 },
-		StartWindow: 2 * time.Second,
+		Incarnation: registration.Incarnation,
+		StartWindow: permit.DefaultSettings().StartWindow,
 	})
 	settings := httpapi.Settings{MaxBody: deps.MaxBody, OperatorKeyHash: deps.OperatorKeyHash}
 	server := httpapi.New(logging.For(deps.Log, "http"), deps.Callers, settings, httpapi.Handlers{
@@ -77,14 +92,14 @@
 		Commands: commands(deps),
 		Queries:  queries(deps, d),
 	})
-	return &Entry{scheduler: scheduler, http: server}, nil
+	return &Entry{scheduler: scheduler, permits: permits, presence: registration, http: server}, nil
 }
 
 // Close stops accepting callers, finishes what runs and stops all parts.
 func (e *Entry) Close(ctx context.Context) error {
 	err := e.http.Close(ctx)
 	e.scheduler.Close()
-	return err
+	return errors.Join(err, e.permits.Close(ctx), e.presence.Leave(ctx))
 }
 
 // allLive stands for the platform's list and the workers' health until they are joined to the entry host.
