--- a/ids.go
+++ b/ids.go
@@ -38,6 +38,9 @@
 // TaskID names one attempt to run a request on a worker.
 type TaskID string
 
+// AttemptID numbers the starts of one pool's scheduler; a retried request has one for each start.
+type AttemptID int64
+
 // Address is an IP address and port, such as "127.0.0.1:8080".
 type Address string
 
--- a/internal/order/fifo/fifo.go
+++ b/internal/order/fifo/fifo.go
@@ -15,8 +15,15 @@
 // New returns an empty Order.
 func New() *Order { return &Order{} }
 
-// Push adds a waiting item at the end.
-func (o *Order) Push(_ time.Time, item jaybarrow.Item) { o.items = append(o.items, item) }
+// Push adds a waiting item behind those that arrived before it, so that an item that returns after an attempt keeps its
+// place.
+func (o *Order) Push(_ time.Time, item jaybarrow.Item) {
+	i := len(o.items)
+	for i > 0 && o.items[i-1].Arrived.After(item.Arrived) {
+		i--
+	}
+	o.items = slices.Insert(o.items, i, item)
+}
 
 // Remove takes a waiting item out.
 func (o *Order) Remove(id jaybarrow.RequestID) (jaybarrow.Item, bool) {
@@ -88,7 +95,7 @@
 func (o *Order) Ahead(time.Time, jaybarrow.Item) time.Duration {
 	var ahead time.Duration
 	for _, it := range o.items {
-		ahead += it.Estimate * time.Duration(it.Slots)
+		ahead += it.Estimate * time.Duration(max(it.Slots, 1))
 	}
 	return ahead
 }
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
@@ -13,70 +12,23 @@
 	"github.com/jaybarrow/jaybarrow/internal/shard"
 )
 
-// HostSource gives the hosts of a pool that this entry host may use.
-type HostSource interface {
-	// PoolHosts returns the hosts of the pool and whether each accepts work.
-	PoolHosts(pool jaybarrow.PoolID) []schedule.HostView
-	// Host returns the host's record.
-	Host(id jaybarrow.HostID) (jaybarrow.Host, bool)
-	// Share returns the team's share.
-	Share(team jaybarrow.TeamID) jaybarrow.Share
-	// Changed returns channels that are closed at the next change of the hosts and of the drains.
-	Changed() (hosts, drains <-chan struct{})
-}
-
-// Deps are what a Scheduler depends on.
-type Deps struct {
-	Clock     jaybarrow.Clock
-	Log       zerolog.Logger
-	Hosts     HostSource
-	Workers   jaybarrow.Workers
-	Permits   jaybarrow.Permits
-	NewPool   func() *schedule.Pool
-	NewTaskID func(jaybarrow.RequestID) jaybarrow.TaskID
-	Entry     jaybarrow.EntryID
-	// Incarnation returns the registration of this process; 0 before it is registered.
-	Incarnation func() jaybarrow.Incarnation
-	StartWindow time.Duration // a task must start at the worker within this time of its decision
-}
-
 // Scheduler runs a scheduler for each pool; each pool's state has its own lock.
 type Scheduler struct {
 	deps  Deps
 	pools *shard.Map[jaybarrow.PoolID, *poolRun]
-	owned *shard.Map[jaybarrow.RequestID, *waiter]
+	owned *shard.Map[requestKey, *waiter]
+	life  lifecycle
 	group conc.WaitGroup
 	stop  chan struct{}
 	once  sync.Once
 }
 
-type poolRun struct {
-	sync.Mutex
-	id    jaybarrow.PoolID
-	state *schedule.Pool
-	wake  chan struct{}
-}
-
-// waiter is a request between its arrival and its answer.
-type waiter struct {
-	request jaybarrow.Request
-	pool    *poolRun
-	result  chan result     // buffered, gets exactly one result
-	ctx     context.Context // ends when the request is cancelled
-	cancel  context.CancelFunc
-}
-
-type result struct {
-	body []byte
-	err  error
-}
-
 // New returns a running Scheduler without pools; a pool is created by its first request.
 func New(deps Deps) *Scheduler {
 	s := &Scheduler{
-		deps:  deps,
+		deps:  deps.withDefaults(),
 		pools: shard.New[jaybarrow.PoolID, *poolRun](),
-		owned: shard.New[jaybarrow.RequestID, *waiter](),
+		owned: shard.New[requestKey, *waiter](),
 		stop:  make(chan struct{}),
 	}
 	s.group.Go(func() {
@@ -85,48 +37,41 @@
 			case <-s.stop:
 				return
 			case <-deps.Permits.Available():
-				s.pools.Each(func(_ jaybarrow.PoolID, p *poolRun) { p.signal() })
+				s.permitsAvailable()
 			}
 		}
 	})
 	return s
 }
 
-// Close stops the pools' loops and waits for running tasks.
-func (s *Scheduler) Close() {
-	s.once.Do(func() { close(s.stop) })
-	s.group.Wait()
-}
-
-func (s *Scheduler) pool(id jaybarrow.PoolID) *poolRun {
-	return s.pools.GetOrCreate(id, func() *poolRun {
-		p := &poolRun{id: id, state: s.deps.NewPool(), wake: make(chan struct{}, 1)}
-		s.group.Go(func() { s.loop(p) })
-		return p
+// permitsAvailable wakes the pools in which work was skipped for lack of permits.
+func (s *Scheduler) permitsAvailable() {
+	s.pools.Each(func(_ jaybarrow.PoolID, p *poolRun) {
+		if p.lacksPermits.Load() {
+			p.signal()
+		}
 	})
 }
 
-func (p *poolRun) signal() {
-	select {
-	case p.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Run queues the request and waits for its answer.
 func (s *Scheduler) Run(ctx context.Context, request jaybarrow.Request) ([]byte, error) {
-	p := s.pool(request.Pool)
-	taskCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	w := &waiter{request: request, pool: p, result: make(chan result, 1), ctx: taskCtx, cancel: cancel}
-	if !s.add(w) {
-		return nil, jaybarrow.Errorf(jaybarrow.KindDuplicateRequest, "request %s is already here", request.ID)
+	begun := s.deps.Clock.Now()
+	body, err := s.run(ctx, request)
+	kind := jaybarrow.ErrorKind("")
+	if err != nil {
+		kind = jaybarrow.AsError(err).Kind
 	}
-	defer s.owned.Delete(request.ID)
-	if err := s.arrive(p, request); err != nil {
+	s.deps.Meter.Answered(request.Team, request.Class, kind, s.deps.Clock.Now().Sub(begun))
+	return body, err
+}
+
+func (s *Scheduler) run(ctx context.Context, request jaybarrow.Request) ([]byte, error) {
+	w, err := s.submit(ctx, request)
+	if err != nil {
 		return nil, err
 	}
-	p.signal()
+	defer w.cancel()
+	defer s.owned.Delete(w.key())
 	select {
 	case r := <-w.result:
 		return r.body, r.err
@@ -137,9 +82,31 @@
 	}
 }
 
+// submit queues the request; its waiter gets a result unless an error is returned.
+func (s *Scheduler) submit(ctx context.Context, request jaybarrow.Request) (*waiter, error) {
+	s.life.RLock()
+	defer s.life.RUnlock()
+	if kind := s.life.refusal; kind != "" {
+		return nil, jaybarrow.Errorf(kind, "the scheduler takes no more requests")
+	}
+	p := s.pool(request.Pool)
+	w := newWaiter(ctx, request, p)
+	if !s.add(w) {
+		w.cancel()
+		return nil, jaybarrow.Errorf(jaybarrow.KindDuplicateRequest, "request %s is already here", request.ID)
+	}
+	if err := s.arrive(p, w); err != nil {
+		s.owned.Delete(w.key())
+		w.cancel()
+		s.deps.Journal.Note(w.subject(), "refused", err.Error())
+		return nil, err
+	}
+	return w, nil
+}
+
 func (s *Scheduler) add(w *waiter) bool {
 	added := false
-	s.owned.Update(w.request.ID, func(old *waiter, present bool) (*waiter, bool) {
+	s.owned.Update(w.key(), func(old *waiter, present bool) (*waiter, bool) {
 		if present {
 			return old, true
 		}
@@ -149,125 +116,82 @@
 	return added
 }
 
-func (s *Scheduler) arrive(p *poolRun, r jaybarrow.Request) error {
-	item := jaybarrow.Item{
-		ID: r.ID, Team: r.Team, Class: r.Class, Slots: r.Demand.Slots, Demand: r.Demand,
-		Share: s.deps.Hosts.Share(r.Team), Arrived: r.Arrived, Target: r.Target, Deadline: r.Deadline, Estimate: r.Declared,
-	}
+// arrive queues the request and starts what can start, so that admission of the next request sees the effect.
+func (s *Scheduler) arrive(p *poolRun, w *waiter) error {
+	item, likely := s.item(w)
 	p.Lock()
-	defer p.Unlock()
-	return p.state.Arrive(s.deps.Clock.Now(), item)
+	now := s.deps.Clock.Now()
+	evicted, err := p.state.Arrive(now, item, likely)
+	if err != nil {
+		p.Unlock()
+		return err
+	}
+	p.budget.earn()
+	p.waiters[item.ID] = w
+	b := s.decide(p, now)
+	for _, item := range evicted {
+		b.evicted = append(b.evicted, p.takeWaiter(item.ID))
+	}
+	sooner := p.wakesSooner(now)
+	p.Unlock()
+	s.apply(p, b)
+	if sooner {
+		p.signal()
+	}
+	return nil
+}
+
+// item returns what the order needs to know of the request, and the run time that admission assumes.
+func (s *Scheduler) item(w *waiter) (item jaybarrow.Item, likely time.Duration) {
+	r := w.request
+	item = jaybarrow.Item{
+		ID: w.itemID(), Team: r.Team, Class: r.Class, Slots: r.Demand.Slots, Demand: r.Demand,
+		Share: s.deps.Hosts.Share(r.Team), Arrived: r.Arrived, Target: r.Target, Deadline: r.Deadline,
+		Estimate: s.deps.Estimates.Estimate(r.Team, r.Queue, r.Declared),
+	}
+	return item, s.deps.Estimates.Quantile(r.Team, r.Queue, r.Declared, s.deps.AdmissionQuantile)
 }
 
 // Cancel ends a queued or running request of the team.
 func (s *Scheduler) Cancel(_ context.Context, team jaybarrow.TeamID, id jaybarrow.RequestID) (bool, error) {
-	w, ok := s.owned.Get(id)
+	w, ok := s.owned.Get(keyOf(team, id))
 	if !ok {
 		return false, nil
 	}
-	if w.request.Team != team {
-		return false, jaybarrow.Errorf(jaybarrow.KindForbidden, "request %s belongs to another team", id)
-	}
 	s.withdraw(w)
 	return true, nil
 }
 
-// withdraw answers a waiting request with KindCancelled, or cancels its running task.
+// withdraw answers a waiting request with KindCancelled, or cancels its running task. The context ends first: a task that
+// is about to return to the queue sees that, or is found in the queue.
 func (s *Scheduler) withdraw(w *waiter) {
-	w.pool.Lock()
-	waiting := w.pool.state.Withdraw(w.request.ID)
-	w.pool.Unlock()
-	if waiting {
-		w.finish(nil, jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled while waiting"))
-	}
 	w.cancel()
-}
-
-func (w *waiter) finish(body []byte, err error) {
-	select {
-	case w.result <- result{body, err}:
-	default:
-	}
-}
-
-func (s *Scheduler) loop(p *poolRun) {
-	for {
-		hosts, drains := s.deps.Hosts.Changed()
-		s.refresh(p)
-		expiry := s.step(p)
-		select {
-		case <-s.stop:
-			return
-		case <-p.wake:
-		case <-hosts:
-		case <-drains:
-		case <-expiry:
-		}
-	}
-}
-
-func (s *Scheduler) refresh(p *poolRun) {
-	hosts := s.deps.Hosts.PoolHosts(p.id)
-	p.Lock()
-	defer p.Unlock()
-	p.state.SetHosts(hosts)
-}
-
-// step starts what can start and refuses what expired; it returns a timer for the next deadline, nil when there is none.
-func (s *Scheduler) step(p *poolRun) <-chan time.Time {
-	now := s.deps.Clock.Now()
+	p := w.pool
 	p.Lock()
-	expired := p.state.Expired(now)
-	var starts []schedule.Start
-	for {
-		start, ok := p.state.Next(now, s.deps.Permits.TryAcquire)
-		if !ok {
-			break
-		}
-		starts = append(starts, start)
+	waiting := p.waiters[w.itemID()] == w
+	if waiting {
+		p.state.Withdraw(w.itemID())
+		p.takeWaiter(w.itemID())
 	}
-	next, waiting := p.state.NextDeadline()
 	p.Unlock()
-	for _, item := range expired {
-		if w, ok := s.owned.Get(item.ID); ok {
-			w.finish(nil, jaybarrow.Errorf(jaybarrow.KindDeadlinePassed, "no slot before the deadline"))
-		}
-	}
-	for _, start := range starts {
-		s.group.Go(func() { s.runTask(p, start) })
-	}
-	if !waiting {
-		return nil
+	if waiting {
+		s.refuse(w, jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled while waiting"))
 	}
-	return s.deps.Clock.After(next.Sub(now))
 }
 
-func (s *Scheduler) runTask(p *poolRun, start schedule.Start) {
-	begun := s.deps.Clock.Now()
-	defer p.signal()
-	defer s.deps.Permits.Release(start.Item.Team, start.Item.Slots)
-	defer func() {
+// refuse answers a request that did not run.
+func (s *Scheduler) refuse(w *waiter, err *jaybarrow.Error) {
+	s.deps.Journal.Note(w.subject(), "refused", err.Error())
+	w.finish(nil, err)
+}
+
+// Loads returns the load of each pool.
+func (s *Scheduler) Loads() map[jaybarrow.PoolID]schedule.Load {
+	loads := make(map[jaybarrow.PoolID]schedule.Load)
+	s.pools.Each(func(id jaybarrow.PoolID, p *poolRun) {
 		p.Lock()
-		p.state.Finished(s.deps.Clock.Now(), start.Item.ID, s.deps.Clock.Now().Sub(begun))
-		p.Unlock()
-	}()
-	w, ok := s.owned.Get(start.Item.ID)
-	if !ok {
-		return
-	}
-	host, ok := s.deps.Hosts.Host(start.Host)
-	if !ok {
-		w.finish(nil, jaybarrow.Errorf(jaybarrow.KindWorkerRefused, "host %s left", start.Host))
-		return
-	}
-	task := jaybarrow.Task{
-		ID: s.deps.NewTaskID(start.Item.ID), Request: start.Item.ID, Team: start.Item.Team, Demand: start.Item.Demand,
-		Entry: s.deps.Entry, Incarnation: s.deps.Incarnation(), Idempotent: w.request.Idempotent,
-		StartBy: begun.Add(s.deps.StartWindow), Body: w.request.Body,
-	}
-	body, err := s.deps.Workers.Run(w.ctx, host, task)
-	w.finish(body, err)
-	if err != nil && jaybarrow.AsError(err).Effect == jaybarrow.EffectMayHaveRun {
-		s.deps.Workers.AwaitEnd(host, task)
-	}
+		defer p.Unlock()
+		loads[id] = p.state.Load(s.deps.Clock.Now())
+	})
+	return loads
 }
--- /dev/null
+++ b/internal/schedule/host.go
@@ -0,0 +1,140 @@
+package schedule
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// The delay before a host that refused a task, or could not be reached, is tried again; it doubles with each refusal in
+// a row. The first is short, because a refusal often only means that the worker's count of slots lags by one task.
+const (
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 5 * time.Second
+)
+
+// HostView is what a pool needs to know of one of its hosts.
+type HostView struct {
+	ID        jaybarrow.HostID
+	Capacity  jaybarrow.Demand
+	Accepting bool // false while it drains, leaves, is down or is ejected
+}
+
+type hostState struct {
+	capacity  jaybarrow.Demand
+	used      jaybarrow.Demand
+	running   int
+	accepting bool
+	backoff   time.Duration
+	retryAt   time.Time // no task is placed before
+}
+
+func (h *hostState) free() jaybarrow.Demand {
+	return jaybarrow.Demand{
+		Slots:        h.capacity.Slots - h.used.Slots,
+		Memory:       h.capacity.Memory - h.used.Memory,
+		Accelerators: h.capacity.Accelerators - h.used.Accelerators,
+	}
+}
+
+func (h *hostState) charge(d jaybarrow.Demand, sign int) {
+	h.used.Slots += d.Slots * jaybarrow.Slots(sign)
+	h.used.Memory += d.Memory * jaybarrow.Megabytes(sign)
+	h.used.Accelerators += d.Accelerators * jaybarrow.Accelerators(sign)
+	h.running += sign
+}
+
+func (h *hostState) usable(now time.Time) bool { return h.accepting && !h.retryAt.After(now) }
+
+// SetHosts replaces the set of hosts; a removed host stays known until its running tasks end.
+func (p *Pool) SetHosts(views []HostView) {
+	for _, h := range p.hosts {
+		h.accepting = false
+	}
+	for _, v := range views {
+		h, ok := p.hosts[v.ID]
+		if !ok {
+			h = &hostState{}
+			p.hosts[v.ID] = h
+		}
+		h.capacity, h.accepting = v.Capacity, v.Accepting
+	}
+	for id := range p.hosts {
+		p.forgetHost(id)
+	}
+	p.ids = slices.Sorted(maps.Keys(p.hosts))
+}
+
+// forgetHost removes a host that accepts nothing and runs nothing.
+func (p *Pool) forgetHost(id jaybarrow.HostID) {
+	if h := p.hosts[id]; !h.accepting && h.running == 0 {
+		delete(p.hosts, id)
+		p.ids = slices.DeleteFunc(p.ids, func(other jaybarrow.HostID) bool { return other == id })
+	}
+}
+
+// HostRefused delays the next try of a host that did not take a task.
+func (p *Pool) HostRefused(now time.Time, id jaybarrow.HostID) {
+	if h, ok := p.hosts[id]; ok && !h.retryAt.After(now) {
+		h.backoff = min(max(2*h.backoff, firstBackoff), maxBackoff)
+		h.retryAt = now.Add(h.backoff)
+	}
+}
+
+// HostTook ends the delays of a host that took a task.
+func (p *Pool) HostTook(id jaybarrow.HostID) {
+	if h, ok := p.hosts[id]; ok {
+		h.backoff, h.retryAt = 0, time.Time{}
+	}
+}
+
+// candidates returns the hosts that have room for the demand now, in the order of their ids.
+func (p *Pool) candidates(now time.Time, d jaybarrow.Demand, signals Signals) []jaybarrow.Candidate {
+	var candidates []jaybarrow.Candidate
+	for _, id := range p.ids {
+		h := p.hosts[id]
+		if !h.usable(now) || !d.FitsIn(h.free()) {
+			continue
+		}
+		c := jaybarrow.Candidate{Host: id, Free: h.free(), Running: h.running}
+		if signals != nil {
+			c.Failures, c.Latency = signals(id)
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+// HasOther reports whether an accepting host outside the tried ones has the capacity for the demand.
+func (p *Pool) HasOther(d jaybarrow.Demand, tried []jaybarrow.HostID) bool {
+	for id, h := range p.hosts {
+		if h.accepting && d.FitsIn(h.capacity) && !slices.Contains(tried, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// freeSlots counts the slots that a task could be placed on now.
+func (p *Pool) freeSlots(now time.Time) jaybarrow.Slots {
+	free := jaybarrow.Slots(0)
+	for _, h := range p.hosts {
+		if h.usable(now) {
+			free += max(h.free().Slots, 0)
+		}
+	}
+	return free
+}
+
+// totalSlots counts the slots of the accepting hosts.
+func (p *Pool) totalSlots() jaybarrow.Slots {
+	total := jaybarrow.Slots(0)
+	for _, h := range p.hosts {
+		if h.accepting {
+			total += h.capacity.Slots
+		}
+	}
+	return total
+}
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -1,49 +1,50 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
 )
 
-// Settings bounds a pool's queue.
+// Settings bounds a pool's queue and says which of its rules are on.
 type Settings struct {
-	MaxWaiting int // requests; a further one is refused
+	MaxWaiting     int     // requests that may wait in the pool; at the bound the team furthest above its share yields
+	MaxTeamWaiting int     // requests of one team that may wait; 0: no bound of its own
+	Admission      bool    // refuse requests whose deadline cannot be met
+	QuickReserve   float64 // largest part of the slots that slow work leaves free for recent quick work; 0: none
 }
 
 // Start is the decision to run an item on a host now.
 type Start struct {
-	Item jaybarrow.Item
-	Host jaybarrow.HostID
+	Attempt jaybarrow.AttemptID
+	Item    jaybarrow.Item
+	Host    jaybarrow.HostID
 }
 
-type hostState struct {
-	capacity  jaybarrow.Demand
-	used      jaybarrow.Demand
-	running   int
-	accepting bool
-}
+// Skip says why a waiting item did not start when it was last considered.
+type Skip string
 
-func (h *hostState) free() jaybarrow.Demand {
-	return jaybarrow.Demand{
-		Slots:        h.capacity.Slots - h.used.Slots,
-		Memory:       h.capacity.Memory - h.used.Memory,
-		Accelerators: h.capacity.Accelerators - h.used.Accelerators,
-	}
-}
+// The reasons for a skip.
+const (
+	SkipNone    Skip = ""
+	SkipRoom    Skip = "room"    // no host had room
+	SkipPermits Skip = "permits" // the team had no permits
+	SkipReserve Skip = "reserve" // the free slots are held for quick work
+)
+
+// Signals gives a host's consecutive failures and its observed latency.
+type Signals func(jaybarrow.HostID) (failures int, latency time.Duration)
 
-func (h *hostState) charge(d jaybarrow.Demand, sign int) {
-	h.used.Slots += d.Slots * jaybarrow.Slots(sign)
-	h.used.Memory += d.Memory * jaybarrow.Megabytes(sign)
-	h.used.Accelerators += d.Accelerators * jaybarrow.Accelerators(sign)
-	h.running += sign
+// Inputs are what a decision takes from outside the pool.
+type Inputs struct {
+	Acquire func(jaybarrow.TeamID, jaybarrow.Slots) bool // takes permits; called only when a host has room
+	Signals Signals                                      // nil: nothing is known of the hosts
 }
 
-// HostView is what a pool needs to know of one of its hosts.
-type HostView struct {
-	ID        jaybarrow.HostID
-	Capacity  jaybarrow.Demand
-	Accepting bool // false while it drains, leaves, is down or is ejected
+type runningTask struct {
+	start Start
+	at    time.Time
 }
 
 // Pool is the scheduling state of one pool; its owner serializes all calls.
@@ -52,7 +53,13 @@
 	order     jaybarrow.Order
 	placement jaybarrow.Placement
 	hosts     map[jaybarrow.HostID]*hostState
-	running   map[jaybarrow.RequestID]Start
+	ids       []jaybarrow.HostID // of hosts, sorted, so that decisions are reproducible
+	running   map[jaybarrow.AttemptID]runningTask
+	waiting   *waitingSet
+	tried     map[jaybarrow.RequestID][]jaybarrow.HostID // hosts that a waiting item should not go to again
+	reserve   reserve
+	reserved  bool // an item was skipped for the reserve since the last change
+	attempts  jaybarrow.AttemptID
 }
 
 // New returns a Pool without hosts.
@@ -62,92 +69,155 @@
 		order:     order,
 		placement: placement,
 		hosts:     make(map[jaybarrow.HostID]*hostState),
-		running:   make(map[jaybarrow.RequestID]Start),
+		running:   make(map[jaybarrow.AttemptID]runningTask),
+		waiting:   newWaitingSet(),
+		tried:     make(map[jaybarrow.RequestID][]jaybarrow.HostID),
+		reserve:   reserve{fraction: settings.QuickReserve},
 	}
 }
 
-// SetHosts replaces the set of hosts; a removed host stays known until its running tasks end.
-func (p *Pool) SetHosts(views []HostView) {
-	for _, h := range p.hosts {
-		h.accepting = false
+// Arrive queues an item, or refuses it with KindDeadlineUnattainable or KindQueueFull; likely is the run time that
+// admission assumes, 0 when unknown. The evicted items, at most one, left the queue in favour of the new one.
+func (p *Pool) Arrive(now time.Time, item jaybarrow.Item, likely time.Duration) (evicted []jaybarrow.Item, err error) {
+	if err := p.attainable(now, item, likely); err != nil {
+		return nil, err
 	}
-	for _, v := range views {
-		h, ok := p.hosts[v.ID]
-		if !ok {
-			h = &hostState{}
-			p.hosts[v.ID] = h
-		}
-		h.capacity, h.accepting = v.Capacity, v.Accepting
+	if n := p.waiting.count(item.Team); p.settings.MaxTeamWaiting > 0 && n >= p.settings.MaxTeamWaiting {
+		return nil, jaybarrow.Errorf(jaybarrow.KindQueueFull, "%d requests of team %s are waiting", n, item.Team)
 	}
-	for id, h := range p.hosts {
-		if !h.accepting && h.running == 0 {
-			delete(p.hosts, id)
+	if p.order.Len() >= p.settings.MaxWaiting {
+		victim, ok := p.waiting.mostAbove(item)
+		if !ok {
+			return nil, jaybarrow.Errorf(jaybarrow.KindQueueFull, "%d requests are waiting", p.order.Len())
 		}
+		p.Withdraw(victim.ID)
+		evicted = append(evicted, victim)
 	}
+	p.push(now, item)
+	return evicted, nil
 }
 
-// Arrive queues an item, or refuses it with KindQueueFull.
-func (p *Pool) Arrive(now time.Time, item jaybarrow.Item) error {
-	if p.order.Len() >= p.settings.MaxWaiting {
-		return jaybarrow.Errorf(jaybarrow.KindQueueFull, "%d requests are waiting", p.order.Len())
-	}
+func (p *Pool) push(now time.Time, item jaybarrow.Item) {
 	p.order.Push(now, item)
-	return nil
+	p.waiting.add(item)
 }
 
-// Next decides the next start, if any; acquire takes the team's permits and is called only when a host is free.
-func (p *Pool) Next(now time.Time, acquire func(jaybarrow.TeamID, jaybarrow.Slots) bool) (Start, bool) {
-	var candidates []jaybarrow.Candidate
-	item, ok := p.order.Next(now, func(it jaybarrow.Item) bool {
-		candidates = p.candidates(it.Demand)
-		return len(candidates) > 0 && acquire(it.Team, it.Slots)
-	})
-	if !ok {
-		return Start{}, false
-	}
-	start := Start{Item: item, Host: candidates[p.placement.Choose(candidates)].Host}
-	p.hosts[start.Host].charge(item.Demand, 1)
-	p.running[item.ID] = start
-	p.order.Started(now, item)
-	return start, true
+func (p *Pool) left(item jaybarrow.Item) {
+	p.waiting.remove(item)
+	delete(p.tried, item.ID)
 }
 
-func (p *Pool) candidates(d jaybarrow.Demand) []jaybarrow.Candidate {
-	var candidates []jaybarrow.Candidate
-	for id, h := range p.hosts {
-		if h.accepting && d.FitsIn(h.free()) {
-			candidates = append(candidates, jaybarrow.Candidate{Host: id, Free: h.free(), Running: h.running})
+// Return queues an item again after an attempt, at its old place and outside the bounds; it avoids the tried hosts while
+// another host could take it.
+func (p *Pool) Return(now time.Time, item jaybarrow.Item, tried []jaybarrow.HostID) {
+	p.push(now, item)
+	p.tried[item.ID] = slices.Clone(tried)
+}
+
+// Next decides the next start, if any.
+func (p *Pool) Next(now time.Time, in Inputs) (Start, bool) {
+	p.reserved = false
+	if p.order.Len() == 0 || p.freeSlots(now) == 0 {
+		return Start{}, false
+	}
+	s := newSelection(p, now, in)
+	defer s.restore()
+	for {
+		item, ok := p.order.Next(now, s.accepts)
+		if !ok {
+			return Start{}, false
+		}
+		if s.chosen != nil {
+			return p.start(now, item, s.chosen[p.placement.Choose(s.chosen)].Host), true
 		}
+		s.parked = append(s.parked, item)
 	}
-	return candidates
 }
 
-// Finished frees the host's slots after the end of the task is known.
-func (p *Pool) Finished(now time.Time, id jaybarrow.RequestID, ran time.Duration) {
-	start, ok := p.running[id]
+func (p *Pool) start(now time.Time, item jaybarrow.Item, host jaybarrow.HostID) Start {
+	p.left(item)
+	p.attempts++
+	start := Start{Attempt: p.attempts, Item: item, Host: host}
+	p.hosts[host].charge(item.Demand, 1)
+	p.running[start.Attempt] = runningTask{start, now}
+	p.reserve.add(now, item, 1)
+	p.order.Started(now, item)
+	return start
+}
+
+// Finished frees the host's slots after the end of the attempt is known; ran is 0 when it did not run.
+func (p *Pool) Finished(now time.Time, attempt jaybarrow.AttemptID, ran time.Duration) {
+	r, ok := p.running[attempt]
 	if !ok {
 		return
 	}
-	delete(p.running, id)
-	p.order.Finished(now, start.Item, ran)
-	h := p.hosts[start.Host]
-	h.charge(start.Item.Demand, -1)
-	if !h.accepting && h.running == 0 {
-		delete(p.hosts, start.Host)
-	}
+	delete(p.running, attempt)
+	p.reserve.add(now, r.start.Item, -1)
+	p.order.Finished(now, r.start.Item, ran)
+	p.hosts[r.start.Host].charge(r.start.Item.Demand, -1)
+	p.forgetHost(r.start.Host)
 }
 
 // Withdraw removes a waiting item; it reports whether the item was waiting.
 func (p *Pool) Withdraw(id jaybarrow.RequestID) bool {
-	_, ok := p.order.Remove(id)
+	item, ok := p.order.Remove(id)
+	if ok {
+		p.left(item)
+	}
 	return ok
 }
 
+// WithdrawAll removes and returns all waiting items.
+func (p *Pool) WithdrawAll() []jaybarrow.Item {
+	items := make([]jaybarrow.Item, 0, len(p.waiting.items))
+	for _, element := range p.waiting.items {
+		items = append(items, element.Value.(jaybarrow.Item))
+	}
+	for _, item := range items {
+		p.Withdraw(item.ID)
+	}
+	return items
+}
+
+// Expiry is a waiting item whose deadline passed, with the reason of its last skip.
+type Expiry struct {
+	Item jaybarrow.Item
+	Skip Skip
+}
+
 // Expired removes and returns the waiting items whose deadline passed.
-func (p *Pool) Expired(now time.Time) []jaybarrow.Item { return p.order.Expired(now) }
+func (p *Pool) Expired(now time.Time) []Expiry {
+	var expired []Expiry
+	for _, item := range p.order.Expired(now) {
+		expired = append(expired, Expiry{item, p.waiting.skip(item)})
+		p.left(item)
+	}
+	return expired
+}
+
+// NextWake returns when time alone next changes a decision: a deadline passes, or waiting work can use a host after its
+// backoff or slots that are no longer held for quick work. It is false when time alone changes nothing.
+func (p *Pool) NextWake(now time.Time) (time.Time, bool) {
+	wake, _ := p.order.NextDeadline()
+	if p.order.Len() > 0 {
+		for _, h := range p.hosts {
+			if h.accepting && h.retryAt.After(now) {
+				wake = earlier(wake, h.retryAt)
+			}
+		}
+	}
+	if p.reserved {
+		wake = earlier(wake, p.reserve.until)
+	}
+	return wake, !wake.IsZero()
+}
 
-// NextDeadline returns the earliest deadline of a waiting item; false when none has one.
-func (p *Pool) NextDeadline() (time.Time, bool) { return p.order.NextDeadline() }
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
 
 // Load is a pool's load in one data centre.
 type Load struct {
@@ -157,12 +227,6 @@
 }
 
 // Load returns the current load.
-func (p *Pool) Load() Load {
-	load := Load{Waiting: p.order.Len(), Running: len(p.running)}
-	for _, h := range p.hosts {
-		if h.accepting {
-			load.FreeSlots += h.free().Slots
-		}
-	}
-	return load
+func (p *Pool) Load(now time.Time) Load {
+	return Load{Waiting: p.order.Len(), Running: len(p.running), FreeSlots: p.freeSlots(now)}
 }
