--- /dev/null
+++ b/internal/pool/scheduler_test.go
@@ -0,0 +1,256 @@
+package pool_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// Guards against goroutines that outlive Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func echo(_ context.Context, host jaybarrow.HostID, _ jaybarrow.Task) ([]byte, error) {
+	return []byte(host), nil
+}
+
+func untilCancelled(ctx context.Context, _ jaybarrow.HostID, _ jaybarrow.Task) ([]byte, error) {
+	<-ctx.Done()
+	return nil, jaybarrow.Errorf(jaybarrow.KindCancelled, "stopped").WithEffect(jaybarrow.EffectRan)
+}
+
+// gate answers each task when the test opens it.
+func gate() (func(context.Context, jaybarrow.HostID, jaybarrow.Task) ([]byte, error), chan struct{}) {
+	open := make(chan struct{})
+	return func(ctx context.Context, host jaybarrow.HostID, task jaybarrow.Task) ([]byte, error) {
+		<-open
+		return echo(ctx, host, task)
+	}, open
+}
+
+// Guards against wrong decisions after a failed attempt: a non-idempotent request that is sent twice after it may have run, a
+// retry on the same host, retries without end, and a lost request after a refusal.
+func TestRetries(t *testing.T) {
+	refused := jaybarrow.Errorf(jaybarrow.KindWorkerRefused, "full")
+	unreachable := jaybarrow.Errorf(jaybarrow.KindWorkerLost, "dial").WithEffect(jaybarrow.EffectNotRun)
+	lost := jaybarrow.Errorf(jaybarrow.KindWorkerLost, "silent")
+	failed := jaybarrow.Errorf(jaybarrow.KindWorkerFailed, "exit 1")
+	cases := []struct {
+		name       string
+		hosts      int
+		idempotent bool
+		deadline   time.Duration
+		failures   []error // of the first attempts; later ones succeed
+		attempts   int
+		kind       jaybarrow.ErrorKind // empty: answered
+	}{
+		{"refused goes to another host", 2, false, 0, []error{refused}, 2, ""},
+		{"unreachable goes to another host", 2, false, 0, []error{unreachable}, 2, ""},
+		{"lost and idempotent goes to another host", 2, true, 0, []error{lost}, 2, ""},
+		{"failed and idempotent goes to another host", 2, true, 0, []error{failed}, 2, ""},
+		{"lost and not idempotent is not sent again", 2, false, 0, []error{lost}, 1, jaybarrow.KindWorkerLost},
+		{"failed and not idempotent is not sent again", 2, false, 0, []error{failed}, 1, jaybarrow.KindWorkerFailed},
+		{"budget ends retries", 3, true, 0, []error{lost, lost}, 2, jaybarrow.KindWorkerLost},
+		{"no other host", 1, true, 0, []error{lost}, 1, jaybarrow.KindWorkerLost},
+		{"no time left", 2, true, 500 * time.Millisecond, []error{lost}, 1, jaybarrow.KindWorkerLost},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			attempts := make(chan struct{}, 10)
+			f := newFixture(t, c.hosts, func(_ context.Context, host jaybarrow.HostID, _ jaybarrow.Task) ([]byte, error) {
+				attempts <- struct{}{}
+				if n := len(attempts); n <= len(c.failures) {
+					return nil, c.failures[n-1]
+				}
+				return []byte(host), nil
+			})
+			defer f.scheduler.Close()
+			close(f.workers.end)
+			r := f.request("a", "1", c.deadline)
+			r.Idempotent = c.idempotent
+			got := f.await(f.submit(r))
+			if c.kind == "" {
+				assert.NilError(t, got.err)
+			} else {
+				assertError(t, got.err, c.kind, c.kind.Answer().Effect)
+			}
+			sent := f.workers.sent()
+			assert.Equal(t, len(sent), c.attempts)
+			assert.Assert(t, len(sent) < 2 || sent[0] != sent[1], "sent to the same host twice")
+		})
+	}
+}
+
+// Guards against a loop on a host that refuses: it must be tried again only after its backoff.
+func TestRefusingHostIsTriedAfterABackoff(t *testing.T) {
+	refusals := make(chan struct{}, 100)
+	f := newFixture(t, 1, func(context.Context, jaybarrow.HostID, jaybarrow.Task) ([]byte, error) {
+		refusals <- struct{}{}
+		return nil, jaybarrow.Errorf(jaybarrow.KindWorkerRefused, "full")
+	})
+	defer f.scheduler.Close()
+	f.submit(f.request("a", "1", 0))
+	for n := 1; n <= 3; n++ {
+		f.eventually("the request waits", func() bool { return len(refusals) == n && f.load().Waiting == 1 })
+		f.clock.advance(10 * time.Second)
+	}
+}
+
+// Guards against a request that cannot be cancelled, waiting or running.
+func TestCancel(t *testing.T) {
+	f := newFixture(t, 1, untilCancelled)
+	defer f.scheduler.Close()
+	running := f.submit(f.request("a", "1", 0))
+	f.eventually("one runs", func() bool { return f.load().Running == 1 })
+	waiting := f.submit(f.request("a", "2", 0))
+	f.eventually("one waits", func() bool { return f.load().Waiting == 1 })
+
+	known, err := f.scheduler.Cancel(context.Background(), "b", "2")
+	assert.NilError(t, err)
+	assert.Assert(t, !known, "another team cancelled the request")
+	for i, a := range []<-chan answer{waiting, running} {
+		known, err = f.scheduler.Cancel(context.Background(), "a", []jaybarrow.RequestID{"2", "1"}[i])
+		assert.NilError(t, err)
+		assert.Assert(t, known)
+		assert.Assert(t, jaybarrow.IsKind(f.await(a).err, jaybarrow.KindCancelled))
+	}
+	f.eventually("all slots are free", func() bool { return f.load().FreeSlots == 1 && f.permits.inUse() == 0 })
+}
+
+// Guards against slots and permits that are released while a task may still run, and against a second request with the same
+// id that frees those of the first.
+func TestReleaseAfterTheEndIsKnown(t *testing.T) {
+	hold, open := gate()
+	f := newFixture(t, 2, func(ctx context.Context, host jaybarrow.HostID, task jaybarrow.Task) ([]byte, error) {
+		if task.ID == "1-1" {
+			return nil, jaybarrow.Errorf(jaybarrow.KindWorkerLost, "silent")
+		}
+		return hold(ctx, host, task)
+	})
+	r := f.request("a", "1", 0)
+	r.Idempotent = false
+	assertError(t, f.await(f.submit(r)).err, jaybarrow.KindWorkerLost, jaybarrow.EffectMayHaveRun)
+	assert.Equal(t, f.permits.inUse(), jaybarrow.Slots(1))
+
+	second := f.submit(r)
+	f.eventually("the second runs", func() bool { return f.load().Running == 2 })
+	close(open)
+	assert.NilError(t, f.await(second).err)
+	f.eventually("one is released", func() bool { return f.load().Running == 1 })
+	assert.Equal(t, f.load().FreeSlots, jaybarrow.Slots(1))
+	assert.Equal(t, f.permits.inUse(), jaybarrow.Slots(1))
+
+	close(f.workers.end)
+	f.scheduler.Close()
+	assert.Equal(t, f.load().FreeSlots, jaybarrow.Slots(2))
+	assert.Equal(t, f.permits.inUse(), jaybarrow.Slots(0))
+}
+
+// Guards against a wait that ends without its reason, and against a duplicate that runs.
+func TestRefusals(t *testing.T) {
+	f := newFixture(t, 1, untilCancelled)
+	defer f.scheduler.Close()
+	f.permits.setLimit("limited", 0)
+	lacking := f.submit(f.request("limited", "1", 10*time.Second))
+	f.eventually("it lacks permits", func() bool { return f.permits.timesAsked() > 0 })
+	f.submit(f.request("a", "1", 0))
+	f.eventually("one runs", func() bool { return f.load().Running == 1 })
+
+	_, err := f.scheduler.Run(context.Background(), f.request("a", "1", 0))
+	assertError(t, err, jaybarrow.KindDuplicateRequest, jaybarrow.EffectMayHaveRun)
+	_, err = f.scheduler.Run(context.Background(), f.request("b", "late", 1500*time.Millisecond))
+	assertError(t, err, jaybarrow.KindDeadlineUnattainable, jaybarrow.EffectNotRun)
+
+	r := f.request("b", "2", 10*time.Second)
+	r.Declared = 0
+	blocked := f.submit(r)
+	f.eventually("both wait", func() bool { return f.load().Waiting == 2 })
+	f.clock.advance(10 * time.Second)
+	assertError(t, f.await(lacking).err, jaybarrow.KindNoPermit, jaybarrow.EffectNotRun)
+	assertError(t, f.await(blocked).err, jaybarrow.KindDeadlinePassed, jaybarrow.EffectNotRun)
+	_, err = f.scheduler.Cancel(context.Background(), "a", "1")
+	assert.NilError(t, err)
+}
+
+// Guards against permits whose arrival starts nothing.
+func TestPermitsWakeTheirWaiters(t *testing.T) {
+	f := newFixture(t, 1, echo)
+	defer f.scheduler.Close()
+	f.permits.setLimit("limited", 0)
+	answers := f.submit(f.request("limited", "1", 0))
+	f.eventually("it lacks permits", func() bool { return f.permits.timesAsked() > 0 })
+	f.permits.setLimit("limited", 1)
+	assert.NilError(t, f.await(answers).err)
+}
+
+// Guards against a flooding team that fills the queue for others: its newest request must yield.
+func TestFullQueueEvictsFromTheTeamAboveItsShare(t *testing.T) {
+	f := newFixture(t, 1, untilCancelled)
+	defer f.scheduler.Close()
+	var flood []<-chan answer
+	for i := range 5 {
+		flood = append(flood, f.submit(f.request("flood", fmt.Sprint(i), 0)))
+		f.eventually("it is there", func() bool { l := f.load(); return l.Running+l.Waiting == i+1 })
+	}
+	_, err := f.scheduler.Run(context.Background(), f.request("flood", "5", 0))
+	assertError(t, err, jaybarrow.KindQueueFull, jaybarrow.EffectNotRun)
+	f.submit(f.request("other", "1", 0))
+	assertError(t, f.await(flood[4]).err, jaybarrow.KindQueueFull, jaybarrow.EffectNotRun)
+	assert.Equal(t, f.load().Waiting, 4)
+	_, err = f.scheduler.Cancel(context.Background(), "flood", "0")
+	assert.NilError(t, err)
+	f.eventually("the next runs", func() bool { return len(f.workers.sent()) == 2 })
+	assert.NilError(t, cancelAll(f, "flood", 5))
+	assert.NilError(t, cancelAll(f, "other", 2))
+}
+
+func cancelAll(f *fixture, team jaybarrow.TeamID, count int) error {
+	for i := range count {
+		if _, err := f.scheduler.Cancel(context.Background(), team, jaybarrow.RequestID(fmt.Sprint(i))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Guards against a planned stop that cuts off running work, keeps queued work, takes new work, or returns early.
+func TestDrain(t *testing.T) {
+	hold, open := gate()
+	f := newFixture(t, 1, hold)
+	defer f.scheduler.Close()
+	running := f.submit(f.request("a", "1", 0))
+	f.eventually("one runs", func() bool { return f.load().Running == 1 })
+	waiting := f.submit(f.request("a", "2", 0))
+	f.eventually("one waits", func() bool { return f.load().Waiting == 1 })
+
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Assert(t, f.scheduler.Drain(ended) != nil, "returned while a task runs")
+	assertError(t, f.await(waiting).err, jaybarrow.KindHandOver, jaybarrow.EffectNotRun)
+	_, err := f.scheduler.Run(context.Background(), f.request("a", "3", 0))
+	assertError(t, err, jaybarrow.KindHandOver, jaybarrow.EffectNotRun)
+	close(open)
+	assert.NilError(t, f.scheduler.Drain(context.Background()))
+	assert.NilError(t, f.await(running).err)
+	assert.Equal(t, f.permits.inUse(), jaybarrow.Slots(0))
+}
+
+// Guards against callers that wait for ever because Close forgot their queued requests.
+func TestCloseAnswersQueuedRequests(t *testing.T) {
+	hold, open := gate()
+	f := newFixture(t, 1, hold)
+	f.submit(f.request("a", "1", 0))
+	f.eventually("one runs", func() bool { return f.load().Running == 1 })
+	waiting := f.submit(f.request("a", "2", 0))
+	f.eventually("one waits", func() bool { return f.load().Waiting == 1 })
+	closed := make(chan struct{})
+	go func() { f.scheduler.Close(); close(closed) }()
+	assertError(t, f.await(waiting).err, jaybarrow.KindShuttingDown, jaybarrow.EffectNotRun)
+	close(open)
+	<-closed
+}
--- /dev/null
+++ b/internal/schedule/pool_test.go
@@ -0,0 +1,143 @@
+package schedule_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/order/fairshare"
+	"github.com/jaybarrow/jaybarrow/internal/placement/leastloaded"
+	"github.com/jaybarrow/jaybarrow/internal/schedule"
+)
+
+var (
+	epoch  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	always = schedule.Inputs{Acquire: func(jaybarrow.TeamID, jaybarrow.Slots) bool { return true }}
+)
+
+func newPool(settings schedule.Settings, hosts int, slots jaybarrow.Slots) *schedule.Pool {
+	p := schedule.New(settings, fairshare.New(), leastloaded.New())
+	var views []schedule.HostView
+	for i := range hosts {
+		views = append(views, schedule.HostView{
+			ID: jaybarrow.HostID(fmt.Sprint("h", i)), Capacity: jaybarrow.Demand{Slots: slots}, Accepting: true,
+		})
+	}
+	p.SetHosts(views)
+	return p
+}
+
+func item(team, id string, class jaybarrow.Class, target, estimate time.Duration) jaybarrow.Item {
+	it := jaybarrow.Item{
+		ID: jaybarrow.RequestID(id), Team: jaybarrow.TeamID(team), Class: class, Slots: 1, Demand: jaybarrow.Demand{Slots: 1}, Share: 1,
+		Arrived: epoch, Target: epoch.Add(target), Estimate: estimate,
+	}
+	if class == jaybarrow.ClassQuick {
+		it.Deadline = it.Target
+	}
+	return it
+}
+
+func startAll(p *schedule.Pool, now time.Time) (starts []schedule.Start) {
+	for start, ok := p.Next(now, always); ok; start, ok = p.Next(now, always) {
+		starts = append(starts, start)
+	}
+	return starts
+}
+
+// Guards against refusing what can be answered in time, and against taking what cannot.
+func TestAdmission(t *testing.T) {
+	cases := []struct {
+		name    string
+		waiting int           // one-second quick items of the same team before it
+		target  time.Duration // of the item; it runs one second
+		likely  time.Duration
+		refused bool
+	}{
+		{"a slot is free", 0, 500 * time.Millisecond, time.Second, false},
+		{"two seconds of work ahead, four left", 4, 4 * time.Second, time.Second, false},
+		{"ten seconds of work ahead, four left", 20, 4 * time.Second, time.Second, true},
+		{"unknown run time", 20, 4 * time.Second, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPool(schedule.Settings{MaxWaiting: 100, Admission: true}, 1, 2)
+			for i := range c.waiting {
+				_, err := p.Arrive(epoch, item("a", fmt.Sprint(i), jaybarrow.ClassQuick, time.Hour, time.Second), 0)
+				assert.NilError(t, err)
+			}
+			startAll(p, epoch)
+			_, err := p.Arrive(epoch, item("a", "new", jaybarrow.ClassQuick, c.target, time.Second), c.likely)
+			assert.Equal(t, jaybarrow.IsKind(err, jaybarrow.KindDeadlineUnattainable), c.refused, "%v", err)
+		})
+	}
+}
+
+// Guards against slow work that takes the slots of quick work in a short lull, and against holding them for ever.
+func TestReserveForQuickWork(t *testing.T) {
+	p := newPool(schedule.Settings{MaxWaiting: 100, QuickReserve: 0.25}, 1, 8)
+	for i := range 2 {
+		_, err := p.Arrive(epoch, item("a", fmt.Sprint("q", i), jaybarrow.ClassQuick, time.Second, time.Second), 0)
+		assert.NilError(t, err)
+	}
+	quick := startAll(p, epoch)
+	for i := range 20 {
+		_, err := p.Arrive(epoch, item("a", fmt.Sprint("s", i), jaybarrow.ClassSlow, time.Hour, time.Minute), 0)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(startAll(p, epoch)), 6)
+	for _, start := range quick {
+		p.Finished(epoch, start.Attempt, time.Second)
+	}
+	assert.Equal(t, len(startAll(p, epoch)), 0)
+	wake, ok := p.NextWake(epoch)
+	assert.Assert(t, ok && wake.After(epoch))
+	assert.Equal(t, len(startAll(p, epoch.Add(11*time.Second))), 2)
+}
+
+// Guards against slots that are used twice or leak when attempts, retries, cancellations and host changes mix.
+func TestSlotsAreNeverOversubscribed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts, slots = 3, 2
+		p, now := newPool(schedule.Settings{MaxWaiting: 20, QuickReserve: 0.25}, hosts, slots), epoch
+		running := make(map[jaybarrow.AttemptID]schedule.Start)
+		used := make(map[jaybarrow.HostID]jaybarrow.Slots)
+		for id := range rapid.IntRange(1, 100).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0:
+				class := rapid.SampledFrom([]jaybarrow.Class{jaybarrow.ClassQuick, jaybarrow.ClassSlow}).Draw(t, "class")
+				_, _ = p.Arrive(now, item(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), fmt.Sprint(id), class, time.Minute, time.Second), 0)
+			case 1:
+				for _, start := range startAll(p, now) {
+					running[start.Attempt] = start
+					used[start.Host] += start.Item.Slots
+					assert.Assert(t, used[start.Host] <= slots, "%s is oversubscribed", start.Host)
+				}
+			case 2:
+				for attempt, start := range running {
+					p.Finished(now, attempt, time.Second)
+					p.Finished(now, attempt, time.Second)
+					delete(running, attempt)
+					used[start.Host] -= start.Item.Slots
+					if rapid.Bool().Draw(t, "retry") {
+						p.HostRefused(now, start.Host)
+						p.Return(now, start.Item, []jaybarrow.HostID{start.Host})
+					}
+					break
+				}
+			case 3:
+				now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "seconds")) * time.Second)
+				p.Expired(now)
+			}
+			assert.Equal(t, p.Load(now).Running, len(running))
+		}
+		for attempt := range running {
+			p.Finished(now, attempt, 0)
+		}
+		assert.Equal(t, p.Load(now.Add(time.Minute)).FreeSlots, jaybarrow.Slots(hosts*slots))
+	})
+}
