--- a/internal/standin/worker/doc.go
+++ b/internal/standin/worker/doc.go
@@ -1,3 +1,3 @@
-// Package worker is a small stand-in for a platform's worker: it runs tasks under leases and keeps a ledger of every
-// start and end; it is for tests and the demo.
+// Package worker is a small stand-in for a platform's worker: it runs tasks under leases, can be told to misbehave, and
+// keeps a ledger of every start, end and refusal; it is for tests and the demo.
 package worker
--- /dev/null
+++ b/internal/standin/worker/faults.go
@@ -0,0 +1,151 @@
+package worker
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// FaultKind is a way in which the worker misbehaves towards tasks; calls about tasks are unaffected.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	FaultNone      FaultKind = ""
+	FaultFail      FaultKind = "fail"      // every task fails, after the delay, without doing its work
+	FaultHang      FaultKind = "hang"      // tasks run, their starts are never answered
+	FaultTruncate  FaultKind = "truncate"  // the declared length is longer than the body
+	FaultDuplicate FaultKind = "duplicate" // each answer is sent twice, the second one after the delay
+	FaultCross     FaultKind = "cross"     // the answer carries another task's id and body
+	FaultLate      FaultKind = "late"      // answers are sent after the delay; tasks end in time
+)
+
+// Fault is the current fault.
+type Fault struct {
+	Kind    FaultKind `json:"kind"`
+	DelayMs int64     `json:"delayMs,omitempty"`
+}
+
+func (f Fault) delay() time.Duration { return time.Duration(f.DelayMs) * time.Millisecond }
+
+// crossedTask is the id that crossed answers carry.
+const crossedTask jaybarrow.TaskID = "crossed"
+
+type faults struct {
+	sync.Mutex
+	current Fault
+}
+
+func (f *faults) get() Fault {
+	f.Lock()
+	defer f.Unlock()
+	return f.current
+}
+
+func (f *faults) set(fault Fault) {
+	f.Lock()
+	defer f.Unlock()
+	f.current = fault
+}
+
+// SetFault switches the worker's fault.
+func (s *Server) SetFault(fault Fault) { s.faults.set(fault) }
+
+// SetFrozen makes the open connections silent, except the one from the remote address, or lets them go on; what they
+// received while frozen is served then.
+func (s *Server) SetFrozen(frozen bool, except net.Addr) {
+	if frozen {
+		s.listener.freeze(except)
+		return
+	}
+	s.listener.thaw()
+}
+
+// Held returns the number of frozen connections that have received data.
+func (s *Server) Held() int {
+	s.listener.Lock()
+	defer s.listener.Unlock()
+	return s.listener.held
+}
+
+// SetRefusing makes the worker refuse, or again serve, new connections.
+func (s *Server) SetRefusing(refusing bool) { s.listener.setClosed(refusing) }
+
+// control serves the endpoints below /control/, which switch faults.
+func (s *Server) control(ctx *fasthttp.RequestCtx, method, name string) {
+	on := method == fasthttp.MethodPost
+	switch name {
+	case "fault":
+		fault := Fault{}
+		if on && json.Unmarshal(ctx.PostBody(), &fault) != nil {
+			ctx.SetStatusCode(fasthttp.StatusBadRequest)
+			return
+		}
+		s.SetFault(fault)
+	case "freeze":
+		s.SetFrozen(on, ctx.RemoteAddr())
+	case "refuse":
+		s.SetRefusing(on)
+	case "lag":
+		var lag struct {
+			Ms int64 `json:"ms"`
+		}
+		if on && json.Unmarshal(ctx.PostBody(), &lag) != nil {
+			ctx.SetStatusCode(fasthttp.StatusBadRequest)
+			return
+		}
+		s.worker.SetUsageLag(time.Duration(lag.Ms) * time.Millisecond)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// respond answers a task's start, subject to the fault.
+func (s *Server) respond(ctx *fasthttp.RequestCtx, r result) {
+	fault := s.faults.get()
+	switch fault.Kind {
+	case FaultHang:
+		s.hijack(ctx, func(c net.Conn) {
+			_, _ = io.Copy(io.Discard, c) // until the client closes the connection
+		})
+	case FaultTruncate:
+		data := s.encode(r)
+		s.hijack(ctx, func(c net.Conn) { _, _ = c.Write(data[:len(data)-(len(r.body)+1)/2]) })
+	case FaultDuplicate:
+		_, _ = ctx.Conn().Write(s.encode(r))
+		s.sleep(fault.delay())
+		r.write(&ctx.Response)
+	case FaultCross:
+		r.task, r.body = crossedTask, []byte(`{"task":"crossed"}`)
+		r.write(&ctx.Response)
+	case FaultLate:
+		s.sleep(fault.delay())
+		r.write(&ctx.Response)
+	default:
+		r.write(&ctx.Response)
+	}
+}
+
+// hijack takes over the connection without an answer from the library.
+func (s *Server) hijack(ctx *fasthttp.RequestCtx, serve func(net.Conn)) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(serve)
+}
+
+// encode returns the bytes of the whole answer.
+func (s *Server) encode(r result) []byte {
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	r.write(response)
+	s.stamp(response)
+	var data bytes.Buffer
+	_, _ = response.WriteTo(&data)
+	return data.Bytes()
+}
