Complete the client of workers

Cause: the client renewed no lease, ignored cancellation and start-before times, and gave up on any task whose answer did not arrive.

Change: renewals run on separate connections, starts carry a start-before time in the worker's clock, answers are checked for task id and length, and a missing answer is fetched from the worker. A start that the worker does not know is withdrawn, which makes "not run" certain. AwaitEnd uses the worker's word and otherwise the end of the last lease that may be in force. LeaseEndAfter is LeaseEnd for other lease lengths.

Conclusion: what the client says of a task agrees with the ledger under each fault and under changing faults.

--- a/ids.go
+++ b/ids.go
@@ -78,6 +78,9 @@
 const TaskLeaseMargin = 500 * time.Millisecond
 
 // LeaseEnd returns the time after which a task that had to start before startBy cannot be running any more.
-func LeaseEnd(startBy time.Time) time.Time {
-	return startBy.Add(time.Duration(float64(TaskLease)*(1+ClockRateError)) + TaskLeaseMargin)
+func LeaseEnd(startBy time.Time) time.Time { return LeaseEndAfter(startBy, TaskLease) }
+
+// LeaseEndAfter is LeaseEnd for a lease of another length.
+func LeaseEndAfter(startBy time.Time, lease time.Duration) time.Time {
+	return startBy.Add(time.Duration(float64(lease)*(1+ClockRateError)) + TaskLeaseMargin)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,6 +38,7 @@
 // Entry is a running entry host.
 type Entry struct {
 	scheduler *pool.Scheduler
+	workers   *task.Client
 	http      *httpapi.Server
 }
 
@@ -51,11 +52,12 @@
 	if err := d.Apply(records, revision); err != nil {
 		return nil, err
 	}
+	workers := task.New(deps.Clock, deps.Task)
 	scheduler := pool.New(pool.Deps{
 		Clock:   deps.Clock,
 		Log:     logging.For(deps.Log, "pool"),
 		Hosts:   roster.New(d, deps.DataCentre),
-		Workers: task.New(deps.Clock, deps.Task),
+		Workers: workers,
 		Permits: permit.New(deps.ID, d.Allotments),
 		NewPool: func() *schedule.Pool {
 			return schedule.New(schedule.Settings{MaxWaiting: deps.MaxWaiting}, fifo.New(), leastloaded.New())
@@ -69,12 +71,13 @@
 		Submit: request.NewSubmit(deps.Clock, d, scheduler, identity.NewRequestID),
 		Cancel: request.NewCancel(d, scheduler),
 	})
-	return &Entry{scheduler: scheduler, http: server}, nil
+	return &Entry{scheduler: scheduler, workers: workers, http: server}, nil
 }
 
 // Close stops accepting callers, finishes what runs and stops all parts.
 func (e *Entry) Close(ctx context.Context) error {
 	err := e.http.Close(ctx)
 	e.scheduler.Close()
+	e.workers.Close()
 	return err
 }
--- /dev/null
+++ b/internal/task/control.go
@@ -0,0 +1,120 @@
+package task
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// report is a worker's word on a task.
+type report struct {
+	outcome Outcome
+	boot    Boot
+	clock   jaybarrow.WorkerClock
+	status  int
+	body    []byte
+	kept    bool // body is the stored answer
+}
+
+// observe takes in the worker's clock from a response.
+func (c *Client) observe(w *worker, response *fasthttp.Response) {
+	value, err := strconv.ParseInt(string(response.Header.Peek(HeaderClock)), 10, 64)
+	if err != nil {
+		return
+	}
+	w.clock.observe(Boot(response.Header.Peek(HeaderBoot)), jaybarrow.WorkerClock(value), c.clock.Now())
+}
+
+// send makes a control call and passes the response to read.
+func (c *Client) send(host jaybarrow.Host, method, path string, prepare func(*fasthttp.Request), read func(*fasthttp.Response) error) error {
+	w := c.worker(host.Address)
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + string(host.Address) + path)
+	request.Header.SetMethod(method)
+	prepare(request)
+	_, err := exchange(w.control, &call{}, c.settings.CallTimeout, request, response, func(response *fasthttp.Response) error {
+		c.observe(w, response)
+		return read(response)
+	})
+	if err != nil {
+		return jaybarrow.Errorf(jaybarrow.KindWorkerLost, "%s %s on %s: %w", method, path, host.ID, err)
+	}
+	return nil
+}
+
+func unchanged(*fasthttp.Request) {}
+
+// ask makes a control call about one task; an answer that does not belong to the task is an error.
+func (c *Client) ask(host jaybarrow.Host, method string, id jaybarrow.TaskID, action string, prepare func(*fasthttp.Request)) (report, error) {
+	var r report
+	err := c.send(host, method, "/tasks/"+string(id)+action, prepare, func(response *fasthttp.Response) error {
+		if answered := string(response.Header.Peek(HeaderTask)); answered != string(id) {
+			return fmt.Errorf("the answer is for task %q", answered)
+		}
+		clock, _ := strconv.ParseInt(string(response.Header.Peek(HeaderClock)), 10, 64)
+		r = report{
+			outcome: Outcome(response.Header.Peek(HeaderOutcome)),
+			boot:    Boot(response.Header.Peek(HeaderBoot)),
+			clock:   jaybarrow.WorkerClock(clock),
+			status:  response.StatusCode(),
+			body:    append([]byte(nil), response.Body()...),
+			kept:    string(response.Header.Peek(HeaderAnswerKept)) == "true",
+		}
+		return nil
+	})
+	return r, err
+}
+
+// askTwice repeats a failed call once, which uses another connection.
+func (c *Client) askTwice(host jaybarrow.Host, method string, id jaybarrow.TaskID) (report, error) {
+	r, err := c.ask(host, method, id, "", unchanged)
+	if err != nil {
+		r, err = c.ask(host, method, id, "", unchanged)
+	}
+	return r, err
+}
+
+// Status asks the worker for its report.
+func (c *Client) Status(_ context.Context, host jaybarrow.Host) (jaybarrow.WorkerStatus, error) {
+	var status jaybarrow.WorkerStatus
+	err := c.send(host, fasthttp.MethodGet, "/status", unchanged, func(response *fasthttp.Response) error {
+		return json.Unmarshal(response.Body(), &status)
+	})
+	return status, err
+}
+
+// SetDraining tells the worker to refuse, or again accept, new tasks.
+func (c *Client) SetDraining(_ context.Context, host jaybarrow.Host, draining bool) error {
+	method := fasthttp.MethodDelete
+	if draining {
+		method = fasthttp.MethodPost
+	}
+	return c.send(host, method, "/drain", unchanged, func(response *fasthttp.Response) error {
+		if response.StatusCode() != fasthttp.StatusOK {
+			return fmt.Errorf("status %d", response.StatusCode())
+		}
+		return nil
+	})
+}
+
+// Checkpoint asks the worker to checkpoint and end the task; KindWorkerRefused means that it cannot be resumed or has
+// ended, KindNotFound that the worker does not know it.
+func (c *Client) Checkpoint(_ context.Context, host jaybarrow.Host, id jaybarrow.TaskID) error {
+	r, err := c.ask(host, fasthttp.MethodPost, id, "/checkpoint", unchanged)
+	switch {
+	case err != nil:
+		return err
+	case r.outcome == OutcomeUnknown:
+		return jaybarrow.Errorf(jaybarrow.KindNotFound, "%s does not know task %s", host.ID, id)
+	case r.outcome != OutcomeCheckpointed:
+		return jaybarrow.Errorf(jaybarrow.KindWorkerRefused, "%s cannot checkpoint task %s, which is %s", host.ID, id, r.outcome)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/task/faults_test.go
@@ -0,0 +1,97 @@
+package task_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/standin/worker"
+)
+
+// claim is what the client said of a task.
+type claim struct {
+	task jaybarrow.Task
+	ran
+}
+
+// Guards against untrue effects, wrong answers and slots that are freed too early while faults change under running tasks,
+// in combination with cancellations. After AwaitEnd no task may run, and at the end, when everything that was held up has
+// been delivered, the ledger must agree with every claim.
+func TestClaimsAreTrueUnderChangingFaults(t *testing.T) {
+	t.Parallel()
+	const seed, callers, switches = 7, 6, 24
+	f := newFixture(t, shortLeases(), worker.DefaultConnections)
+	stop := make(chan struct{})
+	claims := make(chan claim, 10_000)
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(i)))
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					claims <- f.runOne(random)
+				}
+			}
+		})
+	}
+	f.switchFaults(rand.New(rand.NewPCG(seed, callers)), switches)
+	close(stop)
+	group.Wait()
+	close(claims)
+
+	answered, total := 0, 0
+	for c := range claims {
+		f.checkTruth(c.task, c.body, c.err)
+		total++
+		if c.err == nil {
+			answered++
+		}
+	}
+	t.Logf("%d of %d tasks were answered", answered, total)
+	assert.Assert(t, answered > 0)
+}
+
+// runOne runs a task, cancels some, and waits for the end of those that may have run.
+func (f *fixture) runOne(random *rand.Rand) claim {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if random.IntN(4) == 0 {
+		timer := time.AfterFunc(time.Duration(random.IntN(100))*time.Millisecond, cancel)
+		defer timer.Stop()
+	}
+	t := f.task(worker.Work{RunMs: random.Int64N(80)}, 500*time.Millisecond)
+	body, err := f.client.Run(ctx, f.host, t)
+	if err != nil && jaybarrow.AsError(err).Effect == jaybarrow.EffectMayHaveRun {
+		f.client.AwaitEnd(f.host, t)
+		started, _ := f.lines(t.ID)
+		assert.Check(f, started == nil || started.EndedNs != 0, "task %s runs after AwaitEnd", t.ID)
+	}
+	return claim{t, ran{body, err}}
+}
+
+// switchFaults changes the worker's faults a number of times and leaves it well.
+func (f *fixture) switchFaults(random *rand.Rand, switches int) {
+	kinds := []worker.FaultKind{
+		worker.FaultNone, worker.FaultFail, worker.FaultHang, worker.FaultTruncate, worker.FaultDuplicate, worker.FaultCross, worker.FaultLate,
+	}
+	ticker := time.NewTicker(150 * time.Millisecond)
+	defer ticker.Stop()
+	for range switches {
+		f.server.SetFault(worker.Fault{Kind: kinds[random.IntN(len(kinds))], DelayMs: random.Int64N(50)})
+		f.server.SetFrozen(random.IntN(3) == 0, nil)
+		f.server.SetRefusing(random.IntN(6) == 0)
+		<-ticker.C
+	}
+	f.server.SetFault(worker.Fault{})
+	f.server.SetRefusing(false)
+	f.server.SetFrozen(false, nil)
+	f.eventually("everything that was held up is delivered", func() bool { return f.server.Held() == 0 })
+}
