Add ejection and readmission of workers

Cause: a worker that fails or is silent kept getting work.

Change: decide from observed outcomes, by comparison with the success rate of the pool's other workers, which workers are ejected, at most a third of a pool; readmit through one trial task after an exponential backoff.

Conclusion: the cap, the return of healthy workers and the ejection of bad ones hold in property tests.

--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,220 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+type noJournal struct{}
+
+func (noJournal) Note(jaybarrow.Subject, string, string) {}
+
+func newHealth(hosts, unavailable int) (*Health, []jaybarrow.HostID) {
+	h := New(Deps{Settings: DefaultSettings(), Journal: noJournal{}, Random: func() float64 { return 0.5 }})
+	var ids []jaybarrow.HostID
+	for i := range hosts {
+		ids = append(ids, jaybarrow.HostID(fmt.Sprintf("host-%02d", i)))
+	}
+	h.SetPool("desk", ids, unavailable)
+	return h, ids
+}
+
+// Guards against ejections above the cap, whatever outcomes arrive and however the pool changes, and against an ejected
+// host that gets more than its trial task.
+func TestCapAlwaysHolds(t *testing.T) {
+	outcomes := []Outcome{OutcomeDone, OutcomeFailedQuickly, OutcomeFailedSlowly, OutcomeSilent, OutcomeRefused, OutcomeNone}
+	rapid.Check(t, func(t *rapid.T) {
+		size, unavailable := rapid.IntRange(1, 12).Draw(t, "hosts"), 0
+		h, ids := newHealth(size, 0)
+		now := epoch
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "gapMs")) * time.Millisecond)
+			if rapid.IntRange(0, 30).Draw(t, "resize") == 0 {
+				size = rapid.IntRange(1, len(ids)).Draw(t, "hosts")
+				unavailable = rapid.IntRange(0, size).Draw(t, "unavailable")
+				h.SetPool("desk", ids[:size], unavailable)
+			}
+			id := rapid.SampledFrom(ids[:size]).Draw(t, "host")
+			condition := h.Condition(now, "desk", id)
+			began := h.Begin(now, "desk", id)
+			assert.Equal(t, began, condition.Accepting)
+			if began && condition.Trial {
+				assert.Assert(t, !h.Begin(now, "desk", id), "a second task of a trial")
+			}
+			h.Observe(now, "desk", id, rapid.SampledFrom(outcomes).Draw(t, "outcome"), time.Second)
+			assert.Assert(t, len(h.Ejected("desk")) <= max(0, size/3-unavailable))
+		}
+	})
+}
+
+// Guards against a healthy worker that stays out after its trial was due, and against a failing one that stays in. The bad
+// workers are fewer than the cap and the healthy ones fail a few tasks; the work goes where health lets it.
+func TestHealthyReturnAndBadAreEjected(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(4, 12).Draw(t, "hosts")
+		bad := rapid.IntRange(1, size/3).Draw(t, "bad")
+		failure := rapid.SampledFrom([]Outcome{OutcomeFailedQuickly, OutcomeFailedSlowly, OutcomeSilent}).Draw(t, "failure")
+		h, ids := newHealth(size, 0)
+		settings := DefaultSettings()
+		longest := time.Duration(float64(settings.Backoff) * (1 + settings.Jitter))
+		out := make(map[jaybarrow.HostID]time.Time)
+		everOut := make(map[jaybarrow.HostID]bool)
+		now := epoch
+		for range 600 {
+			now = now.Add(250 * time.Millisecond)
+			for i, id := range ids {
+				if !h.Begin(now, "desk", id) {
+					continue
+				}
+				outcome := OutcomeDone
+				switch {
+				case i < bad:
+					outcome = failure
+				case rapid.IntRange(0, 19).Draw(t, "fails") == 0 && !isTrial(h, id):
+					outcome = failure
+				}
+				h.Observe(now, "desk", id, outcome, time.Second)
+			}
+			track(h, now, out, everOut)
+			for i, id := range ids {
+				since, isOut := out[id]
+				assert.Assert(t, i < bad || !isOut || now.Sub(since) <= longest, "healthy %s is out for %v", id, now.Sub(since))
+			}
+		}
+		for _, id := range ids[:bad] {
+			assert.Assert(t, everOut[id], "failing %s was never ejected", id)
+		}
+	})
+}
+
+func isTrial(h *Health, id jaybarrow.HostID) bool {
+	p := h.pool("desk")
+	p.Lock()
+	defer p.Unlock()
+	return p.state.phaseOf(id) == phaseTrial
+}
+
+// track keeps since when each ejected host is out.
+func track(h *Health, now time.Time, out map[jaybarrow.HostID]time.Time, everOut map[jaybarrow.HostID]bool) {
+	ejected := make(map[jaybarrow.HostID]bool)
+	for _, e := range h.Ejected("desk") {
+		ejected[e.Host], everOut[e.Host] = true, true
+		if _, known := out[e.Host]; !known {
+			out[e.Host] = now
+		}
+	}
+	for id := range out {
+		if !ejected[id] {
+			delete(out, id)
+		}
+	}
+}
+
+// Guards against wrong judgements in the cases that the settings are made for.
+func TestJudgement(t *testing.T) {
+	every := func(outcome Outcome) func(int) Outcome { return func(int) Outcome { return outcome } }
+	onlyFirst := func(outcome Outcome) func(int) Outcome {
+		return func(host int) Outcome {
+			if host == 0 {
+				return outcome
+			}
+			return OutcomeDone
+		}
+	}
+	cases := []struct {
+		name        string
+		hosts       int
+		unavailable int
+		outcome     func(host int) Outcome
+		busy        int // hosts that get work
+		ejected     int
+	}{
+		{"all well", 6, 0, every(OutcomeDone), 6, 0},
+		{"bad requests fail everywhere", 6, 0, every(OutcomeFailedQuickly), 6, 0},
+		{"one fails quickly", 6, 0, onlyFirst(OutcomeFailedQuickly), 6, 1},
+		{"one fails slowly", 6, 0, onlyFirst(OutcomeFailedSlowly), 6, 1},
+		{"one is silent", 6, 0, onlyFirst(OutcomeSilent), 6, 1},
+		{"one is full", 6, 0, onlyFirst(OutcomeRefused), 6, 0},
+		{"the failing one draws all work", 6, 0, onlyFirst(OutcomeFailedQuickly), 1, 1},
+		{"unavailable hosts use up the cap", 6, 2, onlyFirst(OutcomeFailedQuickly), 6, 0},
+		{"a third of two hosts is none", 2, 0, onlyFirst(OutcomeFailedQuickly), 2, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h, ids := newHealth(c.hosts, c.unavailable)
+			for round := range 12 {
+				now := epoch.Add(time.Duration(round) * 100 * time.Millisecond)
+				for i, id := range ids[:c.busy] {
+					if h.Begin(now, "desk", id) {
+						h.Observe(now, "desk", id, c.outcome(i), time.Second)
+					}
+				}
+			}
+			assert.Equal(t, len(h.Ejected("desk")), c.ejected, "%v", h.Ejected("desk"))
+		})
+	}
+}
+
+// Guards against a worker whose quick failures make it look fast or unloaded.
+func TestQuickFailuresDoNotLookFast(t *testing.T) {
+	h, ids := newHealth(2, 0)
+	h.Observe(epoch, "desk", ids[0], OutcomeDone, time.Second)
+	for range 3 {
+		h.Observe(epoch, "desk", ids[0], OutcomeFailedQuickly, time.Millisecond)
+		h.Observe(epoch, "desk", ids[1], OutcomeFailedQuickly, time.Millisecond)
+	}
+	candidate := h.Condition(epoch, "desk", ids[0]).Fill(jaybarrow.Candidate{Host: ids[0]})
+	assert.Equal(t, candidate.Failures, 3)
+	assert.Equal(t, candidate.Latency, time.Second)
+	assert.Equal(t, h.Condition(epoch, "desk", ids[1]).Latency, time.Duration(0))
+}
+
+// Guards against a backoff that does not grow, and against a trial that is lost and blocks its host.
+func TestTrials(t *testing.T) {
+	h, ids := newHealth(6, 0)
+	for range 6 {
+		h.Observe(epoch, "desk", ids[0], OutcomeFailedQuickly, time.Millisecond)
+	}
+	first, ok := h.NextTrial("desk")
+	assert.Assert(t, ok && !h.Accepting(first.Add(-1), "desk", ids[0]) && h.Begin(first, "desk", ids[0]))
+	assert.Assert(t, !h.Accepting(first.Add(time.Second), "desk", ids[0]))
+	h.Observe(first, "desk", ids[0], OutcomeSilent, time.Second)
+	second, _ := h.NextTrial("desk")
+	assert.Equal(t, second.Sub(first), 2*first.Sub(epoch))
+
+	assert.Assert(t, h.Begin(second, "desk", ids[0]))
+	third, _ := h.NextTrial("desk")
+	assert.Equal(t, third.Sub(second), DefaultSettings().TrialTimeout)
+	assert.Assert(t, h.Begin(third, "desk", ids[0]))
+	h.Observe(third, "desk", ids[0], OutcomeDone, time.Second)
+	_, ok = h.NextTrial("desk")
+	assert.Assert(t, !ok && len(h.Ejected("desk")) == 0)
+}
+
+// Guards against an outcome of a request or a cancellation that is counted against the worker.
+func TestClassify(t *testing.T) {
+	cases := []struct {
+		name string
+		err  error
+		took time.Duration
+		want Outcome
+	}{
+		{"answered", nil, 0, OutcomeDone},
+		{"failed quickly", jaybarrow.Errorf(jaybarrow.KindWorkerFailed, "failed"), time.Millisecond, OutcomeFailedQuickly},
+		{"failed slowly", jaybarrow.Errorf(jaybarrow.KindWorkerFailed, "failed"), time.Minute, OutcomeFailedSlowly},
+		{"lost", jaybarrow.Errorf(jaybarrow.KindWorkerLost, "lost"), time.Minute, OutcomeSilent},
+		{"refused", jaybarrow.Errorf(jaybarrow.KindWorkerRefused, "full"), 0, OutcomeRefused},
+		{"cancelled", jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled"), 0, OutcomeNone},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { assert.Equal(t, Classify(c.err, c.took, time.Second), c.want) })
+	}
+}
