--- a/cmd/jaybarrow/main.go
+++ b/cmd/jaybarrow/main.go
@@ -29,6 +29,7 @@
 var subcommands = map[string]subcommand{
 	"check":   runCheck,
 	"demo":    runDemo,
+	"serve":   runServe,
 	"version": runVersion,
 
 	"team":    operatorCommand("team", teamVerbs),
--- /dev/null
+++ b/cmd/jaybarrow/serve.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/entry"
+	"github.com/jaybarrow/jaybarrow/internal/logging"
+	"github.com/jaybarrow/jaybarrow/internal/platform"
+	"github.com/jaybarrow/jaybarrow/internal/settings"
+)
+
+func runServe(ctx context.Context, args []string, _, stderr io.Writer) int {
+	flags := flag.NewFlagSet("serve", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	file := flags.String("settings", "", "settings file")
+	if err := flags.Parse(args); err != nil {
+		return exitUsage
+	}
+	if *file == "" || flags.NArg() > 0 {
+		fmt.Fprintln(stderr, "usage: jaybarrow serve -settings FILE")
+		return exitUsage
+	}
+	s, faults := settings.Check(*file)
+	for _, f := range faults {
+		fmt.Fprintln(stderr, f)
+	}
+	if len(faults) > 0 {
+		return exitUsage
+	}
+	log, err := logging.New(stderr, s.Entry.LogLevel)
+	if err != nil {
+		fmt.Fprintln(stderr, "jaybarrow:", err)
+		return exitFailure
+	}
+	return serve(ctx, s, logging.For(log, "entry"))
+}
+
+// serve runs an entry host until ctx ends or a newer process has taken its id.
+func serve(ctx context.Context, s settings.Settings, log zerolog.Logger) int {
+	callers, peers, err := listen(s.Entry)
+	if err != nil {
+		log.Error().Err(err).Msg("cannot listen")
+		return exitFailure
+	}
+	client := platform.New(entry.PlatformSettings(s, s.Platform.StoreAddress))
+	defer client.Close()
+	e := entry.New(entry.Deps{
+		Clock: jaybarrow.SystemClock{}, Log: log, Platform: client, Settings: s,
+		Callers: callers, Peers: peers, Times: entry.DefaultTimes(),
+	})
+	log.Info().Str("callers", callers.Addr().String()).Str("peers", peers.Addr().String()).Msg("serving")
+	code := exitOK
+	select {
+	case <-ctx.Done():
+	case <-e.Fenced():
+		log.Error().Msg("a newer process has taken this entry host's id")
+		code = exitFailure
+	}
+	stopping, cancel := context.WithTimeout(context.Background(), s.Shutdown.Grace)
+	defer cancel()
+	exitOnSecondSignal(log)
+	if err := e.Close(stopping); err != nil {
+		log.Warn().Err(err).Msg("stopped before everything was finished")
+		return exitFailure
+	}
+	log.Info().Msg("stopped")
+	return code
+}
+
+// exitOnSecondSignal ends the process at once when it is told to stop again.
+func exitOnSecondSignal(log zerolog.Logger) {
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-again
+		log.Warn().Msg("told to stop again; ending at once")
+		os.Exit(exitFailure)
+	}()
+}
+
+func listen(s settings.Entry) (callers, peers net.Listener, err error) {
+	if callers, err = net.Listen("tcp", string(s.CallerAddress)); err != nil {
+		return nil, nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	if peers, err = net.Listen("tcp", string(s.PeerAddress)); err != nil {
+		_ = callers.Close()
+		return nil, nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	return callers, peers, nil
+}
--- a/internal/command/request/cancel.go
+++ b/internal/command/request/cancel.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/jaybarrow/jaybarrow"
-	"github.com/jaybarrow/jaybarrow/internal/directory"
 )
 
 // Cancel asks to end a request of the key's team.
@@ -15,22 +14,22 @@
 
 // CancelHandler ends requests.
 type CancelHandler struct {
-	directory *directory.Directory
-	runner    jaybarrow.Runner
+	keys   *Keyring
+	runner jaybarrow.Runner
 }
 
 // NewCancel returns a CancelHandler.
-func NewCancel(d *directory.Directory, runner jaybarrow.Runner) *CancelHandler {
-	return &CancelHandler{directory: d, runner: runner}
+func NewCancel(keys *Keyring, runner jaybarrow.Runner) *CancelHandler {
+	return &CancelHandler{keys: keys, runner: runner}
 }
 
 // Handle ends the request and returns its id, or KindNotFound.
 func (h *CancelHandler) Handle(ctx context.Context, in Cancel) (jaybarrow.RequestID, error) {
-	access, ok := h.directory.AccessKeys.Get(Hash(in.Key))
-	if !ok || access.Withdrawn {
-		return in.ID, jaybarrow.Errorf(jaybarrow.KindBadKey, "the key is unknown or withdrawn")
+	team, err := h.keys.Team(in.Key)
+	if err != nil {
+		return in.ID, err
 	}
-	known, err := h.runner.Cancel(ctx, access.Team, in.ID)
+	known, err := h.runner.Cancel(ctx, team, in.ID)
 	if err != nil {
 		return in.ID, err
 	}
--- a/internal/command/request/submit.go
+++ b/internal/command/request/submit.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
-	"github.com/jaybarrow/jaybarrow/internal/directory"
 )
 
 // Submit asks to run a request and wait for its answer.
@@ -28,42 +25,74 @@
 	Body []byte
 }
 
-// SubmitHandler checks, admits and runs requests.
-type SubmitHandler struct {
-	clock     jaybarrow.Clock
-	directory *directory.Directory
-	runner    jaybarrow.Runner
-	newID     func() jaybarrow.RequestID
+// Queues gives the queues and says what their pools can hold.
+type Queues interface {
+	// Known reports whether any version of the configuration is known.
+	Known() bool
+	// Queue returns the queue, or false when there is none.
+	Queue(id jaybarrow.QueueID) (jaybarrow.Queue, bool)
+	// Fits reports whether some host of the pool could ever meet the demand.
+	Fits(pool jaybarrow.PoolID, demand jaybarrow.Demand) bool
 }
 
-// NewSubmit returns a SubmitHandler that runs admitted requests on the runner.
-func NewSubmit(clock jaybarrow.Clock, d *directory.Directory, runner jaybarrow.Runner, newID func() jaybarrow.RequestID) *SubmitHandler {
-	return &SubmitHandler{clock: clock, directory: d, runner: runner, newID: newID}
-}
+// Claim makes sure that the id of a non-idempotent request is taken once; release gives the id back when the request
+// certainly did not run.
+type Claim func(ctx context.Context, team jaybarrow.TeamID, id jaybarrow.RequestID) (release func(context.Context), err error)
 
-// Hash returns the hash under which a key is stored.
-func Hash(key string) jaybarrow.KeyHash {
-	sum := sha256.Sum256([]byte(key))
-	return jaybarrow.KeyHash(hex.EncodeToString(sum[:]))
+// SubmitDeps are what a SubmitHandler depends on.
+type SubmitDeps struct {
+	Clock  jaybarrow.Clock
+	Keys   *Keyring
+	Queues Queues
+	Claim  Claim
+	Runner jaybarrow.Runner
+	NewID  func() jaybarrow.RequestID
 }
 
+// SubmitHandler checks, admits and runs requests.
+type SubmitHandler struct{ deps SubmitDeps }
+
+// NewSubmit returns a SubmitHandler.
+func NewSubmit(deps SubmitDeps) *SubmitHandler { return &SubmitHandler{deps: deps} }
+
 // Handle runs one request; the id in the result is set even when it fails.
 func (h *SubmitHandler) Handle(ctx context.Context, in Submit) (Submitted, error) {
-	if in.ID == "" {
-		in.ID = h.newID()
+	given := in.ID != ""
+	if !given {
+		in.ID = h.deps.NewID()
 	}
 	out := Submitted{ID: in.ID}
 	request, err := h.admit(in)
 	if err != nil {
 		return out, err
 	}
-	out.Body, err = h.runner.Run(ctx, request)
+	if given && !in.Idempotent {
+		out.Body, err = h.runOnce(ctx, request)
+	} else {
+		out.Body, err = h.deps.Runner.Run(ctx, request)
+	}
 	return out, err
 }
 
-// admit checks the key, the queue and the demand.
+// runOnce runs a non-idempotent request under the claim of its id.
+func (h *SubmitHandler) runOnce(ctx context.Context, request jaybarrow.Request) ([]byte, error) {
+	release, err := h.deps.Claim(ctx, request.Team, request.ID)
+	if err != nil {
+		return nil, err
+	}
+	body, err := h.deps.Runner.Run(ctx, request)
+	if err != nil && jaybarrow.AsError(err).Effect == jaybarrow.EffectNotRun {
+		release(ctx)
+	}
+	return body, err
+}
+
+// admit checks the queue, the key and the demand.
 func (h *SubmitHandler) admit(in Submit) (jaybarrow.Request, error) {
-	queue, ok := h.directory.Queues.Get(in.Queue)
+	if !h.deps.Queues.Known() {
+		return jaybarrow.Request{}, jaybarrow.Errorf(jaybarrow.KindStaleConfiguration, "this entry host has no configuration yet")
+	}
+	queue, ok := h.deps.Queues.Queue(in.Queue)
 	if !ok {
 		return jaybarrow.Request{}, jaybarrow.Errorf(jaybarrow.KindUnknownQueue, "no queue %q", in.Queue)
 	}
@@ -74,10 +103,25 @@
 	if in.Demand.Slots == 0 {
 		in.Demand.Slots = 1
 	}
-	if err := h.runnable(queue.Pool, in.Demand); err != nil {
-		return jaybarrow.Request{}, err
+	if !h.deps.Queues.Fits(queue.Pool, in.Demand) {
+		return jaybarrow.Request{}, jaybarrow.Errorf(jaybarrow.KindNeverRunnable,
+			"no host of pool %s has room for %d slots, %d MB and %d accelerators",
+			queue.Pool, in.Demand.Slots, in.Demand.Memory, in.Demand.Accelerators)
 	}
-	now := h.clock.Now()
+	return h.request(in, team, queue), nil
+}
+
+func (h *SubmitHandler) team(key string, queue jaybarrow.Queue) (jaybarrow.TeamID, error) {
+	if key == "" && queue.Open {
+		return jaybarrow.PublicTeam, nil
+	}
+	return h.deps.Keys.Team(key)
+}
+
+// request gives the request its times: quick work is refused when its target passes while it waits, slow work waits as long
+// as its caller.
+func (h *SubmitHandler) request(in Submit, team jaybarrow.TeamID, queue jaybarrow.Queue) jaybarrow.Request {
+	now := h.deps.Clock.Now()
 	request := jaybarrow.Request{
 		ID: in.ID, Team: team, Queue: queue.ID, Pool: queue.Pool, Class: queue.Class, Demand: in.Demand,
 		Declared: in.Declared, Arrived: now, Target: now.Add(queue.Target()), Idempotent: in.Idempotent, Body: in.Body,
@@ -88,28 +132,5 @@
 	case queue.Class == jaybarrow.ClassQuick:
 		request.Deadline = request.Target
 	}
-	return request, nil
-}
-
-func (h *SubmitHandler) team(key string, queue jaybarrow.Queue) (jaybarrow.TeamID, error) {
-	if key == "" && queue.Open {
-		return jaybarrow.PublicTeam, nil
-	}
-	access, ok := h.directory.AccessKeys.Get(Hash(key))
-	if !ok || access.Withdrawn {
-		return "", jaybarrow.Errorf(jaybarrow.KindBadKey, "the key is unknown or withdrawn")
-	}
-	return access.Team, nil
-}
-
-// runnable refuses a demand that no host of the pool could ever meet.
-func (h *SubmitHandler) runnable(pool jaybarrow.PoolID, demand jaybarrow.Demand) error {
-	fits := false
-	h.directory.Hosts.Each(func(_ jaybarrow.HostID, host jaybarrow.Host) {
-		fits = fits || (host.Pool == pool && demand.FitsIn(host.Capacity))
-	})
-	if !fits {
-		return jaybarrow.Errorf(jaybarrow.KindNeverRunnable, "no host of pool %s has room for %+v", pool, demand)
-	}
-	return nil
+	return request
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -20,6 +20,7 @@
 	Entries    *Table[jaybarrow.EntryID, jaybarrow.EntryHost]
 
 	applied atomic.Int64
+	newest  atomic.Int64
 }
 
 // New returns an empty Directory.
@@ -45,23 +46,33 @@
 			faults = append(faults, err)
 		}
 	}
-	for {
-		old := d.applied.Load()
-		if int64(reached) <= old || d.applied.CompareAndSwap(old, int64(reached)) {
-			return errors.Join(faults...)
-		}
-	}
+	raise(&d.applied, reached)
+	return errors.Join(faults...)
 }
 
 func (d *Directory) apply(record jaybarrow.Record) error {
 	for _, t := range d.tables() {
-		if applied, err := t.apply(record); applied || err != nil {
+		applied, err := t.apply(record)
+		if applied {
+			raise(&d.newest, record.Revision)
+		}
+		if applied || err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// raise sets the value to the revision if that is higher.
+func raise(value *atomic.Int64, revision jaybarrow.Revision) {
+	for {
+		old := value.Load()
+		if int64(revision) <= old || value.CompareAndSwap(old, int64(revision)) {
+			return
+		}
+	}
+}
+
 // table is what the directory needs of a Table of any type.
 type table interface {
 	apply(record jaybarrow.Record) (bool, error)
@@ -103,5 +114,8 @@
 	return newer, reached
 }
 
+// Newest returns the revision of the newest record that is applied.
+func (d *Directory) Newest() jaybarrow.Revision { return jaybarrow.Revision(d.newest.Load()) }
+
 // Applied returns the revision up to which all changes are known; 0 before the first.
 func (d *Directory) Applied() jaybarrow.Revision { return jaybarrow.Revision(d.applied.Load()) }
--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/command/request"
+	"github.com/jaybarrow/jaybarrow/internal/httpapi"
+	"github.com/jaybarrow/jaybarrow/internal/identity"
+	"github.com/jaybarrow/jaybarrow/internal/logging"
+)
+
+// startCallers opens the front end for callers and operators.
+func (e *Entry) startCallers() {
+	keys := request.NewKeyring(e.directory.AccessKeys.Get, e.fresh)
+	httpSettings := httpapi.Settings{
+		MaxBody: e.deps.Settings.Queues.MaxBodyBytes, OperatorKeyHash: e.deps.Settings.Entry.OperatorKeyHash,
+		Ready: e.ready, Leaving: e.leaving.Load,
+	}
+	e.http = httpapi.New(logging.For(e.deps.Log, "http"), e.deps.Callers, httpSettings, httpapi.Handlers{
+		Submit: request.NewSubmit(request.SubmitDeps{
+			Clock: e.deps.Clock, Keys: keys, Queues: queues{e}, Claim: e.claim, Runner: e.router, NewID: identity.NewRequestID,
+		}),
+		Cancel:   request.NewCancel(keys, e.router),
+		Commands: e.commands(),
+		Queries:  e.queries(),
+	})
+}
+
+func (e *Entry) claim(ctx context.Context, team jaybarrow.TeamID, id jaybarrow.RequestID) (func(context.Context), error) {
+	held, err := e.claims.Claim(ctx, team, id)
+	return held.Release, err
+}
+
+// queues answers from the directory and the roster.
+type queues struct{ entry *Entry }
+
+func (q queues) Known() bool { return q.entry.directory.Applied() > 0 }
+
+func (q queues) Queue(id jaybarrow.QueueID) (jaybarrow.Queue, bool) {
+	return q.entry.directory.Queues.Get(id)
+}
+
+func (q queues) Fits(pool jaybarrow.PoolID, demand jaybarrow.Demand) bool {
+	return q.entry.roster.Fits(pool, demand)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,114 +1,187 @@
 package entry
 
 import (
-	"context"
-	"errors"
-	"net"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
-	"github.com/jaybarrow/jaybarrow/internal/command/fleet"
-	"github.com/jaybarrow/jaybarrow/internal/command/request"
+	"github.com/jaybarrow/jaybarrow/internal/claim"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
+	"github.com/jaybarrow/jaybarrow/internal/estimate"
+	"github.com/jaybarrow/jaybarrow/internal/health"
 	"github.com/jaybarrow/jaybarrow/internal/httpapi"
 	"github.com/jaybarrow/jaybarrow/internal/identity"
+	"github.com/jaybarrow/jaybarrow/internal/journal"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
-	"github.com/jaybarrow/jaybarrow/internal/order/fifo"
+	"github.com/jaybarrow/jaybarrow/internal/maintenance"
+	"github.com/jaybarrow/jaybarrow/internal/member"
+	"github.com/jaybarrow/jaybarrow/internal/metrics"
+	"github.com/jaybarrow/jaybarrow/internal/order/fairshare"
+	"github.com/jaybarrow/jaybarrow/internal/peer"
 	"github.com/jaybarrow/jaybarrow/internal/permit"
-	"github.com/jaybarrow/jaybarrow/internal/placement/leastloaded"
+	"github.com/jaybarrow/jaybarrow/internal/placement/twochoices"
+	"github.com/jaybarrow/jaybarrow/internal/platform"
 	"github.com/jaybarrow/jaybarrow/internal/pool"
 	"github.com/jaybarrow/jaybarrow/internal/presence"
+	"github.com/jaybarrow/jaybarrow/internal/rendezvous"
 	"github.com/jaybarrow/jaybarrow/internal/roster"
+	"github.com/jaybarrow/jaybarrow/internal/route"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
 	"github.com/jaybarrow/jaybarrow/internal/task"
 )
 
-// Deps are what an entry host depends on.
-type Deps struct {
-	Clock      jaybarrow.Clock
-	Log        zerolog.Logger
-	Store      jaybarrow.Store
-	ID         jaybarrow.EntryID
-	DataCentre jaybarrow.DataCentreID
-	Callers    net.Listener
-	MaxBody    int
-	MaxWaiting int
-	Task       task.Settings
-	// OperatorKeyHash opens the operators' routes to the key with this hash; empty keeps them closed.
-	OperatorKeyHash jaybarrow.KeyHash
-	// Maintenance carries out drains and waves; nil leaves their routes out.
-	Maintenance fleet.Maintenance
-}
+// The bounds of what an entry host remembers; the expected fleet has 250 teams.
+const (
+	journalEntries = 16384
+	maxTeams       = 512
+	maxHistories   = 4096
+)
 
 // Entry is a running entry host.
 type Entry struct {
-	scheduler *pool.Scheduler
-	permits   *permit.Keeper
-	presence  *presence.Presence
-	http      *httpapi.Server
+	deps    Deps
+	times   Times
+	begun   time.Time
+	leaving atomic.Bool
+	fetches conc.WaitGroup
+	behind  atomic.Bool
+
+	directory   *directory.Directory
+	follower    *directory.Follower
+	conditions  *platform.Conditions
+	presence    *presence.Presence
+	permits     *permit.Keeper
+	claims      *claim.Claims
+	workers     *task.Client
+	health      *health.Guard
+	roster      *roster.Roster
+	scheduler   *pool.Scheduler
+	members     *member.Members
+	peers       *peer.Client
+	gossip      *peer.Gossip
+	peerServer  *peer.Server
+	router      *route.Router
+	maintenance *maintenance.Manager
+	journal     *journal.Journal
+	meter       *metrics.Metrics
+	http        *httpapi.Server
 }
 
-// New returns a running entry host after it has read the configuration once.
-func New(ctx context.Context, deps Deps) (*Entry, error) {
-	d := directory.New()
-	records, revision, err := deps.Store.List(ctx, jaybarrow.Prefix)
-	if err != nil {
-		return nil, err
-	}
-	if err := d.Apply(records, revision); err != nil {
-		return nil, err
-	}
-	registration := presence.New(presence.Deps{
-		Clock: deps.Clock, Log: logging.For(deps.Log, "presence"), Store: deps.Store, NewChange: identity.NewChangeID,
-		Host: jaybarrow.EntryHost{
-			ID: deps.ID, DataCentre: deps.DataCentre, HTTPAddress: jaybarrow.Address(deps.Callers.Addr().String()),
-		},
-		Settings: presence.DefaultSettings(),
+// New returns a running entry host; it serves what it can before the platform answers.
+func New(deps Deps) *Entry {
+	e := &Entry{deps: deps, times: deps.Times.withSettings(deps.Settings), begun: deps.Clock.Now(), directory: directory.New()}
+	e.journal = journal.New(deps.Clock, journalEntries)
+	e.meter = metrics.New(deps.Clock, maxTeams)
+	e.startPlatform()
+	e.startScheduler()
+	e.startPeers()
+	e.startMaintenance()
+	e.startCallers()
+	return e
+}
+
+// startPlatform starts what follows the platform and holds state in it.
+func (e *Entry) startPlatform() {
+	d, own := e.deps, e.deps.Settings.Entry
+	// Members and the peers' client exist before the follower, which asks peers while the store is away.
+	e.members = member.New(own.ID, own.DataCentre, e.times.Live, e.peerAddresses())
+	e.peers = peer.NewClient(d.Clock)
+	e.follower = directory.NewFollower(directory.FollowerDeps{
+		Clock: d.Clock, Log: logging.For(d.Log, "directory"), Store: d.Platform, Directory: e.directory,
+		Peers: e.changesFromPeers, Settings: e.times.Follower,
 	})
-	permits := permit.New(permit.Deps{
-		Clock: deps.Clock, Log: logging.For(deps.Log, "permit"), Store: deps.Store, Directory: d, Registration: registration,
-		Entry: deps.ID, NewChange: identity.NewChangeID, Settings: permit.DefaultSettings(),
+	e.conditions = platform.NewConditions(platform.ConditionsDeps{
+		Clock: d.Clock, Log: logging.For(d.Log, "platform"), Hosts: d.Platform, Interval: e.times.HostList,
 	})
-	scheduler := pool.New(pool.Deps{
-		Clock:   deps.Clock,
-		Log:     logging.For(deps.Log, "pool"),
-		Hosts:   roster.New(d, allLive{}, allLive{}, deps.DataCentre),
-		Workers: task.New(deps.Clock, deps.Task),
-		Permits: permits,
-		NewPool: func() *schedule.Pool {
-			return schedule.New(schedule.Settings{MaxWaiting: deps.MaxWaiting}, fifo.New(), leastloaded.New())
+	e.presence = presence.New(presence.Deps{
+		Clock: d.Clock, Log: logging.For(d.Log, "presence"), Store: d.Platform, NewChange: identity.NewChangeID,
+		Host: jaybarrow.EntryHost{
+			ID: own.ID, DataCentre: own.DataCentre,
+			HTTPAddress: jaybarrow.Address(d.Callers.Addr().String()),
+			PeerAddress: jaybarrow.Address(d.Peers.Addr().String()),
 		},
-		NewTaskID:   identity.NewTasks().New,
-		Entry:       deps.ID,
-		Incarnation: registration.Incarnation,
-		StartWindow: permit.DefaultSettings().StartWindow,
+		Settings: e.times.Presence,
+	})
+	e.permits = permit.New(permit.Deps{
+		Clock: d.Clock, Log: logging.For(d.Log, "permit"), Store: d.Platform, Directory: e.directory,
+		Conditions: e.conditions, Registration: e.presence, Entry: own.ID, NewChange: identity.NewChangeID,
+		Settings: e.times.Permit,
 	})
-	settings := httpapi.Settings{MaxBody: deps.MaxBody, OperatorKeyHash: deps.OperatorKeyHash}
-	server := httpapi.New(logging.For(deps.Log, "http"), deps.Callers, settings, httpapi.Handlers{
-		Submit:   request.NewSubmit(deps.Clock, d, scheduler, identity.NewRequestID),
-		Cancel:   request.NewCancel(d, scheduler),
-		Commands: commands(deps),
-		Queries:  queries(deps, d),
+	e.claims = claim.New(claim.Deps{
+		Clock: d.Clock, Log: logging.For(d.Log, "claim"), Store: d.Platform, Entry: own.ID,
+		NewChange: identity.NewChangeID, Settings: e.times.Claim,
 	})
-	return &Entry{scheduler: scheduler, permits: permits, presence: registration, http: server}, nil
 }
 
-// Close stops accepting callers, finishes what runs and stops all parts.
-func (e *Entry) Close(ctx context.Context) error {
-	err := e.http.Close(ctx)
-	e.scheduler.Close()
-	return errors.Join(err, e.permits.Close(ctx), e.presence.Leave(ctx))
+func (e *Entry) startScheduler() {
+	d, queues := e.deps, e.deps.Settings.Queues
+	e.workers = task.New(d.Clock, e.times.Task)
+	e.health = health.NewGuard(d.Clock, e.workers,
+		health.New(health.Deps{Settings: health.DefaultSettings(), Journal: e.journal, Random: rand.Float64}), quickFailure)
+	e.roster = roster.New(e.directory, e.conditions, e.health, d.Settings.Entry.DataCentre)
+	e.scheduler = pool.New(pool.Deps{
+		Clock: d.Clock, Log: logging.For(d.Log, "pool"), Hosts: e.roster, Workers: e.health, Permits: e.permits,
+		Signals: signals{e}, NewPool: func() *schedule.Pool {
+			limits := schedule.Settings{
+				MaxWaiting: queues.MaxWaiting, MaxTeamWaiting: queues.MaxWaitingPerTeam, Admission: true, QuickReserve: quickReserve,
+			}
+			return schedule.New(limits, fairshare.New(), twochoices.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+		},
+		NewTaskID: identity.NewTasks().New, Entry: d.Settings.Entry.ID, Incarnation: e.presence.Incarnation,
+		StartWindow: e.times.Permit.StartWindow, Estimates: estimate.New(maxHistories), Meter: e.meter, Journal: e.journal,
+	})
 }
 
-// allLive stands for the platform's list and the workers' health until they are joined to the entry host.
-type allLive struct{}
+// quickFailure is how soon a task must fail to count as one that failed without doing its work.
+const quickFailure = 100 * time.Millisecond
+
+// signals finds the pool of a host for its health.
+type signals struct{ entry *Entry }
+
+func (s signals) Signals(id jaybarrow.HostID) (failures int, latency time.Duration) {
+	host, _ := s.entry.directory.Hosts.Get(id)
+	return s.entry.health.Signals(host.Pool, id)
+}
 
-func (allLive) Condition(string) jaybarrow.HostCondition { return jaybarrow.HostLive }
+// quickReserve is the largest part of a pool's slots that slow work leaves free for quick work that arrived recently.
+const quickReserve = 0.25
 
-func (allLive) GoneFor(string) (time.Duration, bool) { return 0, false }
+func (e *Entry) startPeers() {
+	d, own := e.deps, e.deps.Settings.Entry
+	e.gossip = peer.NewGossip(peer.GossipDeps{
+		Clock: d.Clock, Log: logging.For(d.Log, "peer"), Client: e.peers, Members: e.members, Interval: e.times.Heartbeat,
+		Self: e.self, Seeds: e.seeds, Behind: e.catchUp,
+	})
+	e.peerServer = peer.NewServer(d.Clock, logging.For(d.Log, "peer"), d.Peers, e.scheduler, e.directory, e.gossip)
+	e.router = route.New(route.Deps{
+		Clock: d.Clock, Self: own.ID, DataCentre: own.DataCentre, Local: e.scheduler, Peers: e.peers, Members: e.members,
+		Ready: e.ready, DataCentres: e.roster.DataCentres, LocalLoad: e.load, Journal: e.journal,
+	})
+}
 
-func (allLive) Changed() <-chan struct{} { return nil }
+func (e *Entry) startMaintenance() {
+	d, own := e.deps, e.deps.Settings.Entry
+	e.maintenance = maintenance.New(maintenance.Deps{
+		Clock: d.Clock, Log: logging.For(d.Log, "maintenance"), Store: d.Platform, Directory: e.directory, Workers: e.workers,
+		Platform: d.Platform, Conditions: e.conditions, Journal: e.journal, NewChange: identity.NewChangeID,
+		DataCentre: own.DataCentre, Driving: e.drives, Settings: e.times.Maintenance,
+	})
+}
 
-func (allLive) Accepting(jaybarrow.PoolID, jaybarrow.HostID) bool { return true }
+// drives reports whether this entry host drives the drains of its data centre.
+func (e *Entry) drives() bool {
+	if !e.ready() {
+		return false
+	}
+	candidates := []jaybarrow.EntryID{e.deps.Settings.Entry.ID}
+	for _, s := range e.members.LiveStates(e.deps.Clock.Now()) {
+		if s.DataCentre == e.deps.Settings.Entry.DataCentre && s.Ready {
+			candidates = append(candidates, s.ID)
+		}
+	}
+	driver, _ := rendezvous.Owner("maintenance", candidates)
+	return driver == e.deps.Settings.Entry.ID
+}
--- /dev/null
+++ b/internal/entry/lifecycle.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// AwaitReady waits until this entry host is registered and has a configuration.
+func (e *Entry) AwaitReady(ctx context.Context) error {
+	for _, ready := range []<-chan struct{}{e.presence.Ready(), e.follower.Ready()} {
+		select {
+		case <-ready:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Fenced returns a channel that is closed when a newer process has taken this entry host's id; the owner must call Close.
+func (e *Entry) Fenced() <-chan struct{} { return e.presence.Fenced() }
+
+// Close stops gracefully: others are told, queued requests are handed over, what runs is finished, permits are given back.
+// When ctx ends first, it stops at once and returns ctx's error among others.
+func (e *Entry) Close(ctx context.Context) error {
+	e.deps.Log.Info().Msg("stopping; finishing what runs")
+	e.leaving.Store(true)
+	e.gossip.Announce(ctx)
+	var failed error
+	if e.hasSuccessor() {
+		failed = e.scheduler.Drain(ctx)
+	}
+	err := errors.Join(failed, e.closeFrontEnds(ctx))
+	e.scheduler.Close()
+	e.maintenance.Close()
+	err = errors.Join(err, e.leaveStore(ctx))
+	e.closeParts()
+	return err
+}
+
+// leaveTimeout bounds the wait for the store at a stop; permits that cannot be given back are reclaimed when the platform's
+// list calls this entry host gone, or by its next process.
+const leaveTimeout = 5 * time.Second
+
+func (e *Entry) leaveStore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	return errors.Join(e.permits.Close(ctx), e.presence.Leave(ctx))
+}
+
+// closeFrontEnds refuses new callers and peers after the linger time and waits for their open requests.
+func (e *Entry) closeFrontEnds(ctx context.Context) error {
+	select {
+	case <-e.deps.Clock.After(e.times.Linger):
+	case <-ctx.Done():
+	}
+	err := e.http.Close(ctx)
+	e.peerServer.Close(ctx)
+	return err
+}
+
+// hasSuccessor reports whether another entry host of the data centre takes over the pools; without one, this entry host
+// finishes its own queues.
+func (e *Entry) hasSuccessor() bool {
+	for _, s := range e.members.LiveStates(e.deps.Clock.Now()) {
+		if s.DataCentre == e.deps.Settings.Entry.DataCentre && s.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// closeParts stops the parts that nothing depends on any more, all together.
+func (e *Entry) closeParts() {
+	var parts conc.WaitGroup
+	for _, stop := range []func(){
+		e.gossip.Close, e.claims.Close, e.presence.Close, e.follower.Close, e.conditions.Close, e.roster.Close,
+		e.health.Close, e.workers.Close, e.fetches.Wait,
+	} {
+		parts.Go(stop)
+	}
+	parts.Wait()
+	e.peers.Close()
+}
--- /dev/null
+++ b/internal/entry/membership.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/member"
+	"github.com/jaybarrow/jaybarrow/internal/peer"
+	"github.com/jaybarrow/jaybarrow/internal/schedule"
+	"github.com/jaybarrow/jaybarrow/internal/settings"
+)
+
+// ready reports whether this entry host schedules: it is registered, has a configuration and does not leave.
+func (e *Entry) ready() bool {
+	return !e.leaving.Load() && closed(e.presence.Ready()) && closed(e.follower.Ready()) && !closed(e.presence.Fenced())
+}
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// self is what this entry host tells the others.
+func (e *Entry) self() member.State {
+	own, now := e.deps.Settings.Entry, e.deps.Clock.Now()
+	return member.State{
+		ID: own.ID, DataCentre: own.DataCentre, PeerAddress: jaybarrow.Address(e.deps.Peers.Addr().String()),
+		Incarnation: e.presence.Incarnation(), Sequence: now.Sub(e.begun).Microseconds(),
+		Ready: e.ready(), Leaving: e.leaving.Load(),
+		Applied: e.directory.Applied(), Newest: e.directory.Newest(), Confirmed: e.follower.LastConfirmed(),
+		Loads: e.scheduler.Loads(), Heard: now,
+	}
+}
+
+func (e *Entry) load(id jaybarrow.PoolID) (schedule.Load, bool) {
+	load, ok := e.scheduler.Loads()[id]
+	return load, ok
+}
+
+func (e *Entry) peerAddresses() map[jaybarrow.EntryID]jaybarrow.Address {
+	addresses := make(map[jaybarrow.EntryID]jaybarrow.Address)
+	for _, p := range e.deps.Settings.Peers {
+		addresses[p.ID] = p.Address
+	}
+	return addresses
+}
+
+// seeds returns the entry hosts of the settings and those that are registered.
+func (e *Entry) seeds() []peer.Seed {
+	var seeds []peer.Seed
+	known := make(map[jaybarrow.EntryID]bool)
+	for _, p := range e.deps.Settings.Peers {
+		known[p.ID] = true
+		seeds = append(seeds, peer.Seed{ID: p.ID, DataCentre: p.DataCentre, Address: p.Address})
+	}
+	e.directory.Entries.Each(func(id jaybarrow.EntryID, h jaybarrow.EntryHost) {
+		if !known[id] {
+			seeds = append(seeds, peer.Seed{ID: id, DataCentre: h.DataCentre, Address: h.PeerAddress})
+		}
+	})
+	return seeds
+}
+
+// dataCentres returns every data centre in which there is an entry host.
+func (e *Entry) dataCentres() []jaybarrow.DataCentreID {
+	all := []jaybarrow.DataCentreID{e.deps.Settings.Entry.DataCentre}
+	for _, s := range e.seeds() {
+		if !slices.Contains(all, s.DataCentre) {
+			all = append(all, s.DataCentre)
+		}
+	}
+	return all
+}
+
+// fresh reports whether keyed work may be taken.
+func (e *Entry) fresh() bool {
+	keys := e.deps.Settings.Keys
+	if keys.WhenCutOff == settings.CutOffServe {
+		return e.directory.Applied() > 0
+	}
+	own := member.Own{Applied: e.directory.Applied(), Confirmed: e.follower.LastConfirmed()}
+	return e.members.Fresh(e.deps.Clock.Now(), own, keys.Freshness, e.dataCentres())
+}
+
+// changesFromPeers asks the peer that has applied most, and the seeds while none is live.
+func (e *Entry) changesFromPeers(ctx context.Context, after jaybarrow.Revision) ([]jaybarrow.Record, jaybarrow.Revision, error) {
+	var failed error = jaybarrow.Errorf(jaybarrow.KindPeerLost, "no other entry host is known").WithEffect(jaybarrow.EffectNotRun)
+	for _, address := range e.changeSources() {
+		records, reached, err := e.peers.Changes(ctx, address, after)
+		if err == nil {
+			return records, reached, nil
+		}
+		failed = err
+	}
+	return nil, 0, failed
+}
+
+func (e *Entry) changeSources() []jaybarrow.Address {
+	live := e.members.LiveStates(e.deps.Clock.Now())
+	slices.SortStableFunc(live, func(a, b member.State) int { return cmp.Compare(b.Applied, a.Applied) })
+	var addresses []jaybarrow.Address
+	for _, s := range live {
+		addresses = append(addresses, s.PeerAddress)
+	}
+	if len(addresses) > 0 {
+		return addresses
+	}
+	for _, s := range e.seeds() {
+		addresses = append(addresses, s.Address)
+	}
+	return addresses
+}
+
+// catchUp fetches changes from a peer that has a newer record, unless the own watch delivers them first.
+func (e *Entry) catchUp(from member.State) {
+	if !e.behind.CompareAndSwap(false, true) {
+		return
+	}
+	e.fetches.Go(func() {
+		defer e.behind.Store(false)
+		<-e.deps.Clock.After(e.times.CatchUp)
+		after := e.directory.Applied()
+		if after >= from.Newest {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+		defer cancel()
+		records, reached, err := e.peers.Changes(ctx, from.PeerAddress, after)
+		if err == nil {
+			err = e.directory.Apply(records, reached)
+		}
+		if err != nil {
+			e.deps.Log.Warn().Err(err).Str("peer", string(from.ID)).Msg("fetching changes from a peer failed")
+		}
+	})
+}
+
+// fetchTimeout bounds one fetch of changes from a peer.
+const fetchTimeout = 2 * time.Second
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -1,28 +1,25 @@
 package entry
 
 import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/command/fleet"
-	"github.com/jaybarrow/jaybarrow/internal/directory"
 	"github.com/jaybarrow/jaybarrow/internal/httpapi"
 	"github.com/jaybarrow/jaybarrow/internal/identity"
-	"github.com/jaybarrow/jaybarrow/internal/journal"
-	"github.com/jaybarrow/jaybarrow/internal/metrics"
+	"github.com/jaybarrow/jaybarrow/internal/member"
 	"github.com/jaybarrow/jaybarrow/internal/query/explain"
 	fleetquery "github.com/jaybarrow/jaybarrow/internal/query/fleet"
 	"github.com/jaybarrow/jaybarrow/internal/query/status"
 )
 
-const (
-	// journalEntries and maxTeams bound the memory for explanations and measurements; the expected fleet has 250 teams.
-	journalEntries = 16384
-	maxTeams       = 512
-)
-
-// commands returns the operators' commands over the store.
-func commands(deps Deps) httpapi.Commands {
-	records := fleet.NewRecords(deps.Clock, deps.Store)
+// commands returns the operators' commands.
+func (e *Entry) commands() httpapi.Commands {
+	records := fleet.NewRecords(e.deps.Clock, e.deps.Platform)
 	putTeam := fleet.NewPutTeam(records, identity.NewChangeID)
-	c := httpapi.Commands{
+	return httpapi.Commands{
 		PutTeam:     putTeam,
 		DeleteTeam:  fleet.NewDeleteTeam(records),
 		SetLimit:    fleet.NewSetLimit(records, identity.NewChangeID),
@@ -35,43 +32,106 @@
 		DeleteQueue: fleet.NewDeleteQueue(records),
 		PutHost:     fleet.NewPutHost(records),
 		DeleteHost:  fleet.NewDeleteHost(records, identity.NewChangeID),
+		BeginDrain:  fleet.NewBeginDrain(records, e.maintenance),
+		EndDrain:    fleet.NewEndDrain(e.maintenance),
+		BeginWave:   fleet.NewBeginWave(e.maintenance),
 	}
-	if deps.Maintenance != nil {
-		c.BeginDrain = fleet.NewBeginDrain(records, deps.Maintenance)
-		c.EndDrain = fleet.NewEndDrain(deps.Maintenance)
-		c.BeginWave = fleet.NewBeginWave(deps.Maintenance)
-	}
-	return c
 }
 
 // queries returns the operators' queries over the local copy of the records.
-func queries(deps Deps, d *directory.Directory) httpapi.Queries {
-	meter := metrics.New(deps.Clock, maxTeams)
+func (e *Entry) queries() httpapi.Queries {
+	d := e.directory
 	q := httpapi.Queries{
 		Drains:        fleetquery.NewDrains(d),
 		EntryHosts:    fleetquery.NewEntryHosts(d),
-		Configuration: status.NewConfiguration(deps.Clock, d, alone{deps, d}),
-		Measures:      status.NewMeasures(d, nil, meter),
-		Explain:       explain.New(journal.New(deps.Clock, journalEntries)),
-		Vars:          meter.Vars,
+		Configuration: status.NewConfiguration(e.deps.Clock, d, fleetView{e}),
+		Loads:         status.NewLoads(fleetView{e}),
+		Measures:      status.NewMeasures(d, fleetView{e}, e.meter),
+		Explain:       explain.New(e.journal),
+		Vars:          e.meter.Vars,
 	}
-	q.Teams, q.Team = fleetquery.NewTeams(d, nil)
+	q.Teams, q.Team = fleetquery.NewTeams(d, fleetView{e})
 	q.Keys, q.Key = fleetquery.NewKeys(d)
 	q.Pools, q.Pool = fleetquery.NewPools(d)
 	q.Queues, q.Queue = fleetquery.NewQueues(d)
-	q.Hosts, q.Host = fleetquery.NewHosts(d, nil, nil)
+	q.Hosts, q.Host = fleetquery.NewHosts(d, e.conditions, fleetView{e})
 	return q
 }
 
-// alone is the membership of an entry host without peers.
-type alone struct {
-	deps      Deps
-	directory *directory.Directory
+// fleetView answers the queries' questions about the fleet from what this entry host knows.
+type fleetView struct{ entry *Entry }
+
+// Members returns the entry hosts that count for a change being in force: this one, and each registered one.
+func (v fleetView) Members() []status.Member {
+	self := v.entry.self()
+	members := []status.Member{toMember(self)}
+	v.entry.directory.Entries.Each(func(id jaybarrow.EntryID, h jaybarrow.EntryHost) {
+		if id == self.ID {
+			return
+		}
+		s, ok := v.entry.members.Get(id)
+		if !ok {
+			s = member.State{ID: id, DataCentre: h.DataCentre}
+		}
+		members = append(members, toMember(s))
+	})
+	slices.SortFunc(members, func(a, b status.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return members
+}
+
+func toMember(s member.State) status.Member {
+	return status.Member{
+		ID: s.ID, DataCentre: s.DataCentre, AppliedRevision: s.Applied, LastHeard: s.Heard, Ready: s.Ready,
+	}
+}
+
+// Loads returns the last known load of each pool in each data centre.
+func (v fleetView) Loads() []status.Load {
+	var loads []status.Load
+	for _, s := range append(v.entry.members.LiveStates(v.entry.deps.Clock.Now()), v.entry.self()) {
+		for pool, load := range s.Loads {
+			loads = append(loads, status.Load{
+				Pool: pool, DataCentre: s.DataCentre, Entry: s.ID,
+				Waiting: load.Waiting, Running: load.Running, FreeSlots: load.FreeSlots,
+			})
+		}
+	}
+	slices.SortFunc(loads, func(a, b status.Load) int {
+		return strings.Compare(string(a.Pool)+"/"+string(a.Entry), string(b.Pool)+"/"+string(b.Entry))
+	})
+	return loads
+}
+
+// InUse returns the permits in use on this entry host.
+func (v fleetView) InUse(team jaybarrow.TeamID) jaybarrow.Slots {
+	for _, p := range v.entry.permits.Snapshot() {
+		if p.Team == team {
+			return p.InUse
+		}
+	}
+	return 0
+}
+
+// Ejected reports whether this entry host gives the host no work because of its outcomes.
+func (v fleetView) Ejected(host jaybarrow.HostID) bool {
+	h, ok := v.entry.directory.Hosts.Get(host)
+	return ok && !v.entry.health.Accepting(h.Pool, host)
+}
+
+// Moves returns the number of moves between pools that have ended.
+func (v fleetView) Moves() int {
+	moves := int64(0)
+	v.entry.directory.Drains.Each(func(_ jaybarrow.PoolID, record jaybarrow.PoolDrains) { moves += record.Moves })
+	return int(moves)
 }
 
-// Members returns this entry host.
-func (a alone) Members() []status.Member {
-	return []status.Member{{
-		ID: a.deps.ID, DataCentre: a.deps.DataCentre, AppliedRevision: a.directory.Applied(), LastHeard: a.deps.Clock.Now(), Ready: true,
-	}}
+// LastRollOut returns how long the wave that ended last took; false before the first.
+func (v fleetView) LastRollOut() (time.Duration, bool) {
+	var last jaybarrow.PoolDrains
+	v.entry.directory.Drains.Each(func(_ jaybarrow.PoolID, record jaybarrow.PoolDrains) {
+		if record.WaveEndedMs > last.WaveEndedMs {
+			last = record
+		}
+	})
+	return time.Duration(last.WaveEndedMs-last.WaveStartedMs) * time.Millisecond, last.WaveEndedMs != 0
 }
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -18,6 +18,8 @@
 type Settings struct {
 	MaxBody         int               // bytes
 	OperatorKeyHash jaybarrow.KeyHash // empty: the operators' routes answer forbidden
+	Ready           func() bool       // whether callers should be sent here; nil: always
+	Leaving         func() bool       // whether the entry host is stopping; nil: never
 }
 
 // Handlers are the commands and queries that the front end serves.
@@ -50,6 +52,8 @@
 	s.app = fiber.New(fiber.Config{
 		BodyLimit: settings.MaxBody, ErrorHandler: s.fail, IdleTimeout: IdleTimeout, ReadTimeout: ReadTimeout,
 	})
+	s.app.Use(s.closeWhenLeaving)
+	s.app.Get("/healthz", s.healthz)
 	s.app.Post("/v1/queues/:queue/requests", s.submit)
 	s.app.Delete("/v1/requests/:id", s.cancel)
 	s.commandRoutes(handlers.Commands)
@@ -62,6 +66,28 @@
 	return s
 }
 
+// closeWhenLeaving makes callers open their next connection to another entry host while this one stops.
+func (s *Server) closeWhenLeaving(c fiber.Ctx) error {
+	err := c.Next()
+	if s.leaving() {
+		c.Response().SetConnectionClose()
+	}
+	return err
+}
+
+// healthz tells the platform's balancer whether to send callers here.
+func (s *Server) healthz(c fiber.Ctx) error {
+	if s.leaving() {
+		return jaybarrow.Errorf(jaybarrow.KindShuttingDown, "the entry host is stopping")
+	}
+	if s.settings.Ready != nil && !s.settings.Ready() {
+		return jaybarrow.Errorf(jaybarrow.KindStaleConfiguration, "the entry host is not registered or has no configuration yet")
+	}
+	return c.SendString("ok\n")
+}
+
+func (s *Server) leaving() bool { return s.settings.Leaving != nil && s.settings.Leaving() }
+
 // Close stops accepting connections and waits for open requests until ctx ends.
 func (s *Server) Close(ctx context.Context) error {
 	err := s.app.ShutdownWithContext(ctx)
--- a/internal/pool/deps.go
+++ b/internal/pool/deps.go
@@ -17,8 +17,8 @@
 	Host(id jaybarrow.HostID) (jaybarrow.Host, bool)
 	// Share returns the team's share.
 	Share(team jaybarrow.TeamID) jaybarrow.Share
-	// Changed returns channels that are closed at the next change of the hosts and of the drains.
-	Changed() (hosts, drains <-chan struct{})
+	// Changed returns a channel that is closed at the next change of a pool's hosts or of whether they accept work.
+	Changed() <-chan struct{}
 }
 
 // Observer learns the outcome of each task on a host, for worker health; a task that its caller cancelled is not reported.
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -76,24 +76,22 @@
 // loop starts work when hosts, permits or time allow it; arrivals and ends of tasks start work themselves.
 func (s *Scheduler) loop(p *poolRun) {
 	for {
-		hosts, drains := s.deps.Hosts.Changed()
+		changed := s.deps.Hosts.Changed()
 		s.refresh(p)
-		if !s.loopUntilChange(p, hosts, drains) {
+		if !s.loopUntilChange(p, changed) {
 			return
 		}
 	}
 }
 
-// loopUntilChange returns true when the hosts or drains changed, and false when the scheduler stops.
-func (s *Scheduler) loopUntilChange(p *poolRun, hosts, drains <-chan struct{}) bool {
+// loopUntilChange returns true when the hosts changed, and false when the scheduler stops.
+func (s *Scheduler) loopUntilChange(p *poolRun, changed <-chan struct{}) bool {
 	for {
 		timer := s.step(p)
 		select {
 		case <-s.stop:
 			return false
-		case <-hosts:
-			return true
-		case <-drains:
+		case <-changed:
 			return true
 		case <-p.wake:
 		case <-timer:
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -4,8 +4,11 @@
 	"slices"
 	"sync"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
+	"github.com/jaybarrow/jaybarrow/internal/notify"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
 )
 
@@ -13,6 +16,10 @@
 type Health interface {
 	// Accepting reports whether the host may be given work; it is false while the host is ejected.
 	Accepting(pool jaybarrow.PoolID, host jaybarrow.HostID) bool
+	// Changed returns a channel that is closed when a host is ejected or may be tried again.
+	Changed() <-chan struct{}
+	// SetPool tells the pool's hosts here, and how many of them are unavailable for other reasons than their outcomes.
+	SetPool(pool jaybarrow.PoolID, hosts []jaybarrow.HostID, unavailable int)
 }
 
 // Roster combines the host records, the drains, the platform's list and the workers' health for one data centre.
@@ -21,16 +28,49 @@
 	conditions jaybarrow.HostConditions
 	health     Health
 	dataCentre jaybarrow.DataCentreID
+	news       *notify.Notifier
+	group      conc.WaitGroup
+	stop       chan struct{}
+	once       sync.Once
 
 	mutex sync.Mutex
 	built *index
 }
 
-// New returns a Roster of the hosts in the data centre.
+// New returns a running Roster of the hosts in the data centre.
 func New(d *directory.Directory, conditions jaybarrow.HostConditions, health Health, dataCentre jaybarrow.DataCentreID) *Roster {
-	return &Roster{directory: d, conditions: conditions, health: health, dataCentre: dataCentre}
+	r := &Roster{
+		directory: d, conditions: conditions, health: health, dataCentre: dataCentre,
+		news: notify.New(), stop: make(chan struct{}),
+	}
+	r.group.Go(func() {
+		for {
+			hosts, drains, listed, healthy := d.Hosts.Changed(), d.Drains.Changed(), conditions.Changed(), health.Changed()
+			// What changed before the channels were taken is not announced by them.
+			r.tellHealth()
+			r.news.Signal()
+			select {
+			case <-r.stop:
+				return
+			case <-hosts:
+			case <-drains:
+			case <-listed:
+			case <-healthy:
+			}
+		}
+	})
+	return r
+}
+
+// Close stops announcing changes.
+func (r *Roster) Close() {
+	r.once.Do(func() { close(r.stop) })
+	r.group.Wait()
 }
 
+// Changed returns a channel that is closed at the next change of the hosts or of whether they accept work.
+func (r *Roster) Changed() <-chan struct{} { return r.news.Changed() }
+
 // index groups the host records by pool, so that a request does not look at every host of the fleet.
 type index struct {
 	outdated <-chan struct{}
@@ -42,8 +82,16 @@
 	dataCentres []jaybarrow.DataCentreID
 }
 
-// pool returns the pool's part of the index, built again after a change of the host records.
+// pool returns the pool's part of the index.
 func (r *Roster) pool(id jaybarrow.PoolID) *poolIndex {
+	if p, ok := r.index().pools[id]; ok {
+		return p
+	}
+	return &poolIndex{}
+}
+
+// index returns the index, built again after a change of the host records.
+func (r *Roster) index() *index {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.built != nil {
@@ -56,10 +104,7 @@
 	if r.built == nil {
 		r.built = build(r.directory)
 	}
-	if p, ok := r.built.pools[id]; ok {
-		return p
-	}
-	return &poolIndex{}
+	return r.built
 }
 
 func build(d *directory.Directory) *index {
@@ -94,6 +139,25 @@
 	return views
 }
 
+// tellHealth tells the workers' health which hosts each pool has here and how many cannot take work anyway.
+func (r *Roster) tellHealth() {
+	draining := r.draining()
+	for id, p := range r.index().pools {
+		var hosts []jaybarrow.HostID
+		unavailable := 0
+		for _, h := range p.hosts {
+			if h.DataCentre != r.dataCentre {
+				continue
+			}
+			hosts = append(hosts, h.ID)
+			if draining[h.ID] || r.conditions.Condition(string(h.ID)) != jaybarrow.HostLive {
+				unavailable++
+			}
+		}
+		r.health.SetPool(id, hosts, unavailable)
+	}
+}
+
 func (r *Roster) draining() map[jaybarrow.HostID]bool {
 	draining := make(map[jaybarrow.HostID]bool)
 	r.directory.Drains.Each(func(_ jaybarrow.PoolID, record jaybarrow.PoolDrains) {
@@ -124,8 +188,3 @@
 	}
 	return 1
 }
-
-// Changed returns a channel for each table whose change may change the roster.
-func (r *Roster) Changed() (hosts, drains <-chan struct{}) {
-	return r.directory.Hosts.Changed(), r.directory.Drains.Changed()
-}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -42,7 +42,14 @@
 type Router struct {
 	deps    Deps
 	pending *shard.Map[ownerPool, *pending]
-	placed  *shard.Map[jaybarrow.RequestID, jaybarrow.Address] // forwarded requests; an empty address is the local scheduler
+	placed  *shard.Map[requestKey, jaybarrow.Address] // forwarded requests; an empty address is the local scheduler
+}
+
+// requestKey is "team/request": teams choose their request ids without knowing each other's.
+type requestKey string
+
+func keyOf(team jaybarrow.TeamID, id jaybarrow.RequestID) requestKey {
+	return requestKey(string(team) + "/" + string(id))
 }
 
 // ownerPool is "entry host/pool".
@@ -59,7 +66,7 @@
 	return &Router{
 		deps:    deps,
 		pending: shard.New[ownerPool, *pending](),
-		placed:  shard.New[jaybarrow.RequestID, jaybarrow.Address](),
+		placed:  shard.New[requestKey, jaybarrow.Address](),
 	}
 }
 
@@ -72,10 +79,11 @@
 // Run runs the request on the owner of its pool. Another attempt is made only when the last one certainly did not run the
 // request, or when the request is idempotent and its entry host was lost.
 func (r *Router) Run(ctx context.Context, request jaybarrow.Request) ([]byte, error) {
-	if !r.reserve(request.ID) {
+	key := keyOf(request.Team, request.ID)
+	if !r.reserve(key) {
 		return nil, jaybarrow.Errorf(jaybarrow.KindDuplicateRequest, "request %s is already here", request.ID)
 	}
-	defer r.placed.Delete(request.ID)
+	defer r.placed.Delete(key)
 	effect := jaybarrow.EffectNotRun
 	avoid := make(map[jaybarrow.EntryID]bool)
 	for attempt := 1; ; attempt++ {
@@ -100,9 +108,9 @@
 }
 
 // reserve notes that the request is here; it reports whether it was not.
-func (r *Router) reserve(id jaybarrow.RequestID) bool {
+func (r *Router) reserve(key requestKey) bool {
 	reserved := false
-	r.placed.Update(id, func(old jaybarrow.Address, present bool) (jaybarrow.Address, bool) {
+	r.placed.Update(key, func(old jaybarrow.Address, present bool) (jaybarrow.Address, bool) {
 		reserved = !present
 		return old, true
 	})
@@ -136,14 +144,14 @@
 	option := options[Choose(options)]
 	avoid[option.Owner] = true
 	if option.Owner == r.deps.Self {
-		r.placed.Set(request.ID, "")
+		r.placed.Set(keyOf(request.Team, request.ID), "")
 		return r.deps.Local.Run(ctx, request)
 	}
 	state, ok := r.deps.Members.Get(option.Owner)
 	if !ok {
 		return nil, jaybarrow.Errorf(jaybarrow.KindHandOver, "entry host %s is not known any more", option.Owner)
 	}
-	r.placed.Set(request.ID, state.PeerAddress)
+	r.placed.Set(keyOf(request.Team, request.ID), state.PeerAddress)
 	r.count(state, request.Pool).Add(1)
 	return r.deps.Peers.Submit(ctx, state.PeerAddress, request)
 }
@@ -181,7 +189,7 @@
 
 // Cancel ends the request wherever this entry host placed it, or asks every live entry host when it came in through another.
 func (r *Router) Cancel(ctx context.Context, team jaybarrow.TeamID, id jaybarrow.RequestID) (bool, error) {
-	if address, ok := r.placed.Get(id); ok && address != "" {
+	if address, ok := r.placed.Get(keyOf(team, id)); ok && address != "" {
 		return r.deps.Peers.Cancel(ctx, address, team, id)
 	}
 	if known, err := r.deps.Local.Cancel(ctx, team, id); known || err != nil {
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -46,7 +46,7 @@
 	millis("keys", "freshnessMs", 2000, 10000, func(s *Settings) *time.Duration { return &s.Keys.Freshness }),
 	number("permits", "floorPercent", 0, 100, func(s *Settings) *int { return &s.Permits.FloorPercent }),
 	number("claims", "perSecond", 1, 1000, func(s *Settings) *int { return &s.Claims.PerSecond }),
-	millis("shutdown", "graceMs", 0, 3600000, func(s *Settings) *time.Duration { return &s.Shutdown.Grace }),
+	millis("shutdown", "graceMs", 0, 86400000, func(s *Settings) *time.Duration { return &s.Shutdown.Grace }),
 }
 
 func set[T ~string](target *T, value string) { *target = T(value) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,7 +98,8 @@
 		Keys:    Keys{WhenCutOff: CutOffRefuse, Freshness: 5 * time.Second},
 		Permits: Permits{FloorPercent: 50},
 		// Nine entry hosts at this rate stay below the several hundred writes a second that the store takes.
-		Claims:   Claims{PerSecond: 20},
-		Shutdown: Shutdown{Grace: time.Minute},
+		Claims: Claims{PerSecond: 20},
+		// Slow work that must finish by dawn runs for hours, and a planned stop cuts off no request.
+		Shutdown: Shutdown{Grace: 12 * time.Hour},
 	}
 }
