--- a/internal/order/fairshare/ahead.go
+++ b/internal/order/fairshare/ahead.go
@@ -7,7 +7,8 @@
 )
 
 // Ahead estimates the slot time that would run before the item if it arrived now. Work of the item's own team counts in
-// full; another team counts with what its share allows meanwhile, at most its own waiting work.
+// full; another team counts with what its share allows meanwhile, at most its own waiting work. A long task ahead holds its
+// slot but does not have to end before the item starts, so it counts with no more than the time left to the item's target.
 func (o *Order) Ahead(now time.Time, item jaybarrow.Item) time.Duration {
 	o.advance(now)
 	t, ok := o.teams[item.Team]
@@ -18,49 +19,66 @@
 	if item.Share > 0 {
 		share = item.Share
 	}
-	e := entry{item: item}
+	e := newEntry(item, t)
 	e.classify(now)
 	urgent := e.tier == tierQuick || e.tier == tierPressing
-	own := t.ahead(urgent)
+	left := max(item.Target.Sub(now), 0)
+	own := t.before(urgent)
 	if urgent && o.withinPart(t, item.Slots) {
-		return own + o.urgentAhead(t, own+e.work(), share)
+		return own.within(own.work, left) + o.urgentAhead(t, own.work+e.work(), share, left)
 	}
 	reached := t.service
 	if t.waiting == 0 {
 		reached = max(reached, o.virtual)
 	}
-	reached += service(own.Seconds() / float64(share))
-	return own + o.fairAhead(t, reached)
+	reached += service(own.work.Seconds() / float64(share))
+	return own.within(own.work, left) + o.fairAhead(t, reached, left)
 }
 
-// ahead is the team's own work that precedes a new item.
-func (t *team) ahead(urgent bool) time.Duration {
-	work := t.work[tierQuick] + t.work[tierPressing]
+// before is the team's own work that precedes a new item.
+func (t *team) before(urgent bool) load {
+	sum := t.load[tierQuick].and(t.load[tierPressing])
 	if !urgent {
-		work += t.work[tierSlow]
+		sum = sum.and(t.load[tierSlow])
 	}
-	return work
+	return sum
+}
+
+func (l load) and(m load) load { return load{l.count + m.count, l.work + m.work} }
+
+// within returns at most the given part of the load's work, with no entry counted longer than the time left.
+func (l load) within(part, left time.Duration) time.Duration {
+	if l.count == 0 {
+		return 0
+	}
+	part = min(part, l.work)
+	mean := l.work / time.Duration(l.count)
+	if mean <= left {
+		return part
+	}
+	return time.Duration(float64(part) * float64(left) / float64(mean))
 }
 
-func (o *Order) urgentAhead(t *team, own time.Duration, share jaybarrow.Share) time.Duration {
+func (o *Order) urgentAhead(t *team, own time.Duration, share jaybarrow.Share, left time.Duration) time.Duration {
 	var work time.Duration
 	for _, other := range o.byUrgency.Items() {
 		if other != t {
-			work += min(other.ahead(true), time.Duration(float64(own)*float64(other.share/share)))
+			work += other.before(true).within(time.Duration(float64(own)*float64(other.share/share)), left)
 		}
 	}
 	return work
 }
 
-// fairAhead is what the other teams run until their service reaches the given one.
-func (o *Order) fairAhead(t *team, reached service) time.Duration {
+// fairAhead is what the other teams run until their service reaches the given one: their urgent work, then the rest.
+func (o *Order) fairAhead(t *team, reached service, left time.Duration) time.Duration {
 	var work time.Duration
 	for _, other := range o.byService.Items() {
 		if other == t || other.service >= reached {
 			continue
 		}
 		due := time.Duration(float64(reached-other.service) * float64(other.share) * float64(time.Second))
-		work += min(other.ahead(false)+other.work[tierOverdue], due)
+		urgent, rest := other.before(true), other.load[tierSlow].and(other.load[tierOverdue])
+		work += urgent.within(due, left) + rest.within(max(due-urgent.work, 0), left)
 	}
 	return work
 }
--- a/internal/order/fairshare/entry.go
+++ b/internal/order/fairshare/entry.go
@@ -24,6 +24,7 @@
 // entry is a waiting item; the indexes are its places in the heaps that hold it.
 type entry struct {
 	item       jaybarrow.Item
+	latest     time.Time // latest start that meets the target by the estimate
 	team       *team
 	tier       tier
 	queue      *queue
@@ -33,20 +34,40 @@
 	deadlineAt int
 }
 
-// latestStart is the time at which the item must start to meet its target by its estimate.
-func (e *entry) latestStart() time.Time { return e.item.Target.Add(-e.item.Estimate) }
+func newEntry(item jaybarrow.Item, t *team) *entry {
+	return &entry{
+		item: item, team: t, latest: item.Target.Add(-item.Estimate),
+		queueAt: heap.Absent, changeAt: heap.Absent, deadlineAt: heap.Absent,
+	}
+}
 
 func (e *entry) work() time.Duration {
 	return e.item.Estimate * time.Duration(max(e.item.Slots, 1))
 }
 
-// classify sets the tier at the time now and the time of the next change. Work becomes urgent a quarter of its estimate
+// lostAt is the time from which quick work counts as lost: a quarter of its estimate before its latest start, since at the
+// latest start half of such work already ends late. Work whose target leaves little more than its estimate keeps its place
+// for half of its time, otherwise it would count as lost from its arrival.
+func (e *entry) lostAt() time.Time {
+	target, estimate := e.item.Target, e.item.Estimate
+	early, late := target.Add(-estimate*5/4), target.Add(-estimate*3/4)
+	half := e.item.Arrived.Add(target.Sub(e.item.Arrived) / 2)
+	if half.After(late) {
+		half = late
+	}
+	if early.Before(half) {
+		return half
+	}
+	return early
+}
+
+// classify sets the tier at the time now and the time of the next change. Slow work becomes urgent a quarter of its estimate
 // before its latest start, so that it can start by then, and counts as late a quarter after it, since estimates are not
 // exact.
 func (e *entry) classify(now time.Time) {
 	target, estimate := e.item.Target, e.item.Estimate
 	if e.item.Class == jaybarrow.ClassQuick {
-		e.tier, e.change = later(now, target.Add(-estimate*3/4), tierQuick, tierLost)
+		e.tier, e.change = later(now, e.lostAt(), tierQuick, tierLost)
 	} else {
 		estimate = max(estimate, leastEstimate)
 		e.tier, e.change = later(now, target.Add(-estimate*3/4), tierPressing, tierOverdue)
@@ -74,7 +95,7 @@
 func precedes(a, b *entry) bool {
 	x, y := a.item.Target, b.item.Target
 	if a.item.Class != jaybarrow.ClassQuick {
-		x, y = a.latestStart(), b.latestStart()
+		x, y = a.latest, b.latest
 	}
 	if !x.Equal(y) {
 		return x.Before(y)
--- a/internal/order/fairshare/order.go
+++ b/internal/order/fairshare/order.go
@@ -34,7 +34,7 @@
 			return a.service < b.service || (a.service == b.service && a.id < b.id)
 		}, func(t *team, i int) { t.serviceAt = i }),
 		byUrgency: heap.New(func(a, b *team) bool {
-			x, y := a.urgency.latestStart(), b.urgency.latestStart()
+			x, y := a.urgency.latest, b.urgency.latest
 			return x.Before(y) || (x.Equal(y) && a.id < b.id)
 		}, func(t *team, i int) { t.urgentAt = i }),
 		changes: heap.New(
@@ -55,7 +55,7 @@
 		t.service = max(t.service, o.virtual)
 	}
 	t.waiting++
-	e := &entry{item: item, team: t, changeAt: heap.Absent, deadlineAt: heap.Absent}
+	e := newEntry(item, t)
 	o.entries[item.ID] = e
 	o.attach(now, e)
 	if !item.Deadline.IsZero() {
--- a/internal/order/fairshare/team.go
+++ b/internal/order/fairshare/team.go
@@ -30,16 +30,26 @@
 	active    bool // counted in the order's sum of shares
 	queues    map[queueKey]*queue
 	tiers     map[tier]*heap.Heap[*queue]
-	work      map[tier]time.Duration // estimated slot time of the waiting entries
-	urgency   *entry                 // the urgent entry with the least slack, as of the last refresh
-	serviceAt int                    // index in the order's heap by service
-	urgentAt  int                    // index in the order's heap by urgency
+	load      map[tier]load
+	urgency   *entry // the urgent entry with the least slack, as of the last refresh
+	serviceAt int    // index in the order's heap by service
+	urgentAt  int    // index in the order's heap by urgency
+}
+
+// load is the number and the estimated slot time of waiting entries.
+type load struct {
+	count int
+	work  time.Duration
+}
+
+func (l load) plus(e *entry, sign int) load {
+	return load{l.count + sign, l.work + time.Duration(sign)*e.work()}
 }
 
 func newTeam(id jaybarrow.TeamID) *team {
 	return &team{
 		id: id, share: 1, serviceAt: heap.Absent, urgentAt: heap.Absent,
-		queues: make(map[queueKey]*queue), tiers: make(map[tier]*heap.Heap[*queue]), work: make(map[tier]time.Duration),
+		queues: make(map[queueKey]*queue), tiers: make(map[tier]*heap.Heap[*queue]), load: make(map[tier]load),
 	}
 }
 
@@ -65,7 +75,7 @@
 	}
 	q.entries.Push(e)
 	e.queue = q
-	t.work[e.tier] += e.work()
+	t.load[e.tier] = t.load[e.tier].plus(e, 1)
 	t.place(q)
 }
 
@@ -76,7 +86,7 @@
 		t.ranked(q.tier).Remove(q.at)
 	}
 	q.entries.Remove(e.queueAt)
-	t.work[q.tier] -= e.work()
+	t.load[q.tier] = t.load[q.tier].plus(e, -1)
 	if q.entries.Len() == 0 {
 		delete(t.queues, queueKey{q.tier, q.demand})
 		return
@@ -110,7 +120,7 @@
 	switch {
 	case quick == nil:
 		return pressing
-	case pressing == nil || quick.latestStart().Before(pressing.latestStart()):
+	case pressing == nil || quick.latest.Before(pressing.latest):
 		return quick
 	}
 	return pressing
--- a/internal/pool/deps.go
+++ b/internal/pool/deps.go
@@ -62,8 +62,9 @@
 	AdmissionQuantile float64
 }
 
-// defaultQuantile is the median: a request is refused only when it is more likely late than in time.
-const defaultQuantile = 0.5
+// defaultQuantile keeps slots for requests that will be in time: with the median, half of the requests that are admitted at
+// the limit end late and their work is lost (docs/measurements.md, bursts).
+const defaultQuantile = 0.9
 
 func (d Deps) withDefaults() Deps {
 	if d.Observer == nil {
--- a/internal/schedule/admission.go
+++ b/internal/schedule/admission.go
@@ -27,7 +27,8 @@
 // wait estimates how long the item would wait for its start; false when that is unknown. Free slots that have room for the
 // item mean no wait, since the items that already wait could not use them.
 func (p *Pool) wait(now time.Time, item jaybarrow.Item) (time.Duration, bool) {
-	free := p.freeSlots(now)
+	s := newSelection(p, now, Inputs{})
+	free := max(s.free-s.heldFrom(item), 0)
 	if free >= item.Slots && p.fits(now, item.Demand) {
 		return 0, true
 	}
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -12,7 +12,7 @@
 	MaxWaiting     int     // requests that may wait in the pool; at the bound the team furthest above its share yields
 	MaxTeamWaiting int     // requests of one team that may wait; 0: no bound of its own
 	Admission      bool    // refuse requests whose deadline cannot be met
-	QuickReserve   float64 // largest part of the slots that slow work leaves free for recent quick work; 0: none
+	QuickReserve   float64 // largest part of the slots that is held for recent quick work; 0: none
 }
 
 // Start is the decision to run an item on a host now.
@@ -57,7 +57,7 @@
 	running   map[jaybarrow.AttemptID]runningTask
 	waiting   *waitingSet
 	tried     map[jaybarrow.RequestID][]jaybarrow.HostID // hosts that a waiting item should not go to again
-	reserve   reserve
+	reserve   *reserve
 	reserved  bool // an item was skipped for the reserve since the last change
 	attempts  jaybarrow.AttemptID
 }
@@ -72,13 +72,14 @@
 		running:   make(map[jaybarrow.AttemptID]runningTask),
 		waiting:   newWaitingSet(),
 		tried:     make(map[jaybarrow.RequestID][]jaybarrow.HostID),
-		reserve:   reserve{fraction: settings.QuickReserve},
+		reserve:   newReserve(settings.QuickReserve),
 	}
 }
 
 // Arrive queues an item, or refuses it with KindDeadlineUnattainable or KindQueueFull; likely is the run time that
 // admission assumes, 0 when unknown. The evicted items, at most one, left the queue in favour of the new one.
 func (p *Pool) Arrive(now time.Time, item jaybarrow.Item, likely time.Duration) (evicted []jaybarrow.Item, err error) {
+	p.reserve.arrive(now, item)
 	if err := p.attainable(now, item, likely); err != nil {
 		return nil, err
 	}
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -1,53 +1,107 @@
 package schedule
 
 import (
+	"math"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
 )
 
-// reserveWindow is the length of each of the two windows over which the peak of quick work is taken; a burst of quick work
-// that returns within them finds its slots.
-const reserveWindow = 5 * time.Second
+const (
+	// reserveWindow is the length over which the load of quick work is averaged; it is about as long as quick targets.
+	reserveWindow = 2 * time.Second
+	// reserveHalfLife is how fast the peak load is forgotten; bursts of quick work that follow each other within about this
+	// time find their slots.
+	reserveHalfLife = time.Minute
+)
 
-// reserve holds slots for quick work: slow work leaves as many slots free as quick work recently used above what it
-// uses now. Otherwise each lull of quick work of a second would fill its slots with slow work for minutes.
+// reserve holds slots for the quick work of each team: other work leaves as many slots free as the peak load of the team's
+// quick work needs above what it uses now. Otherwise slow work fills all slots between two bursts, and the second one waits
+// for minutes. The load is taken from arrivals, since what was started says nothing of what had to wait. Each team's part is
+// bounded by its share, so that a flood of quick work does not hold slots beyond it.
 type reserve struct {
 	fraction float64 // largest part of the pool's slots that is held; 0: none
-	running  jaybarrow.Slots
-	peak     jaybarrow.Slots // in the current window
-	previous jaybarrow.Slots // in the window before
-	until    time.Time       // end of the current window
+	teams    map[jaybarrow.TeamID]*teamReserve
+	until    time.Time // end of the current window
+}
+
+type teamReserve struct {
+	share   jaybarrow.Share
+	running jaybarrow.Slots // of quick work
+	arrived time.Duration   // estimated slot time that arrived in the current window
+	peak    float64         // of the load in slots, decaying
+}
+
+func newReserve(fraction float64) *reserve {
+	return &reserve{fraction: fraction, teams: make(map[jaybarrow.TeamID]*teamReserve)}
+}
+
+func (r *reserve) team(now time.Time, item jaybarrow.Item) *teamReserve {
+	r.rotate(now)
+	t, ok := r.teams[item.Team]
+	if !ok {
+		t = &teamReserve{}
+		r.teams[item.Team] = t
+	}
+	t.share = max(item.Share, minShare)
+	return t
 }
 
+// arrive counts an item that arrived, whether or not it is admitted.
+func (r *reserve) arrive(now time.Time, item jaybarrow.Item) {
+	if item.Class == jaybarrow.ClassQuick && r.fraction > 0 {
+		r.team(now, item).arrived += work(item)
+	}
+}
+
+// add counts the slots of a started item, or with the sign -1 those of a finished one.
 func (r *reserve) add(now time.Time, item jaybarrow.Item, sign jaybarrow.Slots) {
-	if item.Class != jaybarrow.ClassQuick {
-		return
+	if item.Class == jaybarrow.ClassQuick && r.fraction > 0 {
+		r.team(now, item).running += sign * item.Slots
 	}
-	r.rotate(now)
-	r.running += sign * item.Slots
-	r.peak = max(r.peak, r.running)
 }
 
 func (r *reserve) rotate(now time.Time) {
 	if now.Before(r.until) {
 		return
 	}
-	r.previous = r.peak
-	if !now.Before(r.until.Add(reserveWindow)) {
-		r.previous = r.running
+	since := now.Sub(r.until)
+	for id, t := range r.teams {
+		load := t.arrived.Seconds() / reserveWindow.Seconds()
+		t.peak = max(load*decay(since), t.peak*decay(since+reserveWindow))
+		t.arrived = 0
+		if t.running == 0 && t.peak < 0.5 {
+			delete(r.teams, id)
+		}
 	}
-	r.peak, r.until = r.running, now.Add(reserveWindow)
+	r.until = now.Add(reserveWindow)
 }
 
-// held is how many free slots slow work has to leave.
-func (r *reserve) held(now time.Time, total jaybarrow.Slots) jaybarrow.Slots {
+// decay is what remains of a peak after the time.
+func decay(d time.Duration) float64 { return math.Exp2(-d.Seconds() / reserveHalfLife.Seconds()) }
+
+// held returns how many free slots are held for each team and in total.
+func (r *reserve) held(now time.Time, total jaybarrow.Slots) (byTeam map[jaybarrow.TeamID]jaybarrow.Slots, sum jaybarrow.Slots) {
+	if r.fraction <= 0 {
+		return nil, 0
+	}
 	r.rotate(now)
-	limit := jaybarrow.Slots(r.fraction * float64(total))
-	return min(max(r.peak, r.previous)-r.running, limit)
+	shares := jaybarrow.Share(0)
+	for _, t := range r.teams {
+		shares += t.share
+	}
+	byTeam = make(map[jaybarrow.TeamID]jaybarrow.Slots, len(r.teams))
+	for id, t := range r.teams {
+		part := jaybarrow.Slots(r.fraction * float64(total) * float64(t.share/shares))
+		if unused := min(jaybarrow.Slots(math.Round(t.peak)), part) - t.running; unused > 0 {
+			byTeam[id] = unused
+			sum += unused
+		}
+	}
+	return byTeam, sum
 }
 
-// mayUse reports whether the item may use the reserve: quick work, and slow work that has to start now for its target.
+// mayUse reports whether the item may use its team's reserve: quick work, and slow work that has to start now for its target.
 func mayUse(now time.Time, item jaybarrow.Item) bool {
 	if item.Class == jaybarrow.ClassQuick {
 		return true
--- a/internal/schedule/selection.go
+++ b/internal/schedule/selection.go
@@ -13,16 +13,18 @@
 	now    time.Time
 	in     Inputs
 	free   jaybarrow.Slots
-	held   jaybarrow.Slots
+	held   map[jaybarrow.TeamID]jaybarrow.Slots // free slots held for each team's quick work
+	sum    jaybarrow.Slots                      // of held
 	byNeed map[jaybarrow.Demand][]jaybarrow.Candidate
 	chosen []jaybarrow.Candidate // hosts of the accepted item; nil when the item is to be parked
 	parked []jaybarrow.Item      // items that only hosts they were tried on could take now
 }
 
 func newSelection(p *Pool, now time.Time, in Inputs) *selection {
+	held, sum := p.reserve.held(now, p.totalSlots())
 	return &selection{
 		pool: p, now: now, in: in,
-		free: p.freeSlots(now), held: p.reserve.held(now, p.totalSlots()),
+		free: p.freeSlots(now), held: held, sum: sum,
 		byNeed: make(map[jaybarrow.Demand][]jaybarrow.Candidate),
 	}
 }
@@ -39,7 +41,7 @@
 	switch {
 	case len(candidates) == 0:
 		return s.skip(item, SkipRoom)
-	case s.free-item.Slots < s.held && !mayUse(s.now, item):
+	case s.free-item.Slots < s.heldFrom(item):
 		s.pool.reserved = true
 		return s.skip(item, SkipReserve)
 	}
@@ -55,6 +57,14 @@
 	return true
 }
 
+// heldFrom is how many free slots the item has to leave.
+func (s *selection) heldFrom(item jaybarrow.Item) jaybarrow.Slots {
+	if mayUse(s.now, item) {
+		return s.sum - s.held[item.Team]
+	}
+	return s.sum
+}
+
 func (s *selection) skip(item jaybarrow.Item, reason Skip) bool {
 	s.pool.waiting.setSkip(item, reason)
 	return false
--- a/internal/schedule/waiting.go
+++ b/internal/schedule/waiting.go
@@ -70,7 +70,8 @@
 	found := false
 	for id, t := range w.teams {
 		ratio := float64(t.items.Len()) / float64(t.share)
-		if id == arriving.Team || ratio < worst || (found && ratio == worst) {
+		tied := found && ratio == worst && id > newest.Team
+		if id == arriving.Team || ratio < worst || tied {
 			continue
 		}
 		worst, found = ratio, true
