Count urgent slow work in its team's reserve

Cause: slow work at its latest start could use its team's reserve without being counted in it, so a team in overload, which always has such work, took every slot that became free. Change: a task that was started while it could use the reserve counts in it until its end; a test reproduces the fault.

--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -43,8 +43,9 @@
 }
 
 type runningTask struct {
-	start Start
-	at    time.Time
+	start    Start
+	at       time.Time
+	reserved bool // counted in the team's reserve
 }
 
 // Pool is the scheduling state of one pool; its owner serializes all calls.
@@ -140,8 +141,11 @@
 	p.attempts++
 	start := Start{Attempt: p.attempts, Item: item, Host: host}
 	p.hosts[host].charge(item.Demand, 1)
-	p.running[start.Attempt] = runningTask{start, now}
-	p.reserve.add(now, item, 1)
+	r := runningTask{start, now, mayUse(now, item)}
+	p.running[start.Attempt] = r
+	if r.reserved {
+		p.reserve.add(now, item, 1)
+	}
 	p.order.Started(now, item)
 	return start
 }
@@ -153,7 +157,9 @@
 		return
 	}
 	delete(p.running, attempt)
-	p.reserve.add(now, r.start.Item, -1)
+	if r.reserved {
+		p.reserve.add(now, r.start.Item, -1)
+	}
 	p.order.Finished(now, r.start.Item, ran)
 	p.hosts[r.start.Host].charge(r.start.Item.Demand, -1)
 	p.forgetHost(r.start.Host)
--- a/internal/schedule/pool_test.go
+++ b/internal/schedule/pool_test.go
@@ -157,3 +157,34 @@
 		assert.Equal(t, p.Load(now.Add(time.Minute)).FreeSlots, jaybarrow.Slots(hosts*slots))
 	})
 }
+
+// Guards against a team that takes every slot because its urgent slow work may use the reserve without being counted in it.
+func TestUrgentSlowWorkCountsInItsTeamsReserve(t *testing.T) {
+	p, now := newPool(schedule.Settings{MaxWaiting: 1000, QuickReserve: 0.25}, 1, 8), epoch
+	for _, team := range []string{"a", "b"} {
+		for i := range 4 {
+			_, err := p.Arrive(now, item(team, fmt.Sprint(team, "q", i), jaybarrow.ClassQuick, time.Minute, time.Second), 0)
+			assert.NilError(t, err)
+		}
+	}
+	for _, start := range startAll(p, now) {
+		p.Finished(now, start.Attempt, time.Second)
+	}
+	now = now.Add(3 * time.Second)
+	for i := range 200 {
+		_, err := p.Arrive(now, item("a", fmt.Sprint("a", i), jaybarrow.ClassSlow, 10*time.Hour, time.Minute), 0)
+		assert.NilError(t, err)
+		_, err = p.Arrive(now, item("b", fmt.Sprint("b", i), jaybarrow.ClassSlow, 63*time.Second, time.Minute), 0)
+		assert.NilError(t, err)
+	}
+	running, starts := startAll(p, now), map[jaybarrow.TeamID]int{}
+	for range 100 {
+		p.Finished(now, running[0].Attempt, time.Minute)
+		next := startAll(p, now)
+		running = append(running[1:], next...)
+		for _, start := range next {
+			starts[start.Item.Team]++
+		}
+	}
+	assert.Assert(t, starts["a"] > 40 && starts["b"] > 40, "starts: %v", starts)
+}
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -27,7 +27,7 @@
 
 type teamReserve struct {
 	share   jaybarrow.Share
-	running jaybarrow.Slots // of quick work
+	running jaybarrow.Slots // of work that was allowed to use the reserve
 	arrived time.Duration   // estimated slot time that arrived in the current window
 	peak    float64         // of the load in slots, decaying
 }
@@ -54,9 +54,9 @@
 	}
 }
 
-// add counts the slots of a started item, or with the sign -1 those of a finished one.
+// add counts the slots of an item that was started while it could use the reserve, or with the sign -1 those of a finished one.
 func (r *reserve) add(now time.Time, item jaybarrow.Item, sign jaybarrow.Slots) {
-	if item.Class == jaybarrow.ClassQuick && r.fraction > 0 {
+	if r.fraction > 0 {
 		r.team(now, item).running += sign * item.Slots
 	}
 }
