--- /dev/null
+++ b/test/e2e/checkers_test.go
@@ -0,0 +1,124 @@
+package e2e
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/standin/worker"
+)
+
+// ledgers are the ledgers of all workers.
+type ledgers map[jaybarrow.HostID][]worker.Entry
+
+type requestKey struct {
+	team jaybarrow.TeamID
+	id   jaybarrow.RequestID
+}
+
+// started returns the tasks that ran, in part or whole, by request.
+func (l ledgers) started() map[requestKey][]worker.Entry {
+	runs := make(map[requestKey][]worker.Entry)
+	for _, entries := range l {
+		for _, e := range entries {
+			if e.StartedNs != 0 {
+				key := requestKey{e.Team, e.Request}
+				runs[key] = append(runs[key], e)
+			}
+		}
+	}
+	return runs
+}
+
+// checkLimit finds a moment at which more slots of the team ran than its limit.
+func checkLimit(l ledgers, team jaybarrow.TeamID, limit jaybarrow.Slots) error {
+	type step struct {
+		atNs  int64
+		slots jaybarrow.Slots
+	}
+	var steps []step
+	for _, entries := range l {
+		for _, e := range entries {
+			if e.Team != team || e.StartedNs == 0 {
+				continue
+			}
+			steps = append(steps, step{e.StartedNs, e.Slots})
+			if e.EndedNs != 0 {
+				steps = append(steps, step{e.EndedNs, -e.Slots})
+			}
+		}
+	}
+	// A task that ends in the same nanosecond as another starts has ended first.
+	slices.SortFunc(steps, func(a, b step) int { return cmp.Or(cmp.Compare(a.atNs, b.atNs), cmp.Compare(a.slots, b.slots)) })
+	running := jaybarrow.Slots(0)
+	for _, s := range steps {
+		if running += s.slots; running > limit {
+			return fmt.Errorf("team %s: %d slots ran at %d ns, limit %d", team, running, s.atNs, limit)
+		}
+	}
+	return nil
+}
+
+// checkAnswers finds an answer that is not the one to its own request, or that no worker gave.
+func checkAnswers(l ledgers, all []told) error {
+	runs := l.started()
+	for _, t := range all {
+		if t.kind != "" {
+			continue
+		}
+		if t.answer.Request != t.request || t.answer.Echo != t.echo {
+			return fmt.Errorf("request %s of %s got the answer to %s (%q)", t.request, t.team, t.answer.Request, t.answer.Echo)
+		}
+		if !slices.ContainsFunc(runs[requestKey{t.team, t.request}], func(e worker.Entry) bool { return e.Task == t.answer.Task }) {
+			return fmt.Errorf("request %s of %s was answered by task %s, which no ledger has", t.request, t.team, t.answer.Task)
+		}
+	}
+	return nil
+}
+
+// checkNotRun finds a request that ran although every caller of it was told that it did not.
+func checkNotRun(l ledgers, all []told) error {
+	may := make(map[requestKey]bool)
+	for _, t := range all {
+		key := requestKey{t.team, t.request}
+		may[key] = may[key] || t.effect != jaybarrow.EffectNotRun
+	}
+	for key, runs := range l.started() {
+		if ran, known := may[key]; known && !ran {
+			return fmt.Errorf("request %s of %s was told not to have run and ran as %+v", key.id, key.team, runs)
+		}
+	}
+	return nil
+}
+
+// checkOnce finds a non-idempotent request that was started twice.
+func checkOnce(l ledgers, all []told) error {
+	once := make(map[requestKey]bool)
+	for _, t := range all {
+		if !t.idempotent {
+			once[requestKey{t.team, t.request}] = true
+		}
+	}
+	for key, runs := range l.started() {
+		if once[key] && len(runs) > 1 {
+			return fmt.Errorf("request %s of %s ran %d times: %+v", key.id, key.team, len(runs), runs)
+		}
+	}
+	return nil
+}
+
+// checkAll runs every checker that holds whatever fails.
+func checkAll(l ledgers, all []told, limits map[jaybarrow.TeamID]jaybarrow.Slots) error {
+	for team, limit := range limits {
+		if err := checkLimit(l, team, limit); err != nil {
+			return err
+		}
+	}
+	for _, check := range []func(ledgers, []told) error{checkAnswers, checkNotRun, checkOnce} {
+		if err := check(l, all); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/test/e2e/cluster_test.go
@@ -0,0 +1,319 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/command/request"
+	"github.com/jaybarrow/jaybarrow/internal/standin/faultproxy"
+	"github.com/jaybarrow/jaybarrow/internal/standin/store"
+	"github.com/jaybarrow/jaybarrow/internal/standin/worker"
+	"github.com/jaybarrow/jaybarrow/pkg/client"
+)
+
+const operatorKey = "operator-key-of-the-tests"
+
+// patience bounds every wait of a test; it is long, so that only a condition that never comes fails a test.
+const patience = 60 * time.Second
+
+// plan is the shape of a cluster.
+type plan struct {
+	dataCentres    int
+	entriesPerDC   int
+	workersPerPool int // in each data centre
+	pools          []jaybarrow.PoolID
+	teams          map[jaybarrow.TeamID]jaybarrow.Slots // limits
+	queues         []jaybarrow.Queue
+	extra          string // further settings of every entry host
+}
+
+// cluster is a running system: a store, workers and entry hosts, each a process; every connection of an entry host to the
+// store, to a worker and to a peer of another data centre goes through a proxy.
+type cluster struct {
+	t       *testing.T
+	plan    plan
+	store   *process
+	control jaybarrow.Address // of the store
+	entries []*entryHost
+	workers []*workerHost
+	stores  map[jaybarrow.DataCentreID]*faultproxy.Proxy
+	// links holds the proxies by the data centre that dials and the entry host that is dialled.
+	links map[jaybarrow.DataCentreID]map[jaybarrow.EntryID]*faultproxy.Proxy
+	keys  map[jaybarrow.TeamID]string
+	// callers keeps a connection for each of many concurrent callers.
+	callers *http.Client
+}
+
+type entryHost struct {
+	*process
+	id         jaybarrow.EntryID
+	dataCentre jaybarrow.DataCentreID
+	callers    jaybarrow.Address
+	peers      jaybarrow.Address
+	settings   string // file
+}
+
+type workerHost struct {
+	*process
+	host   jaybarrow.Host
+	direct jaybarrow.Address // past the proxy
+	proxy  *faultproxy.Proxy
+}
+
+func dataCentre(i int) jaybarrow.DataCentreID {
+	return jaybarrow.DataCentreID(fmt.Sprintf("dc%d", i+1))
+}
+
+// newCluster starts a cluster and waits until every entry host is ready and every team may run work.
+func newCluster(t *testing.T, p plan) *cluster {
+	t.Helper()
+	c := &cluster{
+		t: t, plan: p, stores: make(map[jaybarrow.DataCentreID]*faultproxy.Proxy),
+		links: make(map[jaybarrow.DataCentreID]map[jaybarrow.EntryID]*faultproxy.Proxy), keys: make(map[jaybarrow.TeamID]string),
+		callers: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+	}
+	t.Cleanup(c.callers.CloseIdleConnections)
+	process, addresses := startStandin(t, "store", "-lag", "500ms", "-reboot", "1s")
+	c.store, c.control = process, addresses.Control
+	for i := range p.dataCentres {
+		c.stores[dataCentre(i)] = c.proxy(addresses.Listen)
+		c.links[dataCentre(i)] = make(map[jaybarrow.EntryID]*faultproxy.Proxy)
+	}
+	c.planEntries()
+	for _, e := range c.entries {
+		c.startEntry(e)
+	}
+	c.awaitReady()
+	c.configure()
+	return c
+}
+
+func (c *cluster) proxy(target jaybarrow.Address) *faultproxy.Proxy {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	p := faultproxy.New(jaybarrow.SystemClock{}, l, target)
+	c.t.Cleanup(p.Close)
+	return p
+}
+
+// freeAddress returns an address that nothing listens on now.
+func freeAddress(t *testing.T) jaybarrow.Address {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return jaybarrow.Address(l.Addr().String())
+}
+
+func (c *cluster) planEntries() {
+	for i := range c.plan.dataCentres {
+		for j := range c.plan.entriesPerDC {
+			c.entries = append(c.entries, &entryHost{
+				id: jaybarrow.EntryID(fmt.Sprintf("entry-%d-%d", i+1, j+1)), dataCentre: dataCentre(i),
+				callers: freeAddress(c.t), peers: freeAddress(c.t),
+			})
+		}
+	}
+	for dc, links := range c.links {
+		for _, e := range c.entries {
+			if e.dataCentre != dc {
+				links[e.id] = c.proxy(e.peers)
+			}
+		}
+	}
+	for _, e := range c.entries {
+		e.settings = filepath.Join(c.t.TempDir(), string(e.id)+".ini")
+		assert.NilError(c.t, os.WriteFile(e.settings, []byte(c.settings(e)), 0o600))
+	}
+}
+
+func (c *cluster) settings(e *entryHost) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[entry]\nid = %s\ndataCentre = %s\ncallerAddress = %s\npeerAddress = %s\noperatorKeyHash = %s\nlogLevel = info\n",
+		e.id, e.dataCentre, e.callers, e.peers, request.Hash(operatorKey))
+	fmt.Fprintf(&b, "[platform]\nstoreAddress = %s\n[peers]\n", c.stores[e.dataCentre].Address())
+	for _, other := range c.entries {
+		address := other.peers
+		if link, ok := c.links[e.dataCentre][other.id]; ok {
+			address = link.Address()
+		}
+		if other.id != e.id {
+			fmt.Fprintf(&b, "%s = %s@%s\n", other.id, other.dataCentre, address)
+		}
+	}
+	// Tests send many non-idempotent requests at once, and their stand-in takes more writes than the platform's store.
+	fmt.Fprint(&b, "[claims]\nperSecond = 1000\n")
+	return b.String() + c.plan.extra
+}
+
+func (c *cluster) startEntry(e *entryHost) { e.process = start(c.t, "jaybarrow", nil, "serve", "-settings", e.settings) }
+
+func (c *cluster) awaitReady() {
+	c.t.Helper()
+	for _, e := range c.entries {
+		c.awaitEntry(e)
+	}
+}
+
+func (c *cluster) awaitEntry(e *entryHost) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		response, err := http.Get("http://" + string(e.callers) + "/healthz")
+		if err != nil {
+			return poll.Continue("%s: %v; log:\n%s", e.id, err, e.log())
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return poll.Continue("%s: status %d", e.id, response.StatusCode)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
+}
+
+// operator returns an operator's client of an entry host.
+func (c *cluster) operator(e *entryHost) *client.Client {
+	c.t.Helper()
+	return client.New(http.DefaultClient, e.callers, operatorKey)
+}
+
+// configure creates pools, workers, queues, teams and keys as an operator, and waits until they are in force everywhere.
+func (c *cluster) configure() {
+	c.t.Helper()
+	ctx, o := context.Background(), c.operator(c.entries[0])
+	last := jaybarrow.Revision(0)
+	for _, id := range c.plan.pools {
+		_, err := o.PutPool(ctx, jaybarrow.Pool{ID: id, MaxUnavailable: 1}, 0)
+		assert.NilError(c.t, err)
+		for i := range c.plan.dataCentres {
+			for range c.plan.workersPerPool {
+				c.startWorker(o, id, dataCentre(i))
+			}
+		}
+	}
+	for _, q := range c.plan.queues {
+		_, err := o.PutQueue(ctx, q, 0)
+		assert.NilError(c.t, err)
+	}
+	for id, limit := range c.plan.teams {
+		_, err := o.PutTeam(ctx, jaybarrow.Team{ID: id, Share: 1}, limit, 0)
+		assert.NilError(c.t, err)
+		key, err := o.AddKey(ctx, id)
+		assert.NilError(c.t, err)
+		c.keys[id], last = key.Secret, key.Revision
+	}
+	c.awaitInForce(o, last)
+}
+
+func (c *cluster) awaitInForce(o *client.Client, revision jaybarrow.Revision) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		s, err := o.Status(context.Background(), revision)
+		if err != nil || !s.InForce {
+			return poll.Continue("%+v %v", s, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
+}
+
+const (
+	workerSlots = 8
+	rackHosts   = 4
+)
+
+func (c *cluster) startWorker(o *client.Client, pool jaybarrow.PoolID, dc jaybarrow.DataCentreID) *workerHost {
+	c.t.Helper()
+	n := len(c.workers)
+	id := jaybarrow.HostID(fmt.Sprintf("host-%d", n+1))
+	process, addresses := startStandin(c.t, "worker", "-id", string(id), "-slots", fmt.Sprint(workerSlots))
+	w := &workerHost{process: process, direct: addresses.Listen, proxy: c.proxy(addresses.Listen)}
+	w.host = jaybarrow.Host{
+		ID: id, Pool: pool, DataCentre: dc, Rack: jaybarrow.RackID(fmt.Sprintf("%s-rack-%d", dc, n/rackHosts)),
+		Address: w.proxy.Address(), Connections: 64, Capacity: jaybarrow.Demand{Slots: workerSlots, Memory: 128000},
+	}
+	_, err := o.PutHost(context.Background(), w.host, 0)
+	assert.NilError(c.t, err)
+	c.workers = append(c.workers, w)
+	return w
+}
+
+// faults sets the store's faults.
+func (c *cluster) faults(f store.Faults) {
+	c.t.Helper()
+	c.put("http://"+string(c.control)+"/control/faults", f)
+}
+
+// condition sets what the platform's list will say of a host or entry host.
+func (c *cluster) condition(name string, condition jaybarrow.HostCondition) {
+	c.t.Helper()
+	c.put("http://"+string(c.control)+"/control/hosts/"+name, map[string]jaybarrow.HostCondition{"condition": condition})
+}
+
+func (c *cluster) put(url string, value any) {
+	c.t.Helper()
+	data, err := json.Marshal(value)
+	assert.NilError(c.t, err)
+	r, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(data))
+	assert.NilError(c.t, err)
+	response, err := http.DefaultClient.Do(r)
+	assert.NilError(c.t, err)
+	_ = response.Body.Close()
+	assert.Assert(c.t, response.StatusCode < 300, "%s: status %d", url, response.StatusCode)
+}
+
+// cutOff cuts a data centre off from the store and the other data centres, or joins it again.
+func (c *cluster) cutOff(dc jaybarrow.DataCentreID, cut bool) {
+	c.t.Helper()
+	faults := faultproxy.Faults{Refuse: cut}
+	proxies := []*faultproxy.Proxy{c.stores[dc]}
+	for from, links := range c.links {
+		for to, link := range links {
+			if from == dc || c.entry(to).dataCentre == dc {
+				proxies = append(proxies, link)
+			}
+		}
+	}
+	for _, p := range proxies {
+		assert.NilError(c.t, p.Set(faults))
+		if cut {
+			p.Cut()
+		}
+	}
+}
+
+func (c *cluster) entry(id jaybarrow.EntryID) *entryHost {
+	for _, e := range c.entries {
+		if e.id == id {
+			return e
+		}
+	}
+	c.t.Fatalf("no entry host %s", id)
+	return nil
+}
+
+// ledgers returns the ledgers of all workers.
+func (c *cluster) ledgers() map[jaybarrow.HostID][]worker.Entry {
+	c.t.Helper()
+	all := make(map[jaybarrow.HostID][]worker.Entry)
+	for _, w := range c.workers {
+		response, err := http.Get("http://" + string(w.direct) + "/ledger")
+		assert.NilError(c.t, err)
+		var entries []worker.Entry
+		assert.NilError(c.t, json.NewDecoder(response.Body).Decode(&entries))
+		_ = response.Body.Close()
+		all[w.host.ID] = entries
+	}
+	return all
+}
--- /dev/null
+++ b/test/e2e/history_test.go
@@ -0,0 +1,82 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/standin/worker"
+	"github.com/jaybarrow/jaybarrow/pkg/client"
+)
+
+// told is what a caller was told about one attempt at a request.
+type told struct {
+	team       jaybarrow.TeamID
+	request    jaybarrow.RequestID
+	entry      jaybarrow.EntryID
+	idempotent bool
+	echo       string
+	answer     worker.Done // of an answered request
+	kind       jaybarrow.ErrorKind
+	effect     jaybarrow.Effect // EffectRan for an answered request
+	message    string
+	begun      time.Time
+	ended      time.Time
+}
+
+// history collects what callers were told.
+type history struct {
+	sync.Mutex
+	all []told
+}
+
+func (h *history) add(t told) {
+	h.Lock()
+	defer h.Unlock()
+	h.all = append(h.all, t)
+}
+
+func (h *history) list() []told {
+	h.Lock()
+	defer h.Unlock()
+	return append([]told(nil), h.all...)
+}
+
+// call is a request of a test's caller.
+type call struct {
+	team          jaybarrow.TeamID
+	queue         jaybarrow.QueueID
+	id            jaybarrow.RequestID
+	nonIdempotent bool
+	run           time.Duration // the work's true run time
+	within        time.Duration
+	slots         jaybarrow.Slots
+}
+
+// send makes the call through the entry host and notes what the caller was told.
+func (c *cluster) send(h *history, e *entryHost, in call) told {
+	t := told{
+		team: in.team, request: in.id, entry: e.id, idempotent: !in.nonIdempotent,
+		echo: fmt.Sprintf("%s/%s/%d", in.team, in.id, rand.Uint64()), begun: time.Now(),
+	}
+	body, _ := json.Marshal(worker.Work{RunMs: in.run.Milliseconds(), Echo: t.echo})
+	caller := client.New(c.callers, e.callers, c.keys[in.team])
+	answer, err := caller.Submit(context.Background(), client.Request{
+		Queue: in.queue, ID: in.id, NonIdempotent: in.nonIdempotent, Demand: jaybarrow.Demand{Slots: in.slots},
+		AnswerWithin: in.within, Body: body,
+	})
+	if err == nil {
+		err = json.Unmarshal(answer.Body, &t.answer)
+	}
+	t.ended, t.effect = time.Now(), jaybarrow.EffectRan
+	if err != nil {
+		fault := jaybarrow.AsError(err)
+		t.kind, t.effect, t.message = fault.Kind, fault.Effect, fault.Message
+	}
+	h.add(t)
+	return t
+}
--- /dev/null
+++ b/test/e2e/process_test.go
@@ -0,0 +1,123 @@
+package e2e
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// programs is the folder of the built programs.
+var programs string
+
+func TestMain(m *testing.M) {
+	code, err := withPrograms(m.Run)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+func withPrograms(run func() int) (int, error) {
+	dir, err := os.MkdirTemp("", "jaybarrow-e2e-")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	programs = dir
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/jaybarrow", "../../cmd/standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		return 0, fmt.Errorf("build the programs: %w\n%s", err, out)
+	}
+	return run(), nil
+}
+
+// process is a program that a test started.
+type process struct {
+	t      *testing.T
+	cmd    *exec.Cmd
+	output string // file with the log lines
+	exited chan struct{}
+}
+
+// start runs a program; its stderr goes to a file that is shown when the test fails. stdout may be nil.
+func start(t *testing.T, name string, stdout io.Writer, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, cmd: exec.Command(filepath.Join(programs, name), args...), exited: make(chan struct{})}
+	log, err := os.CreateTemp(t.TempDir(), name+"-*.log")
+	assert.NilError(t, err)
+	p.output = log.Name()
+	p.cmd.Stderr, p.cmd.Stdout = log, stdout
+	assert.NilError(t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		_ = log.Close()
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// stop asks for a graceful shutdown and returns the exit code.
+func (p *process) stop(limit time.Duration) int {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+	case <-time.After(limit):
+		p.t.Fatalf("process did not stop within %s; log:\n%s", limit, p.log())
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (p *process) log() string {
+	data, _ := os.ReadFile(p.output)
+	const most = 8000
+	if len(data) > most {
+		data = data[len(data)-most:]
+	}
+	return string(data)
+}
+
+// listening is what a stand-in prints when it has started.
+type listening struct {
+	Listen  jaybarrow.Address `json:"listen"`
+	Control jaybarrow.Address `json:"control"`
+}
+
+// startStandin runs a stand-in and returns its addresses.
+func startStandin(t *testing.T, args ...string) (*process, listening) {
+	t.Helper()
+	reader, writer, err := os.Pipe()
+	assert.NilError(t, err)
+	defer reader.Close()
+	p := start(t, "standin", writer, args...)
+	_ = writer.Close()
+	line, err := bufio.NewReader(reader).ReadBytes('\n')
+	assert.NilError(t, err, "%s", p.log())
+	var l listening
+	assert.NilError(t, json.Unmarshal(line, &l))
+	return p, l
+}
