--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -159,7 +159,9 @@
 	return b.String() + c.plan.extra
 }
 
-func (c *cluster) startEntry(e *entryHost) { e.process = start(c.t, "jaybarrow", nil, "serve", "-settings", e.settings) }
+func (c *cluster) startEntry(e *entryHost) {
+	e.process = start(c.t, "jaybarrow", nil, "serve", "-settings", e.settings)
+}
 
 func (c *cluster) awaitReady() {
 	c.t.Helper()
