--- a/cmd/jaybarrow/serve.go
+++ b/cmd/jaybarrow/serve.go
@@ -42,11 +42,12 @@
 		fmt.Fprintln(stderr, "jaybarrow:", err)
 		return exitFailure
 	}
-	return serve(ctx, s, logging.For(log, "entry"))
+	return serve(ctx, s, log)
 }
 
 // serve runs an entry host until ctx ends or a newer process has taken its id.
-func serve(ctx context.Context, s settings.Settings, log zerolog.Logger) int {
+func serve(ctx context.Context, s settings.Settings, root zerolog.Logger) int {
+	log := logging.For(root, "serve")
 	callers, peers, err := listen(s.Entry)
 	if err != nil {
 		log.Error().Err(err).Msg("cannot listen")
@@ -55,7 +56,7 @@
 	client := platform.New(entry.PlatformSettings(s, s.Platform.StoreAddress))
 	defer client.Close()
 	e := entry.New(entry.Deps{
-		Clock: jaybarrow.SystemClock{}, Log: log, Platform: client, Settings: s,
+		Clock: jaybarrow.SystemClock{}, Log: root, Platform: client, Settings: s,
 		Callers: callers, Peers: peers, Times: entry.DefaultTimes(),
 	})
 	log.Info().Str("callers", callers.Addr().String()).Str("peers", peers.Addr().String()).Msg("serving")
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/jaybarrow/jaybarrow/internal/logging"
 )
 
 // AwaitReady waits until this entry host is registered and has a configuration.
@@ -26,7 +28,8 @@
 // Close stops gracefully: others are told, queued requests are handed over, what runs is finished, permits are given back.
 // When ctx ends first, it stops at once and returns ctx's error among others.
 func (e *Entry) Close(ctx context.Context) error {
-	e.deps.Log.Info().Msg("stopping; finishing what runs")
+	log := logging.For(e.deps.Log, "entry")
+	log.Info().Msg("stopping; finishing what runs")
 	e.leaving.Store(true)
 	e.gossip.Announce(ctx)
 	var failed error
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/logging"
 	"github.com/jaybarrow/jaybarrow/internal/member"
 	"github.com/jaybarrow/jaybarrow/internal/peer"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
@@ -137,7 +138,8 @@
 			err = e.directory.Apply(records, reached)
 		}
 		if err != nil {
-			e.deps.Log.Warn().Err(err).Str("peer", string(from.ID)).Msg("fetching changes from a peer failed")
+			log := logging.For(e.deps.Log, "peer")
+			log.Warn().Err(err).Str("peer", string(from.ID)).Msg("fetching changes from a peer failed")
 		}
 	})
 }
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -44,7 +44,6 @@
 	oneOf("keys", "whenCutOff", []string{string(CutOffRefuse), string(CutOffServe)}, func(s *Settings, v string) { set(&s.Keys.WhenCutOff, v) }),
 	// Below 2 s one late progress notice of the watch, sent each second, would make an entry host refuse work.
 	millis("keys", "freshnessMs", 2000, 10000, func(s *Settings) *time.Duration { return &s.Keys.Freshness }),
-	number("permits", "floorPercent", 0, 100, func(s *Settings) *int { return &s.Permits.FloorPercent }),
 	number("claims", "perSecond", 1, 1000, func(s *Settings) *int { return &s.Claims.PerSecond }),
 	millis("shutdown", "graceMs", 0, 86400000, func(s *Settings) *time.Duration { return &s.Shutdown.Grace }),
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,7 +14,6 @@
 	Queues   Queues
 	Workers  Workers
 	Keys     Keys
-	Permits  Permits
 	Claims   Claims
 	Shutdown Shutdown
 }
@@ -72,11 +71,6 @@
 	Freshness  time.Duration
 }
 
-// Permits holds the part of each limit that is divided evenly over the entry hosts.
-type Permits struct {
-	FloorPercent int
-}
-
 // Claims bounds the rate of claims of request ids.
 type Claims struct {
 	PerSecond int
@@ -96,7 +90,6 @@
 		// Only the scheduler in a worker's own data centre connects to it: 8 slots need about 10 of its 64 connections.
 		Workers: Workers{ConnectionsPerWorker: 16, DialTimeout: time.Second, CallTimeout: 2 * time.Second, StartWindow: 2 * time.Second},
 		Keys:    Keys{WhenCutOff: CutOffRefuse, Freshness: 5 * time.Second},
-		Permits: Permits{FloorPercent: 50},
 		// Nine entry hosts at this rate stay below the several hundred writes a second that the store takes.
 		Claims: Claims{PerSecond: 20},
 		// Slow work that must finish by dawn runs for hours, and a planned stop cuts off no request.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -54,7 +54,7 @@
 		{"number with unit", "[peers]", "[queues]\nmaxBodyBytes = 1M\n[peers]", "queues", "maxBodyBytes", "1M"},
 		{"team above total", "[peers]", "[queues]\nmaxWaiting = 10\n[peers]", "queues", "maxWaitingPerTeam", "2000"},
 		{"too many connections", "[peers]", "[workers]\nconnectionsPerWorker = 65\n[peers]", "workers", "connectionsPerWorker", "65"},
-		{"negative", "[peers]", "[permits]\nfloorPercent = -1\n[peers]", "permits", "floorPercent", "-1"},
+		{"negative", "[peers]", "[claims]\nperSecond = -1\n[peers]", "claims", "perSecond", "-1"},
 		{"rule", "[peers]", "[keys]\nwhenCutOff = maybe\n[peers]", "keys", "whenCutOff", "maybe"},
 		{"empty number", "[peers]", "[shutdown]\ngraceMs =\n[peers]", "shutdown", "graceMs", ""},
 	}
