--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -120,6 +120,8 @@
 	}
 	p.Unlock()
 	if retried {
+		s.deps.Log.Info().Str("request", string(w.request.ID)).Str("host", string(start.Host)).Err(failure).
+			Msg("the attempt failed; the request waits for another")
 		s.deps.Journal.Note(w.subject(), "retried", failure.Error())
 		s.apply(p, b)
 		if sooner {
--- a/internal/schedule/pool_test.go
+++ b/internal/schedule/pool_test.go
@@ -188,3 +188,27 @@
 	}
 	assert.Assert(t, starts["a"] > 40 && starts["b"] > 40, "starts: %v", starts)
 }
+
+// Guards against a retried item that goes to the host it was tried on, and against one that blocks its team while it waits
+// for another host.
+func TestRetriedItemWaitsForAnotherHost(t *testing.T) {
+	p := newPool(schedule.Settings{MaxWaiting: 10}, 2, 1)
+	for _, id := range []string{"1", "2", "3"} {
+		_, err := p.Arrive(epoch, item("a", id, jaybarrow.ClassSlow, time.Hour, time.Second), 0)
+		assert.NilError(t, err)
+	}
+	first := startAll(p, epoch)
+	assert.Equal(t, len(first), 2)
+	failed, other := first[0], first[1]
+	p.Finished(epoch, failed.Attempt, time.Second)
+	p.Return(epoch, failed.Item, []jaybarrow.HostID{failed.Host})
+	next := startAll(p, epoch)
+	assert.Equal(t, len(next), 1)
+	assert.Equal(t, next[0].Item.ID, jaybarrow.RequestID("3"))
+	assert.Equal(t, p.Load(epoch).Waiting, 1)
+	p.Finished(epoch, other.Attempt, time.Second)
+	retried := startAll(p, epoch)
+	assert.Equal(t, len(retried), 1)
+	assert.Equal(t, retried[0].Item.ID, failed.Item.ID)
+	assert.Equal(t, retried[0].Host, other.Host)
+}
