Test the baselines' orders and what the scheduler reports

Change: table test for the baselines with a returned item; a test of all reports of a retried and of a refused request.

--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -127,3 +127,32 @@
 	assert.Equal(t, ok, !earliest.IsZero())
 	assert.Assert(t, deadline.Equal(earliest), "next deadline %v, want %v", deadline, earliest)
 }
+
+// Guards against baselines that are not what the measurements call them, and against a returned item that loses its place.
+func TestBaselines(t *testing.T) {
+	cases := []struct {
+		name  string
+		order func() jaybarrow.Order
+		want  string
+	}{
+		{"fifo by arrival", orders["fifo"], "[a1 a2 a3 b1 b2]"},
+		{"round robin between teams", orders["roundrobin"], "[a1 b1 a2 b2 a3]"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			o := c.order()
+			for i, id := range []string{"a1", "a2", "a3", "b1", "b2"} {
+				o.Push(epoch, jaybarrow.Item{ID: jaybarrow.RequestID(id), Team: jaybarrow.TeamID(id[:1]), Arrived: epoch.Add(time.Duration(i))})
+			}
+			second, _ := o.Remove("a2")
+			o.Push(epoch, second)
+			var got []jaybarrow.RequestID
+			for item, ok := o.Next(epoch, all); ok; item, ok = o.Next(epoch, all) {
+				got = append(got, item.ID)
+			}
+			assert.Equal(t, fmt.Sprint(got), c.want)
+		})
+	}
+}
+
+func all(jaybarrow.Item) bool { return true }
--- a/internal/pool/fakes_test.go
+++ b/internal/pool/fakes_test.go
@@ -152,8 +152,54 @@
 	return append([]jaybarrow.HostID(nil), w.hosts...)
 }
 
+// recorder keeps what the scheduler reports, one line for each call.
+type recorder struct {
+	sync.Mutex
+	lines []string
+}
+
+func (r *recorder) add(format string, args ...any) {
+	r.Lock()
+	defer r.Unlock()
+	r.lines = append(r.lines, fmt.Sprintf(format, args...))
+}
+
+func (r *recorder) all() []string {
+	r.Lock()
+	defer r.Unlock()
+	return append([]string(nil), r.lines...)
+}
+
+func (r *recorder) Observe(id jaybarrow.PoolID, host jaybarrow.HostID, outcome error, _ time.Duration) {
+	r.add("observed %s on %s of %s", kindOf(outcome), host, id)
+}
+
+func (r *recorder) Note(subject jaybarrow.Subject, decision, _ string) {
+	r.add("%s %s", decision, subject.ID)
+}
+
+func (r *recorder) Started(team jaybarrow.TeamID, _ jaybarrow.Class, _ time.Duration) {
+	r.add("first start of %s", team)
+}
+
+func (r *recorder) Answered(team jaybarrow.TeamID, _ jaybarrow.Class, kind jaybarrow.ErrorKind, _ time.Duration) {
+	r.add("answered %q to %s", kind, team)
+}
+
+func (r *recorder) Served(team jaybarrow.TeamID, slots jaybarrow.Slots, ran time.Duration) {
+	r.add("served %d slots for %v to %s", slots, ran, team)
+}
+
+func kindOf(err error) string {
+	if err == nil {
+		return "success"
+	}
+	return string(jaybarrow.AsError(err).Kind)
+}
+
 type fixture struct {
 	t         *testing.T
+	recorder  *recorder
 	clock     *clock
 	permits   *permits
 	workers   *workers
@@ -168,7 +214,7 @@
 
 // newFixture returns a scheduler over hosts with one slot each and workers that run the script.
 func newFixture(t *testing.T, hostCount int, run func(ctx context.Context, host jaybarrow.HostID, task jaybarrow.Task) ([]byte, error)) *fixture {
-	f := &fixture{t: t, clock: newClock(), workers: &workers{run: run, end: make(chan struct{})}}
+	f := &fixture{t: t, recorder: &recorder{}, clock: newClock(), workers: &workers{run: run, end: make(chan struct{})}}
 	f.permits = &permits{limit: make(map[jaybarrow.TeamID]jaybarrow.Slots), available: make(chan struct{}, 1)}
 	f.scheduler = pool.New(pool.Deps{
 		Clock: f.clock, Log: zerolog.Nop(), Hosts: hosts{hostCount, make(chan struct{})}, Workers: f.workers, Permits: f.permits,
@@ -179,6 +225,7 @@
 			return jaybarrow.TaskID(fmt.Sprint(id, "-", f.ids.Add(1)))
 		},
 		Incarnation: func() jaybarrow.Incarnation { return 1 }, StartWindow: 2 * time.Second,
+		Observer: f.recorder, Meter: f.recorder, Journal: f.recorder,
 	})
 	return f
 }
--- a/internal/pool/scheduler_test.go
+++ b/internal/pool/scheduler_test.go
@@ -254,3 +254,28 @@
 	close(open)
 	<-closed
 }
+
+// Guards against decisions and outcomes that do not reach worker health, the meter and the journal.
+func TestReports(t *testing.T) {
+	var f *fixture
+	f = newFixture(t, 2, func(ctx context.Context, host jaybarrow.HostID, task jaybarrow.Task) ([]byte, error) {
+		if host == "a" {
+			return nil, jaybarrow.Errorf(jaybarrow.KindWorkerRefused, "full")
+		}
+		f.clock.advance(3 * time.Second)
+		return echo(ctx, host, task)
+	})
+	assert.NilError(t, f.await(f.submit(f.request("t", "1", 0))).err)
+	f.permits.setLimit("t", 0)
+	asked := f.permits.timesAsked()
+	late := f.submit(f.request("t", "2", time.Second))
+	f.eventually("it lacks permits", func() bool { return f.permits.timesAsked() > asked })
+	f.clock.advance(time.Second)
+	assertError(t, f.await(late).err, jaybarrow.KindNoPermit, jaybarrow.EffectNotRun)
+	f.scheduler.Close()
+	assert.DeepEqual(t, f.recorder.all(), []string{
+		"first start of t", "started 1", "observed workerRefused on a of p", "retried 1",
+		"started 1", "observed success on b of p", "served 1 slots for 3s to t", `answered "" to t`,
+		"refused 2", `answered "noPermit" to t`,
+	})
+}
