Give each entry host of the load test a loopback address of its own

Cause: an entry host could not listen: between the choice of a free port and the start, a connection of another process had taken it. The load test then waited for it without end. Change: addresses 127.x.i.1 with fixed ports below the ephemeral range.

--- a/internal/standin/launch/fleet.go
+++ b/internal/standin/launch/fleet.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -82,15 +82,13 @@
 		return err
 	}
 	f.Store, f.Control, f.started = store, addresses.Control, append(f.started, store)
+	net := network()
 	for i := range plan.Entries {
-		e := Entry{ID: jaybarrow.EntryID(fmt.Sprintf("entry%d", i))}
-		if e.Callers, err = freeAddress(); err != nil {
-			return err
-		}
-		if e.peers, err = freeAddress(); err != nil {
-			return err
-		}
-		f.Entries = append(f.Entries, e)
+		f.Entries = append(f.Entries, Entry{
+			ID:      jaybarrow.EntryID(fmt.Sprintf("entry%d", i)),
+			Callers: jaybarrow.Address(fmt.Sprintf("%s.%d.1:%d", net, i, callersPort)),
+			peers:   jaybarrow.Address(fmt.Sprintf("%s.%d.1:%d", net, i, peersPort)),
+		})
 	}
 	for i := range f.Entries {
 		if err := f.startEntry(plan, i, addresses.Listen); err != nil {
@@ -100,15 +98,15 @@
 	return f.configure(plan)
 }
 
-// freeAddress returns an address that nothing listens on now.
-func freeAddress() (jaybarrow.Address, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return jaybarrow.Address(l.Addr().String()), nil
-}
+// The ports of every entry host, which has a loopback address of its own: a port of the ephemeral range could be taken by
+// another process's connection before the entry host listens on it.
+const (
+	callersPort = 8080
+	peersPort   = 8081
+)
+
+// network returns the first two numbers of the loopback addresses of one run.
+func network() string { return fmt.Sprintf("127.%d", 2+rand.IntN(200)) }
 
 func (f *Fleet) startEntry(plan Plan, i int, store jaybarrow.Address) error {
 	e := &f.Entries[i]
