Test that leaving hosts get no new work on real processes

Cause: invariant 8 had no test on separate processes, and the harness method that sets the platform's list was unused. Change: a test lets hosts leave by a drain, by the list, and by the list during an outage of the records; the store's stand-in gets the outage that fails records and answers the list. The plan of a cluster gets the pools' budget.

--- a/internal/standin/store/faults.go
+++ b/internal/standin/store/faults.go
@@ -16,6 +16,7 @@
 	OutageNone        Outage = ""
 	OutageUnavailable Outage = "unavailable" // calls are answered with status 503 before processing
 	OutageRefuse      Outage = "refuse"      // connections are refused
+	OutageRecords     Outage = "records"     // as unavailable, but the list of hosts and reboots work
 )
 
 // Freeze says which watches stay open and deliver nothing; a frozen watch stays frozen until its client closes it.
@@ -44,6 +45,14 @@
 	StaleBy       jaybarrow.Revision `json:"staleBy,omitempty"` // ranges are answered from so many revisions ago
 }
 
+// fails reports whether calls of the kind fail.
+func (f Faults) fails(kind CallKind) bool {
+	if kind == CallHosts || kind == CallReboot {
+		return f.Outage != OutageNone && f.Outage != OutageRecords
+	}
+	return f.Outage != OutageNone
+}
+
 // watchNumber numbers the watches in the order in which they were opened.
 type watchNumber int64
 
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -132,7 +132,7 @@
 		if d := s.faults.delay(); d > 0 {
 			<-s.clock.After(d)
 		}
-		if s.faults.current().Outage != OutageNone {
+		if s.faults.current().fails(kind) {
 			fail(w, http.StatusServiceUnavailable, gateway.CodeUnavailable, "outage")
 			return
 		}
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -37,6 +37,7 @@
 	pools          []jaybarrow.PoolID
 	teams          map[jaybarrow.TeamID]jaybarrow.Slots // limits
 	queues         []jaybarrow.Queue
+	budget         int    // of every pool; 0 means 1
 	extra          string // further settings of every entry host
 }
 
@@ -197,7 +198,7 @@
 	ctx, o := context.Background(), c.operator(c.entries[0])
 	last := jaybarrow.Revision(0)
 	for _, id := range c.plan.pools {
-		_, err := o.PutPool(ctx, jaybarrow.Pool{ID: id, MaxUnavailable: 1}, 0)
+		_, err := o.PutPool(ctx, jaybarrow.Pool{ID: id, MaxUnavailable: max(1, c.plan.budget)}, 0)
 		assert.NilError(c.t, err)
 		for i := range c.plan.dataCentres {
 			for range c.plan.workersPerPool {
