Read the configuration as a list while every watch is silent

Cause: while the store answers reads and every watch is silent, an entry host opened watches for ever and never listed. No change came into force, and since no entry host had a confirmed copy, each counted as fresh by the rule for a store that nobody reaches: a withdrawn key went on working. Change: a watch that ends, or cannot be opened, without having confirmed the copy is followed by a list.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -136,6 +136,7 @@
 			return err
 		}
 	}
+	before := f.LastConfirmed()
 	watch, err := f.deps.Store.Watch(ctx, jaybarrow.Prefix, f.deps.Directory.Applied())
 	if err == nil {
 		err = f.consume(ctx, watch)
@@ -143,6 +144,10 @@
 	if jaybarrow.IsKind(err, jaybarrow.KindNotFound) {
 		// The changes since the copy's revision are compacted; only a complete list tells what was deleted meanwhile.
 		f.listed = false
+	} else if f.LastConfirmed() == before && ctx.Err() == nil {
+		// The store may answer reads while every watch is silent. A watch that worked before is only opened again, since
+		// listing everything costs the store more.
+		err = errors.Join(err, f.list(ctx))
 	}
 	return err
 }
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -118,6 +118,7 @@
 		{"refused", store.Faults{Outage: store.OutageRefuse}, false},
 		{"compacted meanwhile", store.Faults{Outage: store.OutageUnavailable}, true},
 		{"silent watch, new ones work", store.Faults{FrozenWatches: store.FreezeOpen}, false},
+		{"silent watches, reads work", store.Faults{FrozenWatches: store.FreezeAll}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
