Give each entry host of a test a loopback address of its own

Cause: TestRequestsThroughAllEntryHosts failed once in one run of test/e2e: an entry host could not listen because another socket had taken its free port between the choice and the start. Change: freeAddress takes a random loopback IP for each address, which no proxy and no outgoing connection uses. Conclusion: a restart of an entry host also keeps its port.

--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -109,10 +110,11 @@
 	return p
 }
 
-// freeAddress returns an address that nothing listens on now.
+// freeAddress returns an address that nothing listens on now. Every address is on a loopback IP of its own: on 127.0.0.1
+// another listener or an outgoing connection can take the port before the entry host listens, or while it restarts.
 func freeAddress(t *testing.T) jaybarrow.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254)))
 	assert.NilError(t, err)
 	defer l.Close()
 	return jaybarrow.Address(l.Addr().String())
