--- a/test/e2e/checkers_self_test.go
+++ b/test/e2e/checkers_self_test.go
@@ -33,6 +33,8 @@
 		{"within the limit", checkLimit(two, "a", 2), ""},
 		{"over the limit", checkLimit(two, "a", 1), "2 slots ran"},
 		{"over the limit by a task without end", checkLimit(running, "a", 1), "2 slots ran"},
+		{"over a lowered limit", checkLimitBetween(two, "a", 1, 4, 10), "2 slots ran"},
+		{"before a limit was lowered", checkLimitBetween(two, "a", 1, 5, 10), ""},
 		{"own answer", checkAnswers(one, with(func(*told) {})), ""},
 		{"another request's answer", checkAnswers(one, with(func(x *told) { x.answer.Request = "r2" })), "got the answer to"},
 		{"another body", checkAnswers(one, with(func(x *told) { x.answer.Echo = "f" })), "got the answer to"},
--- a/test/e2e/checkers_test.go
+++ b/test/e2e/checkers_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 
 	"github.com/jaybarrow/jaybarrow"
@@ -33,6 +34,12 @@
 
 // checkLimit finds a moment at which more slots of the team ran than its limit.
 func checkLimit(l ledgers, team jaybarrow.TeamID, limit jaybarrow.Slots) error {
+	return checkLimitBetween(l, team, limit, 0, math.MaxInt64)
+}
+
+// checkLimitBetween finds a moment in the interval, in nanoseconds of the wall clock, at which more slots of the team ran
+// than the limit.
+func checkLimitBetween(l ledgers, team jaybarrow.TeamID, limit jaybarrow.Slots, from, until int64) error {
 	type step struct {
 		atNs  int64
 		slots jaybarrow.Slots
@@ -43,7 +50,10 @@
 			if e.Team != team || e.StartedNs == 0 {
 				continue
 			}
-			steps = append(steps, step{e.StartedNs, e.Slots})
+			if e.StartedNs > until || (e.EndedNs != 0 && e.EndedNs <= from) {
+				continue
+			}
+			steps = append(steps, step{max(from, e.StartedNs), e.Slots})
 			if e.EndedNs != 0 {
 				steps = append(steps, step{e.EndedNs, -e.Slots})
 			}
--- a/test/e2e/history_test.go
+++ b/test/e2e/history_test.go
@@ -55,6 +55,7 @@
 	run           time.Duration // the work's true run time
 	within        time.Duration
 	slots         jaybarrow.Slots
+	declared      time.Duration
 }
 
 // send makes the call through the entry host and notes what the caller was told.
@@ -67,7 +68,7 @@
 	caller := client.New(c.callers, e.callers, c.keys[in.team])
 	answer, err := caller.Submit(context.Background(), client.Request{
 		Queue: in.queue, ID: in.id, NonIdempotent: in.nonIdempotent, Demand: jaybarrow.Demand{Slots: in.slots},
-		AnswerWithin: in.within, Body: body,
+		AnswerWithin: in.within, RunTime: in.declared, Body: body,
 	})
 	if err == nil {
 		err = json.Unmarshal(answer.Body, &t.answer)
