Fix a test of the client that blocked without the race detector

Cause: the callers of TestClaimsAreTrueUnderChangingFaults delivered their claims into a channel of 10,000 that is read at the end; without the race detector they filled it and blocked until the test's timeout.

Change: each caller keeps its claims in a slice and starts a task at most every 10 ms. The claims are checked as before.

Conclusion: the fault was in the test.

--- a/internal/task/faults_test.go
+++ b/internal/task/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -27,17 +28,19 @@
 	const seed, callers, switches = 7, 6, 24
 	f := newFixture(t, shortLeases(), worker.DefaultConnections)
 	stop := make(chan struct{})
-	claims := make(chan claim, 10_000)
+	claims := make([][]claim, callers)
 	var group sync.WaitGroup
 	for i := range callers {
 		group.Go(func() {
 			random := rand.New(rand.NewPCG(seed, uint64(i)))
+			pace := time.NewTicker(10 * time.Millisecond) // bounds the ledger, which each check reads
+			defer pace.Stop()
 			for {
 				select {
 				case <-stop:
 					return
-				default:
-					claims <- f.runOne(random)
+				case <-pace.C:
+					claims[i] = append(claims[i], f.runOne(random))
 				}
 			}
 		})
@@ -45,10 +48,9 @@
 	f.switchFaults(rand.New(rand.NewPCG(seed, callers)), switches)
 	close(stop)
 	group.Wait()
-	close(claims)
 
 	answered, total := 0, 0
-	for c := range claims {
+	for _, c := range slices.Concat(claims...) {
 		f.checkTruth(c.task, c.body, c.err)
 		total++
 		if c.err == nil {
