Test permits, presence and claims; wait before asking for permits

Cause: property tests found that hosts without demand passed the last permits around to fill their floors, and that the grant of a restarted host was never restamped; short lacks of permits caused most of the writes. Change: floors are taken from free permits only; the stamp is stored; a host with permits asks for more only after 50 ms of lack; tests of the fleet with lost, late and refused writes, pauses, crashes, restarts and ended hosts; the experiment.

--- /dev/null
+++ b/cmd/experiment-permits/fleet.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/directory"
+	"github.com/jaybarrow/jaybarrow/internal/identity"
+	"github.com/jaybarrow/jaybarrow/internal/permit"
+	"github.com/jaybarrow/jaybarrow/internal/presence"
+	"github.com/jaybarrow/jaybarrow/internal/standin/store"
+)
+
+// countingStore counts the writes of allotments; while it is frozen its calls wait.
+type countingStore struct {
+	*store.Core
+	writes *atomic.Int64
+	frozen chan struct{} // closed to freeze
+	closed chan struct{} // closed at the end
+}
+
+func (s *countingStore) wait() {
+	select {
+	case <-s.frozen:
+		<-s.closed
+	default:
+	}
+}
+
+func (s *countingStore) CompareAndSwap(ctx context.Context, key jaybarrow.Key, previous jaybarrow.Revision, value []byte, lease jaybarrow.LeaseID) (jaybarrow.Revision, error) {
+	s.wait()
+	s.writes.Add(1)
+	return s.Core.CompareAndSwap(ctx, key, previous, value, lease)
+}
+
+// host is one entry host of the experiment.
+type host struct {
+	store    *countingStore
+	presence *presence.Presence
+	keeper   *permit.Keeper
+}
+
+// fleet is the entry hosts on one store.
+type fleet struct {
+	core   *store.Core
+	writes atomic.Int64
+	hosts  []*host
+	group  conc.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func team(i int) jaybarrow.TeamID { return jaybarrow.TeamID(fmt.Sprintf("team-%d", i)) }
+
+func newFleet(c config) *fleet {
+	f := &fleet{core: store.NewCore(jaybarrow.SystemClock{})}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	for i := range c.teams {
+		value, err := json.Marshal(jaybarrow.Allotment{Team: team(i), Limit: jaybarrow.Slots(c.limit)})
+		if err != nil {
+			panic(err)
+		}
+		if _, err := f.core.CompareAndSwap(f.ctx, jaybarrow.PermitKey(team(i)), 0, value, 0); err != nil {
+			panic(err)
+		}
+	}
+	for i := range c.hosts {
+		f.hosts = append(f.hosts, f.newHost(i))
+	}
+	return f
+}
+
+func (f *fleet) newHost(i int) *host {
+	id := jaybarrow.EntryID(fmt.Sprintf("entry-%d", i))
+	h := &host{store: &countingStore{Core: f.core, writes: &f.writes, frozen: make(chan struct{}), closed: make(chan struct{})}}
+	d := directory.New()
+	f.group.Go(func() { f.feed(h, d) })
+	h.presence = presence.New(presence.Deps{
+		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Store: f.core, Host: jaybarrow.EntryHost{ID: id},
+		NewChange: identity.NewChangeID, Settings: presence.DefaultSettings(),
+	})
+	h.keeper = permit.New(permit.Deps{
+		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Store: h.store, Directory: d, Registration: h.presence,
+		Entry: id, NewChange: identity.NewChangeID, Settings: permit.DefaultSettings(),
+	})
+	return h
+}
+
+// feed applies the store's changes to the host's directory until the host is frozen.
+func (f *fleet) feed(h *host, d *directory.Directory) {
+	watch, err := f.core.Watch(f.ctx, jaybarrow.Prefix, 0)
+	if err != nil {
+		panic(err)
+	}
+	defer watch.Close()
+	for {
+		event, err := watch.Next()
+		if err != nil {
+			return
+		}
+		h.store.wait()
+		if err := d.Apply(event.Records, event.Revision); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func (f *fleet) close() {
+	f.cancel()
+	for _, h := range f.hosts {
+		close(h.store.closed)
+		h.keeper.Abandon()
+		h.presence.Close()
+	}
+	f.group.Wait()
+}
--- a/internal/allotment/contend.go
+++ b/internal/allotment/contend.go
@@ -23,7 +23,7 @@
 	if own.unit > 0 || waiting == nil {
 		d.take(min(own.need, max(goal, own.unit)))
 	}
-	if d.self.Demand > 0 || waiting == nil {
+	if d.self.Demand > 0 {
 		d.want = own.need - d.held
 	}
 	if !d.self.Turn {
--- a/internal/allotment/decide.go
+++ b/internal/allotment/decide.go
@@ -165,8 +165,9 @@
 		d.want = need - d.held
 		return
 	}
+	// A floor is taken from free permits only. If it were wanted from others, hosts without demand could pass the last
+	// permits around for ever.
 	d.take(d.floor)
-	d.want = d.floor - d.held
 	d.returnIdle()
 }
 
--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -131,6 +131,7 @@
 		created = true
 		return &holding{
 			id: team, entry: k.deps.Entry, limits: k.deps.Settings, wake: make(chan struct{}, 1), leaving: k.leaving.Load(),
+			demand: demand{patience: k.deps.Settings.Patience},
 		}
 	})
 	if created {
--- a/internal/permit/loop.go
+++ b/internal/permit/loop.go
@@ -106,7 +106,7 @@
 		wait = earlier(wait, max(0, h.limits.IdleWindow-now.Sub(h.idle.begun)))
 	}
 	if h.demand.lacking {
-		wait = earlier(wait, max(0, h.limits.Probe-now.Sub(h.demand.probed)))
+		wait = earlier(wait, h.demand.nextProbe(now, h.limits.Probe))
 	}
 	if turn := h.limits.Turn - now.Sub(h.gained); decision.Rivals && turn > 0 {
 		wait = earlier(wait, turn)
--- a/internal/permit/settings.go
+++ b/internal/permit/settings.go
@@ -14,6 +14,7 @@
 	WritePace       time.Duration // least time between two writes for one team
 	IdleWindow      time.Duration // permits unused for one to two windows are idle
 	Turn            time.Duration // how long gained permits need not be passed on
+	Patience        time.Duration // a host with permits asks for more when a lack lasts this long
 	Probe           time.Duration // unmet demand that is not renewed within this time is dropped
 	FirstBackoff    time.Duration // after a conflict or a failed call; doubles up to MaxBackoff
 	MaxBackoff      time.Duration
@@ -29,7 +30,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		WritePace: 100 * time.Millisecond, IdleWindow: 400 * time.Millisecond, Turn: 200 * time.Millisecond,
-		Probe: 250 * time.Millisecond, FirstBackoff: 50 * time.Millisecond, MaxBackoff: 2 * time.Second,
+		Patience: 50 * time.Millisecond, Probe: 250 * time.Millisecond, FirstBackoff: 50 * time.Millisecond, MaxBackoff: 2 * time.Second,
 		CallTimeout: 2 * time.Second, ScanPace: 20 * time.Millisecond, StartWindow: 2 * time.Second, WritesPerSecond: 40,
 	}
 }
