Read the membership from one copy, and forget silent entry hosts

Cause: each request copied 32 shards of member states for each data centre of its pool, took the lock of every pool for one pool's load, and listed all data centres even when its configuration was confirmed. States of replaced entry hosts were kept for ever. A fenced process went on renewing task leases while it stopped gracefully. Change: Members keeps a sorted copy until the next change and drops states after an hour; Scheduler.Load reads one pool; Fresh lists data centres only when it has to; a fenced process ends at once; slow work leaves a tenth of the slots free for quick work instead of a quarter, which is nearer to the shares (docs/measurements.md).

--- a/cmd/jaybarrow/serve.go
+++ b/cmd/jaybarrow/serve.go
@@ -60,12 +60,12 @@
 		Callers: callers, Peers: peers, Times: entry.DefaultTimes(),
 	})
 	log.Info().Str("callers", callers.Addr().String()).Str("peers", peers.Addr().String()).Msg("serving")
-	code := exitOK
 	select {
 	case <-ctx.Done():
 	case <-e.Fenced():
-		log.Error().Msg("a newer process has taken this entry host's id")
-		code = exitFailure
+		// Renewing the leases of running tasks any longer could exceed limits: the newer process takes over the permits.
+		log.Error().Msg("a newer process has taken this entry host's id; ending at once")
+		return exitFailure
 	}
 	stopping, cancel := context.WithTimeout(context.Background(), s.Shutdown.Grace)
 	defer cancel()
@@ -75,7 +75,7 @@
 		return exitFailure
 	}
 	log.Info().Msg("stopped")
-	return code
+	return exitOK
 }
 
 // exitOnSecondSignal ends the process at once when it is told to stop again.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -146,8 +146,9 @@
 	return s.entry.health.Signals(host.Pool, id)
 }
 
-// quickReserve is the largest part of a pool's slots that slow work leaves free for quick work that arrived recently.
-const quickReserve = 0.25
+// quickReserve is the largest part of a pool's slots that slow work leaves free for quick work that arrived recently. More
+// answers more quick work in time beside long tasks, and costs idle slots and nearness to share: see docs/measurements.md.
+const quickReserve = 0.1
 
 func (e *Entry) startPeers() {
 	d, own := e.deps, e.deps.Settings.Entry
@@ -158,7 +159,7 @@
 	e.peerServer = peer.NewServer(d.Clock, logging.For(d.Log, "peer"), d.Peers, e.scheduler, e.directory, e.gossip)
 	e.router = route.New(route.Deps{
 		Clock: d.Clock, Self: own.ID, DataCentre: own.DataCentre, Local: e.scheduler, Peers: e.peers, Members: e.members,
-		Ready: e.ready, DataCentres: e.roster.DataCentres, LocalLoad: e.load, Journal: e.journal,
+		Ready: e.ready, DataCentres: e.roster.DataCentres, LocalLoad: e.scheduler.Load, Journal: e.journal,
 	})
 }
 
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -22,7 +22,8 @@
 	return nil
 }
 
-// Fenced returns a channel that is closed when a newer process has taken this entry host's id; the owner must call Close.
+// Fenced returns a channel that is closed when a newer process has taken this entry host's id; the owner must end the process
+// at once.
 func (e *Entry) Fenced() <-chan struct{} { return e.presence.Fenced() }
 
 // Close stops gracefully: others are told, queued requests are handed over, what runs is finished, permits are given back.
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -10,7 +10,6 @@
 	"github.com/jaybarrow/jaybarrow/internal/logging"
 	"github.com/jaybarrow/jaybarrow/internal/member"
 	"github.com/jaybarrow/jaybarrow/internal/peer"
-	"github.com/jaybarrow/jaybarrow/internal/schedule"
 	"github.com/jaybarrow/jaybarrow/internal/settings"
 )
 
@@ -40,11 +39,6 @@
 	}
 }
 
-func (e *Entry) load(id jaybarrow.PoolID) (schedule.Load, bool) {
-	load, ok := e.scheduler.Loads()[id]
-	return load, ok
-}
-
 func (e *Entry) peerAddresses() map[jaybarrow.EntryID]jaybarrow.Address {
 	addresses := make(map[jaybarrow.EntryID]jaybarrow.Address)
 	for _, p := range e.deps.Settings.Peers {
@@ -87,7 +81,7 @@
 		return e.directory.Applied() > 0
 	}
 	own := member.Own{Applied: e.directory.Applied(), Confirmed: e.follower.LastConfirmed()}
-	return e.members.Fresh(e.deps.Clock.Now(), own, keys.Freshness, e.dataCentres())
+	return e.members.Fresh(e.deps.Clock.Now(), own, keys.Freshness, e.dataCentres)
 }
 
 // changesFromPeers asks the peer that has applied most, and the seeds while none is live.
--- a/internal/member/freshness.go
+++ b/internal/member/freshness.go
@@ -23,8 +23,8 @@
 
 // Fresh reports whether a withdrawal accepted more than limit ago would be known here: the store or a live peer proved the
 // configuration current within limit, or an entry host of every other data centre is live and none has had store contact
-// for limit, in which case no withdrawal can have been accepted.
-func (m *Members) Fresh(now time.Time, own Own, limit time.Duration, dataCentres []jaybarrow.DataCentreID) bool {
+// for limit, in which case no withdrawal can have been accepted. dataCentres lists all and is called only when it matters.
+func (m *Members) Fresh(now time.Time, own Own, limit time.Duration, dataCentres func() []jaybarrow.DataCentreID) bool {
 	if confirmedWithin(now, own.Confirmed, limit) {
 		return true
 	}
@@ -43,7 +43,7 @@
 	if storeSeen || own.Applied == 0 {
 		return false
 	}
-	for _, dc := range dataCentres {
+	for _, dc := range dataCentres() {
 		if !reached[dc] {
 			return false
 		}
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
@@ -17,6 +18,9 @@
 	timeouts   Timeouts
 	addresses  map[jaybarrow.EntryID]jaybarrow.Address
 	states     *shard.Map[jaybarrow.EntryID, State]
+	// known is the sorted copy of states that each request reads; nil after a change, which raises version.
+	known   atomic.Pointer[[]State]
+	version atomic.Int64
 }
 
 // New returns Members that have heard of nobody; an address of the settings goes before the one that an entry host tells,
@@ -45,17 +49,43 @@
 		taken = true
 		return s, true
 	})
+	if taken {
+		m.changed()
+	}
 	return taken
 }
 
-// Forget drops an entry host, for example one that the platform's list calls gone.
-func (m *Members) Forget(id jaybarrow.EntryID) { m.states.Delete(id) }
+func (m *Members) changed() {
+	m.version.Add(1)
+	m.known.Store(nil)
+}
+
+// forgetAfter is how long a silent entry host is remembered; entry hosts are replaced under new ids for ever.
+const forgetAfter = time.Hour
 
-// Known returns all states, live or not, in order of id.
+// Expire drops the entry hosts that were silent for long.
+func (m *Members) Expire(now time.Time) {
+	for _, s := range m.Known() {
+		if now.Sub(s.Heard) > forgetAfter {
+			m.states.Delete(s.ID)
+			m.changed()
+		}
+	}
+}
+
+// Known returns all states, live or not, in order of id; the result must not be changed.
 func (m *Members) Known() []State {
-	var known []State
+	if known := m.known.Load(); known != nil {
+		return *known
+	}
+	version := m.version.Load()
+	known := []State{}
 	m.states.Each(func(_ jaybarrow.EntryID, s State) { known = append(known, s) })
 	slices.SortFunc(known, func(a, b State) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	m.known.Store(&known)
+	if m.version.Load() != version {
+		m.known.Store(nil) // a state changed while it was copied
+	}
 	return known
 }
 
@@ -73,7 +103,14 @@
 
 // LiveStates returns the states of the other live entry hosts, in order of id.
 func (m *Members) LiveStates(now time.Time) []State {
-	return slices.DeleteFunc(m.Known(), func(s State) bool { return !m.Live(now, s) })
+	known := m.Known()
+	live := make([]State, 0, len(known))
+	for _, s := range known {
+		if m.Live(now, s) {
+			live = append(live, s)
+		}
+	}
+	return live
 }
 
 // Owner returns the entry host that schedules the pool in the data centre; self is a candidate when selfReady, and those in
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -25,7 +25,7 @@
 // Guards against serving a withdrawn key behind a cut, and against refusing keyed work when nothing can be withdrawn.
 func TestFresh(t *testing.T) {
 	const never = -1 * time.Second
-	all := []jaybarrow.DataCentreID{"a", "b", "c"}
+	all := func() []jaybarrow.DataCentreID { return []jaybarrow.DataCentreID{"a", "b", "c"} }
 	cases := []struct {
 		name   string
 		own    member.Own
@@ -70,6 +70,18 @@
 	assert.Equal(t, len(m.LiveStates(now)), 1)
 }
 
+// Guards against memory that grows with every entry host that was ever replaced, and against a copy that misses a change.
+func TestSilentMembersAreForgotten(t *testing.T) {
+	m := member.New("a1", "a", member.DefaultTimeouts, nil)
+	m.Observe(state("a2", "a", 2*time.Hour, 0, 1))
+	m.Observe(state("a3", "a", 0, 0, 1))
+	assert.Equal(t, len(m.Known()), 2)
+	m.Expire(now)
+	assert.Equal(t, len(m.Known()), 1)
+	m.Observe(state("a4", "a", 0, 0, 1))
+	assert.Equal(t, len(m.Known()), 2)
+}
+
 // Guards against a pool that is owned by an entry host that is silent, leaving or not ready.
 func TestOwnerIsLiveAndReady(t *testing.T) {
 	m := member.New("a1", "a", member.DefaultTimeouts, nil)
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -84,6 +84,7 @@
 func (g *Gossip) round() {
 	turn := g.turn
 	g.turn++
+	g.deps.Members.Expire(g.deps.Clock.Now())
 	if near := g.near(); len(near) > 0 {
 		s := near[turn%len(near)]
 		g.group.Go(func() { g.beat(context.Background(), s) })
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -188,10 +188,21 @@
 // Loads returns the load of each pool.
 func (s *Scheduler) Loads() map[jaybarrow.PoolID]schedule.Load {
 	loads := make(map[jaybarrow.PoolID]schedule.Load)
-	s.pools.Each(func(id jaybarrow.PoolID, p *poolRun) {
-		p.Lock()
-		defer p.Unlock()
-		loads[id] = p.state.Load(s.deps.Clock.Now())
-	})
+	s.pools.Each(func(id jaybarrow.PoolID, p *poolRun) { loads[id] = s.load(p) })
 	return loads
 }
+
+// Load returns the load of one pool; false before its first request.
+func (s *Scheduler) Load(id jaybarrow.PoolID) (schedule.Load, bool) {
+	p, ok := s.pools.Get(id)
+	if !ok {
+		return schedule.Load{}, false
+	}
+	return s.load(p), true
+}
+
+func (s *Scheduler) load(p *poolRun) schedule.Load {
+	p.Lock()
+	defer p.Unlock()
+	return p.state.Load(s.deps.Clock.Now())
+}
