--- a/internal/permit/holding.go
+++ b/internal/permit/holding.go
@@ -40,16 +40,17 @@
 // pendingWrites are the writes from the current revision whose outcome is unknown. At most one of them can take effect, and
 // none after a newer revision of the record was seen.
 type pendingWrites struct {
-	open  bool
-	least jaybarrow.Slots // smallest own grant in any of them
-	read  bool            // the record must be read back before the next write
+	open   bool
+	least  jaybarrow.Slots    // smallest own grant in any of them
+	read   bool               // the record must be read back before the next write
+	change jaybarrow.ChangeID // of the last one
 }
 
-func (p pendingWrites) with(slots jaybarrow.Slots) pendingWrites {
+func (p pendingWrites) with(slots jaybarrow.Slots, change jaybarrow.ChangeID) pendingWrites {
 	if p.open {
 		slots = min(slots, p.least)
 	}
-	return pendingWrites{open: true, least: slots, read: p.read}
+	return pendingWrites{open: true, least: slots, read: p.read, change: change}
 }
 
 func (h *holding) signal() {
--- a/internal/permit/loop.go
+++ b/internal/permit/loop.go
@@ -94,8 +94,7 @@
 	}
 	p := plan{write: true, next: decision.Next, previous: h.revision, before: h.pending}
 	p.next.Change = k.deps.NewChange()
-	grant := p.next.Grants[h.entry]
-	h.pending = h.pending.with(grant.Slots)
+	h.pending = h.pending.with(p.next.Grants[h.entry].Slots, p.next.Change)
 	return p
 }
 
@@ -145,8 +144,9 @@
 	k.deps.Log.Debug().Err(err).Str("team", string(h.id)).Msg("allotment not written; trying again")
 }
 
-// readBack reads the record after a write of unknown outcome. The change id tells whether the record is that write; any
-// newer record settles it, because a write from an older revision can no longer take effect.
+// readBack reads the record after a write of unknown outcome. The change id tells whether the record is that write. Any newer
+// record settles the write too, because a write from an older revision can no longer take effect; an unchanged record does
+// not, because the write may still arrive.
 func (k *Keeper) readBack(h *holding) {
 	ctx, cancel := context.WithTimeout(k.ctx, h.limits.CallTimeout)
 	defer cancel()
@@ -161,6 +161,9 @@
 	defer h.Unlock()
 	switch {
 	case err == nil:
+		if read.Value.Change == h.pending.change {
+			h.retry.done(now, h.limits.WritePace)
+		}
 		h.pending.read = false
 		h.observe(now, read)
 	case jaybarrow.IsKind(err, jaybarrow.KindNotFound):
