Test limits, at-most-once and silent connections on real processes

Cause: invariants 4, 6 and 7 were tested on processes only for graceful stops and one sequence of faults.

--- /dev/null
+++ b/test/e2e/share_test.go
@@ -0,0 +1,96 @@
+package e2e
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// usableShare is the part of a limit that was used in an interval, as the ledgers show it, beside the part that a static
+// split over the entry hosts and an ideal counter would have used for the same outstanding requests.
+type usableShare struct{ measured, static, ideal float64 }
+
+// shareOf integrates the running tasks and the outstanding requests of the interval in steps of a millisecond.
+func (c *cluster) shareOf(h *history, limit int, from, until time.Time) usableShare {
+	steps := int(until.Sub(from) / time.Millisecond)
+	mark := func(counts []int, begun, ended time.Time) {
+		first, last := int(begun.Sub(from)/time.Millisecond), int(ended.Sub(from)/time.Millisecond)
+		for i := max(first, 0); i < min(last, steps); i++ {
+			counts[i]++
+		}
+	}
+	running := make([]int, steps)
+	for _, entries := range c.ledgers() {
+		for _, e := range entries {
+			if e.StartedNs != 0 && e.EndedNs != 0 {
+				mark(running, time.Unix(0, e.StartedNs), time.Unix(0, e.EndedNs))
+			}
+		}
+	}
+	outstanding := make(map[jaybarrow.EntryID][]int)
+	for _, e := range c.entries {
+		outstanding[e.id] = make([]int, steps)
+	}
+	for _, t := range h.list() {
+		mark(outstanding[t.entry], t.begun, t.ended)
+	}
+	var s usableShare
+	for i := range steps {
+		all, split := 0, 0
+		for _, counts := range outstanding {
+			all += counts[i]
+			split += min(counts[i], limit/len(c.entries))
+		}
+		whole := float64(limit * steps)
+		s.measured += float64(running[i]) / whole
+		s.static += float64(split) / whole
+		s.ideal += float64(min(all, limit)) / whole
+	}
+	return s
+}
+
+// Guards against a division of the limit that strands permits when one entry host gets most of a team's requests, or when a
+// data centre is cut off. The bound is a static split.
+func TestUsableShareOfLimit(t *testing.T) {
+	t.Parallel()
+	const limit = 24
+	cases := []struct {
+		name   string
+		before func(*cluster)
+	}{
+		{"one entry host gets 80%", func(*cluster) {}},
+		{"a data centre is cut off", func(c *cluster) { c.cutOff("dc3", true) }},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			p := quickPlan(3, 1, 3, limit)
+			p.extra = "[keys]\nwhenCutOff = serve\n" // else the part that is cut off refuses keyed work after 5 s
+			c := newCluster(t, p)
+			h := &history{}
+			load := c.startLoad(h, 40, func(caller, _ int) *entryHost {
+				if caller%10 < 8 {
+					return c.entries[0]
+				}
+				return c.entries[1+caller%2]
+			}, func(caller, n int) call {
+				return call{team: "trail", queue: "match", id: jaybarrow.RequestID(fmt.Sprintf("r-%d-%d", caller, n)), run: 100 * time.Millisecond, within: patience}
+			})
+			time.Sleep(2 * time.Second)
+			test.before(c)
+			time.Sleep(3 * time.Second)
+			from := time.Now()
+			time.Sleep(5 * time.Second)
+			until := time.Now()
+			load.stop()
+			share := c.shareOf(h, limit, from, until)
+			t.Logf("%s: used %.2f of the limit, a static split %.2f, an ideal counter %.2f", test.name, share.measured, share.static, share.ideal)
+			assert.Check(t, share.measured > share.static, "%+v", share)
+			checkEveryAnswer(t, c, h)
+		})
+	}
+}
--- /dev/null
+++ b/test/e2e/silence_test.go
@@ -0,0 +1,187 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/standin/faultproxy"
+	"github.com/jaybarrow/jaybarrow/internal/standin/worker"
+	"github.com/jaybarrow/jaybarrow/pkg/client"
+)
+
+// Guards against requests that wait for connections that have gone silent while new ones work. The bound is the lease of a
+// task: a worker that is really unreachable is given up after it.
+func TestSilentConnections(t *testing.T) {
+	t.Parallel()
+	cases := map[string]func(*cluster) []*faultproxy.Proxy{
+		"between entry hosts": (*cluster).peerLinks,
+		"to workers": func(c *cluster) (all []*faultproxy.Proxy) {
+			for _, w := range c.workers {
+				all = append(all, w.proxy)
+			}
+			return all
+		},
+		"to the store": func(c *cluster) (all []*faultproxy.Proxy) {
+			for _, p := range c.stores {
+				all = append(all, p)
+			}
+			return all
+		},
+	}
+	for name, links := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := quickPlan(2, 1, 1, 14)
+			c := newCluster(t, p)
+			h := &history{}
+			n := 0
+			next := func(nonIdempotent bool) []call {
+				var calls []call
+				for range 12 { // more than the slots of one data centre, so that some are forwarded
+					n++
+					calls = append(calls, call{team: "trail", queue: "match", id: jaybarrow.RequestID(fmt.Sprintf("r-%d", n)), nonIdempotent: nonIdempotent, run: 50 * time.Millisecond})
+				}
+				return calls
+			}
+			for round := range 3 {
+				c.sendAll(h, c.entries[0], next(true))
+				freezeOpen(links(c)...)
+				for _, x := range c.sendAll(h, c.entries[0], next(false)) {
+					took := x.ended.Sub(x.begun)
+					assert.Check(t, x.kind == "", "round %d: %s: %s %s", round, x.request, x.kind, x.message)
+					assert.Check(t, took < jaybarrow.TaskLease, "round %d: %s took %s", round, x.request, took)
+				}
+			}
+			for _, x := range c.sendAll(h, c.entries[0], next(true)) {
+				assert.Check(t, x.kind == "" || x.effect != jaybarrow.EffectRan, "%+v", x)
+			}
+			checkEveryAnswer(t, c, h)
+		})
+	}
+}
+
+// Guards against a worker that fails everything and keeps getting work, or gets none after it was repaired.
+func TestFailingWorkerIsEjectedAndReturns(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, quickPlan(1, 1, 3, 20))
+	h := &history{}
+	bad := c.workers[0]
+	bad.misbehave(worker.Fault{Kind: worker.FaultFail})
+	load := c.fullLoad(h, 12, 20*time.Millisecond)
+	ejected := func(want bool) {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			host, err := c.operator(c.entries[0]).Host(context.Background(), bad.host.ID)
+			if err != nil || host.Ejected == nil || *host.Ejected != want {
+				return poll.Continue("ejected: %+v %v", host, err)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(patience), poll.WithDelay(20*time.Millisecond))
+	}
+	ejected(true)
+	from := time.Now()
+	time.Sleep(2 * time.Second)
+	bad.misbehave(worker.Fault{})
+	ejected(false)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, e := range c.ledgers()[bad.host.ID] {
+			if e.Outcome == "done" && e.StartedNs > from.UnixNano() {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("the repaired worker got no work")
+	}, poll.WithTimeout(patience))
+	load.stop()
+	all, failed := 0, 0
+	for _, x := range h.list() {
+		if x.begun.After(from) {
+			all++
+			if x.kind != "" {
+				failed++
+			}
+		}
+	}
+	// Only trial tasks reach an ejected worker, and the backoff between them grows from a second.
+	assert.Check(t, failed <= 5, "%d of %d requests failed while the worker was ejected", failed, all)
+	checkEveryAnswer(t, c, h)
+}
+
+// Guards against jobs that can never run and hold up others, or wait until their deadline although no host could run them.
+func TestJobsThatCanNeverRun(t *testing.T) {
+	t.Parallel()
+	p := quickPlan(1, 2, 1, 6)
+	c := newCluster(t, p)
+	h := &history{}
+	huge := call{team: "trail", queue: "match", id: "huge", slots: workerSlots + 1, run: time.Millisecond}
+	x := c.send(h, c.entries[0], huge)
+	assert.Check(t, x.kind == jaybarrow.KindNeverRunnable && x.effect == jaybarrow.EffectNotRun, "%+v", x)
+	refused := make(chan told, 1)
+	go func() {
+		above := call{team: "trail", queue: "match", id: "above-limit", slots: 7, run: time.Millisecond, within: 3 * time.Second}
+		refused <- c.send(h, c.entries[0], above)
+	}()
+	for _, x := range c.startCallers(h, "small", 6, 10) {
+		assert.Check(t, x.kind == "", "%s: %s %s", x.request, x.kind, x.message)
+		assert.Check(t, x.ended.Sub(x.begun) < 3*time.Second, "%s took %s", x.request, x.ended.Sub(x.begun))
+	}
+	x = <-refused
+	assert.Check(t, x.effect == jaybarrow.EffectNotRun, "%+v", x)
+	checkEveryAnswer(t, c, h)
+}
+
+// Guards against cancelled work that keeps its places or permits, whichever entry host the cancellation comes through.
+func TestWaveOfCancellations(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, quickPlan(2, 1, 2, 16))
+	h := &history{}
+	for wave := range 3 {
+		var calls []call
+		for i := range 40 {
+			calls = append(calls, call{team: "trail", queue: "match", id: jaybarrow.RequestID(fmt.Sprintf("c-%d-%d", wave, i)), nonIdempotent: i%2 == 0, run: patience, within: 2 * patience})
+		}
+		done := make(chan []told, 1)
+		go func() { done <- c.sendAll(h, c.entries[0], calls) }()
+		c.awaitRunning("too little runs", func(running []worker.Entry) bool { return len(running) >= 12 })
+		began := time.Now()
+		for i, in := range calls {
+			go func() {
+				_ = client.New(c.callers, c.entries[i%2].callers, c.keys["trail"]).Cancel(context.Background(), in.id)
+			}()
+		}
+		for _, x := range <-done {
+			assert.Check(t, x.kind == jaybarrow.KindCancelled, "%s: %s %s", x.request, x.kind, x.message)
+		}
+		for _, x := range c.startCallers(h, fmt.Sprintf("after-%d", wave), 12, 2) {
+			assert.Check(t, x.kind == "", "%s: %s %s", x.request, x.kind, x.message)
+		}
+		assert.Check(t, time.Since(began) < jaybarrow.TaskLease, "places were free only after %s", time.Since(began))
+	}
+	checkEveryAnswer(t, c, h)
+}
+
+// Guards against declared run times, ten times too long or too short, that make the system refuse or hold up work that it has
+// room for.
+func TestDeclaredRunTimesAreWrong(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, quickPlan(1, 2, 2, 12))
+	h := &history{}
+	load := c.startLoad(h, 10, func(caller, _ int) *entryHost { return c.entries[caller%2] }, func(caller, n int) call {
+		run := 50 * time.Millisecond
+		return call{
+			team: "trail", queue: "match", id: jaybarrow.RequestID(fmt.Sprintf("r-%d-%d", caller, n)), run: run,
+			declared: []time.Duration{run / 10, run * 10}[n%2], within: 5 * time.Second,
+		}
+	})
+	time.Sleep(5 * time.Second)
+	load.stop()
+	for _, x := range h.list() {
+		assert.Check(t, x.kind == "", "%s: %s %s", x.request, x.kind, x.message)
+	}
+	checkEveryAnswer(t, c, h)
+}
