Let failures of a worker fade from placement

Cause: placement gives a worker with consecutive failures no work while others have room. One with fewer failures than an ejection needs was neither ejected nor tried again: with 3 workers, 12 callers and one worker that failed everything, it got 4 tasks and then none for the rest of a minute, and would have got none after its repair. Change: consecutive failures count for placement until the first backoff has passed since the last outcome.

--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -84,7 +84,7 @@
 type Condition struct {
 	Accepting bool
 	Trial     bool          // at most one task may be placed
-	Failures  int           // consecutive
+	Failures  int           // consecutive; 0 when the last one is longer ago than the first backoff
 	Latency   time.Duration // smoothed run time of its recent tasks, not lowered by failures; 0 when unknown
 }
 
@@ -97,6 +97,11 @@
 	if h, ok := p.state.hosts[host]; ok {
 		c.Trial = c.Accepting && h.phase != phaseServing
 		c.Failures, c.Latency = h.failures, h.latency
+		// Placement gives a host with failures no work while others have room. Without an end to that, a host with too few
+		// failures to be ejected would get neither a trial nor work after it is well again.
+		if now.Sub(h.at) >= t.deps.Settings.Backoff {
+			c.Failures = 0
+		}
 	}
 	return c
 }
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -218,3 +218,12 @@
 		t.Run(c.name, func(t *testing.T) { assert.Equal(t, Classify(c.err, c.took, time.Second), c.want) })
 	}
 }
+
+// Guards against a worker with fewer failures than an ejection needs that placement avoids for ever, so that it neither gets
+// a trial nor work after it is well again.
+func TestFailuresFadeFromPlacement(t *testing.T) {
+	h, ids := newHealth(3, 0)
+	h.Observe(epoch, "desk", ids[0], OutcomeFailedQuickly, time.Millisecond)
+	assert.Equal(t, h.Condition(epoch.Add(time.Second), "desk", ids[0]).Failures, 1)
+	assert.Equal(t, h.Condition(epoch.Add(DefaultSettings().Backoff), "desk", ids[0]).Failures, 0)
+}
