--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -64,7 +65,8 @@
 	dataCentre jaybarrow.DataCentreID
 	callers    jaybarrow.Address
 	peers      jaybarrow.Address
-	settings   string // file
+	settings   string     // file
+	faulty     sync.Mutex // held while a fault stops the process
 }
 
 type workerHost struct {
