Give each process of the end-to-end tests an address of its own

Cause: addresses came from the kernel's range and were released before use, so one run gave the same address to two sockets, and clusters that start side by side could take each other's. Change: addresses come from a counter below the kernel's range. Conclusion: clusters can run in parallel.

--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,13 +111,24 @@
 	return p
 }
 
-// freeAddress returns an address that nothing listens on now.
+// nextPort is below the range from which the kernel takes ports for outgoing connections, and starts at a place that depends
+// on the process, so that neither connections nor another run of the tests take a port between its choice and its use.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(int32(10000 + os.Getpid()%200*100)) }
+
+// freeAddress returns an address that nothing listens on and that no other call returns.
 func freeAddress(t *testing.T) jaybarrow.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return jaybarrow.Address(l.Addr().String())
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return jaybarrow.Address(address)
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func (c *cluster) planEntries() {
@@ -240,7 +252,7 @@
 	c.t.Helper()
 	n := len(c.workers)
 	id := jaybarrow.HostID(fmt.Sprintf("host-%d", n+1))
-	process, addresses := startStandin(c.t, "worker", "-id", string(id), "-slots", fmt.Sprint(workerSlots))
+	process, addresses := startStandin(c.t, "worker", "-listen", string(freeAddress(c.t)), "-id", string(id), "-slots", fmt.Sprint(workerSlots))
 	w := &workerHost{process: process, direct: addresses.Listen, proxy: c.proxy(addresses.Listen)}
 	w.host = jaybarrow.Host{
 		ID: id, Pool: pool, DataCentre: dc, Rack: jaybarrow.RackID(fmt.Sprintf("%s-rack-%d", dc, n/rackHosts)),
