Keep an accepted change on the entry host that made it

Cause: an accepted change reached the copies only by the store's watches. When the store went down after it had accepted a withdrawal and before its watches delivered it, no entry host knew the withdrawal, and the key went on working for the outage. Change: operators' commands and the maintenance driver use the store through a write-through that applies what was read and written to the local copy; the peers see the newer record in the heartbeat and fetch it. Conclusion: a withdrawal that was answered as accepted survives the store as long as its entry host lives.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,7 @@
 	behind  atomic.Bool
 
 	directory   *directory.Directory
+	records     *directory.WriteThrough
 	follower    *directory.Follower
 	conditions  *platform.Conditions
 	presence    *presence.Presence
@@ -73,6 +74,7 @@
 // New returns a running entry host; it serves what it can before the platform answers.
 func New(deps Deps) *Entry {
 	e := &Entry{deps: deps, times: deps.Times.withSettings(deps.Settings), begun: deps.Clock.Now(), directory: directory.New()}
+	e.records = directory.NewWriteThrough(deps.Platform, e.directory)
 	e.journal = journal.New(deps.Clock, journalEntries)
 	e.meter = metrics.New(deps.Clock, maxTeams)
 	e.startPlatform()
@@ -165,7 +167,7 @@
 func (e *Entry) startMaintenance() {
 	d, own := e.deps, e.deps.Settings.Entry
 	e.maintenance = maintenance.New(maintenance.Deps{
-		Clock: d.Clock, Log: logging.For(d.Log, "maintenance"), Store: d.Platform, Directory: e.directory, Workers: e.workers,
+		Clock: d.Clock, Log: logging.For(d.Log, "maintenance"), Store: e.records, Directory: e.directory, Workers: e.workers,
 		Platform: d.Platform, Conditions: e.conditions, Journal: e.journal, NewChange: identity.NewChangeID,
 		DataCentre: own.DataCentre, Driving: e.drives, Settings: e.times.Maintenance,
 	})
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -17,7 +17,7 @@
 
 // commands returns the operators' commands.
 func (e *Entry) commands() httpapi.Commands {
-	records := fleet.NewRecords(e.deps.Clock, e.deps.Platform)
+	records := fleet.NewRecords(e.deps.Clock, e.records)
 	putTeam := fleet.NewPutTeam(records, identity.NewChangeID)
 	return httpapi.Commands{
 		PutTeam:     putTeam,
