Test withdrawn keys and cut-off data centres on real processes

Change: a key is withdrawn normally, with the connections or the link of one entry host to the store frozen, with every watch silent, and with the store down right after; a data centre is cut off under both settings of whenCutOff; keyed and open work goes on while the store is down. Ledgers show that no request ran for another team.

--- a/test/e2e/history_test.go
+++ b/test/e2e/history_test.go
@@ -55,6 +55,7 @@
 	run           time.Duration // the work's true run time
 	within        time.Duration
 	slots         jaybarrow.Slots
+	key           string // empty: the team's first key, and none for PublicTeam
 }
 
 // send makes the call through the entry host and notes what the caller was told.
@@ -64,7 +65,10 @@
 		echo: fmt.Sprintf("%s/%s/%d", in.team, in.id, rand.Uint64()), begun: time.Now(),
 	}
 	body, _ := json.Marshal(worker.Work{RunMs: in.run.Milliseconds(), Echo: t.echo})
-	caller := client.New(c.callers, e.callers, c.keys[in.team])
+	if in.key == "" {
+		in.key = c.keys[in.team]
+	}
+	caller := client.New(c.callers, e.callers, in.key)
 	answer, err := caller.Submit(context.Background(), client.Request{
 		Queue: in.queue, ID: in.id, NonIdempotent: in.nonIdempotent, Demand: jaybarrow.Demand{Slots: in.slots},
 		AnswerWithin: in.within, Body: body,
--- /dev/null
+++ b/test/e2e/key_test.go
@@ -0,0 +1,240 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/standin/faultproxy"
+	"github.com/jaybarrow/jaybarrow/internal/standin/store"
+	"github.com/jaybarrow/jaybarrow/pkg/client"
+)
+
+// keyPlan has one pool with a keyed and an open queue in 3 data centres.
+func keyPlan() plan {
+	return plan{
+		dataCentres: 3, entriesPerDC: 1, workersPerPool: 1, pools: []jaybarrow.PoolID{"desk"},
+		teams: map[jaybarrow.TeamID]jaybarrow.Slots{"trail": 12, "clubs": 12},
+		queues: []jaybarrow.Queue{
+			{ID: "match", Pool: "desk", Class: jaybarrow.ClassQuick, TargetMs: 10000},
+			{ID: "walkin", Pool: "desk", Class: jaybarrow.ClassQuick, TargetMs: 10000, Open: true},
+		},
+	}
+}
+
+// openFor gives callers without a key a limit, which the open queue needs.
+func (c *cluster) openFor(limit jaybarrow.Slots) {
+	c.t.Helper()
+	o := c.operator(c.entries[0])
+	team, err := o.Team(context.Background(), jaybarrow.PublicTeam)
+	assert.NilError(c.t, err)
+	changed, err := o.SetLimit(context.Background(), jaybarrow.PublicTeam, limit, team.Limit.Revision)
+	assert.NilError(c.t, err)
+	c.awaitInForce(o, changed.Revision)
+}
+
+// addKey adds a key that is known everywhere on return.
+func (c *cluster) addKey(team jaybarrow.TeamID) client.KeyAdded {
+	c.t.Helper()
+	o := c.operator(c.entries[0])
+	key, err := o.AddKey(context.Background(), team)
+	assert.NilError(c.t, err)
+	c.awaitInForce(o, key.Revision)
+	return key
+}
+
+// withdraw withdraws the key through the entry host and returns the change with the time of its answer.
+func (c *cluster) withdraw(e *entryHost, key client.KeyAdded) (client.Changed, time.Time) {
+	c.t.Helper()
+	changed, err := c.operator(e).WithdrawKey(context.Background(), key.Hash, key.Revision)
+	assert.NilError(c.t, err)
+	return changed, time.Now()
+}
+
+// probe sends short requests with the key through every entry host.
+func (c *cluster) probe(h *history, name string, key client.KeyAdded) *load {
+	return c.startLoad(h, len(c.entries), func(caller, _ int) *entryHost { return c.entries[caller] }, func(caller, n int) call {
+		time.Sleep(20 * time.Millisecond)
+		return call{
+			team: key.Team, key: key.Secret, queue: "match", id: jaybarrow.RequestID(fmt.Sprintf("%s-%d-%d", name, caller, n)),
+		}
+	})
+}
+
+// Guards against a withdrawn key that goes on working: normally, with a frozen connection to the store, with every watch of
+// the store silent, and with the store down before its watches delivered the withdrawal.
+func TestWithdrawnKeyStopsWorking(t *testing.T) {
+	cases := []struct {
+		name    string
+		before  func(c *cluster) // a fault before the withdrawal
+		after   func(c *cluster) // a fault at once after it
+		through int              // entry host that takes the withdrawal
+	}{
+		{name: "normal", through: 1},
+		{name: "frozenConnections", before: func(c *cluster) {
+			c.stores["dc2"].FreezeOpen(faultproxy.Down)
+		}},
+		{name: "frozenLink", before: func(c *cluster) {
+			_ = c.stores["dc2"].Set(faultproxy.Faults{Down: faultproxy.Path{Frozen: true}})
+		}},
+		{name: "silentWatches", before: func(c *cluster) { c.faults(store.Faults{FrozenWatches: store.FreezeAll}) }},
+		{name: "storeDownAfter", before: func(c *cluster) {
+			c.faults(store.Faults{FrozenWatches: store.FreezeOpen})
+		}, after: func(c *cluster) { c.faults(store.Faults{Outage: store.OutageRefuse}) }},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, keyPlan())
+			key := c.addKey("trail")
+			h := &history{}
+			probe := c.probe(h, x.name, key)
+			time.Sleep(time.Second)
+			if x.before != nil {
+				x.before(c)
+			}
+			_, at := c.withdraw(c.entries[x.through], key)
+			if x.after != nil {
+				x.after(c)
+			}
+			time.Sleep(inForce + 3*time.Second)
+			probe.stop()
+			assert.NilError(t, checkWithdrawn(h.list(), at.Add(inForce)))
+			assert.NilError(t, checkAll(c.ledgers(), h.list(), c.plan.teams))
+			assert.NilError(t, checkTeams(c.ledgers(), h.list()))
+		})
+	}
+}
+
+// checkWithdrawn finds a request that was taken after the time, or refused for another reason than its key.
+func checkWithdrawn(all []told, from time.Time) error {
+	taken, refused := 0, 0
+	for _, x := range all {
+		switch {
+		case x.begun.Before(from):
+			if x.kind == "" {
+				taken++
+			}
+		case x.kind == jaybarrow.KindBadKey || x.kind == jaybarrow.KindStaleConfiguration:
+			refused++
+		default:
+			return fmt.Errorf("%s through %s, begun %s after the withdrawal had to be in force, got kind %q: %s",
+				x.request, x.entry, x.begun.Sub(from), x.kind, x.message)
+		}
+	}
+	if taken == 0 || refused == 0 {
+		return fmt.Errorf("%d requests were taken before and %d refused after, so nothing was tested", taken, refused)
+	}
+	return nil
+}
+
+// checkTeams finds a task that ran for another team than the one whose key came with its request.
+func checkTeams(l ledgers, all []told) error {
+	teams := make(map[jaybarrow.RequestID]jaybarrow.TeamID)
+	for _, x := range all {
+		teams[x.request] = x.team
+	}
+	for key := range l.started() {
+		if team, known := teams[key.id]; known && team != key.team {
+			return fmt.Errorf("request %s of %s ran for %s", key.id, team, key.team)
+		}
+	}
+	return nil
+}
+
+// Guards against keyed work that stops because the store is away, and against open queues that need a key.
+func TestKeyedWorkGoesOnWithoutStore(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, keyPlan())
+	c.openFor(6)
+	h := &history{}
+	c.faults(store.Faults{Outage: store.OutageRefuse})
+	time.Sleep(time.Second)
+	load := c.startLoad(h, 9, func(caller, _ int) *entryHost { return c.entries[caller%3] }, func(caller, n int) call {
+		team := []jaybarrow.TeamID{"trail", "clubs", jaybarrow.PublicTeam}[caller/3]
+		queue := jaybarrow.QueueID("match")
+		if team == jaybarrow.PublicTeam {
+			queue = "walkin"
+		}
+		time.Sleep(20 * time.Millisecond)
+		return call{team: team, queue: queue, id: jaybarrow.RequestID(fmt.Sprintf("r-%d-%d", caller, n))}
+	})
+	time.Sleep(2 * inForce)
+	load.stop()
+	for _, x := range h.list() {
+		assert.Check(t, x.kind == "", "%s of %s through %s: %s %s", x.request, x.team, x.entry, x.kind, x.message)
+	}
+	assert.NilError(t, checkAll(c.ledgers(), h.list(), c.plan.teams))
+	assert.NilError(t, checkTeams(c.ledgers(), h.list()))
+}
+
+// Guards against a data centre that is cut off and takes keyed work on keys it cannot check, or refuses open queues, or does
+// not recover.
+func TestCutOffDataCentreRefusesKeyedWork(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, keyPlan())
+	c.openFor(6)
+	key := c.addKey("trail")
+	h := &history{}
+	probe := c.probe(h, "cut", key)
+	time.Sleep(time.Second)
+	c.cutOff("dc2", true)
+	_, at := c.withdraw(c.entries[0], key)
+	time.Sleep(inForce + time.Second)
+	probe.stop()
+	assert.NilError(t, checkWithdrawn(h.list(), at.Add(inForce)))
+	cut := c.entries[1]
+	good := c.send(h, cut, call{team: "clubs", queue: "match", id: "good"})
+	assert.Equal(t, good.kind, jaybarrow.KindStaleConfiguration, "%+v", good)
+	assert.Equal(t, good.effect, jaybarrow.EffectNotRun)
+	open := c.send(h, cut, call{team: jaybarrow.PublicTeam, queue: "walkin", id: "open"})
+	assert.Equal(t, open.kind, jaybarrow.ErrorKind(""), "%+v", open)
+	c.cutOff("dc2", false)
+	c.awaitAnswer(h, cut, call{team: "clubs", queue: "match", id: "again"})
+	assert.NilError(t, checkAll(c.ledgers(), h.list(), c.plan.teams))
+	assert.NilError(t, checkTeams(c.ledgers(), h.list()))
+}
+
+// awaitAnswer sends the call until it is answered.
+func (c *cluster) awaitAnswer(h *history, e *entryHost, in call) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		if x := c.send(h, e, in); x.kind != "" {
+			return poll.Continue("%+v", x)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
+}
+
+// Guards against a firm's choice of availability that is not followed, and against a status that calls a withdrawal in force
+// where it is not.
+func TestCutOffDataCentreServesWhenTold(t *testing.T) {
+	t.Parallel()
+	p := keyPlan()
+	p.extra = "[keys]\nwhenCutOff = serve\n"
+	c := newCluster(t, p)
+	key := c.addKey("trail")
+	h := &history{}
+	c.cutOff("dc2", true)
+	changed, _ := c.withdraw(c.entries[0], key)
+	time.Sleep(inForce + time.Second)
+	served := c.send(h, c.entries[1], call{team: "trail", key: key.Secret, queue: "match", id: "served"})
+	assert.Equal(t, served.kind, jaybarrow.ErrorKind(""), "%+v", served)
+	for _, e := range []*entryHost{c.entries[0], c.entries[2]} {
+		refused := c.send(h, e, call{team: "trail", key: key.Secret, queue: "match", id: "refused"})
+		assert.Equal(t, refused.kind, jaybarrow.KindBadKey, "%+v", refused)
+		s, err := c.operator(e).Status(context.Background(), changed.Revision)
+		assert.NilError(t, err)
+		assert.Assert(t, !s.InForce && len(s.PendingOn) == 1 && s.PendingOn[0].ID == c.entries[1].id, "%+v", s)
+	}
+	c.cutOff("dc2", false)
+	c.awaitInForce(c.operator(c.entries[0]), changed.Revision)
+	refused := c.send(h, c.entries[1], call{team: "trail", key: key.Secret, queue: "match", id: "late"})
+	assert.Equal(t, refused.kind, jaybarrow.KindBadKey, "%+v", refused)
+	assert.NilError(t, checkAll(c.ledgers(), h.list(), c.plan.teams))
+}
