Keep scheduling on a stopping entry host without a successor

Cause: a stopping entry host stopped forwarding to its own schedulers at once, also when nobody took its pools over. What it took in the linger time, in which the balancer may still send callers, was refused with handOver; so was what other entry hosts forwarded when the last two of a data centre stopped together. Change: an entry host counts itself as a scheduler until it hands its pools over; when no other entry host can run a pool, one that leaves is asked, which refuses if it has handed over. Conclusion: what is accepted during a stop is answered.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,8 +46,10 @@
 	times   Times
 	begun   time.Time
 	leaving atomic.Bool
-	fetches conc.WaitGroup
-	behind  atomic.Bool
+	// handedOver is set when a stopping entry host leaves its pools to a successor.
+	handedOver atomic.Bool
+	fetches    conc.WaitGroup
+	behind     atomic.Bool
 
 	directory   *directory.Directory
 	records     *directory.WriteThrough
@@ -160,7 +162,7 @@
 	e.peerServer = peer.NewServer(d.Clock, logging.For(d.Log, "peer"), d.Peers, e.scheduler, e.directory, e.gossip)
 	e.router = route.New(route.Deps{
 		Clock: d.Clock, Self: own.ID, DataCentre: own.DataCentre, Local: e.scheduler, Peers: e.peers, Members: e.members,
-		Ready: e.ready, DataCentres: e.roster.DataCentres, LocalLoad: e.load, Journal: e.journal,
+		Ready: e.schedules, DataCentres: e.roster.DataCentres, LocalLoad: e.load, Journal: e.journal,
 	})
 }
 
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -31,6 +31,7 @@
 	e.gossip.Announce(ctx)
 	var failed error
 	if e.hasSuccessor() {
+		e.handedOver.Store(true)
 		failed = e.scheduler.Drain(ctx)
 	}
 	err := errors.Join(failed, e.closeFrontEnds(ctx))
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -13,9 +13,15 @@
 	"github.com/jaybarrow/jaybarrow/internal/settings"
 )
 
-// ready reports whether this entry host schedules: it is registered, has a configuration and does not leave.
-func (e *Entry) ready() bool {
-	return !e.leaving.Load() && closed(e.presence.Ready()) && closed(e.follower.Ready()) && !closed(e.presence.Fenced())
+// ready reports whether this entry host is a candidate for scheduling: it is registered, has a configuration and does not
+// leave.
+func (e *Entry) ready() bool { return !e.leaving.Load() && e.registered() }
+
+// schedules reports whether the local schedulers take requests, which they do while leaving without a successor.
+func (e *Entry) schedules() bool { return !e.handedOver.Load() && e.registered() }
+
+func (e *Entry) registered() bool {
+	return closed(e.presence.Ready()) && closed(e.follower.Ready()) && !closed(e.presence.Fenced())
 }
 
 func closed(c <-chan struct{}) bool {
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -62,12 +62,14 @@
 func (m *Members) Get(id jaybarrow.EntryID) (State, bool) { return m.states.Get(id) }
 
 // Live reports whether the state was heard recently and does not say that the entry host leaves.
-func (m *Members) Live(now time.Time, s State) bool {
+func (m *Members) Live(now time.Time, s State) bool { return !s.Leaving && m.heard(now, s) }
+
+func (m *Members) heard(now time.Time, s State) bool {
 	limit := m.timeouts.Far
 	if s.DataCentre == m.dataCentre {
 		limit = m.timeouts.Near
 	}
-	return !s.Leaving && now.Sub(s.Heard) <= limit
+	return now.Sub(s.Heard) <= limit
 }
 
 // LiveStates returns the states of the other live entry hosts, in order of id.
@@ -90,6 +92,18 @@
 	return rendezvous.Owner(string(pool), candidates)
 }
 
+// LeavingOwner returns an entry host of the data centre that leaves and was heard recently; one without a successor still
+// schedules its pools.
+func (m *Members) LeavingOwner(now time.Time, pool jaybarrow.PoolID, dataCentre jaybarrow.DataCentreID, avoid map[jaybarrow.EntryID]bool) (jaybarrow.EntryID, bool) {
+	var candidates []jaybarrow.EntryID
+	for _, s := range m.Known() {
+		if s.DataCentre == dataCentre && s.Leaving && m.heard(now, s) && !avoid[s.ID] {
+			candidates = append(candidates, s.ID)
+		}
+	}
+	return rendezvous.Owner(string(pool), candidates)
+}
+
 // Relay returns the entry host that exchanges heartbeats with other data centres for the data centre.
 func (m *Members) Relay(now time.Time, dataCentre jaybarrow.DataCentreID) (jaybarrow.EntryID, bool) {
 	var candidates []jaybarrow.EntryID
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -29,7 +29,7 @@
 	Local      jaybarrow.Runner
 	Peers      Forwarder
 	Members    *member.Members
-	// Ready reports whether the local schedulers take requests.
+	// Ready reports whether the local schedulers take requests, also while this entry host leaves.
 	Ready func() bool
 	// DataCentres returns the data centres in which the pool has hosts.
 	DataCentres func(pool jaybarrow.PoolID) []jaybarrow.DataCentreID
@@ -156,12 +156,26 @@
 	return r.deps.Peers.Submit(ctx, state.PeerAddress, request)
 }
 
-// options lists the data centres that can run the pool's work, with their owners and loads.
+// options lists the data centres that can run the pool's work, with their owners and loads. Entry hosts that leave are asked
+// only when no other can run it: the last ones of a data centre finish their queues themselves.
 func (r *Router) options(pool jaybarrow.PoolID, avoid map[jaybarrow.EntryID]bool) []Option {
 	now, ready := r.deps.Clock.Now(), r.deps.Ready()
+	options := r.owners(pool, func(dc jaybarrow.DataCentreID) (jaybarrow.EntryID, bool) {
+		return r.deps.Members.Owner(now, pool, dc, ready, avoid)
+	})
+	if len(options) > 0 {
+		return options
+	}
+	return r.owners(pool, func(dc jaybarrow.DataCentreID) (jaybarrow.EntryID, bool) {
+		return r.deps.Members.LeavingOwner(now, pool, dc, avoid)
+	})
+}
+
+// owners lists the data centres of the pool for which find returns an owner.
+func (r *Router) owners(pool jaybarrow.PoolID, find func(jaybarrow.DataCentreID) (jaybarrow.EntryID, bool)) []Option {
 	var options []Option
 	for _, dc := range r.deps.DataCentres(pool) {
-		owner, ok := r.deps.Members.Owner(now, pool, dc, ready, avoid)
+		owner, ok := find(dc)
 		if !ok {
 			continue
 		}
