Test stops without an easy successor on real processes

Cause: only stops with a successor in the data centre were tested. Change: the only entry host of a data centre stops, both of two stop at once, and a pool's scheduler stops while the store is down, with queued and forwarded requests, requests that arrive before the balancer notices, and tasks that outlast the task lease; a second SIGTERM and a passed grace time end the process with code 1.

--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -34,7 +34,8 @@
 type plan struct {
 	dataCentres    int
 	entriesPerDC   int
-	workersPerPool int // in each data centre
+	workersPerPool int // in each data centre that has workers
+	workersIn      int // number of data centres with workers, the first ones; 0 means all
 	pools          []jaybarrow.PoolID
 	teams          map[jaybarrow.TeamID]jaybarrow.Slots // limits
 	queues         []jaybarrow.Queue
@@ -213,6 +214,9 @@
 		_, err := o.PutPool(ctx, jaybarrow.Pool{ID: id, MaxUnavailable: max(1, c.plan.budget)}, 0)
 		assert.NilError(c.t, err)
 		for i := range c.plan.dataCentres {
+			if c.plan.workersIn > 0 && i >= c.plan.workersIn {
+				break
+			}
 			for range c.plan.workersPerPool {
 				c.startWorker(o, id, dataCentre(i))
 			}
--- /dev/null
+++ b/test/e2e/stop_faults_test.go
@@ -0,0 +1,158 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/standin/store"
+)
+
+// stopPlan has workers in the first of two data centres only, so that the second forwards everything.
+func stopPlan(entriesPerDC int) plan {
+	return plan{
+		dataCentres: 2, entriesPerDC: entriesPerDC, workersPerPool: 2, workersIn: 1, pools: []jaybarrow.PoolID{"desk"},
+		teams:  map[jaybarrow.TeamID]jaybarrow.Slots{"trail": 64},
+		queues: []jaybarrow.Queue{{ID: "render", Pool: "desk", Class: jaybarrow.ClassSlow, TargetMs: 600000}},
+	}
+}
+
+// longTask outlasts the linger time, the hand-over and a task lease of a stopping entry host.
+const longTask = jaybarrow.TaskLease + 2*time.Second
+
+// sendAll starts one caller for each number, which sends one call through the entry hosts in turn; wait returns after the last
+// answer.
+func (c *cluster) sendAll(h *history, n int, through []*entryHost, next func(i int) call) (wait func()) {
+	var group sync.WaitGroup
+	for i := range n {
+		group.Go(func() { c.send(h, through[i%len(through)], next(i)) })
+	}
+	return group.Wait
+}
+
+// awaitLoad waits until one scheduler of the pool reports waiting and running requests, and returns its entry host.
+func (c *cluster) awaitLoad(pool jaybarrow.PoolID) *entryHost {
+	c.t.Helper()
+	var owner *entryHost
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		for _, e := range c.entries {
+			loads, _ := c.operator(e).Loads(context.Background())
+			for _, l := range loads {
+				if l.Entry == e.id && l.Pool == pool && l.Waiting > 0 && l.Running > 0 {
+					owner = e
+					return poll.Success()
+				}
+			}
+		}
+		return poll.Continue("no scheduler has a queue")
+	}, poll.WithTimeout(patience))
+	return owner
+}
+
+// Guards against a planned stop that cuts off or refuses what was accepted, in the cases without an easy successor: the only
+// entry host of the data centre, both of two at once, and the pool's scheduler while the store is down. Requests wait on the
+// stopping scheduler, come forwarded from another data centre, and run for longer than the hand-over takes. Requests that
+// arrive before the balancer has noticed the stop count as accepted.
+func TestStopWithoutEasySuccessor(t *testing.T) {
+	cases := []struct {
+		name    string
+		entries int
+		stops   func(c *cluster, owner *entryHost) []*entryHost
+		outage  bool
+	}{
+		{"only entry host", 1, func(_ *cluster, owner *entryHost) []*entryHost { return []*entryHost{owner} }, false},
+		{"both at once", 2, func(c *cluster, _ *entryHost) []*entryHost { return c.entries[:2] }, false},
+		{"store down", 2, func(_ *cluster, owner *entryHost) []*entryHost { return []*entryHost{owner} }, true},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, stopPlan(x.entries))
+			h := &history{}
+			work := func(prefix string) func(i int) call {
+				return func(i int) call {
+					run := 500 * time.Millisecond
+					if i%8 == 0 {
+						run = longTask
+					}
+					return call{
+						team: "trail", queue: "render", id: jaybarrow.RequestID(fmt.Sprintf("%s-%d", prefix, i)),
+						nonIdempotent: !x.outage && i%3 == 0, run: run,
+					}
+				}
+			}
+			accepted := c.sendAll(h, 48, c.entries, work("before"))
+			owner := c.awaitLoad("desk")
+			if x.outage {
+				c.faults(store.Faults{Outage: store.OutageRefuse})
+			}
+			stopping := x.stops(c, owner)
+			var stops sync.WaitGroup
+			for _, e := range stopping {
+				stops.Go(func() {
+					assert.Check(t, e.stop(patience) == 0, "%s: exit code %d; log:\n%s", e.id, e.cmd.ProcessState.ExitCode(), e.log())
+				})
+			}
+			time.Sleep(200 * time.Millisecond)
+			late := c.sendAll(h, 8, stopping, work("late"))
+			stops.Wait()
+			accepted()
+			late()
+			for _, r := range h.list() {
+				assert.Check(t, r.kind == "", "%s through %s: %s %s", r.request, r.entry, r.kind, r.message)
+			}
+			assert.NilError(t, checkAll(c.ledgers(), h.list(), c.plan.teams))
+		})
+	}
+}
+
+// Guards against a stop that cannot be hurried, and against an exit code that hides that requests were cut off: a second
+// SIGTERM, and a grace time that passes.
+func TestStopBeforeTheEnd(t *testing.T) {
+	cases := []struct {
+		name, extra string
+		again       bool
+	}{
+		{"second signal", "", true},
+		{"grace passed", "[shutdown]\ngraceMs = 1500\n", false},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			p := stopPlan(1)
+			p.extra = x.extra
+			c := newCluster(t, p)
+			h := &history{}
+			wait := c.sendAll(h, 32, c.entries[:1], func(i int) call {
+				return call{team: "trail", queue: "render", id: jaybarrow.RequestID(fmt.Sprintf("r-%d", i)), nonIdempotent: true, run: 30 * time.Second}
+			})
+			e := c.awaitLoad("desk")
+			begun := time.Now()
+			e.signal(syscall.SIGTERM)
+			if x.again {
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					if response, err := c.callers.Get("http://" + string(e.callers) + "/healthz"); err == nil {
+						_ = response.Body.Close()
+						if response.StatusCode == 503 {
+							return poll.Success()
+						}
+					}
+					return poll.Continue("the first signal has no effect yet")
+				}, poll.WithTimeout(patience))
+				e.signal(syscall.SIGTERM)
+			}
+			<-e.exited
+			assert.Equal(t, e.cmd.ProcessState.ExitCode(), 1, "%s", e.log())
+			assert.Assert(t, time.Since(begun) < 20*time.Second, "the stop waited for the tasks")
+			wait()
+			assert.NilError(t, checkAll(c.ledgers(), h.list(), c.plan.teams))
+		})
+	}
+}
