--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,10 +46,13 @@
 	times   Times
 	begun   time.Time
 	leaving atomic.Bool
-	fetches conc.WaitGroup
-	behind  atomic.Bool
+	// handedOver is set when a stopping entry host leaves its pools to a successor.
+	handedOver atomic.Bool
+	fetches    conc.WaitGroup
+	behind     atomic.Bool
 
 	directory   *directory.Directory
+	records     *directory.WriteThrough
 	follower    *directory.Follower
 	conditions  *platform.Conditions
 	presence    *presence.Presence
@@ -73,6 +76,7 @@
 // New returns a running entry host; it serves what it can before the platform answers.
 func New(deps Deps) *Entry {
 	e := &Entry{deps: deps, times: deps.Times.withSettings(deps.Settings), begun: deps.Clock.Now(), directory: directory.New()}
+	e.records = directory.NewWriteThrough(deps.Platform, e.directory)
 	e.journal = journal.New(deps.Clock, journalEntries)
 	e.meter = metrics.New(deps.Clock, maxTeams)
 	e.startPlatform()
@@ -159,14 +163,14 @@
 	e.peerServer = peer.NewServer(d.Clock, logging.For(d.Log, "peer"), d.Peers, e.scheduler, e.directory, e.gossip)
 	e.router = route.New(route.Deps{
 		Clock: d.Clock, Self: own.ID, DataCentre: own.DataCentre, Local: e.scheduler, Peers: e.peers, Members: e.members,
-		Ready: e.ready, DataCentres: e.roster.DataCentres, LocalLoad: e.scheduler.Load, Journal: e.journal,
+		Ready: e.schedules, DataCentres: e.roster.DataCentres, LocalLoad: e.scheduler.Load, Journal: e.journal,
 	})
 }
 
 func (e *Entry) startMaintenance() {
 	d, own := e.deps, e.deps.Settings.Entry
 	e.maintenance = maintenance.New(maintenance.Deps{
-		Clock: d.Clock, Log: logging.For(d.Log, "maintenance"), Store: d.Platform, Directory: e.directory, Workers: e.workers,
+		Clock: d.Clock, Log: logging.For(d.Log, "maintenance"), Store: e.records, Directory: e.directory, Workers: e.workers,
 		Platform: d.Platform, Conditions: e.conditions, Journal: e.journal, NewChange: identity.NewChangeID,
 		DataCentre: own.DataCentre, Driving: e.drives, Settings: e.times.Maintenance,
 	})
--- a/internal/maintenance/fleet_test.go
+++ b/internal/maintenance/fleet_test.go
@@ -28,6 +28,7 @@
 	begun    time.Time
 	booted   map[jaybarrow.HostID]time.Time
 	draining map[jaybarrow.HostID]bool
+	fences   map[jaybarrow.HostID]jaybarrow.Revision
 	down     map[string]bool
 	reboots  map[jaybarrow.HostID]int
 	log      *writes
@@ -38,7 +39,8 @@
 	f := &fleet{
 		core: store.NewCore(jaybarrow.SystemClock{}), begun: time.Now().Add(-time.Hour),
 		booted: make(map[jaybarrow.HostID]time.Time), draining: make(map[jaybarrow.HostID]bool),
-		down: make(map[string]bool), reboots: make(map[jaybarrow.HostID]int), log: &writes{},
+		fences: make(map[jaybarrow.HostID]jaybarrow.Revision),
+		down:   make(map[string]bool), reboots: make(map[jaybarrow.HostID]int), log: &writes{},
 	}
 	for _, p := range pools {
 		f.put(t, jaybarrow.PoolKey(p), jaybarrow.Pool{ID: p, MaxUnavailable: budget})
@@ -80,9 +82,13 @@
 	}, nil
 }
 
-func (f *fleet) SetDraining(_ context.Context, h jaybarrow.Host, draining bool) error {
+func (f *fleet) SetDraining(_ context.Context, h jaybarrow.Host, draining bool, fence jaybarrow.Revision) error {
 	f.Lock()
 	defer f.Unlock()
+	if fence < f.fences[h.ID] {
+		return jaybarrow.Errorf(jaybarrow.KindConflict, "a later command was taken")
+	}
+	f.fences[h.ID] = fence
 	f.draining[h.ID] = draining
 	return nil
 }
--- a/internal/maintenance/manager.go
+++ b/internal/maintenance/manager.go
@@ -90,7 +90,8 @@
 func (m *Manager) round() bool {
 	active := false
 	var steps conc.WaitGroup
-	m.deps.Directory.Drains.Each(func(id jaybarrow.PoolID, record jaybarrow.PoolDrains) {
+	m.deps.Directory.Drains.EachVersioned(func(id jaybarrow.PoolID, v directory.Versioned[jaybarrow.PoolDrains]) {
+		record := v.Value
 		if len(record.Drains) == 0 && len(record.Pending) == 0 {
 			return
 		}
@@ -100,7 +101,7 @@
 		}
 		for _, d := range record.Drains {
 			if host, ok := m.deps.Directory.Hosts.Get(d.Host); !ok || host.DataCentre == m.deps.DataCentre {
-				steps.Go(func() { m.step(id, host, d) })
+				steps.Go(func() { m.step(job{pool: id, host: host, drain: d, seen: v.Revision}) })
 			}
 		}
 		if len(record.Pending) > 0 {
--- a/internal/maintenance/steps.go
+++ b/internal/maintenance/steps.go
@@ -9,50 +9,58 @@
 	"github.com/jaybarrow/jaybarrow/internal/drain"
 )
 
+// job is a drain as a round saw it.
+type job struct {
+	pool  jaybarrow.PoolID
+	host  jaybarrow.Host
+	drain jaybarrow.Drain
+	seen  jaybarrow.Revision // of the pool's drains; fences the commands to the worker
+}
+
 // step carries one drain on by at most one phase; what fails is tried again in the next round.
-func (m *Manager) step(pool jaybarrow.PoolID, host jaybarrow.Host, d jaybarrow.Drain) {
+func (m *Manager) step(j job) {
 	ctx, cancel := context.WithTimeout(m.ctx, m.deps.Settings.CallTimeout)
 	defer cancel()
-	err := m.advance(ctx, pool, host, d)
+	err := m.advance(ctx, j)
 	if err != nil && !jaybarrow.IsKind(err, jaybarrow.KindConflict) {
-		m.deps.Log.Warn().Err(err).Str("host", string(d.Host)).Str("phase", string(d.Phase)).Msg("drain step failed; trying again")
+		m.deps.Log.Warn().Err(err).Str("host", string(j.drain.Host)).Str("phase", string(j.drain.Phase)).Msg("drain step failed; trying again")
 	}
 }
 
-func (m *Manager) advance(ctx context.Context, pool jaybarrow.PoolID, host jaybarrow.Host, d jaybarrow.Drain) error {
-	if host.ID == "" || m.deps.Conditions.Condition(string(d.Host)) == jaybarrow.HostGone {
-		return m.remove(ctx, pool, d, "the host is gone")
+func (m *Manager) advance(ctx context.Context, j job) error {
+	if j.host.ID == "" || m.deps.Conditions.Condition(string(j.drain.Host)) == jaybarrow.HostGone {
+		return m.remove(ctx, j, "the host is gone")
 	}
-	switch d.Phase {
+	switch j.drain.Phase {
 	case jaybarrow.PhaseDraining:
-		return m.empty(ctx, pool, host, d)
+		return m.empty(ctx, j)
 	case jaybarrow.PhaseDrained:
-		return m.fulfil(ctx, pool, host, d)
+		return m.fulfil(ctx, j)
 	case jaybarrow.PhaseRebooting:
-		return m.awaitReboot(ctx, pool, host, d)
+		return m.awaitReboot(ctx, j)
 	default:
-		if err := m.deps.Workers.SetDraining(ctx, host, false); err != nil {
+		if err := m.deps.Workers.SetDraining(ctx, j.host, false, j.seen); err != nil {
 			return err
 		}
-		return m.remove(ctx, pool, d, "the worker accepts work again")
+		return m.remove(ctx, j, "the worker accepts work again")
 	}
 }
 
 // empty makes the worker refuse new tasks and waits until none runs; past the patience it asks for checkpoints, and never
 // stops a task.
-func (m *Manager) empty(ctx context.Context, pool jaybarrow.PoolID, host jaybarrow.Host, d jaybarrow.Drain) error {
-	status, err := m.refuseTasks(ctx, host)
+func (m *Manager) empty(ctx context.Context, j job) error {
+	status, err := m.refuseTasks(ctx, j)
 	if err != nil {
 		return err
 	}
-	if len(status.Running) == 0 {
-		return m.phase(ctx, pool, d, jaybarrow.PhaseDrained, "no task runs")
+	if status.Empty() {
+		return m.phase(ctx, j, jaybarrow.PhaseDrained, "no task runs")
 	}
-	if m.since(d) < m.deps.Settings.Patience {
+	if m.since(j.drain) < m.deps.Settings.Patience {
 		return nil
 	}
 	for _, id := range status.Running {
-		if err := m.deps.Workers.Checkpoint(ctx, host, id); err != nil {
+		if err := m.deps.Workers.Checkpoint(ctx, j.host, id); err != nil {
 			m.deps.Log.Debug().Err(err).Str("task", string(id)).Msg("task cannot be checkpointed; waiting for its end")
 		}
 	}
@@ -60,30 +68,30 @@
 }
 
 // refuseTasks makes the worker refuse new tasks and returns what it still runs.
-func (m *Manager) refuseTasks(ctx context.Context, host jaybarrow.Host) (jaybarrow.WorkerStatus, error) {
-	if err := m.deps.Workers.SetDraining(ctx, host, true); err != nil {
+func (m *Manager) refuseTasks(ctx context.Context, j job) (jaybarrow.WorkerStatus, error) {
+	if err := m.deps.Workers.SetDraining(ctx, j.host, true, j.seen); err != nil {
 		return jaybarrow.WorkerStatus{}, err
 	}
-	return m.deps.Workers.Status(ctx, host)
+	return m.deps.Workers.Status(ctx, j.host)
 }
 
 // fulfil does what the host was drained for, after asking the worker once more: a driver of an earlier drain that was paused
 // may have made it accept tasks again.
-func (m *Manager) fulfil(ctx context.Context, pool jaybarrow.PoolID, host jaybarrow.Host, d jaybarrow.Drain) error {
-	if status, err := m.refuseTasks(ctx, host); err != nil || len(status.Running) > 0 {
+func (m *Manager) fulfil(ctx context.Context, j job) error {
+	if status, err := m.refuseTasks(ctx, j); err != nil || !status.Empty() {
 		return err
 	}
-	switch d.Purpose {
+	switch j.drain.Purpose {
 	case jaybarrow.PurposeMove:
-		if err := m.moveHost(ctx, d.Host, pool, d.MoveTo); err != nil {
+		if err := m.moveHost(ctx, j.drain.Host, j.pool, j.drain.MoveTo); err != nil {
 			return err
 		}
-		return m.phase(ctx, pool, d, jaybarrow.PhaseReturning, "moved to pool "+string(d.MoveTo))
+		return m.phase(ctx, j, jaybarrow.PhaseReturning, "moved to pool "+string(j.drain.MoveTo))
 	case jaybarrow.PurposeReboot:
-		if err := m.phase(ctx, pool, d, jaybarrow.PhaseRebooting, "reboot requested"); err != nil {
+		if err := m.phase(ctx, j, jaybarrow.PhaseRebooting, "reboot requested"); err != nil {
 			return err
 		}
-		return m.deps.Platform.Reboot(ctx, d.Host)
+		return m.deps.Platform.Reboot(ctx, j.drain.Host)
 	default:
 		return nil
 	}
@@ -91,17 +99,17 @@
 
 // awaitReboot waits until the worker has restarted since the phase began. The platform's list may still be from before the
 // reboot, so the worker's own clock decides.
-func (m *Manager) awaitReboot(ctx context.Context, pool jaybarrow.PoolID, host jaybarrow.Host, d jaybarrow.Drain) error {
-	status, err := m.deps.Workers.Status(ctx, host)
+func (m *Manager) awaitReboot(ctx context.Context, j job) error {
+	status, err := m.deps.Workers.Status(ctx, j.host)
 	if err != nil {
 		return nil // it is rebooting
 	}
-	elapsed := m.since(d)
+	elapsed := m.since(j.drain)
 	if time.Duration(status.Clock)*time.Millisecond < elapsed {
-		return m.phase(ctx, pool, d, jaybarrow.PhaseReturning, "the worker has restarted")
+		return m.phase(ctx, j, jaybarrow.PhaseReturning, "the worker has restarted")
 	}
 	if elapsed > m.deps.Settings.RebootAgain && elapsed%m.deps.Settings.RebootAgain < m.deps.Settings.Interval {
-		return m.deps.Platform.Reboot(ctx, d.Host)
+		return m.deps.Platform.Reboot(ctx, j.drain.Host)
 	}
 	return nil
 }
@@ -110,22 +118,22 @@
 	return m.deps.Clock.Now().Sub(time.UnixMilli(d.PhaseMs))
 }
 
-func (m *Manager) phase(ctx context.Context, pool jaybarrow.PoolID, d jaybarrow.Drain, to jaybarrow.DrainPhase, reason string) error {
-	_, err := m.change(ctx, pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
-		return drain.Advance(record, d, to, m.deps.Clock.Now())
+func (m *Manager) phase(ctx context.Context, j job, to jaybarrow.DrainPhase, reason string) error {
+	_, err := m.change(ctx, j.pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
+		return drain.Advance(record, j.drain, to, m.deps.Clock.Now())
 	})
 	if err == nil {
-		m.note(jaybarrow.SubjectHost, string(d.Host), fmt.Sprintf("drain is %s", to), reason)
+		m.note(jaybarrow.SubjectHost, string(j.drain.Host), fmt.Sprintf("drain is %s", to), reason)
 	}
 	return err
 }
 
-func (m *Manager) remove(ctx context.Context, pool jaybarrow.PoolID, d jaybarrow.Drain, reason string) error {
-	_, err := m.change(ctx, pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
-		return drain.Remove(record, d, m.deps.Clock.Now())
+func (m *Manager) remove(ctx context.Context, j job, reason string) error {
+	_, err := m.change(ctx, j.pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
+		return drain.Remove(record, j.drain, m.deps.Clock.Now())
 	})
 	if err == nil {
-		m.note(jaybarrow.SubjectHost, string(d.Host), "drain ended", reason)
+		m.note(jaybarrow.SubjectHost, string(j.drain.Host), "drain ended", reason)
 	}
 	return err
 }
--- a/internal/member/freshness.go
+++ b/internal/member/freshness.go
@@ -22,8 +22,9 @@
 }
 
 // Fresh reports whether a withdrawal accepted more than limit ago would be known here: the store or a live peer proved the
-// configuration current within limit, or an entry host of every other data centre is live and none has had store contact
-// for limit, in which case no withdrawal can have been accepted. dataCentres lists all and is called only when it matters.
+// configuration current within limit, or every other data centre is reached and no entry host had store contact within limit
+// when it was last heard, in which case no withdrawal can have been accepted. A peer that had contact when it was last heard
+// may have it still. dataCentres lists all and is called only when it matters.
 func (m *Members) Fresh(now time.Time, own Own, limit time.Duration, dataCentres func() []jaybarrow.DataCentreID) bool {
 	if confirmedWithin(now, own.Confirmed, limit) {
 		return true
@@ -31,14 +32,11 @@
 	reached := map[jaybarrow.DataCentreID]bool{m.dataCentre: true}
 	storeSeen := false
 	for _, s := range m.LiveStates(now) {
-		reached[s.DataCentre] = true
-		if !confirmedWithin(now, s.Confirmed, limit) {
-			continue
-		}
-		if own.Applied >= s.Newest {
+		if confirmedWithin(now, s.Confirmed, limit) && own.Applied >= s.Newest {
 			return true
 		}
-		storeSeen = true
+		storeSeen = storeSeen || confirmedWithin(s.Heard, s.Confirmed, limit)
+		reached[s.DataCentre] = reached[s.DataCentre] || now.Sub(s.Heard) <= m.timeouts.Reach
 	}
 	if storeSeen || own.Applied == 0 {
 		return false
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -41,6 +41,12 @@
 		}, true},
 		{"store down, one data centre not reached", member.Own{Applied: 7}, []member.State{state("b1", "b", 0, time.Minute, 7)}, false},
 		{"confirming peer not heard any more", member.Own{Applied: 7}, []member.State{state("b1", "b", time.Minute, time.Second, 7)}, false},
+		{"cut off just after the peers had store contact", member.Own{Applied: 7, Confirmed: now.Add(-6 * time.Second)}, []member.State{
+			state("b1", "b", 5*time.Second, 6*time.Second, 7), state("c1", "c", 5*time.Second, 6*time.Second, 7),
+		}, false},
+		{"peers without store contact not heard lately", member.Own{Applied: 7}, []member.State{
+			state("b1", "b", 9*time.Second, time.Minute, 7), state("c1", "c", 0, time.Minute, 7),
+		}, false},
 		{"no configuration at all", member.Own{}, []member.State{state("b1", "b", 0, never, 0), state("c1", "c", 0, never, 0)}, false},
 	}
 	for _, c := range cases {
--- a/internal/member/state.go
+++ b/internal/member/state.go
@@ -32,11 +32,14 @@
 	return s.Sequence > old.Sequence
 }
 
-// Timeouts say how long an entry host counts as live after it was last heard.
+// Timeouts say for how long what was last heard of an entry host counts.
 type Timeouts struct {
-	Near time.Duration // in the own data centre
-	Far  time.Duration // in another data centre, where heartbeats take turns and pass a relay
+	Near  time.Duration // an entry host of the own data centre counts as live
+	Far   time.Duration // one of another data centre counts as live
+	Reach time.Duration // another data centre counts as reached, for freshness
 }
 
-// DefaultTimeouts are three heartbeats of one second within a data centre, and twice that through two relays.
-var DefaultTimeouts = Timeouts{Near: 3 * time.Second, Far: 6 * time.Second}
+// DefaultTimeouts are three heartbeats of one second within a data centre. A state of another data centre passes two relays
+// and is usually heard within 5 s; when a relay stops it takes longer, and a request that is forwarded to an entry host that
+// has ended is only tried again elsewhere, so it counts as live for a while.
+var DefaultTimeouts = Timeouts{Near: 3 * time.Second, Far: 15 * time.Second, Reach: 8 * time.Second}
--- a/internal/peer/told.go
+++ b/internal/peer/told.go
@@ -18,7 +18,7 @@
 // of pools; others only for where to forward work that finds no slot.
 const (
 	nearTelling = 900 * time.Millisecond
-	farTelling  = 2900 * time.Millisecond
+	farTelling  = 1900 * time.Millisecond
 )
 
 // told is what one receiver was told of each entry host.
--- a/internal/standin/worker/server.go
+++ b/internal/standin/worker/server.go
@@ -56,6 +56,13 @@
 	s.group.Wait()
 }
 
+func (s *Server) drain(ctx *fasthttp.RequestCtx, draining bool) {
+	fence, _ := strconv.ParseInt(string(ctx.Request.Header.Peek(task.HeaderFence)), 10, 64)
+	if !s.worker.SetDraining(draining, jaybarrow.Revision(fence)) {
+		ctx.SetStatusCode(fasthttp.StatusConflict)
+	}
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path, method := string(ctx.Path()), string(ctx.Method())
 	switch {
@@ -64,7 +71,7 @@
 	case path == "/ledger":
 		writeJSON(ctx, s.worker.Ledger())
 	case path == "/drain":
-		s.worker.SetDraining(method == fasthttp.MethodPost)
+		s.drain(ctx, method == fasthttp.MethodPost)
 	case strings.HasPrefix(path, "/control/"):
 		s.control(ctx, method, strings.TrimPrefix(path, "/control/"))
 	case strings.HasPrefix(path, "/tasks/"):
--- a/internal/standin/worker/usage.go
+++ b/internal/standin/worker/usage.go
@@ -60,6 +60,8 @@
 	w.Lock()
 	defer w.Unlock()
 	return jaybarrow.WorkerStatus{
-		Clock: w.Clock(), Draining: w.draining, Capacity: w.capacity, Running: w.usage.report(w.clock.Now()),
+		Clock: w.Clock(), Draining: w.draining, DrainingSince: w.drainingSince, Capacity: w.capacity,
+		Running:   w.usage.report(w.clock.Now()),
+		RunningAt: w.Clock() - jaybarrow.WorkerClock(w.usage.lag.Milliseconds()),
 	}
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -36,11 +36,14 @@
 	capacity jaybarrow.Demand
 	born     time.Time
 	draining bool
-	newest   map[jaybarrow.EntryID]jaybarrow.Incarnation
-	records  map[jaybarrow.TaskID]*record
-	answered []*record // finished tasks with a stored answer, oldest first
-	usage    usage
-	ledger   []Entry
+	// drainingSince is when draining last became true, and fence the highest one of a drain command.
+	drainingSince jaybarrow.WorkerClock
+	fence         jaybarrow.Revision
+	newest        map[jaybarrow.EntryID]jaybarrow.Incarnation
+	records       map[jaybarrow.TaskID]*record
+	answered      []*record // finished tasks with a stored answer, oldest first
+	usage         usage
+	ledger        []Entry
 }
 
 // record is all that the worker knows of one task id; it is kept for the worker's life, so an id is never started twice.
@@ -261,11 +264,18 @@
 	}
 }
 
-// SetDraining makes the worker refuse, or again accept, new tasks.
-func (w *Worker) SetDraining(draining bool) {
+// SetDraining makes the worker refuse, or again accept, new tasks; false when a command with a higher fence was taken before.
+func (w *Worker) SetDraining(draining bool, fence jaybarrow.Revision) bool {
 	w.Lock()
 	defer w.Unlock()
-	w.draining = draining
+	if fence < w.fence {
+		return false
+	}
+	if draining && !w.draining {
+		w.drainingSince = w.Clock()
+	}
+	w.draining, w.fence = draining, fence
+	return true
 }
 
 // stopAll stops every running task.
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -56,7 +56,7 @@
 		{"older incarnation", func(w *worker.Worker) {
 			w.Begin(start("first"))
 		}, func(s *worker.Start) { s.Incarnation = 4 }, worker.ReasonOldIncarnation, task.OutcomeRefused},
-		{"draining", func(w *worker.Worker) { w.SetDraining(true) }, nil, worker.ReasonDraining, task.OutcomeRefused},
+		{"draining", func(w *worker.Worker) { w.SetDraining(true, 0) }, nil, worker.ReasonDraining, task.OutcomeRefused},
 		{"full", nil, func(s *worker.Start) { s.Slots = 3 }, worker.ReasonFull, task.OutcomeRefused},
 		{"running", func(w *worker.Worker) { w.Begin(start("task")) }, nil, worker.ReasonStartedBefore, task.OutcomeRunning},
 		{"finished", func(w *worker.Worker) {
@@ -65,9 +65,9 @@
 		}, nil, worker.ReasonStartedBefore, task.OutcomeDone},
 		{"cancelled in advance", func(w *worker.Worker) { w.Cancel("task") }, nil, worker.ReasonRefusedBefore, task.OutcomeRefused},
 		{"refused in advance", func(w *worker.Worker) {
-			w.SetDraining(true)
+			w.SetDraining(true, 0)
 			w.Begin(start("task"))
-			w.SetDraining(false)
+			w.SetDraining(false, 0)
 		}, nil, worker.ReasonRefusedBefore, task.OutcomeRefused},
 	}
 	for _, c := range cases {
@@ -235,3 +235,18 @@
 	send(t, connection, method, path, headers, body...)
 	return receive(t, connection)
 }
+
+// Guards against a late command of an earlier drain that makes a worker refuse tasks for ever, and against a report from
+// before a drain that counts as empty.
+func TestDrainCommandsAreFenced(t *testing.T) {
+	w := newWorker()
+	assert.Assert(t, w.SetDraining(true, 5))
+	assert.Assert(t, w.SetDraining(false, 7))
+	assert.Assert(t, !w.SetDraining(true, 5))
+	assert.Assert(t, !w.Status().Draining)
+	w.SetUsageLag(time.Hour)
+	assert.Assert(t, w.SetDraining(true, 8))
+	assert.Assert(t, !w.Status().Empty())
+	w.SetUsageLag(0)
+	assert.Assert(t, w.Status().Empty())
+}
--- a/internal/task/client_test.go
+++ b/internal/task/client_test.go
@@ -206,7 +206,7 @@
 			})
 		}, jaybarrow.KindWorkerRefused},
 		{"draining", 64, shortLeases(), func(f *fixture) {
-			assert.NilError(f, f.client.SetDraining(context.Background(), f.host, true))
+			assert.NilError(f, f.client.SetDraining(context.Background(), f.host, true, 1))
 		}, jaybarrow.KindWorkerRefused},
 		{"older incarnation", 64, shortLeases(), func(f *fixture) {
 			newer := f.task(worker.Work{}, 5*time.Second)
--- a/internal/task/control.go
+++ b/internal/task/control.go
@@ -91,17 +91,25 @@
 }
 
 // SetDraining tells the worker to refuse, or again accept, new tasks.
-func (c *Client) SetDraining(_ context.Context, host jaybarrow.Host, draining bool) error {
+func (c *Client) SetDraining(_ context.Context, host jaybarrow.Host, draining bool, fence jaybarrow.Revision) error {
 	method := fasthttp.MethodDelete
 	if draining {
 		method = fasthttp.MethodPost
 	}
-	return c.send(host, method, "/drain", unchanged, func(response *fasthttp.Response) error {
-		if response.StatusCode() != fasthttp.StatusOK {
+	stale := false
+	err := c.send(host, method, "/drain", func(request *fasthttp.Request) {
+		request.Header.Set(HeaderFence, strconv.FormatInt(int64(fence), 10))
+	}, func(response *fasthttp.Response) error {
+		stale = response.StatusCode() == fasthttp.StatusConflict
+		if !stale && response.StatusCode() != fasthttp.StatusOK {
 			return fmt.Errorf("status %d", response.StatusCode())
 		}
 		return nil
 	})
+	if stale {
+		return jaybarrow.Errorf(jaybarrow.KindConflict, "%s has taken a later command than revision %d", host.ID, fence)
+	}
+	return err
 }
 
 // Checkpoint asks the worker to checkpoint and end the task; KindWorkerRefused means that it cannot be resumed or has
--- a/internal/task/wire.go
+++ b/internal/task/wire.go
@@ -14,6 +14,7 @@
 	HeaderIncarnation = "Entry-Incarnation"
 	HeaderClock       = "Worker-Clock" // milliseconds, on every answer of a worker
 	HeaderBoot        = "Worker-Boot"  // on every answer of a worker, and on a start: the boot whose clock it refers to
+	HeaderFence       = "Drain-Fence"  // store revision; an older drain command than the last is refused
 	HeaderOutcome     = "Task-Outcome"
 	HeaderAnswerKept  = "Task-Answer-Kept" // on a fetched result: whether the body is the stored answer
 )
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -5,13 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,7 +35,8 @@
 type plan struct {
 	dataCentres    int
 	entriesPerDC   int
-	workersPerPool int // in each data centre
+	workersPerPool int // in each data centre that has workers
+	workersIn      int // number of data centres with workers, the first ones; 0 means all
 	pools          []jaybarrow.PoolID
 	teams          map[jaybarrow.TeamID]jaybarrow.Slots // limits
 	queues         []jaybarrow.Queue
@@ -113,14 +114,24 @@
 	return p
 }
 
-// freeAddress returns an address that nothing listens on now. Every address is on a loopback IP of its own: on 127.0.0.1
-// another listener or an outgoing connection can take the port before the entry host listens, or while it restarts.
+// nextPort is below the range from which the kernel takes ports for outgoing connections, and starts at a place that depends
+// on the process, so that neither connections nor another run of the tests take a port between its choice and its use.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(int32(10000 + os.Getpid()%200*100)) }
+
+// freeAddress returns an address that nothing listens on and that no other call returns.
 func freeAddress(t *testing.T) jaybarrow.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254)))
-	assert.NilError(t, err)
-	defer l.Close()
-	return jaybarrow.Address(l.Addr().String())
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return jaybarrow.Address(address)
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func (c *cluster) planEntries() {
@@ -205,6 +216,9 @@
 		_, err := o.PutPool(ctx, jaybarrow.Pool{ID: id, MaxUnavailable: max(1, c.plan.budget)}, 0)
 		assert.NilError(c.t, err)
 		for i := range c.plan.dataCentres {
+			if c.plan.workersIn > 0 && i >= c.plan.workersIn {
+				break
+			}
 			for range c.plan.workersPerPool {
 				c.startWorker(o, id, dataCentre(i))
 			}
@@ -244,7 +258,7 @@
 	c.t.Helper()
 	n := len(c.workers)
 	id := jaybarrow.HostID(fmt.Sprintf("host-%d", n+1))
-	process, addresses := startStandin(c.t, "worker", "-id", string(id), "-slots", fmt.Sprint(workerSlots))
+	process, addresses := startStandin(c.t, "worker", "-listen", string(freeAddress(c.t)), "-id", string(id), "-slots", fmt.Sprint(workerSlots))
 	w := &workerHost{process: process, direct: addresses.Listen, proxy: c.proxy(addresses.Listen)}
 	w.host = jaybarrow.Host{
 		ID: id, Pool: pool, DataCentre: dc, Rack: jaybarrow.RackID(fmt.Sprintf("%s-rack-%d", dc, n/rackHosts)),
--- a/workers.go
+++ b/workers.go
@@ -18,12 +18,20 @@
 	Body        []byte
 }
 
-// WorkerStatus is a worker's own report; its figures lag.
+// WorkerStatus is a worker's own report; the running tasks lag.
 type WorkerStatus struct {
-	Clock    WorkerClock `json:"clock"`
-	Draining bool        `json:"draining"`
-	Running  []TaskID    `json:"running"`
-	Capacity Demand      `json:"capacity"`
+	Clock         WorkerClock `json:"clock"`
+	Draining      bool        `json:"draining"`
+	DrainingSince WorkerClock `json:"drainingSince,omitempty"`
+	Running       []TaskID    `json:"running"`
+	RunningAt     WorkerClock `json:"runningAt"` // when the tasks in Running ran
+	Capacity      Demand      `json:"capacity"`
+}
+
+// Empty reports whether the worker refuses new tasks and runs none; a list of running tasks from before it refused new ones
+// does not count.
+func (s WorkerStatus) Empty() bool {
+	return s.Draining && s.RunningAt >= s.DrainingSince && len(s.Running) == 0
 }
 
 // Workers runs tasks on workers.
@@ -35,8 +43,9 @@
 	AwaitEnd(host Host, task Task)
 	// Status asks the worker for its report.
 	Status(ctx context.Context, host Host) (WorkerStatus, error)
-	// SetDraining tells the worker to refuse, or again accept, new tasks.
-	SetDraining(ctx context.Context, host Host, draining bool) error
+	// SetDraining tells the worker to refuse, or again accept, new tasks. fence is the store's revision of the drains that the
+	// command follows from; a worker refuses a command older than one that it has taken, with KindConflict.
+	SetDraining(ctx context.Context, host Host, draining bool, fence Revision) error
 	// Checkpoint asks the worker to checkpoint and end the task, if the task can be resumed.
 	Checkpoint(ctx context.Context, host Host, task TaskID) error
 }
