--- a/internal/peer/told.go
+++ b/internal/peer/told.go
@@ -31,19 +31,20 @@
 	incarnation jaybarrow.Incarnation
 	sequence    int64
 	details     uint32
+	ready       bool
 	at          time.Time
 }
 
 func newTold() *told { return &told{members: make(map[jaybarrow.EntryID]telling)} }
 
-// news reports whether the receiver should be told the state now.
+// news reports whether the receiver should be told the state now; whether an entry host schedules is told at once.
 func (t *told) news(now time.Time, s member.State, near bool) bool {
 	last, ok := t.members[s.ID]
 	pace := farTelling
 	if near {
 		pace = nearTelling
 	}
-	return !ok || (last.sequence != s.Sequence && now.Sub(last.at) >= pace)
+	return !ok || last.ready != s.Ready || (last.sequence != s.Sequence && now.Sub(last.at) >= pace)
 }
 
 // encode returns the state as a message, brief when the receiver knows the details.
@@ -53,7 +54,7 @@
 	if ok && last.incarnation == s.Incarnation && last.details == m.Details {
 		m.Brief, m.DataCentre, m.PeerAddress, m.Loads = true, "", "", nil
 	}
-	t.members[s.ID] = telling{s.Incarnation, s.Sequence, m.Details, now}
+	t.members[s.ID] = telling{s.Incarnation, s.Sequence, m.Details, s.Ready, now}
 	return m
 }
 
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -73,6 +73,9 @@
 // maxAttempts bounds how often one request is forwarded; more than that many owners in a row do not leave or fail.
 const maxAttempts = 6
 
+// ownerPatience is how long a request waits for an owner of its pool to be heard of, such as after the last one has left.
+const ownerPatience = 10 * time.Second
+
 // retryDelay is the wait before another attempt, in which the membership can change.
 const retryDelay = 150 * time.Millisecond
 
@@ -85,9 +88,9 @@
 	}
 	defer r.placed.Delete(key)
 	effect := jaybarrow.EffectNotRun
-	avoid := make(map[jaybarrow.EntryID]bool)
-	for attempt := 1; ; attempt++ {
-		body, err := r.attempt(ctx, request, avoid)
+	tries := &attempts{avoid: make(map[jaybarrow.EntryID]bool)}
+	for {
+		body, err := r.attempt(ctx, request, tries)
 		if err == nil {
 			return body, nil
 		}
@@ -95,7 +98,7 @@
 		if e.Effect != jaybarrow.EffectNotRun {
 			effect = e.Effect
 		}
-		if attempt == maxAttempts || !again(request, e) || r.expired(request) {
+		if tries.spent(r.deps.Clock.Now()) || !again(request, e) || r.expired(request) {
 			return nil, e.WithEffect(effect)
 		}
 		r.deps.Journal.Note(jaybarrow.Subject{Kind: jaybarrow.SubjectRequest, ID: string(request.ID)}, "forwarded again", e.Message)
@@ -107,6 +110,18 @@
 	}
 }
 
+// attempts is what one request has tried.
+type attempts struct {
+	avoid     map[jaybarrow.EntryID]bool // owners that failed it
+	forwards  int
+	ownerless time.Time // since when no owner is known; zero: one is
+}
+
+// spent reports whether the request is given up.
+func (a *attempts) spent(now time.Time) bool {
+	return a.forwards >= maxAttempts || (!a.ownerless.IsZero() && now.Sub(a.ownerless) > ownerPatience)
+}
+
 // reserve notes that the request is here; it reports whether it was not.
 func (r *Router) reserve(key requestKey) bool {
 	reserved := false
@@ -135,14 +150,18 @@
 
 // attempt runs the request on the owner of its pool; an owner that fails it is avoided by the next attempt, which is harmless
 // because no limit depends on who schedules a pool.
-func (r *Router) attempt(ctx context.Context, request jaybarrow.Request, avoid map[jaybarrow.EntryID]bool) ([]byte, error) {
-	options := r.options(request.Pool, avoid)
+func (r *Router) attempt(ctx context.Context, request jaybarrow.Request, tries *attempts) ([]byte, error) {
+	options := r.options(request.Pool, tries.avoid)
 	if len(options) == 0 {
-		clear(avoid)
+		clear(tries.avoid)
+		if tries.ownerless.IsZero() {
+			tries.ownerless = r.deps.Clock.Now()
+		}
 		return nil, jaybarrow.Errorf(jaybarrow.KindHandOver, "no live entry host schedules pool %s", request.Pool)
 	}
 	option := options[Choose(options)]
-	avoid[option.Owner] = true
+	tries.avoid[option.Owner], tries.ownerless = true, time.Time{}
+	tries.forwards++
 	if option.Owner == r.deps.Self {
 		r.placed.Set(keyOf(request.Team, request.ID), "")
 		return r.deps.Local.Run(ctx, request)
