Do not say "not run" of a request that an earlier attempt ran

Cause: an idempotent request whose first attempt failed or was lost returns to the queue. When it then ended there, by its deadline, a cancellation, an eviction or a planned stop, or when its next attempt was refused, its caller was told notRun although the first attempt had run (invariant 6). Change: the waiter notes that an attempt ran or may have run, and its answer is then mayHaveRun at the least. A router tries an idempotent request that was handed over so at the next scheduler, as it does after a lost peer.

--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -113,6 +113,7 @@
 	sooner := false
 	if retried {
 		w.tried = append(w.tried, start.Host)
+		w.ran = w.ran || failure.Effect != jaybarrow.EffectNotRun
 		p.state.Return(now, start.Item, w.tried)
 		p.waiters[start.Item.ID] = w
 		b = s.decide(p, now)
--- a/internal/pool/waiter.go
+++ b/internal/pool/waiter.go
@@ -25,6 +25,8 @@
 	started bool
 	retries int
 	tried   []jaybarrow.HostID
+
+	ran bool // an earlier attempt ran or may have run; set before the request returns to the queue
 }
 
 type result struct {
@@ -42,7 +44,11 @@
 // itemID is the id under which the order knows the request.
 func (w *waiter) itemID() jaybarrow.RequestID { return jaybarrow.RequestID(w.key()) }
 
+// finish answers the request. An attempt that was not started does not undo an earlier one that ran.
 func (w *waiter) finish(body []byte, err error) {
+	if effectOf(err) == jaybarrow.EffectNotRun && w.ran {
+		err = jaybarrow.AsError(err).WithEffect(jaybarrow.EffectMayHaveRun)
+	}
 	select {
 	case w.result <- result{body, err}:
 	default:
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -120,9 +120,7 @@
 // again reports whether another owner may be tried after the error.
 func again(request jaybarrow.Request, e *jaybarrow.Error) bool {
 	switch e.Kind {
-	case jaybarrow.KindHandOver, jaybarrow.KindShuttingDown:
-		return e.Effect == jaybarrow.EffectNotRun
-	case jaybarrow.KindPeerLost:
+	case jaybarrow.KindHandOver, jaybarrow.KindShuttingDown, jaybarrow.KindPeerLost:
 		return e.Effect == jaybarrow.EffectNotRun || request.Idempotent
 	default:
 		return false
--- a/test/e2e/answers_test.go
+++ b/test/e2e/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -113,3 +114,33 @@
 	}
 	return worker.Entry{}, false
 }
+
+// Guards against a request that ran on a worker that failed it and is told "not run", because it then waits for another worker
+// until its deadline or its cancellation.
+func TestFailedAttemptIsNotToldAsNotRun(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, quickPlan(1, 1, 2, 20))
+	h := &history{}
+	busy := c.workers[1]
+	assert.NilError(t, c.workers[0].proxy.Set(cutFaults))
+	var blockers sync.WaitGroup
+	for i := range workerSlots {
+		blockers.Go(func() {
+			c.send(h, c.entries[0], call{team: "trail", queue: "match", id: jaybarrow.RequestID(fmt.Sprintf("blocker-%d", i)), nonIdempotent: true, run: 10 * time.Second})
+		})
+	}
+	c.awaitRunning("the blockers do not run", func(running []worker.Entry) bool { return len(running) == workerSlots })
+	for _, e := range c.ledgers()[busy.host.ID] {
+		assert.Assert(t, e.StartedNs != 0, "%+v", e)
+	}
+	assert.NilError(t, c.workers[0].proxy.Set(noFaults))
+	c.workers[0].misbehave(worker.Fault{Kind: worker.FaultFail, DelayMs: 200})
+	answer := make(chan told, 1)
+	go func() {
+		answer <- c.send(h, c.entries[0], call{team: "trail", queue: "match", id: "failed-first", run: time.Millisecond, within: 3 * time.Second})
+	}()
+	x := <-answer
+	assert.Check(t, x.kind != "" && x.effect != jaybarrow.EffectNotRun, "%+v", x)
+	blockers.Wait()
+	checkEveryAnswer(t, c, h)
+}
