Test maintenance under faults on real processes

Cause: invariants 1 and 2 had no test on separate processes. Change: a wave over a pool and moves by two operators run under load while answers of the store are lost, the driving entry host is killed and a rack fails. The harness plays the platform that reboots hosts. The store's log is replayed against the budgets and the drains, a porcupine model explains each host's pool by the operators' moves, and the ledgers show that no task started on a drained host or ran on a host that was rebooted.

--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -70,7 +71,10 @@
 }
 
 type workerHost struct {
+	sync.Mutex // of what follows, which a restart replaces
 	*process
+	ended  bool
+	past   []worker.Entry // ledgers of earlier processes
 	host   jaybarrow.Host
 	direct jaybarrow.Address // past the proxy
 	proxy  *faultproxy.Proxy
@@ -327,12 +331,12 @@
 	c.t.Helper()
 	all := make(map[jaybarrow.HostID][]worker.Entry)
 	for _, w := range c.workers {
-		response, err := http.Get("http://" + string(w.direct) + "/ledger")
-		assert.NilError(c.t, err)
-		var entries []worker.Entry
-		assert.NilError(c.t, json.NewDecoder(response.Body).Decode(&entries))
-		_ = response.Body.Close()
-		all[w.host.ID] = entries
+		w.Lock()
+		all[w.host.ID] = append([]worker.Entry(nil), w.past...)
+		if !w.ended {
+			all[w.host.ID] = append(all[w.host.ID], w.ledger()...)
+		}
+		w.Unlock()
 	}
 	return all
 }
--- /dev/null
+++ b/test/e2e/moves_test.go
@@ -0,0 +1,171 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// move is an operator's move of a host, or a read of the host's pool from the store when to is empty.
+type move struct {
+	host jaybarrow.HostID
+	to   jaybarrow.PoolID
+}
+
+// outcome is what a move or a read returned.
+type outcome string
+
+const (
+	moveDone    outcome = "done"
+	moveRefused outcome = "refused"
+	moveUnknown outcome = "unknown"
+)
+
+// membership is a model of each host's one pool: a move that was done took effect once, a refused one never, and one with an
+// unknown outcome perhaps.
+var membership = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		parts := make(map[jaybarrow.HostID][]porcupine.Operation)
+		for _, o := range history {
+			host := o.Input.(move).host
+			parts[host] = append(parts[host], o)
+		}
+		var list [][]porcupine.Operation
+		for _, p := range parts {
+			list = append(list, p)
+		}
+		return list
+	},
+	Init: func() []any { return []any{jaybarrow.PoolID("")} },
+	Step: func(state, input, output any) []any {
+		now, in := state.(jaybarrow.PoolID), input.(move)
+		if in.to == "" {
+			seen := output.(jaybarrow.PoolID)
+			if now == "" || now == seen {
+				return []any{seen}
+			}
+			return nil
+		}
+		switch output.(outcome) {
+		case moveDone:
+			return []any{in.to}
+		case moveRefused:
+			return []any{now}
+		default:
+			return []any{now, in.to}
+		}
+	},
+}
+
+// moves drives operators that move hosts between two pools, and records what they and a reader of the store see.
+type moves struct {
+	c       *cluster
+	begun   time.Time
+	group   sync.WaitGroup
+	stopped chan struct{}
+
+	sync.Mutex
+	history []porcupine.Operation
+	pools   map[jaybarrow.HostID]jaybarrow.PoolID // as last read from the store
+}
+
+// startMoves starts one operator through each of the entry hosts.
+func (c *cluster) startMoves(through ...*entryHost) *moves {
+	m := &moves{c: c, begun: time.Now(), stopped: make(chan struct{}), pools: make(map[jaybarrow.HostID]jaybarrow.PoolID)}
+	m.read()
+	m.group.Go(func() {
+		for !m.pause(50 * time.Millisecond) {
+			m.read()
+		}
+	})
+	for i, e := range through {
+		m.group.Go(func() {
+			for !m.pause(20 * time.Millisecond) {
+				m.moveOne(i+1, e)
+			}
+		})
+	}
+	return m
+}
+
+// pause waits; it returns true when the moves are stopped.
+func (m *moves) pause(d time.Duration) bool {
+	select {
+	case <-m.stopped:
+		return true
+	case <-time.After(d):
+		return false
+	}
+}
+
+func (m *moves) now() int64 { return int64(time.Since(m.begun)) }
+
+func (m *moves) add(client int, called, returned int64, in move, out any) {
+	m.Lock()
+	defer m.Unlock()
+	m.history = append(m.history, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: called, Return: returned})
+}
+
+// read notes the pool of each host as the store has it.
+func (m *moves) read() {
+	called := m.now()
+	last := make(map[jaybarrow.HostID]jaybarrow.PoolID)
+	for _, change := range m.c.log(jaybarrow.HostPrefix) {
+		var h jaybarrow.Host
+		_ = json.Unmarshal(change.Value, &h)
+		last[h.ID] = h.Pool
+	}
+	returned := m.now()
+	for id, pool := range last {
+		m.add(0, called, returned, move{host: id}, pool)
+	}
+	m.Lock()
+	m.pools = last
+	m.Unlock()
+}
+
+func (m *moves) pool(id jaybarrow.HostID) jaybarrow.PoolID {
+	m.Lock()
+	defer m.Unlock()
+	return m.pools[id]
+}
+
+// moveOne moves one host to the other pool and waits until it is there.
+func (m *moves) moveOne(client int, e *entryHost) {
+	host := m.c.workers[rand.N(len(m.c.workers))].host.ID
+	in := move{host: host, to: "batch"}
+	if m.pool(host) == "batch" {
+		in.to = "desk"
+	}
+	called := m.now()
+	_, err := m.c.operator(e).BeginDrain(context.Background(), host, jaybarrow.PurposeMove, in.to)
+	switch {
+	case err == nil:
+		for m.pool(host) != in.to {
+			if m.pause(20 * time.Millisecond) {
+				m.add(client, called, math.MaxInt64, in, moveUnknown)
+				return
+			}
+		}
+		m.add(client, called, m.now(), in, moveDone)
+	case jaybarrow.AsError(err).Effect == jaybarrow.EffectNotRun:
+		m.add(client, called, m.now(), in, moveRefused)
+	default:
+		m.add(client, called, math.MaxInt64, in, moveUnknown)
+	}
+}
+
+// stop ends the operators and returns the history.
+func (m *moves) stop() []porcupine.Operation {
+	close(m.stopped)
+	m.group.Wait()
+	m.read()
+	return m.history
+}
--- /dev/null
+++ b/test/e2e/platform_test.go
@@ -0,0 +1,119 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/standin/faultproxy"
+	"github.com/jaybarrow/jaybarrow/internal/standin/store"
+	"github.com/jaybarrow/jaybarrow/internal/standin/worker"
+	"github.com/jaybarrow/jaybarrow/internal/task"
+)
+
+// fetch reads JSON from a stand-in.
+func fetch[T any](t *testing.T, address jaybarrow.Address, path string) T {
+	t.Helper()
+	var value T
+	response, err := http.Get("http://" + string(address) + path)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&value))
+	return value
+}
+
+// log returns the store's accepted writes below the prefix.
+func (c *cluster) log(prefix jaybarrow.Key) []store.Change {
+	c.t.Helper()
+	return fetch[[]store.Change](c.t, c.control, "/control/log?prefix="+string(prefix))
+}
+
+// ledger returns the ledger of the current process.
+func (w *workerHost) ledger() []worker.Entry {
+	w.t.Helper()
+	return fetch[[]worker.Entry](w.t, w.direct, "/ledger")
+}
+
+// end ends the worker's process, if it runs, and returns the tasks that ran. The proxy is closed first, so that no task starts after the
+// ledger was read.
+func (w *workerHost) end() (running []jaybarrow.TaskID) {
+	w.Lock()
+	defer w.Unlock()
+	if w.ended {
+		return nil
+	}
+	w.ended = true
+	assert.Check(w.t, w.proxy.Set(faultproxy.Faults{Refuse: true}))
+	w.proxy.Cut()
+	for _, e := range w.ledger() {
+		if e.Outcome == task.OutcomeRunning {
+			running = append(running, e.Task)
+			e.EndedNs = time.Now().UnixNano()
+		}
+		w.past = append(w.past, e)
+	}
+	w.kill()
+	return running
+}
+
+// begin starts the worker again on its address, unless it runs.
+func (w *workerHost) begin() {
+	w.Lock()
+	defer w.Unlock()
+	if !w.ended {
+		return
+	}
+	w.ended = false
+	w.process, _ = startStandin(w.t, "worker", "-listen", string(w.direct), "-id", string(w.host.ID), "-slots", fmt.Sprint(workerSlots))
+	assert.Check(w.t, w.proxy.Set(faultproxy.Faults{}))
+}
+
+// platform plays the part of the platform that reboots hosts.
+type platform struct {
+	sync.WaitGroup
+	stopped chan struct{}
+	cutOff  []jaybarrow.TaskID // tasks that ran on a host when it was rebooted
+	reboots int
+}
+
+// playPlatform restarts the worker of each host for which a reboot is requested; the store's stand-in sets the condition.
+func (c *cluster) playPlatform() *platform {
+	p := &platform{stopped: make(chan struct{})}
+	p.Go(func() {
+		for {
+			requested := fetch[[]store.Reboot](c.t, c.control, "/control/reboots")
+			for ; p.reboots < len(requested); p.reboots++ {
+				w := c.worker(requested[p.reboots].Host)
+				p.cutOff = append(p.cutOff, w.end()...)
+				w.begin()
+			}
+			select {
+			case <-p.stopped:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	})
+	return p
+}
+
+func (p *platform) stop() {
+	close(p.stopped)
+	p.Wait()
+}
+
+func (c *cluster) worker(id jaybarrow.HostID) *workerHost {
+	for _, w := range c.workers {
+		if w.host.ID == id {
+			return w
+		}
+	}
+	c.t.Errorf("no worker %s", id)
+	return nil
+}
--- a/test/e2e/stop_test.go
+++ b/test/e2e/stop_test.go
@@ -18,13 +18,18 @@
 	stopped atomic.Bool
 }
 
+// refusedPause keeps a caller that is refused at once from spinning.
+const refusedPause = 20 * time.Millisecond
+
 // startLoad starts callers that each send one call after the other through the entry host that pick chooses.
 func (c *cluster) startLoad(h *history, callers int, pick func(caller, n int) *entryHost, next func(caller, n int) call) *load {
 	l := &load{}
 	for i := range callers {
 		l.group.Go(func() {
 			for n := 0; !l.stopped.Load(); n++ {
-				c.send(h, pick(i, n), next(i, n))
+				if c.send(h, pick(i, n), next(i, n)).kind != "" {
+					time.Sleep(refusedPause)
+				}
 			}
 		})
 	}
