Do not take a stale read-back for a lost race

Cause: when a change's answer was lost and the store then answered from a revision older than the one the change was made from, the operator who had won got conflict. Change: a read-back that is not newer than the change's revision settles nothing and is repeated. TestStaleReadBack failed before with conflict. Conclusion: only a newer record of somebody else makes a change lose.

--- a/internal/command/fleet/commands_test.go
+++ b/internal/command/fleet/commands_test.go
@@ -26,6 +26,9 @@
 	drop   int    // answers to lose
 	apply  bool   // whether a write with a lost answer takes effect
 	after  func() // runs after a lost write, before its outcome is read back
+	stale  int    // reads after a lost write that are answered from pastBy revisions ago
+	pastBy jaybarrow.Revision
+	behind bool // whether a write was lost
 	writes atomic.Int64
 }
 
@@ -41,9 +44,20 @@
 	if l.after != nil {
 		l.after()
 	}
+	l.behind = true
 	return 0, jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "the answer was lost")
 }
 
+// Get reads, from before the last change while stale reads are left.
+func (l *lossy) Get(c context.Context, key jaybarrow.Key) (jaybarrow.Record, error) {
+	if !l.behind || l.stale == 0 {
+		return l.Core.Get(c, key)
+	}
+	l.stale--
+	past, _ := l.Core.Past(l.pastBy, func(k jaybarrow.Key) bool { return k == key })
+	return past[0], nil
+}
+
 func (l *lossy) CompareAndSwap(c context.Context, key jaybarrow.Key, previous jaybarrow.Revision, value []byte, lease jaybarrow.LeaseID) (jaybarrow.Revision, error) {
 	return l.lose(func() (jaybarrow.Revision, error) { return l.Core.CompareAndSwap(c, key, previous, value, lease) })
 }
@@ -95,6 +109,19 @@
 	assert.Assert(t, strings.Contains(err.Error(), part), "%v", err)
 }
 
+// Guards against a change that took effect and is answered as lost to another, because the store answered the read-back from
+// an older revision.
+func TestStaleReadBack(t *testing.T) {
+	l, records := newStore()
+	seed(t, l, jaybarrow.TeamKey("trail"), jaybarrow.Team{ID: "trail", Share: 1})
+	first := seed(t, l, jaybarrow.TeamKey("trail"), jaybarrow.Team{ID: "trail", Share: 2})
+	// Two revisions before the lost write is the one before the record that the change was made from.
+	l.drop, l.apply, l.stale, l.pastBy = 1, true, 2, 2
+	changed, err := fleet.NewSetShare(records).Handle(ctx, fleet.SetShare{Team: "trail", Share: 3, Revision: first})
+	assert.NilError(t, err)
+	assert.Assert(t, changed.Revision > first)
+}
+
 // Guards against a merge of two changes, and against a loser that is not told the current revision.
 func TestLoserOfARaceGetsTheCurrentRevision(t *testing.T) {
 	_, records := newStore()
--- a/internal/command/fleet/records.go
+++ b/internal/command/fleet/records.go
@@ -78,8 +78,9 @@
 		switch {
 		case err != nil:
 			continue
-		case record.Revision == previous || (record.Deleted && previous == 0):
-			// The write may still be on its way, so this is not yet a definite answer.
+		case record.Revision <= previous || (record.Deleted && previous == 0):
+			// The write may still be on its way, or the store may answer from an older replica, so this is not yet a definite
+			// answer.
 			continue
 		case written(record):
 			return record.Revision, nil
