Test that an accepted configuration is in force everywhere and never reverts

Change: each entry host's answers are polled while changes are made, with an entry host paused across changes, frozen connections, silent watches, an outage followed by stale reads, and an entry host that starts while the store is down; three operators race from one revision, also while the store loses its answers.

--- /dev/null
+++ b/test/e2e/configuration_test.go
@@ -0,0 +1,249 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/standin/faultproxy"
+	"github.com/jaybarrow/jaybarrow/internal/standin/store"
+	"github.com/jaybarrow/jaybarrow/pkg/client"
+)
+
+// seen is a team's record as an entry host answered it.
+type seen struct {
+	entry    jaybarrow.EntryID
+	revision jaybarrow.Revision
+	share    jaybarrow.Share
+}
+
+// watcher polls a team's record at every entry host.
+type watcher struct {
+	sync.Mutex
+	group   sync.WaitGroup
+	stopped chan struct{}
+	all     []seen
+}
+
+func (c *cluster) watchTeam(team jaybarrow.TeamID) *watcher {
+	w := &watcher{stopped: make(chan struct{})}
+	hurried := &http.Client{Timeout: time.Second} // a paused entry host does not answer
+	for _, e := range c.entries {
+		w.group.Go(func() {
+			o := client.New(hurried, e.callers, operatorKey)
+			for {
+				if found, err := o.Team(context.Background(), team); err == nil {
+					w.Lock()
+					w.all = append(w.all, seen{e.id, found.Revision, found.Share})
+					w.Unlock()
+				}
+				select {
+				case <-w.stopped:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		})
+	}
+	return w
+}
+
+func (w *watcher) stop() []seen {
+	close(w.stopped)
+	w.group.Wait()
+	return w.all
+}
+
+// checkObserved finds an entry host that went back to an older record, or showed a record that the store never accepted.
+func checkObserved(all []seen, accepted map[jaybarrow.Revision]jaybarrow.Share) error {
+	last := make(map[jaybarrow.EntryID]jaybarrow.Revision)
+	for _, s := range all {
+		if share, ok := accepted[s.revision]; !ok || share != s.share {
+			return fmt.Errorf("%s showed share %v at revision %d, which was never accepted", s.entry, s.share, s.revision)
+		}
+		if s.revision < last[s.entry] {
+			return fmt.Errorf("%s went back from revision %d to %d", s.entry, last[s.entry], s.revision)
+		}
+		last[s.entry] = s.revision
+	}
+	return nil
+}
+
+// shares returns the team's share at each accepted revision.
+func (c *cluster) shares(team jaybarrow.TeamID) map[jaybarrow.Revision]jaybarrow.Share {
+	accepted := make(map[jaybarrow.Revision]jaybarrow.Share)
+	for _, change := range c.log(jaybarrow.TeamKey(team)) {
+		var t jaybarrow.Team
+		if json.Unmarshal(change.Value, &t) == nil && change.Key == jaybarrow.TeamKey(team) {
+			accepted[change.Revision] = t.Share
+		}
+	}
+	return accepted
+}
+
+// shareWriter changes one team's share, each time from the revision that the last change gave.
+type shareWriter struct {
+	c        *cluster
+	team     jaybarrow.TeamID
+	share    jaybarrow.Share
+	revision jaybarrow.Revision
+}
+
+func (c *cluster) shareWriter(team jaybarrow.TeamID) *shareWriter {
+	found, err := c.operator(c.entries[0]).Team(context.Background(), team)
+	assert.NilError(c.t, err)
+	return &shareWriter{c: c, team: team, share: found.Share, revision: found.Revision}
+}
+
+// change makes an accepted change through the entry host and returns the time of its answer.
+func (w *shareWriter) change(e *entryHost) time.Time {
+	w.c.t.Helper()
+	w.share++
+	changed, err := w.c.operator(e).SetShare(context.Background(), w.team, w.share, w.revision)
+	assert.NilError(w.c.t, err)
+	w.revision = changed.Revision
+	return time.Now()
+}
+
+// assertInForce asserts that the last change is in force everywhere within inForce of the time, by the status and by the
+// records that the entry hosts use.
+func (w *shareWriter) assertInForce(asked *entryHost, at time.Time) {
+	w.c.t.Helper()
+	poll.WaitOn(w.c.t, func(poll.LogT) poll.Result {
+		s, err := w.c.operator(asked).Status(context.Background(), w.revision)
+		if err != nil || !s.InForce {
+			return poll.Continue("%+v %v", s, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Until(at.Add(inForce))), poll.WithDelay(50*time.Millisecond))
+	for _, e := range w.c.entries {
+		found, err := w.c.operator(e).Team(context.Background(), w.team)
+		assert.NilError(w.c.t, err)
+		assert.Assert(w.c.t, found.Revision >= w.revision, "%s has revision %d, not %d", e.id, found.Revision, w.revision)
+	}
+}
+
+// Guards against a configuration that comes into force late or goes back, on entry hosts that are paused across several
+// changes, whose watch falls silent, or whose store answers from an older revision after an outage.
+func TestConfigurationNeverReverts(t *testing.T) {
+	t.Parallel()
+	p := standardPlan()
+	p.workersPerPool = 1
+	c := newCluster(t, p)
+	w := c.shareWriter("trail")
+	observed := c.watchTeam("trail")
+	for i := range 6 {
+		w.assertInForce(c.entries[(i+1)%3], w.change(c.entries[i%3]))
+	}
+
+	c.entries[1].signal(syscall.SIGSTOP)
+	for range 4 {
+		w.change(c.entries[0])
+	}
+	time.Sleep(5 * time.Second) // longer than a watch may be silent
+	c.entries[1].signal(syscall.SIGCONT)
+	w.assertInForce(c.entries[2], time.Now())
+
+	c.stores["dc2"].FreezeOpen(faultproxy.Down)
+	w.assertInForce(c.entries[0], w.change(c.entries[0]))
+	c.faults(store.Faults{FrozenWatches: store.FreezeOpen})
+	w.assertInForce(c.entries[0], w.change(c.entries[0]))
+	c.faults(store.Faults{FrozenWatches: store.FreezeAll})
+	for range 3 {
+		w.assertInForce(c.entries[0], w.change(c.entries[0]))
+	}
+
+	c.faults(store.Faults{Outage: store.OutageRefuse})
+	time.Sleep(2 * time.Second)
+	c.faults(store.Faults{StaleBy: 6, FrozenWatches: store.FreezeAll})
+	time.Sleep(6 * time.Second)
+	c.faults(store.Faults{StaleBy: 6})
+	time.Sleep(2 * time.Second)
+	c.faults(store.Faults{})
+	time.Sleep(time.Second)
+	w.assertInForce(c.entries[1], w.change(c.entries[2]))
+	assert.NilError(t, checkObserved(observed.stop(), c.shares("trail")))
+}
+
+// Guards against two winners, or none, when operators change one record from one revision through different entry hosts, also
+// while the store loses its answers.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	p := standardPlan()
+	p.workersPerPool = 1
+	c := newCluster(t, p)
+	w := c.shareWriter("trail")
+	observed := c.watchTeam("trail")
+	for round := range 40 {
+		if round == 20 {
+			c.faults(store.Faults{LostAnswers: store.LostAnswers{All: true, Prefix: jaybarrow.TeamPrefix}})
+		}
+		var racers sync.WaitGroup
+		results := make([]error, len(c.entries))
+		revisions := make([]jaybarrow.Revision, len(c.entries))
+		for i, e := range c.entries {
+			racers.Go(func() {
+				share := jaybarrow.Share(10*round + i + 1)
+				changed, err := c.operator(e).SetShare(context.Background(), "trail", share, w.revision)
+				results[i], revisions[i] = err, changed.Revision
+			})
+		}
+		racers.Wait()
+		won := 0
+		for i, err := range results {
+			if err == nil {
+				won++
+				w.revision = revisions[i]
+				continue
+			}
+			assert.Assert(t, jaybarrow.IsKind(err, jaybarrow.KindConflict), "round %d: %v", round, err)
+		}
+		assert.Equal(t, won, 1, "round %d: %v", round, results)
+	}
+	c.faults(store.Faults{})
+	w.assertInForce(c.entries[1], time.Now())
+	accepted := c.shares("trail")
+	assert.Equal(t, len(accepted), 41, "one change for each round and the creation")
+	assert.NilError(t, checkObserved(observed.stop(), accepted))
+}
+
+// Guards against an entry host that starts while the store is down and serves nothing, or an older configuration than its
+// peers have, and against one that does not catch up when the store is back.
+func TestEntryHostStartsWhileStoreIsDown(t *testing.T) {
+	t.Parallel()
+	p := standardPlan()
+	p.workersPerPool = 1
+	p.entriesPerDC = 2
+	c := newCluster(t, p)
+	w := c.shareWriter("trail")
+	w.assertInForce(c.entries[0], w.change(c.entries[0]))
+	started := c.entries[2]
+	started.kill()
+	c.faults(store.Faults{Outage: store.OutageRefuse})
+	c.startEntry(started)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		found, err := c.operator(started).Team(context.Background(), "trail")
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		if found.Revision != w.revision {
+			return poll.Error(fmt.Errorf("it serves revision %d, its peers have %d", found.Revision, w.revision))
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
+	h := &history{}
+	c.awaitAnswer(h, started, call{team: "trail", queue: "match", id: "through-the-new-one"})
+	c.faults(store.Faults{})
+	c.awaitEntry(started)
+	w.assertInForce(started, w.change(c.entries[0]))
+	assert.NilError(t, checkAll(c.ledgers(), h.list(), c.plan.teams))
+}
