Let the refusal of a large body reach its caller

Cause: the connection was closed while the caller still sent. The reset destroyed the answer, so a caller with a body of 4 MB got a broken connection, which means mayHaveRun, instead of bodyTooLarge, which means notRun. Change: a connection on which a body was refused is closed for writing at once, and altogether when the caller has stopped sending, or after 5 s. TestRefusalOfALargeBodyArrives and the end-to-end TestFaultyRequestsAreRefused failed before with 'connection reset by peer'.

--- a/internal/httpapi/fault.go
+++ b/internal/httpapi/fault.go
@@ -22,6 +22,9 @@
 // fail turns an error into its kind's answer.
 func (s *Server) fail(c fiber.Ctx, err error) error {
 	e := jaybarrow.AsError(classify(err))
+	if e.Kind == jaybarrow.KindBodyTooLarge {
+		lingerOn(c.RequestCtx().Conn())
+	}
 	id := string(c.Response().Header.Peek(HeaderRequestID))
 	return c.Status(e.Kind.Answer().Status).JSON(Fault{e.Kind, e.Effect, e.Message, jaybarrow.RequestID(id)})
 }
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -36,6 +36,7 @@
 	settings Settings
 	handlers Handlers
 	log      zerolog.Logger
+	listener *lingeringListener
 	group    conc.WaitGroup
 }
 
@@ -48,7 +49,7 @@
 
 // New returns a running Server on the listener.
 func New(log zerolog.Logger, listener net.Listener, settings Settings, handlers Handlers) *Server {
-	s := &Server{settings: settings, handlers: handlers, log: log}
+	s := &Server{settings: settings, handlers: handlers, log: log, listener: &lingeringListener{Listener: listener}}
 	s.app = fiber.New(fiber.Config{
 		BodyLimit: settings.MaxBody, ErrorHandler: s.fail, IdleTimeout: IdleTimeout, ReadTimeout: ReadTimeout,
 	})
@@ -59,7 +60,7 @@
 	s.commandRoutes(handlers.Commands)
 	s.queryRoutes(handlers.Queries)
 	s.group.Go(func() {
-		if err := s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+		if err := s.app.Listener(s.listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 			s.log.Error().Err(err).Msg("HTTP server ended")
 		}
 	})
@@ -92,5 +93,6 @@
 func (s *Server) Close(ctx context.Context) error {
 	err := s.app.ShutdownWithContext(ctx)
 	s.group.Wait()
+	s.listener.group.Wait()
 	return err
 }
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -210,6 +210,15 @@
 	assert.Equal(t, s.echo.ran.Load(), int64(0))
 }
 
+// Guards against a refusal that the caller of a large body never sees, because the connection is reset under it.
+func TestRefusalOfALargeBodyArrives(t *testing.T) {
+	s := start(t, "")
+	for range 20 {
+		_, fault := s.call(t, http.MethodPost, "/v1/queues/match/requests", strings.Repeat("b", 4<<20))
+		assert.Equal(t, fault.Kind, jaybarrow.KindBodyTooLarge)
+	}
+}
+
 // Guards against a body that runs although it is incomplete or too large.
 func TestIncompleteAndLargeBodies(t *testing.T) {
 	s := start(t, "")
