Begin no drain without a recent list of hosts

Cause: an entry host that had not read the platform's list, because it had just started or was paused while the list was unavailable, took every host for live. A drain that it began could exceed the pool's budget. Change: drains and waves begin only when the list was read within 5 s; until then operators get storeUnavailable, notRun. TestNoDrainBeginsWithoutTheList, for the manager alone and end to end, failed before: the drain began. The stand-in of the store gets the outage of the list alone. Conclusion: the budget counts hosts that are down, or no drain begins.

--- a/internal/maintenance/fleet_test.go
+++ b/internal/maintenance/fleet_test.go
@@ -29,6 +29,7 @@
 	booted   map[jaybarrow.HostID]time.Time
 	draining map[jaybarrow.HostID]bool
 	down     map[string]bool
+	unread   bool // the list of hosts has not been read
 	reboots  map[jaybarrow.HostID]int
 	log      *writes
 }
@@ -107,6 +108,15 @@
 
 func (f *fleet) GoneFor(string) (time.Duration, bool) { return 0, false }
 
+func (f *fleet) ReadAt() time.Time {
+	f.Lock()
+	defer f.Unlock()
+	if f.unread {
+		return time.Time{}
+	}
+	return time.Now()
+}
+
 func (f *fleet) Changed() <-chan struct{} { return nil }
 
 func (f *fleet) Note(jaybarrow.Subject, string, string) {}
@@ -182,7 +192,7 @@
 		Conditions: f, Journal: f, NewChange: identity.NewChangeID, DataCentre: "dc",
 		Driving: func() bool { return true },
 		Settings: maintenance.Settings{
-			Interval: 5 * time.Millisecond, CallTimeout: time.Second, Patience: time.Minute, RebootAgain: time.Second,
+			Interval: 5 * time.Millisecond, CallTimeout: time.Second, Patience: time.Minute, RebootAgain: time.Second, ListAge: time.Second,
 		},
 	})
 	t.Cleanup(func() {
--- a/internal/maintenance/manager.go
+++ b/internal/maintenance/manager.go
@@ -18,6 +18,7 @@
 	Interval    time.Duration // between two rounds while a drain is under way
 	CallTimeout time.Duration // for one step's calls
 	Patience    time.Duration // a draining host's tasks are asked for a checkpoint after this
+	ListAge     time.Duration // no drain begins when the platform's list was last read longer ago
 	RebootAgain time.Duration // a reboot is asked for again when the worker still runs after this
 }
 
@@ -26,6 +27,8 @@
 	Interval:    500 * time.Millisecond,
 	CallTimeout: 2 * time.Second,
 	Patience:    10 * time.Minute,
+	// The list is read each second; a few failed reads do not stop maintenance.
+	ListAge:     5 * time.Second,
 	RebootAgain: 30 * time.Second,
 }
 
@@ -117,9 +120,14 @@
 }
 
 // view returns the pool with its hosts as this entry host knows them; the budget is read from the store, so that a lowered
-// budget holds from the next drain on.
+// budget holds from the next drain on. It fails when the platform's list has not been read lately, as on an entry host that
+// has just started or was paused: hosts that are down would not count.
 func (m *Manager) view(ctx context.Context, pool jaybarrow.PoolID) (drain.View, error) {
 	var view drain.View
+	if m.deps.Clock.Now().Sub(m.deps.Conditions.ReadAt()) > m.deps.Settings.ListAge {
+		return view, jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "the platform's list of hosts has not been read for %s",
+			m.deps.Settings.ListAge).WithEffect(jaybarrow.EffectNotRun)
+	}
 	if _, err := read(ctx, m.deps.Store, jaybarrow.PoolKey(pool), &view.Pool); err != nil {
 		return view, err
 	}
--- a/internal/maintenance/manager_test.go
+++ b/internal/maintenance/manager_test.go
@@ -75,6 +75,30 @@
 	assert.ErrorContains(t, checkHistory(moved), "moved")
 }
 
+// Guards against a drain that exceeds the budget because the platform's list, which tells the hosts that are down, was not
+// read.
+func TestNoDrainBeginsWithoutTheList(t *testing.T) {
+	f := newFleet(t, 4, "p", "q")
+	f.unread = true
+	m := f.manager(t, f.core)
+	for _, begin := range []func() error{
+		func() error {
+			_, err := m.BeginDrain(context.Background(), "h00", jaybarrow.PurposeHold, "")
+			return err
+		},
+		func() error { _, err := m.BeginWave(context.Background(), "p"); return err },
+	} {
+		err := begin()
+		assert.Assert(t, jaybarrow.IsKind(err, jaybarrow.KindStoreUnavailable), "%v", err)
+		assert.Equal(t, jaybarrow.AsError(err).Effect, jaybarrow.EffectNotRun)
+	}
+	f.Lock()
+	f.unread = false
+	f.Unlock()
+	_, err := m.BeginDrain(context.Background(), "h00", jaybarrow.PurposeHold, "")
+	assert.NilError(t, err)
+}
+
 // Guards against a wave that exceeds the budget, stops, or reboots a host twice when three entry hosts drive it at once, an
 // operator drains hosts of the same pool and answers of the store are lost.
 func TestWaveWithRacingDriversAndLostAnswers(t *testing.T) {
--- a/internal/permit/fleet_test.go
+++ b/internal/permit/fleet_test.go
@@ -195,6 +195,8 @@
 	return time.Since(since), ok
 }
 
+func (c *conditions) ReadAt() time.Time { return time.Now() }
+
 func (c *conditions) Changed() <-chan struct{} {
 	c.Lock()
 	defer c.Unlock()
--- a/internal/platform/conditions.go
+++ b/internal/platform/conditions.go
@@ -29,6 +29,7 @@
 
 	lock  sync.RWMutex // the list is replaced as a whole, so that readers never see half of it
 	known map[string]noticed
+	asked time.Time // when the known list was asked for; zero before the first
 }
 
 var _ jaybarrow.HostConditions = (*Conditions)(nil)
@@ -56,9 +57,10 @@
 func (c *Conditions) run(ctx context.Context) {
 	failing := false
 	for {
+		asked := c.deps.Clock.Now()
 		list, err := c.deps.Hosts.Hosts(ctx)
 		if err == nil {
-			c.replace(list, c.deps.Clock.Now())
+			c.replace(list, asked, c.deps.Clock.Now())
 		} else if !failing && ctx.Err() == nil {
 			c.deps.Log.Warn().Err(err).Msg("the platform's host list cannot be read; the last one stays in force")
 		}
@@ -71,7 +73,7 @@
 	}
 }
 
-func (c *Conditions) replace(list []jaybarrow.HostNotice, now time.Time) {
+func (c *Conditions) replace(list []jaybarrow.HostNotice, asked, now time.Time) {
 	c.lock.Lock()
 	next := make(map[string]noticed, len(list))
 	changed := len(list) != len(c.known)
@@ -82,7 +84,7 @@
 		}
 		next[n.Host] = old
 	}
-	c.known = next
+	c.known, c.asked = next, asked
 	c.lock.Unlock()
 	if changed {
 		c.news.Signal()
@@ -113,5 +115,12 @@
 	return c.deps.Clock.Now().Sub(n.since), true
 }
 
+// ReadAt returns the local time at which the last list that could be read was asked for.
+func (c *Conditions) ReadAt() time.Time {
+	c.lock.RLock()
+	defer c.lock.RUnlock()
+	return c.asked
+}
+
 // Changed returns a channel that is closed at the next change.
 func (c *Conditions) Changed() <-chan struct{} { return c.news.Changed() }
--- a/internal/standin/store/faults.go
+++ b/internal/standin/store/faults.go
@@ -17,6 +17,7 @@
 	OutageUnavailable Outage = "unavailable" // calls are answered with status 503 before processing
 	OutageRefuse      Outage = "refuse"      // connections are refused
 	OutageRecords     Outage = "records"     // as unavailable, but the list of hosts and reboots work
+	OutageHosts       Outage = "hosts"       // only the list of hosts and reboots are unavailable
 )
 
 // Freeze says which watches stay open and deliver nothing; a frozen watch stays frozen until its client closes it.
@@ -50,7 +51,7 @@
 	if kind == CallHosts || kind == CallReboot {
 		return f.Outage != OutageNone && f.Outage != OutageRecords
 	}
-	return f.Outage != OutageNone
+	return f.Outage != OutageNone && f.Outage != OutageHosts
 }
 
 // watchNumber numbers the watches in the order in which they were opened.
--- a/store.go
+++ b/store.go
@@ -65,6 +65,8 @@
 	Condition(name string) HostCondition
 	// GoneFor returns how long ago, by the local clock, the list first said HostGone of the name; false when it does not.
 	GoneFor(name string) (time.Duration, bool)
+	// ReadAt returns the local time at which the last list that could be read was asked for; the zero time before the first.
+	ReadAt() time.Time
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
 }
--- a/test/e2e/maintenance_test.go
+++ b/test/e2e/maintenance_test.go
@@ -130,3 +130,36 @@
 	}
 	return down
 }
+
+// Guards against an exceeded budget when a drain begins on an entry host that has not read the platform's list yet, so that
+// it does not know which hosts are down.
+func TestNoDrainBeginsWithoutTheList(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, plan{
+		dataCentres: 1, entriesPerDC: 2, workersPerPool: 2, pools: []jaybarrow.PoolID{"desk"},
+		teams:  map[jaybarrow.TeamID]jaybarrow.Slots{"trail": 8},
+		queues: []jaybarrow.Queue{{ID: "match", Pool: "desk", Class: jaybarrow.ClassQuick, TargetMs: 30000}},
+	})
+	c.condition(string(c.workers[0].host.ID), jaybarrow.HostDown)
+	started := c.entries[1]
+	started.kill()
+	c.faults(store.Faults{Outage: store.OutageHosts})
+	c.startEntry(started)
+	c.awaitEntry(started)
+	begin := func() error {
+		_, err := c.operator(started).BeginDrain(context.Background(), c.workers[1].host.ID, jaybarrow.PurposeHold, "")
+		return err
+	}
+	err := begin()
+	assert.Assert(t, jaybarrow.IsKind(err, jaybarrow.KindStoreUnavailable), "%v", err)
+	assert.Equal(t, jaybarrow.AsError(err).Effect, jaybarrow.EffectNotRun)
+	c.faults(store.Faults{})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		err := begin()
+		if jaybarrow.IsKind(err, jaybarrow.KindStoreUnavailable) {
+			return poll.Continue("%v", err)
+		}
+		assert.Assert(t, jaybarrow.IsKind(err, jaybarrow.KindBudgetSpent), "%v", err)
+		return poll.Success()
+	}, poll.WithTimeout(patience))
+}
