Test that hosts that fail by themselves count against the budget

Change: with the budget spent by failed hosts, no operator's drain and no wave begins; when the hosts return, the wave goes on.

--- a/test/e2e/maintenance_test.go
+++ b/test/e2e/maintenance_test.go
@@ -163,3 +163,40 @@
 		return poll.Success()
 	}, poll.WithTimeout(patience))
 }
+
+// Guards against a drain or a wave that begins although the hosts that failed by themselves have spent the budget.
+func TestFailedHostsCountAgainstTheBudget(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, plan{
+		dataCentres: 1, entriesPerDC: 2, workersPerPool: 8, budget: 2, pools: []jaybarrow.PoolID{"desk"},
+		teams:  map[jaybarrow.TeamID]jaybarrow.Slots{"trail": 8},
+		queues: []jaybarrow.Queue{{ID: "match", Pool: "desk", Class: jaybarrow.ClassQuick, TargetMs: 30000}},
+	})
+	p := c.playPlatform()
+	ctx := context.Background()
+	failed := c.workers[:2] // of one rack
+	for _, w := range failed {
+		w.end()
+		c.condition(string(w.host.ID), jaybarrow.HostDown)
+	}
+	time.Sleep(inForce)
+	for i, e := range c.entries {
+		_, err := c.operator(e).BeginDrain(ctx, c.workers[4+i].host.ID, jaybarrow.PurposeReboot, "")
+		assert.Assert(t, jaybarrow.IsKind(err, jaybarrow.KindBudgetSpent), "%v", err)
+	}
+	_, err := c.operator(c.entries[0]).BeginWave(ctx, "desk")
+	assert.NilError(t, err)
+	time.Sleep(2 * time.Second)
+	f, err := replay(c.log(jaybarrow.Prefix), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, f.begun, 0, "a drain began while the failed hosts had spent the budget")
+	for _, w := range failed {
+		w.begin()
+		c.condition(string(w.host.ID), jaybarrow.HostLive)
+	}
+	c.awaitMaintenance("desk")
+	p.stop()
+	f, err = replay(c.log(jaybarrow.Prefix), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, f.begun, len(c.workers), "the wave did not go on")
+}
