--- a/internal/maintenance/fleet_test.go
+++ b/internal/maintenance/fleet_test.go
@@ -30,6 +30,7 @@
 	draining map[jaybarrow.HostID]bool
 	fences   map[jaybarrow.HostID]jaybarrow.Revision
 	down     map[string]bool
+	unread   bool // the list of hosts has not been read
 	reboots  map[jaybarrow.HostID]int
 	log      *writes
 }
@@ -113,6 +114,15 @@
 
 func (f *fleet) GoneFor(string) (time.Duration, bool) { return 0, false }
 
+func (f *fleet) ReadAt() time.Time {
+	f.Lock()
+	defer f.Unlock()
+	if f.unread {
+		return time.Time{}
+	}
+	return time.Now()
+}
+
 func (f *fleet) Changed() <-chan struct{} { return nil }
 
 func (f *fleet) Note(jaybarrow.Subject, string, string) {}
@@ -188,7 +198,7 @@
 		Conditions: f, Journal: f, NewChange: identity.NewChangeID, DataCentre: "dc",
 		Driving: func() bool { return true },
 		Settings: maintenance.Settings{
-			Interval: 5 * time.Millisecond, CallTimeout: time.Second, Patience: time.Minute, RebootAgain: time.Second,
+			Interval: 5 * time.Millisecond, CallTimeout: time.Second, Patience: time.Minute, RebootAgain: time.Second, ListAge: time.Second,
 		},
 	})
 	t.Cleanup(func() {
