Let pools run urgent work on hosts of a spare pool

Cause: a queue that bursts above its pool for some seconds was refused or late while the spare pool was idle. Change: the roster offers the accepting hosts of the spare pools of the data centre as borrowed hosts; the scheduler uses them only for quick work, and slow work that has to start now, that finds no room on the pool's own hosts. A spare pool with waiting work of its own lends nothing. The load counts requests that were refused or dropped for deadlines. Conclusion: the host's record does not change, so a burst costs no move.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -35,6 +35,7 @@
 
 	mutex sync.Mutex
 	built *index
+	busy  []jaybarrow.PoolID // pools with waiting work of their own, sorted; they lend no hosts
 }
 
 // New returns a running Roster of the hosts in the data centre.
@@ -46,6 +47,7 @@
 	r.group.Go(func() {
 		for {
 			hosts, drains, listed, healthy := d.Hosts.Changed(), d.Drains.Changed(), conditions.Changed(), health.Changed()
+			pools := d.Pools.Changed()
 			// What changed before the channels were taken is not announced by them.
 			r.tellHealth()
 			r.news.Signal()
@@ -53,6 +55,7 @@
 			case <-r.stop:
 				return
 			case <-hosts:
+			case <-pools:
 			case <-drains:
 			case <-listed:
 			case <-healthy:
@@ -123,10 +126,15 @@
 	return x
 }
 
-// PoolHosts returns the pool's hosts in this data centre and whether each accepts work. A drain counts whatever pool it is
-// recorded with, since a host that moves keeps its drain in the old pool until it has returned.
+// PoolHosts returns the pool's hosts in this data centre and whether each accepts work, and the accepting hosts that spare
+// pools lend it. A drain counts whatever pool it is recorded with, since a host that moves keeps its drain in the old pool
+// until it has returned.
 func (r *Roster) PoolHosts(pool jaybarrow.PoolID) []schedule.HostView {
 	draining := r.draining()
+	return append(r.views(pool, draining), r.borrowed(pool, draining)...)
+}
+
+func (r *Roster) views(pool jaybarrow.PoolID, draining map[jaybarrow.HostID]bool) []schedule.HostView {
 	var views []schedule.HostView
 	for _, h := range r.pool(pool).hosts {
 		if h.DataCentre != r.dataCentre {
--- a/internal/schedule/admission.go
+++ b/internal/schedule/admission.go
@@ -29,22 +29,16 @@
 func (p *Pool) wait(now time.Time, item jaybarrow.Item) (time.Duration, bool) {
 	s := newSelection(p, now, Inputs{})
 	free := max(s.free-s.heldFrom(item), 0)
-	if free >= item.Slots && p.fits(now, item.Demand) {
+	if candidates, _ := s.candidatesFor(item); len(candidates) > 0 {
 		return 0, true
 	}
+	if mayBorrow(now, item) {
+		free += p.freeSlots(now, true)
+	}
 	ahead := max(p.order.Ahead(now, item)-p.waiting.lackingPermits(item.Team), 0)
 	return drain(ahead, item.Slots, free, p.remaining(now))
 }
 
-func (p *Pool) fits(now time.Time, d jaybarrow.Demand) bool {
-	for _, h := range p.hosts {
-		if h.usable(now) && d.FitsIn(h.free()) {
-			return true
-		}
-	}
-	return false
-}
-
 // release is a number of slots that become free after a time.
 type release struct {
 	after time.Duration
--- a/internal/schedule/host.go
+++ b/internal/schedule/host.go
@@ -20,6 +20,7 @@
 	ID        jaybarrow.HostID
 	Capacity  jaybarrow.Demand
 	Accepting bool // false while it drains, leaves, is down or is ejected
+	Borrowed  bool // of a spare pool; used only by work that finds no room on the pool's own hosts
 }
 
 type hostState struct {
@@ -27,6 +28,7 @@
 	used      jaybarrow.Demand
 	running   int
 	accepting bool
+	borrowed  bool
 	backoff   time.Duration
 	retryAt   time.Time // no task is placed before
 }
@@ -59,7 +61,7 @@
 			h = &hostState{}
 			p.hosts[v.ID] = h
 		}
-		h.capacity, h.accepting = v.Capacity, v.Accepting
+		h.capacity, h.accepting, h.borrowed = v.Capacity, v.Accepting, v.Borrowed
 	}
 	for id := range p.hosts {
 		p.forgetHost(id)
@@ -90,12 +92,12 @@
 	}
 }
 
-// candidates returns the hosts that have room for the demand now, in the order of their ids.
-func (p *Pool) candidates(now time.Time, d jaybarrow.Demand, signals Signals) []jaybarrow.Candidate {
+// candidates returns the own or the borrowed hosts that have room for the demand now, in the order of their ids.
+func (p *Pool) candidates(now time.Time, d jaybarrow.Demand, signals Signals, borrowed bool) []jaybarrow.Candidate {
 	var candidates []jaybarrow.Candidate
 	for _, id := range p.ids {
 		h := p.hosts[id]
-		if !h.usable(now) || !d.FitsIn(h.free()) {
+		if h.borrowed != borrowed || !h.usable(now) || !d.FitsIn(h.free()) {
 			continue
 		}
 		c := jaybarrow.Candidate{Host: id, Free: h.free(), Running: h.running}
@@ -107,32 +109,33 @@
 	return candidates
 }
 
-// HasOther reports whether an accepting host outside the tried ones has the capacity for the demand.
+// HasOther reports whether an own accepting host outside the tried ones has the capacity for the demand. Borrowed hosts do not
+// count, since the item may not be allowed on them when it is tried again.
 func (p *Pool) HasOther(d jaybarrow.Demand, tried []jaybarrow.HostID) bool {
 	for id, h := range p.hosts {
-		if h.accepting && d.FitsIn(h.capacity) && !slices.Contains(tried, id) {
+		if h.accepting && !h.borrowed && d.FitsIn(h.capacity) && !slices.Contains(tried, id) {
 			return true
 		}
 	}
 	return false
 }
 
-// freeSlots counts the slots that a task could be placed on now.
-func (p *Pool) freeSlots(now time.Time) jaybarrow.Slots {
+// freeSlots counts the slots of the own or the borrowed hosts that a task could be placed on now.
+func (p *Pool) freeSlots(now time.Time, borrowed bool) jaybarrow.Slots {
 	free := jaybarrow.Slots(0)
 	for _, h := range p.hosts {
-		if h.usable(now) {
+		if h.borrowed == borrowed && h.usable(now) {
 			free += max(h.free().Slots, 0)
 		}
 	}
 	return free
 }
 
-// totalSlots counts the slots of the accepting hosts.
+// totalSlots counts the slots of the own accepting hosts.
 func (p *Pool) totalSlots() jaybarrow.Slots {
 	total := jaybarrow.Slots(0)
 	for _, h := range p.hosts {
-		if h.accepting {
+		if h.accepting && !h.borrowed {
 			total += h.capacity.Slots
 		}
 	}
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -61,6 +61,7 @@
 	reserve   *reserve
 	reserved  bool // an item was skipped for the reserve since the last change
 	attempts  jaybarrow.AttemptID
+	missed    int64 // requests refused or dropped for their deadlines
 }
 
 // New returns a Pool without hosts.
@@ -82,6 +83,7 @@
 func (p *Pool) Arrive(now time.Time, item jaybarrow.Item, likely time.Duration) (evicted []jaybarrow.Item, err error) {
 	p.reserve.arrive(now, item)
 	if err := p.attainable(now, item, likely); err != nil {
+		p.missed++
 		return nil, err
 	}
 	if n := p.waiting.count(item.Team); p.settings.MaxTeamWaiting > 0 && n >= p.settings.MaxTeamWaiting {
@@ -119,7 +121,10 @@
 // Next decides the next start, if any.
 func (p *Pool) Next(now time.Time, in Inputs) (Start, bool) {
 	p.reserved = false
-	if p.order.Len() == 0 || p.freeSlots(now) == 0 {
+	if p.order.Len() == 0 {
+		return Start{}, false
+	}
+	if p.freeSlots(now, false)+p.freeSlots(now, true) == 0 {
 		return Start{}, false
 	}
 	s := newSelection(p, now, in)
@@ -197,6 +202,7 @@
 	var expired []Expiry
 	for _, item := range p.order.Expired(now) {
 		expired = append(expired, Expiry{item, p.waiting.skip(item)})
+		p.missed++
 		p.left(item)
 	}
 	return expired
@@ -229,11 +235,13 @@
 // Load is a pool's load in one data centre.
 type Load struct {
 	Waiting   int             `json:"waiting"`
-	Running   int             `json:"running"`
-	FreeSlots jaybarrow.Slots `json:"freeSlots"`
+	Running   int             `json:"running"`   // on own and borrowed hosts
+	FreeSlots jaybarrow.Slots `json:"freeSlots"` // of own hosts, so that borrowed ones attract no work of other data centres
+	// Missed counts the requests that the pool refused or dropped for their deadlines; it is known on this entry host only.
+	Missed int64 `json:"-"`
 }
 
 // Load returns the current load.
 func (p *Pool) Load(now time.Time) Load {
-	return Load{Waiting: p.order.Len(), Running: len(p.running), FreeSlots: p.freeSlots(now)}
+	return Load{Waiting: p.order.Len(), Running: len(p.running), FreeSlots: p.freeSlots(now, false), Missed: p.missed}
 }
--- a/internal/schedule/selection.go
+++ b/internal/schedule/selection.go
@@ -12,20 +12,26 @@
 	pool   *Pool
 	now    time.Time
 	in     Inputs
-	free   jaybarrow.Slots
+	free   jaybarrow.Slots                      // of the own hosts
 	held   map[jaybarrow.TeamID]jaybarrow.Slots // free slots held for each team's quick work
 	sum    jaybarrow.Slots                      // of held
-	byNeed map[jaybarrow.Demand][]jaybarrow.Candidate
+	byNeed map[need][]jaybarrow.Candidate
 	chosen []jaybarrow.Candidate // hosts of the accepted item; nil when the item is to be parked
 	parked []jaybarrow.Item      // items that only hosts they were tried on could take now
 }
 
+// need names one set of candidates.
+type need struct {
+	demand   jaybarrow.Demand
+	borrowed bool
+}
+
 func newSelection(p *Pool, now time.Time, in Inputs) *selection {
 	held, sum := p.reserve.held(now, p.totalSlots())
 	return &selection{
 		pool: p, now: now, in: in,
-		free: p.freeSlots(now), held: held, sum: sum,
-		byNeed: make(map[jaybarrow.Demand][]jaybarrow.Candidate),
+		free: p.freeSlots(now, false), held: held, sum: sum,
+		byNeed: make(map[need][]jaybarrow.Candidate),
 	}
 }
 
@@ -33,17 +39,10 @@
 // that it does not stand for the other items of its team and demand.
 func (s *selection) accepts(item jaybarrow.Item) bool {
 	s.chosen = nil
-	candidates, ok := s.byNeed[item.Demand]
-	if !ok {
-		candidates = s.pool.candidates(s.now, item.Demand, s.in.Signals)
-		s.byNeed[item.Demand] = candidates
-	}
-	switch {
-	case len(candidates) == 0:
-		return s.skip(item, SkipRoom)
-	case s.free-item.Slots < s.heldFrom(item):
-		s.pool.reserved = true
-		return s.skip(item, SkipReserve)
+	candidates, reason := s.candidatesFor(item)
+	if reason != SkipNone {
+		s.pool.reserved = s.pool.reserved || reason == SkipReserve
+		return s.skip(item, reason)
 	}
 	untried, park := s.untried(item, candidates)
 	if park {
@@ -57,6 +56,38 @@
 	return true
 }
 
+// candidatesFor returns the own hosts that the item may use, or else the borrowed ones.
+func (s *selection) candidatesFor(item jaybarrow.Item) ([]jaybarrow.Candidate, Skip) {
+	reason := SkipRoom
+	if own := s.candidates(item.Demand, false); len(own) > 0 {
+		if s.free-item.Slots >= s.heldFrom(item) {
+			return own, SkipNone
+		}
+		reason = SkipReserve
+	}
+	if mayBorrow(s.now, item) {
+		if borrowed := s.candidates(item.Demand, true); len(borrowed) > 0 {
+			return borrowed, SkipNone
+		}
+	}
+	return nil, reason
+}
+
+// mayBorrow reports whether the item may run on a borrowed host: quick work, and slow work that has to start now. Other slow
+// work waits for the pool's own hosts, since it would keep the spare hosts from the bursts of other pools and from moves for
+// as long as it runs.
+func mayBorrow(now time.Time, item jaybarrow.Item) bool { return mayUse(now, item) }
+
+func (s *selection) candidates(d jaybarrow.Demand, borrowed bool) []jaybarrow.Candidate {
+	n := need{d, borrowed}
+	candidates, ok := s.byNeed[n]
+	if !ok {
+		candidates = s.pool.candidates(s.now, d, s.in.Signals, borrowed)
+		s.byNeed[n] = candidates
+	}
+	return candidates
+}
+
 // heldFrom is how many free slots the item has to leave.
 func (s *selection) heldFrom(item jaybarrow.Item) jaybarrow.Slots {
 	if mayUse(s.now, item) {
