Gather the slots of one host for a job of several slots that waits too long

Cause: one-slot work takes each slot that becomes free, so a job of several slots waited for as long as the pool was busy. Change: a host takes no other work once the oldest such job has waited four usual run times, until its slots are free. The start passes the order by, so each team may have one such task at a time; a team without permits is tried later.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -127,6 +127,7 @@
 		Signals: signals{e}, NewPool: func() *schedule.Pool {
 			limits := schedule.Settings{
 				MaxWaiting: queues.MaxWaiting, MaxTeamWaiting: queues.MaxWaitingPerTeam, Admission: true, QuickReserve: quickReserve,
+				GatherAfter: gatherAfter,
 			}
 			return schedule.New(limits, fairshare.New(), twochoices.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 		},
@@ -149,6 +150,10 @@
 // quickReserve is the largest part of a pool's slots that slow work leaves free for quick work that arrived recently.
 const quickReserve = 0.25
 
+// gatherAfter is how many usual run times a job of several slots waits before a host gathers slots for it; more often costs
+// quick targets, and less often makes these jobs wait longer (docs/measurements.md, jobs of several slots).
+const gatherAfter = 4
+
 func (e *Entry) startPeers() {
 	d, own := e.deps, e.deps.Settings.Entry
 	e.gossip = peer.NewGossip(peer.GossipDeps{
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -41,6 +41,7 @@
 		{"bursts", burstsMetrics, runBursts},
 		{"placement", placementMetrics, runPlacement},
 		{"mix", mixMetrics, runMix},
+		{"wide", wideMetrics, runWide},
 	}
 }
 
--- a/internal/schedule/host.go
+++ b/internal/schedule/host.go
@@ -92,12 +92,13 @@
 	}
 }
 
-// candidates returns the own or the borrowed hosts that have room for the demand now, in the order of their ids.
+// candidates returns the own or the borrowed hosts that have room for the demand now, in the order of their ids. The host
+// that is gathering slots is left out.
 func (p *Pool) candidates(now time.Time, d jaybarrow.Demand, signals Signals, borrowed bool) []jaybarrow.Candidate {
 	var candidates []jaybarrow.Candidate
 	for _, id := range p.ids {
 		h := p.hosts[id]
-		if h.borrowed != borrowed || !h.usable(now) || !d.FitsIn(h.free()) {
+		if h.borrowed != borrowed || !h.usable(now) || p.gather.holds(id) || !d.FitsIn(h.free()) {
 			continue
 		}
 		c := jaybarrow.Candidate{Host: id, Free: h.free(), Running: h.running}
@@ -123,8 +124,8 @@
 // freeSlots counts the slots of the own or the borrowed hosts that a task could be placed on now.
 func (p *Pool) freeSlots(now time.Time, borrowed bool) jaybarrow.Slots {
 	free := jaybarrow.Slots(0)
-	for _, h := range p.hosts {
-		if h.borrowed == borrowed && h.usable(now) {
+	for id, h := range p.hosts {
+		if h.borrowed == borrowed && h.usable(now) && !p.gather.holds(id) {
 			free += max(h.free().Slots, 0)
 		}
 	}
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -13,6 +13,7 @@
 	MaxTeamWaiting int     // requests of one team that may wait; 0: no bound of its own
 	Admission      bool    // refuse requests whose deadline cannot be met
 	QuickReserve   float64 // largest part of the slots that is held for recent quick work; 0: none
+	GatherAfter    float64 // usual run times that work of several slots waits before a host gathers slots for it; 0: never
 }
 
 // Start is the decision to run an item on a host now.
@@ -60,6 +61,7 @@
 	tried     map[jaybarrow.RequestID][]jaybarrow.HostID // hosts that a waiting item should not go to again
 	reserve   *reserve
 	reserved  bool // an item was skipped for the reserve since the last change
+	gather    *gathering
 	attempts  jaybarrow.AttemptID
 	missed    int64 // requests refused or dropped for their deadlines
 }
@@ -75,6 +77,7 @@
 		waiting:   newWaitingSet(),
 		tried:     make(map[jaybarrow.RequestID][]jaybarrow.HostID),
 		reserve:   newReserve(settings.QuickReserve),
+		gather:    newGathering(settings.GatherAfter),
 	}
 }
 
@@ -104,10 +107,12 @@
 func (p *Pool) push(now time.Time, item jaybarrow.Item) {
 	p.order.Push(now, item)
 	p.waiting.add(item)
+	p.gather.add(item)
 }
 
 func (p *Pool) left(item jaybarrow.Item) {
 	p.waiting.remove(item)
+	p.gather.remove(item.ID)
 	delete(p.tried, item.ID)
 }
 
@@ -124,6 +129,9 @@
 	if p.order.Len() == 0 {
 		return Start{}, false
 	}
+	if start, ok := p.startGathered(now, in); ok {
+		return start, true
+	}
 	if p.freeSlots(now, false)+p.freeSlots(now, true) == 0 {
 		return Start{}, false
 	}
@@ -166,6 +174,7 @@
 		p.reserve.add(now, r.start.Item, -1)
 	}
 	p.order.Finished(now, r.start.Item, ran)
+	p.gather.finished(r.start, ran)
 	p.hosts[r.start.Host].charge(r.start.Item.Demand, -1)
 	p.forgetHost(r.start.Host)
 }
