Add balance, the decisions on moves between pools

Cause: nothing decided when a host should move. Change: balance smooths each pool's demand over half a minute and ten minutes. A pool above its upper bound in both gets a host from a spare pool that covers the other pools' bursts without it, or from the pool that uses the least part of its own. Hosts return when the need has gone, or when bursts borrow more (mean and some standard deviations) than the spare pool has. The bounds have a gap of a factor of two, a host stays a least time, and of each pool one host at a time moves in and one out, within the budget. Economy is the one parameter. Conclusion: bursts of seconds move nothing; a shift of three hours moves hosts there and back.

--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,272 @@
+package balance_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/balance"
+)
+
+const (
+	slots    = 8
+	tick     = 5 * time.Second
+	moveTime = time.Minute
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet applies the decisions to hosts of eight slots; a move takes a minute.
+type fleet struct {
+	balancer *balance.Balancer
+	pools    []balance.Pool
+	hosts    []balance.Host
+	underWay map[jaybarrow.HostID]ending
+	moved    []balance.Move
+	at       []time.Time
+}
+
+type ending struct {
+	move balance.Move
+	at   time.Time
+}
+
+func newFleet(settings balance.Settings, sizes map[jaybarrow.PoolID]int, budget int) *fleet {
+	f := &fleet{balancer: balance.New(settings), underWay: map[jaybarrow.HostID]ending{}}
+	for _, id := range []jaybarrow.PoolID{"a", "b", "c", "spare"} {
+		f.pools = append(f.pools, balance.Pool{ID: id, Spare: id == "spare", MaxUnavailable: budget})
+		for i := range sizes[id] {
+			f.hosts = append(f.hosts, balance.Host{ID: jaybarrow.HostID(fmt.Sprint(id, i)), Pool: id, Slots: slots, Accepting: true})
+		}
+	}
+	return f
+}
+
+func (f *fleet) size(id jaybarrow.PoolID) int {
+	n := 0
+	for _, h := range f.hosts {
+		if h.Pool == id {
+			n++
+		}
+	}
+	return n
+}
+
+// step takes the demand of each pool at the time and begins the moves that are decided.
+func (f *fleet) step(now time.Time, demand func(jaybarrow.PoolID) float64) []balance.Move {
+	capacity := map[jaybarrow.PoolID]jaybarrow.Slots{}
+	for i, h := range f.hosts {
+		if e, ok := f.underWay[h.ID]; ok && !e.at.After(now) {
+			f.hosts[i].Pool, f.hosts[i].Accepting = e.move.To, true
+			delete(f.underWay, h.ID)
+		}
+		if f.hosts[i].Accepting {
+			capacity[f.hosts[i].Pool] += slots
+		}
+	}
+	var samples []balance.Sample
+	view := balance.Fleet{Hosts: f.hosts}
+	for _, p := range f.pools {
+		p.Hosts = f.size(p.ID)
+		for _, e := range f.underWay {
+			if e.move.From == p.ID {
+				p.Unavailable++
+			}
+		}
+		view.Pools = append(view.Pools, p)
+		want := jaybarrow.Slots(math.Round(demand(p.ID)))
+		running := min(want, capacity[p.ID])
+		samples = append(samples, balance.Sample{Pool: p.ID, Capacity: capacity[p.ID], Running: running, Waiting: want - running})
+	}
+	for _, e := range f.underWay {
+		view.Moves = append(view.Moves, balance.UnderWay{From: e.move.From, To: e.move.To})
+	}
+	f.balancer.Observe(now, samples)
+	moves := f.balancer.Decide(now, view)
+	for _, m := range moves {
+		f.underWay[m.Host] = ending{m, now.Add(moveTime)}
+		f.moved, f.at = append(f.moved, m), append(f.at, now)
+		for i := range f.hosts {
+			f.hosts[i].Accepting = f.hosts[i].Accepting && f.hosts[i].ID != m.Host
+		}
+	}
+	return moves
+}
+
+func (f *fleet) run(from, to time.Duration, demand func(time.Duration, jaybarrow.PoolID) float64) {
+	for at := from; at < to; at += tick {
+		f.step(epoch.Add(at), func(id jaybarrow.PoolID) float64 { return demand(at, id) })
+	}
+}
+
+// inTurn gives each pool a burst of 10 s in a minute at five times its mean of 4 slots a host, and a twentieth in between.
+func inTurn(at time.Duration, id jaybarrow.PoolID) float64 {
+	offset := map[jaybarrow.PoolID]time.Duration{"a": 0, "b": 20 * time.Second, "c": 40 * time.Second}
+	begin, ok := offset[id]
+	if !ok {
+		return 0
+	}
+	if (at+time.Minute-begin)%time.Minute < 10*time.Second {
+		return 60
+	}
+	return 0.6
+}
+
+var sizes = map[jaybarrow.PoolID]int{"a": 5, "b": 5, "c": 5, "spare": 4}
+
+// Guards against moves for bursts that borrowing and queues handle, against a lasting shift that moves nothing, against a
+// host that never returns, and against moves to and fro at the edge of a bound (the gap between the bounds prevents these).
+func TestWhatMovesHosts(t *testing.T) {
+	steady := func(slots float64) func(time.Duration, jaybarrow.PoolID) float64 {
+		return func(_ time.Duration, id jaybarrow.PoolID) float64 {
+			if id == "spare" {
+				return 0
+			}
+			return slots
+		}
+	}
+	shift := func(at time.Duration, id jaybarrow.PoolID) float64 {
+		if id == "a" && at > time.Hour && at < 4*time.Hour {
+			return 50
+		}
+		return steady(15)(at, id)
+	}
+	cases := []struct {
+		name        string
+		demand      func(time.Duration, jaybarrow.PoolID) float64
+		least, most int // moves in eight hours
+		during      int // hosts of pool a after three hours, at least
+		after       int // hosts of the spare pool after eight hours, at least
+	}{
+		{"constant load", steady(18), 0, 0, 5, 4},
+		{"bursts in turn", inTurn, 0, 6, 3, 4},
+		{"one burst of 20 s", func(at time.Duration, id jaybarrow.PoolID) float64 {
+			if id == "a" && at > time.Hour && at < time.Hour+20*time.Second {
+				return 200
+			}
+			return steady(18)(at, id)
+		}, 0, 0, 5, 4},
+		{"shift of three hours", shift, 4, 8, 8, 4},
+		{"slow swing at the bound", func(at time.Duration, id jaybarrow.PoolID) float64 {
+			if id == "a" {
+				return 30 + 6*math.Sin(2*math.Pi*at.Hours()/1.5)
+			}
+			return steady(18)(at, id)
+		}, 1, 2, 6, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(balance.DefaultSettings(), sizes, 2)
+			f.run(0, 3*time.Hour, c.demand)
+			during := f.size("a")
+			f.run(3*time.Hour, 8*time.Hour, c.demand)
+			for i, m := range f.moved {
+				t.Log(f.at[i].Sub(epoch), m)
+			}
+			assert.Assert(t, len(f.moved) >= c.least && len(f.moved) <= c.most, "%d moves", len(f.moved))
+			assert.Assert(t, during >= c.during, "%d hosts in pool a", during)
+			assert.Assert(t, f.size("spare") >= c.after, "%d spare hosts", f.size("spare"))
+		})
+	}
+}
+
+// Guards against a drain that the budget forbids, against emptying a pool to its budget, and against moves that begin while
+// another one into or out of the pool is under way.
+func TestWhatForbidsMoves(t *testing.T) {
+	pool := func(id jaybarrow.PoolID, unavailable, hosts int) balance.Pool {
+		return balance.Pool{ID: id, Spare: id == "spare", MaxUnavailable: 1, Unavailable: unavailable, Hosts: hosts}
+	}
+	cases := []struct {
+		name   string
+		spare  balance.Pool
+		giver  balance.Pool
+		moves  []balance.UnderWay
+		missed int64
+		want   []jaybarrow.PoolID // sources of moves into pool a
+	}{
+		{"spare gives", pool("spare", 0, 2), pool("b", 0, 3), nil, 1, []jaybarrow.PoolID{"spare"}},
+		{"spare has spent its budget", pool("spare", 1, 2), pool("b", 0, 3), nil, 1, []jaybarrow.PoolID{"b"}},
+		{"both have spent their budgets", pool("spare", 1, 2), pool("b", 1, 3), nil, 1, nil},
+		{"the giver would keep no more than its budget", pool("spare", 1, 2), pool("b", 0, 2), nil, 1, nil},
+		{"a move into the pool is under way", pool("spare", 0, 2), pool("b", 0, 3), []balance.UnderWay{{From: "c", To: "a"}}, 1, nil},
+		{"a move out of the spare pool is under way", pool("spare", 0, 2), pool("b", 0, 3), []balance.UnderWay{{From: "spare", To: "c"}}, 1, []jaybarrow.PoolID{"b"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := balance.New(balance.DefaultSettings())
+			fleet := balance.Fleet{Pools: []balance.Pool{pool("a", 0, 1), c.giver, c.spare}, Moves: c.moves}
+			for _, id := range []jaybarrow.PoolID{"a", "b", "b", "b", "spare", "spare"} {
+				host := balance.Host{ID: jaybarrow.HostID(fmt.Sprint(id, len(fleet.Hosts))), Pool: id, Slots: slots, Accepting: true}
+				fleet.Hosts = append(fleet.Hosts, host)
+			}
+			var moves []balance.Move
+			for at := time.Duration(0); at <= time.Hour && len(moves) == 0; at += tick {
+				b.Observe(epoch.Add(at), []balance.Sample{
+					{Pool: "a", Capacity: 8, Running: 8, Waiting: 4, Missed: c.missed}, {Pool: "b", Capacity: 24}, {Pool: "spare", Capacity: 16},
+				})
+				for _, m := range b.Decide(epoch.Add(at), fleet) {
+					if m.To == "a" {
+						moves = append(moves, m)
+					}
+				}
+			}
+			var sources []jaybarrow.PoolID
+			for _, m := range moves {
+				sources = append(sources, m.From)
+			}
+			assert.DeepEqual(t, sources, c.want)
+		})
+	}
+}
+
+// Guards against moves that break the budget, two moves into or out of a pool at once, a host that moves again within its
+// least stay, and moves that go on under constant load.
+func TestDecisionsKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settings := balance.DefaultSettings()
+		settings.Economy = rapid.Float64Range(0, 1).Draw(t, "economy")
+		stay := time.Duration(float64(settings.MinStay) * (1 + 2*settings.Economy))
+		budget := rapid.IntRange(0, 3).Draw(t, "budget")
+		f := newFleet(settings, map[jaybarrow.PoolID]int{
+			"a": rapid.IntRange(1, 6).Draw(t, "a"), "b": rapid.IntRange(1, 6).Draw(t, "b"),
+			"c": rapid.IntRange(1, 6).Draw(t, "c"), "spare": rapid.IntRange(0, 6).Draw(t, "spare"),
+		}, budget)
+		last := map[jaybarrow.HostID]time.Time{}
+		now := epoch
+		phase := func(length time.Duration, demand map[jaybarrow.PoolID]float64) (moved int) {
+			for end := now.Add(length); now.Before(end); now = now.Add(30 * time.Second) {
+				for _, m := range f.step(now, func(id jaybarrow.PoolID) float64 { return demand[id] }) {
+					moved++
+					assert.Assert(t, last[m.Host].IsZero() || now.Sub(last[m.Host]) >= stay, "%v moves again too soon", m)
+					last[m.Host] = now
+					assert.Assert(t, m.From == "spare" || f.size(m.From) > budget, "%v empties its pool", m)
+				}
+				out, in := map[jaybarrow.PoolID]int{}, map[jaybarrow.PoolID]int{}
+				for _, e := range f.underWay {
+					out[e.move.From]++
+					in[e.move.To]++
+					assert.Assert(t, out[e.move.From] <= min(1, budget) && in[e.move.To] <= 1, "%v", f.underWay)
+				}
+			}
+			return moved
+		}
+		draw := func() map[jaybarrow.PoolID]float64 {
+			demand := map[jaybarrow.PoolID]float64{}
+			for _, id := range []jaybarrow.PoolID{"a", "b", "c"} {
+				demand[id] = rapid.Float64Range(0, 60).Draw(t, string(id))
+			}
+			return demand
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "phases") {
+			phase(time.Duration(rapid.IntRange(1, 90).Draw(t, "minutes"))*time.Minute, draw())
+		}
+		constant := draw()
+		phase(20*time.Hour, constant)
+		assert.Equal(t, phase(4*time.Hour, constant), 0, "moves go on under constant load")
+	})
+}
