Move hosts between pools automatically

Cause: moves were begun by operators only. Change: the mover samples the loads of all live entry hosts each second, tells the roster which spare pools have waiting work, and on the entry host that drives begins the moves that balance decides, by the new Manager.BeginMove, which refuses a host that is no longer in the pool of the decision. [moves] automatic switches it off and economyPercent weighs moves and buffer against targets. Demand above the upper bound does not count as far as other data centres report room for it. Conclusion: the drain's compare-and-swap protects the budget, so a second driver costs at most a superfluous move.

--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -128,7 +128,7 @@
 		if !ok || p.Spare || d.in[id] || d.out[id] {
 			continue
 		}
-		bound := d.settings.high() * d.capacity[id]
+		bound := d.settings.high()*d.capacity[id] + rounding
 		if l.long.mean > bound && l.short.mean > bound {
 			lacking = append(lacking, id)
 		}
@@ -139,6 +139,9 @@
 	return lacking
 }
 
+// rounding keeps a demand that other data centres bring down to the bound from counting as above it.
+const rounding = 1e-6
+
 // used is the part of its capacity that a pool needs lastingly.
 func (d *decision) used(id jaybarrow.PoolID) float64 {
 	l, ok := d.Balancer.pools[id]
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -17,14 +17,13 @@
 	Missed    int64           // requests refused or dropped for their deadlines since the last sample
 }
 
-// demand is the number of slots that the pool could use. Of the waiting work no more counts than the pool runs at once, since
-// a long queue of slow work needs no more slots than a short one as long as its targets are met.
-func (s Sample) demand() float64 {
-	demand := s.Running + min(s.Waiting, s.Capacity)
-	if over := demand - s.Capacity; over > 0 {
-		demand -= min(over, s.Elsewhere)
-	}
-	return float64(demand)
+// demand is the number of slots that the pool could use here. Of the waiting work no more counts than the pool runs at once,
+// since a long queue of slow work needs no more slots than a short one as long as its targets are met. What exceeds the part
+// high of the capacity does not count as far as other data centres can take it.
+func (s Sample) demand(high float64) float64 {
+	demand := float64(s.Running + min(s.Waiting, s.Capacity))
+	over := max(demand-high*float64(s.Capacity), 0)
+	return demand - min(over, float64(s.Elsewhere))
 }
 
 // Balancer keeps the smoothed loads of the pools of one data centre; its owner serializes all calls.
@@ -67,14 +66,15 @@
 	over := make(map[jaybarrow.PoolID]float64, len(samples))
 	total := 0.0
 	for _, s := range samples {
-		over[s.Pool] = max(s.demand()-float64(s.Capacity), 0)
+		over[s.Pool] = max(s.demand(b.settings.high())-float64(s.Capacity), 0)
 		total += over[s.Pool]
 	}
 	b.total.add(total, elapsed, b.settings.Long)
 	for _, s := range samples {
 		l := b.load(s.Pool)
-		l.short.add(s.demand(), elapsed, b.settings.Short)
-		l.long.add(s.demand(), elapsed, b.settings.Long)
+		demand := s.demand(b.settings.high())
+		l.short.add(demand, elapsed, b.settings.Short)
+		l.long.add(demand, elapsed, b.settings.Long)
 		l.others.add(total-over[s.Pool], elapsed, b.settings.Long)
 		l.missed.add(float64(s.Missed)/max(elapsed.Seconds(), 1), elapsed, b.settings.Long)
 	}
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -11,6 +11,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/directory"
 	"github.com/jaybarrow/jaybarrow/internal/maintenance"
 	"github.com/jaybarrow/jaybarrow/internal/member"
+	"github.com/jaybarrow/jaybarrow/internal/mover"
 	"github.com/jaybarrow/jaybarrow/internal/permit"
 	"github.com/jaybarrow/jaybarrow/internal/platform"
 	"github.com/jaybarrow/jaybarrow/internal/presence"
@@ -48,6 +49,7 @@
 	Permit      permit.Settings
 	Claim       claim.Settings
 	Maintenance maintenance.Settings
+	Mover       mover.Settings
 	Task        task.Settings
 }
 
@@ -64,6 +66,7 @@
 		Permit:      permit.DefaultSettings(),
 		Claim:       claim.DefaultSettings(),
 		Maintenance: maintenance.DefaultSettings,
+		Mover:       mover.DefaultSettings(),
 		Task:        task.Settings{RunTimeout: maxRun},
 	}
 }
@@ -88,5 +91,7 @@
 	t.Task.CallTimeout = s.Workers.CallTimeout
 	t.Permit.StartWindow = s.Workers.StartWindow
 	t.Claim.PerSecond = s.Claims.PerSecond
+	t.Mover.Automatic = s.Moves.Automatic
+	t.Mover.Balance.Economy = float64(s.Moves.EconomyPercent) / 100
 	return t
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/maintenance"
 	"github.com/jaybarrow/jaybarrow/internal/member"
 	"github.com/jaybarrow/jaybarrow/internal/metrics"
+	"github.com/jaybarrow/jaybarrow/internal/mover"
 	"github.com/jaybarrow/jaybarrow/internal/order/fairshare"
 	"github.com/jaybarrow/jaybarrow/internal/peer"
 	"github.com/jaybarrow/jaybarrow/internal/permit"
@@ -65,6 +66,7 @@
 	peerServer  *peer.Server
 	router      *route.Router
 	maintenance *maintenance.Manager
+	mover       *mover.Mover
 	journal     *journal.Journal
 	meter       *metrics.Metrics
 	http        *httpapi.Server
@@ -174,6 +176,11 @@
 		Platform: d.Platform, Conditions: e.conditions, Journal: e.journal, NewChange: identity.NewChangeID,
 		DataCentre: own.DataCentre, Driving: e.drives, Settings: e.times.Maintenance,
 	})
+	e.mover = mover.New(mover.Deps{
+		Clock: d.Clock, Log: logging.For(d.Log, "mover"), Directory: e.directory, Conditions: e.conditions,
+		Drains: e.maintenance, Lenders: e.roster, Journal: e.journal, DataCentre: own.DataCentre, Driving: e.drives,
+		Loads: e.poolLoads, Settings: e.times.Mover,
+	})
 }
 
 // drives reports whether this entry host drives the drains of its data centre.
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -38,6 +38,7 @@
 	}
 	err := errors.Join(failed, e.closeFrontEnds(ctx))
 	e.scheduler.Close()
+	e.mover.Close()
 	e.maintenance.Close()
 	err = errors.Join(err, e.leaveStore(ctx))
 	e.closeParts()
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -9,6 +9,7 @@
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
 	"github.com/jaybarrow/jaybarrow/internal/member"
+	"github.com/jaybarrow/jaybarrow/internal/mover"
 	"github.com/jaybarrow/jaybarrow/internal/peer"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
 	"github.com/jaybarrow/jaybarrow/internal/settings"
@@ -45,6 +46,17 @@
 	return load, ok
 }
 
+// poolLoads returns the last known load of each pool on each live entry host.
+func (e *Entry) poolLoads() []mover.Load {
+	var loads []mover.Load
+	for _, s := range append(e.members.LiveStates(e.deps.Clock.Now()), e.self()) {
+		for id, load := range s.Loads {
+			loads = append(loads, mover.Load{Pool: id, DataCentre: s.DataCentre, Load: load})
+		}
+	}
+	return loads
+}
+
 func (e *Entry) peerAddresses() map[jaybarrow.EntryID]jaybarrow.Address {
 	addresses := make(map[jaybarrow.EntryID]jaybarrow.Address)
 	for _, p := range e.deps.Settings.Peers {
--- a/internal/maintenance/manager_test.go
+++ b/internal/maintenance/manager_test.go
@@ -182,3 +182,19 @@
 	}, poll.WithTimeout(20*time.Second))
 	f.check(t)
 }
+
+// Guards against an automatic move that was decided before its host was moved elsewhere, and against one above the budget.
+func TestMoveBeginsOnlyFromTheDecidedPool(t *testing.T) {
+	f := newFleet(t, 3, "p", "q")
+	m := f.manager(t, &unreliable{Core: f.core, log: f.log})
+	ctx := context.Background()
+	_, err := m.BeginMove(ctx, "h00", "q", "p", "test")
+	assert.Assert(t, jaybarrow.IsKind(err, jaybarrow.KindConflict), "%v", err)
+	assert.Equal(t, len(f.drains(t, "q").Drains), 0)
+	for _, id := range []jaybarrow.HostID{"h00", "h01"} { // as many as the budget
+		_, err = m.BeginDrain(ctx, id, jaybarrow.PurposeHold, "")
+		assert.NilError(t, err)
+	}
+	_, err = m.BeginMove(ctx, "h02", "p", "q", "test")
+	assert.Assert(t, jaybarrow.IsKind(err, jaybarrow.KindBudgetSpent), "%v", err)
+}
--- a/internal/maintenance/operators.go
+++ b/internal/maintenance/operators.go
@@ -13,17 +13,35 @@
 	if _, err := read(ctx, m.deps.Store, jaybarrow.HostKey(id), &host); err != nil {
 		return 0, err
 	}
-	view, err := m.view(ctx, host.Pool)
+	d := jaybarrow.Drain{Host: id, Purpose: purpose, MoveTo: moveTo}
+	return m.begin(ctx, host.Pool, d, "an operator asked for "+string(purpose))
+}
+
+// BeginMove begins to drain the host for a move if it is still in the pool from and that pool's budget allows it.
+func (m *Manager) BeginMove(ctx context.Context, id jaybarrow.HostID, from, to jaybarrow.PoolID, reason string) (jaybarrow.Revision, error) {
+	var host jaybarrow.Host
+	if _, err := read(ctx, m.deps.Store, jaybarrow.HostKey(id), &host); err != nil {
+		return 0, err
+	}
+	if host.Pool != from {
+		return 0, jaybarrow.Errorf(jaybarrow.KindConflict, "host %s is in pool %s, not %s", id, host.Pool, from)
+	}
+	return m.begin(ctx, from, jaybarrow.Drain{Host: id, Purpose: jaybarrow.PurposeMove, MoveTo: to}, reason)
+}
+
+func (m *Manager) begin(ctx context.Context, pool jaybarrow.PoolID, d jaybarrow.Drain, reason string) (jaybarrow.Revision, error) {
+	view, err := m.view(ctx, pool)
 	if err != nil {
 		return 0, err
 	}
-	revision, err := m.change(ctx, host.Pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
-		return drain.Begin(record, view, jaybarrow.Drain{ID: m.deps.NewChange(), Host: id, Purpose: purpose, MoveTo: moveTo}, m.deps.Clock.Now())
+	revision, err := m.change(ctx, pool, func(record jaybarrow.PoolDrains) (jaybarrow.PoolDrains, error) {
+		d.ID = m.deps.NewChange()
+		return drain.Begin(record, view, d, m.deps.Clock.Now())
 	})
 	if err != nil {
 		return 0, err
 	}
-	m.note(jaybarrow.SubjectHost, string(id), "drain begun", "an operator asked for "+string(purpose))
+	m.note(jaybarrow.SubjectHost, string(d.Host), "drain begun", reason)
 	return revision, nil
 }
 
--- /dev/null
+++ b/internal/mover/mover_test.go
@@ -0,0 +1,183 @@
+package mover_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/balance"
+	"github.com/jaybarrow/jaybarrow/internal/directory"
+	"github.com/jaybarrow/jaybarrow/internal/mover"
+	"github.com/jaybarrow/jaybarrow/internal/schedule"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// platform is the clock, the drains and what the mover tells, in one fake; a round begins with each tick.
+type platform struct {
+	sync.Mutex
+	t         *testing.T
+	now       time.Time
+	ticks     chan time.Time
+	waits     chan struct{} // gets a value when a round has ended
+	directory *directory.Directory
+	loads     []mover.Load
+	driving   bool
+	refuse    bool
+	behind    bool // the watch does not deliver the drains that begin
+	moves     []balance.Move
+	tries     int
+	busy      []jaybarrow.PoolID
+	notes     []string
+}
+
+func (p *platform) Now() time.Time {
+	p.Lock()
+	defer p.Unlock()
+	return p.now
+}
+
+func (p *platform) After(time.Duration) <-chan time.Time {
+	p.waits <- struct{}{}
+	return p.ticks
+}
+
+func (p *platform) Condition(string) jaybarrow.HostCondition { return jaybarrow.HostLive }
+
+func (p *platform) GoneFor(string) (time.Duration, bool) { return 0, false }
+
+func (p *platform) Changed() <-chan struct{} { return nil }
+
+func (p *platform) Note(subject jaybarrow.Subject, decision, _ string) {
+	p.notes = append(p.notes, string(subject.ID)+" "+decision)
+}
+
+func (p *platform) SetBusy(pools []jaybarrow.PoolID) { p.busy = pools }
+
+func (p *platform) BeginMove(_ context.Context, host jaybarrow.HostID, from, to jaybarrow.PoolID, _ string) (jaybarrow.Revision, error) {
+	p.tries++
+	if p.refuse {
+		return 0, jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "the store is down")
+	}
+	p.moves = append(p.moves, balance.Move{Host: host, From: from, To: to})
+	if p.behind {
+		return p.directory.Applied() + 1, nil
+	}
+	return p.put(jaybarrow.DrainKey(from), jaybarrow.PoolDrains{Pool: from, Drains: map[jaybarrow.HostID]jaybarrow.Drain{
+		host: {Host: host, Purpose: jaybarrow.PurposeMove, MoveTo: to},
+	}}), nil
+}
+
+func (p *platform) put(key jaybarrow.Key, value any) jaybarrow.Revision {
+	p.t.Helper()
+	data, err := json.Marshal(value)
+	assert.NilError(p.t, err)
+	revision := p.directory.Newest() + 1
+	assert.NilError(p.t, p.directory.Apply([]jaybarrow.Record{{Key: key, Value: data, Revision: revision}}, revision))
+	return revision
+}
+
+// rounds runs n rounds, one in each 10 s.
+func (p *platform) rounds(n int) {
+	for range n {
+		p.Lock()
+		p.now = p.now.Add(10 * time.Second)
+		p.Unlock()
+		p.ticks <- time.Time{}
+		<-p.waits
+	}
+}
+
+// start runs a mover over pool desk with one host, which lacks capacity, and a spare pool with three.
+func start(t *testing.T, p *platform, automatic bool) {
+	p.t, p.now = t, time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	p.ticks, p.waits, p.directory = make(chan time.Time), make(chan struct{}, 1), directory.New()
+	p.put(jaybarrow.PoolKey("desk"), jaybarrow.Pool{ID: "desk", MaxUnavailable: 1})
+	p.put(jaybarrow.PoolKey("spare"), jaybarrow.Pool{ID: "spare", MaxUnavailable: 3, Spare: true})
+	for host, pool := range map[jaybarrow.HostID]jaybarrow.PoolID{"d1": "desk", "s1": "spare", "s2": "spare", "s3": "spare"} {
+		p.put(jaybarrow.HostKey(host), jaybarrow.Host{ID: host, Pool: pool, DataCentre: "north", Capacity: jaybarrow.Demand{Slots: 8}})
+	}
+	p.put(jaybarrow.HostKey("s0"), jaybarrow.Host{ID: "s0", Pool: "spare", DataCentre: "south", Capacity: jaybarrow.Demand{Slots: 8}})
+	if p.loads == nil {
+		p.loads = []mover.Load{{Pool: "desk", DataCentre: "north", Load: schedule.Load{Running: 12}}}
+	}
+	settings := mover.DefaultSettings()
+	settings.Automatic = automatic
+	m := mover.New(mover.Deps{
+		Clock: p, Log: zerolog.Nop(), Directory: p.directory, Conditions: p, Drains: p, Lenders: p, Journal: p, DataCentre: "north",
+		Driving: func() bool { return p.driving }, Loads: func() []mover.Load { return p.loads }, Settings: settings,
+	})
+	t.Cleanup(m.Close)
+	<-p.waits
+}
+
+const hour = 360 // rounds
+
+// Guards against moves by an entry host that does not drive, against moves that are switched off, against a second move before
+// the first has ended, and against moves of another data centre's hosts or for work that another data centre takes.
+func TestWhenMovesBegin(t *testing.T) {
+	desk := func(dataCentre jaybarrow.DataCentreID, load schedule.Load) mover.Load {
+		return mover.Load{Pool: "desk", DataCentre: dataCentre, Load: load}
+	}
+	cases := []struct {
+		name      string
+		platform  platform
+		automatic bool
+		moves     int
+	}{
+		{"driving", platform{driving: true}, true, 1},
+		{"the watch lags", platform{driving: true, behind: true}, true, 1},
+		{"not driving", platform{}, true, 0},
+		{"switched off", platform{driving: true}, false, 0},
+		{"no load", platform{driving: true, loads: []mover.Load{}}, true, 0},
+		{"another data centre has room", platform{driving: true, loads: []mover.Load{
+			desk("north", schedule.Load{Running: 5, Waiting: 4, FreeSlots: 3}), desk("south", schedule.Load{FreeSlots: 50}),
+		}}, true, 0},
+		{"load of another data centre", platform{driving: true, loads: []mover.Load{desk("south", schedule.Load{Running: 50})}}, true, 0},
+	}
+	for i := range cases {
+		c := &cases[i]
+		t.Run(c.name, func(t *testing.T) {
+			p := &c.platform
+			start(t, p, c.automatic)
+			p.rounds(hour)
+			assert.Equal(t, len(p.moves), c.moves, "%v", p.moves)
+			if c.moves > 0 {
+				assert.DeepEqual(t, p.moves[0], balance.Move{Host: "s1", From: "spare", To: "desk"})
+				assert.DeepEqual(t, p.notes, []string{"spare move begun", "desk move begun"})
+			}
+		})
+	}
+}
+
+// Guards against a driver that tries again in each round while the store is down, and one that never tries again.
+func TestFailedMoveIsTriedLater(t *testing.T) {
+	p := &platform{driving: true, refuse: true}
+	start(t, p, true)
+	p.rounds(hour)
+	assert.Assert(t, p.tries > 2 && p.tries < hour/2, "%d tries", p.tries)
+	p.refuse = false
+	p.rounds(10)
+	assert.Equal(t, len(p.moves), 1)
+}
+
+// Guards against lending the hosts of a spare pool whose own work waits, with moves switched off as well.
+func TestLendersWithWaitingWork(t *testing.T) {
+	p := &platform{loads: []mover.Load{
+		{Pool: "desk", DataCentre: "north", Load: schedule.Load{Waiting: 3}},
+		{Pool: "spare", DataCentre: "north", Load: schedule.Load{Waiting: 1}},
+	}}
+	start(t, p, false)
+	p.rounds(1)
+	assert.DeepEqual(t, p.busy, []jaybarrow.PoolID{"spare"})
+	p.loads = p.loads[:1]
+	p.rounds(1)
+	assert.Equal(t, len(p.busy), 0)
+}
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -45,6 +45,8 @@
 	// Below 2 s one late progress notice of the watch, sent each second, would make an entry host refuse work.
 	millis("keys", "freshnessMs", 2000, 10000, func(s *Settings) *time.Duration { return &s.Keys.Freshness }),
 	number("claims", "perSecond", 1, 1000, func(s *Settings) *int { return &s.Claims.PerSecond }),
+	oneOf("moves", "automatic", []string{"true", "false"}, func(s *Settings, v string) { s.Moves.Automatic = v == "true" }),
+	number("moves", "economyPercent", 0, 100, func(s *Settings) *int { return &s.Moves.EconomyPercent }),
 	millis("shutdown", "graceMs", 0, 86400000, func(s *Settings) *time.Duration { return &s.Shutdown.Grace }),
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	Workers  Workers
 	Keys     Keys
 	Claims   Claims
+	Moves    Moves
 	Shutdown Shutdown
 }
 
@@ -76,6 +77,12 @@
 	PerSecond int
 }
 
+// Moves says whether and how eagerly hosts are moved between pools.
+type Moves struct {
+	Automatic      bool
+	EconomyPercent int // 0: nearness to targets and shares first; 100: few moves and a small spare pool first
+}
+
 // Shutdown bounds a graceful shutdown.
 type Shutdown struct {
 	Grace time.Duration
@@ -92,6 +99,7 @@
 		Keys:    Keys{WhenCutOff: CutOffRefuse, Freshness: 5 * time.Second},
 		// Nine entry hosts at this rate stay below the several hundred writes a second that the store takes.
 		Claims: Claims{PerSecond: 20},
+		Moves:  Moves{Automatic: true, EconomyPercent: 50},
 		// Slow work that must finish by dawn runs for hours, and a planned stop cuts off no request.
 		Shutdown: Shutdown{Grace: 12 * time.Hour},
 	}
