Keep waves and maintenance out of the decisions on moves

Change: a host that drains and stays counts as capacity, a host that a wave will reboot stays until then, what the bursts need stays spare even when a pool misses targets, and misses lower the bound by a quarter of the gap. The spare pool covers the mean and 2 to 0 standard deviations by economy.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -175,26 +175,30 @@
 	}
 }
 
-// Guards against a drain that the budget forbids, against emptying a pool to its budget, and against moves that begin while
+// Guards against a drain that the budget forbids, against moving a host that a wave would then miss, against emptying a pool to its budget, and against moves that begin while
 // another one into or out of the pool is under way.
 func TestWhatForbidsMoves(t *testing.T) {
 	pool := func(id jaybarrow.PoolID, unavailable, hosts int) balance.Pool {
 		return balance.Pool{ID: id, Spare: id == "spare", MaxUnavailable: 1, Unavailable: unavailable, Hosts: hosts}
 	}
 	cases := []struct {
-		name   string
-		spare  balance.Pool
-		giver  balance.Pool
-		moves  []balance.UnderWay
-		missed int64
-		want   []jaybarrow.PoolID // sources of moves into pool a
+		name  string
+		spare balance.Pool
+		giver balance.Pool
+		moves []balance.UnderWay
+		state func(*balance.Host)
+		want  []jaybarrow.PoolID // sources of moves into pool a
 	}{
-		{"spare gives", pool("spare", 0, 2), pool("b", 0, 3), nil, 1, []jaybarrow.PoolID{"spare"}},
-		{"spare has spent its budget", pool("spare", 1, 2), pool("b", 0, 3), nil, 1, []jaybarrow.PoolID{"b"}},
-		{"both have spent their budgets", pool("spare", 1, 2), pool("b", 1, 3), nil, 1, nil},
-		{"the giver would keep no more than its budget", pool("spare", 1, 2), pool("b", 0, 2), nil, 1, nil},
-		{"a move into the pool is under way", pool("spare", 0, 2), pool("b", 0, 3), []balance.UnderWay{{From: "c", To: "a"}}, 1, nil},
-		{"a move out of the spare pool is under way", pool("spare", 0, 2), pool("b", 0, 3), []balance.UnderWay{{From: "spare", To: "c"}}, 1, []jaybarrow.PoolID{"b"}},
+		{"spare gives", pool("spare", 0, 2), pool("b", 0, 3), nil, nil, []jaybarrow.PoolID{"spare"}},
+		{"spare has spent its budget", pool("spare", 1, 2), pool("b", 0, 3), nil, nil, []jaybarrow.PoolID{"b"}},
+		{"both have spent their budgets", pool("spare", 1, 2), pool("b", 1, 3), nil, nil, nil},
+		{"the giver would keep no more than its budget", pool("spare", 1, 2), pool("b", 0, 2), nil, nil, nil},
+		{"a move into the pool is under way", pool("spare", 0, 2), pool("b", 0, 3), []balance.UnderWay{{From: "c", To: "a"}}, nil, nil},
+		{"a move out of the spare pool is under way", pool("spare", 0, 2), pool("b", 0, 3), []balance.UnderWay{{From: "spare", To: "c"}}, nil, []jaybarrow.PoolID{"b"}},
+		{"a wave will reboot the spare hosts", pool("spare", 0, 2), pool("b", 0, 3), nil, func(h *balance.Host) {
+			h.Pending = h.Pool == "spare"
+		}, []jaybarrow.PoolID{"b"}},
+		{"no host accepts work", pool("spare", 0, 2), pool("b", 0, 3), nil, func(h *balance.Host) { h.Accepting = false }, nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -202,12 +206,15 @@
 			fleet := balance.Fleet{Pools: []balance.Pool{pool("a", 0, 1), c.giver, c.spare}, Moves: c.moves}
 			for _, id := range []jaybarrow.PoolID{"a", "b", "b", "b", "spare", "spare"} {
 				host := balance.Host{ID: jaybarrow.HostID(fmt.Sprint(id, len(fleet.Hosts))), Pool: id, Slots: slots, Accepting: true}
+				if c.state != nil {
+					c.state(&host)
+				}
 				fleet.Hosts = append(fleet.Hosts, host)
 			}
 			var moves []balance.Move
 			for at := time.Duration(0); at <= time.Hour && len(moves) == 0; at += tick {
 				b.Observe(epoch.Add(at), []balance.Sample{
-					{Pool: "a", Capacity: 8, Running: 8, Waiting: 4, Missed: c.missed}, {Pool: "b", Capacity: 24}, {Pool: "spare", Capacity: 16},
+					{Pool: "a", Capacity: 8, Running: 8, Waiting: 4}, {Pool: "b", Capacity: 24}, {Pool: "spare", Capacity: 16},
 				})
 				for _, m := range b.Decide(epoch.Add(at), fleet) {
 					if m.To == "a" {
@@ -270,3 +277,33 @@
 		assert.Equal(t, phase(4*time.Hour, constant), 0, "moves go on under constant load")
 	})
 }
+
+// Guards against targets that are missed without effect, and against moves for misses of a pool with little load.
+func TestMissedTargetsLowerTheBound(t *testing.T) {
+	cases := []struct {
+		name    string
+		running jaybarrow.Slots
+		missed  int64
+		moves   int
+	}{
+		{"between the bounds", 6, 0, 0},
+		{"between the bounds with misses", 6, 1, 1},
+		{"little load with misses", 4, 1, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b, moves := balance.New(balance.DefaultSettings()), 0
+			fleet := balance.Fleet{
+				Pools: []balance.Pool{{ID: "a", MaxUnavailable: 1, Hosts: 1}, {ID: "spare", Spare: true, MaxUnavailable: 1, Hosts: 1}},
+				Hosts: []balance.Host{
+					{ID: "a1", Pool: "a", Slots: slots, Accepting: true}, {ID: "s1", Pool: "spare", Slots: slots, Accepting: true},
+				},
+			}
+			for at := time.Duration(0); at <= time.Hour && moves == 0; at += tick {
+				b.Observe(epoch.Add(at), []balance.Sample{{Pool: "a", Capacity: 8, Running: c.running, Missed: c.missed}, {Pool: "spare", Capacity: 8}})
+				moves = len(b.Decide(epoch.Add(at), fleet))
+			}
+			assert.Equal(t, moves, c.moves)
+		})
+	}
+}
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -26,6 +26,8 @@
 	Pool      jaybarrow.PoolID
 	Slots     jaybarrow.Slots
 	Accepting bool // live and not draining
+	Returning bool // drains and stays in its pool; a lack of capacity that ends with the drain is no lasting one
+	Pending   bool // a wave over its pool will reboot it; it stays until then, since the wave would miss it in another pool
 }
 
 // UnderWay is a move that has begun and not ended, in any data centre.
@@ -107,7 +109,7 @@
 	}
 	for _, h := range fleet.Hosts {
 		d.byPool[h.Pool] = append(d.byPool[h.Pool], h)
-		if h.Accepting {
+		if h.Accepting || h.Returning {
 			d.capacity[h.Pool] += float64(h.Slots)
 		}
 	}
@@ -129,6 +131,9 @@
 			continue
 		}
 		bound := d.settings.high()*d.capacity[id] + rounding
+		if l.missed.mean > missedRate {
+			bound = d.settings.missing()*d.capacity[id] + rounding
+		}
 		if l.long.mean > bound && l.short.mean > bound {
 			lacking = append(lacking, id)
 		}
@@ -154,25 +159,21 @@
 // missedRate is the rate of missed targets, in requests a second, that counts as lasting.
 const missedRate = 0.01
 
-// supply moves a host to a pool that lacks one: from a spare pool that has more than the other pools' bursts need, or any that
-// has one when the pool misses targets, or else from the pool that uses the least of its own.
+// supply moves a host to a pool that lacks one: from a spare pool that has more than the other pools' bursts need, or else from
+// the pool that uses the least of its own. What the bursts need stays spare even if the pool misses targets, since the pool
+// borrows it when the others do not.
 func (d *decision) supply(to jaybarrow.PoolID) {
 	l := d.Balancer.pools[to]
 	why := fmt.Sprintf("pool %s needs %.0f of its %.0f slots lastingly", to, l.long.mean, d.capacity[to])
-	missing := l.missed.mean > missedRate
 	for _, id := range d.spares() {
 		h, ok := d.movable(id)
 		if !ok {
 			continue
 		}
 		needed := l.others.mean + d.settings.spread()*l.others.deviation()
-		switch rest := d.spareSlots() - float64(h.Slots); {
-		case rest >= needed:
+		if rest := d.spareSlots() - float64(h.Slots); rest >= needed {
 			d.move(h, to, fmt.Sprintf("%s; the spare slots left, %.0f, cover the bursts of the others, %.0f", why, rest, needed))
 			return
-		case missing:
-			d.move(h, to, why+" and misses targets")
-			return
 		}
 	}
 	if h, ok := d.leastUsed(to); ok {
@@ -264,7 +265,7 @@
 		return Host{}, false
 	}
 	for _, h := range d.byPool[id] {
-		if h.Accepting && d.now.Sub(d.hosts[h.ID].since) >= d.settings.minStay() {
+		if h.Accepting && !h.Pending && d.now.Sub(d.hosts[h.ID].since) >= d.settings.minStay() {
 			return h, true
 		}
 	}
--- a/internal/balance/settings.go
+++ b/internal/balance/settings.go
@@ -20,12 +20,15 @@
 // high is the part of its capacity above which a pool lacks hosts.
 func (s Settings) high() float64 { return 0.7 + 0.2*s.Economy }
 
-// low is the part of the remaining capacity up to which a pool can give a host. Half of high keeps a gap even for the smallest
-// pools: a pool of one host that gets a second one is at more than half of high of it.
-func (s Settings) low() float64 { return s.high() / 2 }
+// low is the part of the remaining capacity up to which a pool can give a host. The gap to high is wider than the swing of the
+// long mean under bursts in turn, so that a pool does not give and take hosts in alternation.
+func (s Settings) low() float64 { return s.high() * 2 / 3 }
+
+// missing is the part of its capacity above which a pool that misses targets lacks hosts.
+func (s Settings) missing() float64 { return s.high() - (s.high()-s.low())/4 }
 
 // spread is how many standard deviations of the borrowed demand the spare pool covers above the mean.
-func (s Settings) spread() float64 { return 3 - 2*s.Economy }
+func (s Settings) spread() float64 { return 2 - 2*s.Economy }
 
 func (s Settings) minStay() time.Duration {
 	return time.Duration(float64(s.MinStay) * (1 + 2*s.Economy))
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -10,7 +10,7 @@
 // Sample is a pool's load in the data centre at one moment.
 type Sample struct {
 	Pool      jaybarrow.PoolID
-	Capacity  jaybarrow.Slots // of the own hosts that accept work
+	Capacity  jaybarrow.Slots // of the own hosts that accept work or will again after a drain
 	Running   jaybarrow.Slots // on own and borrowed hosts
 	Waiting   jaybarrow.Slots
 	Elsewhere jaybarrow.Slots // free in the pool's part of other data centres, which take what finds no room here
--- a/internal/mover/mover_test.go
+++ b/internal/mover/mover_test.go
@@ -31,6 +31,7 @@
 	loads     []mover.Load
 	driving   bool
 	refuse    bool
+	wave      bool // a wave will reboot the spare hosts
 	behind    bool // the watch does not deliver the drains that begin
 	moves     []balance.Move
 	tries     int
@@ -105,6 +106,9 @@
 		p.put(jaybarrow.HostKey(host), jaybarrow.Host{ID: host, Pool: pool, DataCentre: "north", Capacity: jaybarrow.Demand{Slots: 8}})
 	}
 	p.put(jaybarrow.HostKey("s0"), jaybarrow.Host{ID: "s0", Pool: "spare", DataCentre: "south", Capacity: jaybarrow.Demand{Slots: 8}})
+	if p.wave {
+		p.put(jaybarrow.DrainKey("spare"), jaybarrow.PoolDrains{Pool: "spare", Pending: []jaybarrow.HostID{"s1", "s2", "s3"}})
+	}
 	if p.loads == nil {
 		p.loads = []mover.Load{{Pool: "desk", DataCentre: "north", Load: schedule.Load{Running: 12}}}
 	}
@@ -136,6 +140,7 @@
 		{"the watch lags", platform{driving: true, behind: true}, true, 1},
 		{"not driving", platform{}, true, 0},
 		{"switched off", platform{driving: true}, false, 0},
+		{"a wave will reboot the spare hosts", platform{driving: true, wave: true}, true, 0},
 		{"no load", platform{driving: true, loads: []mover.Load{}}, true, 0},
 		{"another data centre has room", platform{driving: true, loads: []mover.Load{
 			desk("north", schedule.Load{Running: 5, Waiting: 4, FreeSlots: 3}), desk("south", schedule.Load{FreeSlots: 50}),
--- a/internal/mover/snapshot.go
+++ b/internal/mover/snapshot.go
@@ -29,22 +29,27 @@
 func (m *Mover) snapshot() snapshot {
 	var s snapshot
 	views := m.views()
-	draining := m.underWay(&s.fleet)
-	capacity := make(map[jaybarrow.PoolID]jaybarrow.Slots)
+	moving, draining := m.underWay(&s.fleet)
+	pending := m.pending()
+	capacity, accepting := make(map[jaybarrow.PoolID]jaybarrow.Slots), make(map[jaybarrow.PoolID]jaybarrow.Slots)
 	m.deps.Directory.Hosts.Each(func(id jaybarrow.HostID, h jaybarrow.Host) {
 		if h.DataCentre != m.deps.DataCentre {
 			return
 		}
-		accepting := !draining[id] && !m.down(id)
-		if accepting {
+		host := balance.Host{ID: id, Pool: h.Pool, Slots: h.Capacity.Slots, Returning: draining[id], Pending: pending[id]}
+		host.Accepting = !moving[id] && !draining[id] && !m.down(id)
+		if host.Accepting {
+			accepting[h.Pool] += h.Capacity.Slots
+		}
+		if host.Accepting || host.Returning {
 			capacity[h.Pool] += h.Capacity.Slots
 		}
-		s.fleet.Hosts = append(s.fleet.Hosts, balance.Host{ID: id, Pool: h.Pool, Slots: h.Capacity.Slots, Accepting: accepting})
+		s.fleet.Hosts = append(s.fleet.Hosts, host)
 	})
 	loads := m.deps.Loads()
 	for _, v := range views {
 		s.fleet.Pools = append(s.fleet.Pools, m.pool(v))
-		s.samples = append(s.samples, m.sample(v.Pool.ID, capacity[v.Pool.ID], loads))
+		s.samples = append(s.samples, m.sample(v.Pool.ID, capacity[v.Pool.ID], accepting[v.Pool.ID], loads))
 	}
 	return s
 }
@@ -83,29 +88,42 @@
 	}
 }
 
-// underWay fills in the moves that have begun, and returns the hosts that drain for whatever purpose. A move that this entry
-// host began counts until the local copy of the records has reached it.
-func (m *Mover) underWay(fleet *balance.Fleet) map[jaybarrow.HostID]bool {
+// underWay fills in the moves that have begun, and returns the hosts that move and those that drain for another purpose. A move
+// that this entry host began counts until the local copy of the records has reached it.
+func (m *Mover) underWay(fleet *balance.Fleet) (moving, draining map[jaybarrow.HostID]bool) {
 	applied := m.deps.Directory.Applied()
 	m.begun = slices.DeleteFunc(m.begun, func(b begunMove) bool { return applied >= b.revision })
-	draining := make(map[jaybarrow.HostID]bool)
+	moving, draining = make(map[jaybarrow.HostID]bool), make(map[jaybarrow.HostID]bool)
 	for _, b := range m.begun {
-		draining[b.Host] = true
+		moving[b.Host] = true
 		fleet.Moves = append(fleet.Moves, balance.UnderWay{From: b.From, To: b.To})
 	}
 	m.deps.Directory.Drains.Each(func(pool jaybarrow.PoolID, record jaybarrow.PoolDrains) {
 		for id, d := range record.Drains {
-			draining[id] = true
-			if d.Purpose == jaybarrow.PurposeMove {
-				fleet.Moves = append(fleet.Moves, balance.UnderWay{From: pool, To: d.MoveTo})
+			if d.Purpose != jaybarrow.PurposeMove {
+				draining[id] = true
+				continue
 			}
+			moving[id] = true
+			fleet.Moves = append(fleet.Moves, balance.UnderWay{From: pool, To: d.MoveTo})
+		}
+	})
+	return moving, draining
+}
+
+// pending returns the hosts that a wave has not begun to drain.
+func (m *Mover) pending() map[jaybarrow.HostID]bool {
+	pending := make(map[jaybarrow.HostID]bool)
+	m.deps.Directory.Drains.Each(func(_ jaybarrow.PoolID, record jaybarrow.PoolDrains) {
+		for _, id := range record.Pending {
+			pending[id] = true
 		}
 	})
-	return draining
+	return pending
 }
 
 // sample sums the loads that the entry hosts told of the pool; while the pool's scheduler changes there are two.
-func (m *Mover) sample(id jaybarrow.PoolID, capacity jaybarrow.Slots, loads []Load) balance.Sample {
+func (m *Mover) sample(id jaybarrow.PoolID, capacity, accepting jaybarrow.Slots, loads []Load) balance.Sample {
 	s := balance.Sample{Pool: id, Capacity: capacity}
 	free := make(map[jaybarrow.DataCentreID]jaybarrow.Slots)
 	missed := int64(0)
@@ -132,7 +150,7 @@
 	}
 	// Loads count tasks; tasks of several slots show in the slots that are not free.
 	if least, known := free[m.deps.DataCentre]; known {
-		s.Running = max(s.Running, capacity-least)
+		s.Running = max(s.Running, accepting-least)
 	}
 	s.Missed = max(missed-m.missed[id], 0)
 	m.missed[id] = missed
