Count a host on hold as a lasting lack of capacity

Cause: every drain but a move counted as capacity that returns, but a host on hold stays away until an operator ends it. Change: only a reboot counts as returning by itself. Conclusion: a pool whose host is on hold can get another one.

--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -26,7 +26,7 @@
 	Pool      jaybarrow.PoolID
 	Slots     jaybarrow.Slots
 	Accepting bool // live and not draining
-	Returning bool // drains and stays in its pool; a lack of capacity that ends with the drain is no lasting one
+	Returning bool // drains for a reboot; a lack of capacity that ends by itself is no lasting one
 	Pending   bool // a wave over its pool will reboot it; it stays until then, since the wave would miss it in another pool
 }
 
--- a/internal/mover/mover_test.go
+++ b/internal/mover/mover_test.go
@@ -31,8 +31,9 @@
 	loads     []mover.Load
 	driving   bool
 	refuse    bool
-	wave      bool // a wave will reboot the spare hosts
-	behind    bool // the watch does not deliver the drains that begin
+	wave      bool                   // a wave will reboot the spare hosts
+	purpose   jaybarrow.DrainPurpose // of a drain of a second host of pool desk; empty: there is no second host
+	behind    bool                   // the watch does not deliver the drains that begin
 	moves     []balance.Move
 	tries     int
 	busy      []jaybarrow.PoolID
@@ -106,6 +107,12 @@
 		p.put(jaybarrow.HostKey(host), jaybarrow.Host{ID: host, Pool: pool, DataCentre: "north", Capacity: jaybarrow.Demand{Slots: 8}})
 	}
 	p.put(jaybarrow.HostKey("s0"), jaybarrow.Host{ID: "s0", Pool: "spare", DataCentre: "south", Capacity: jaybarrow.Demand{Slots: 8}})
+	if p.purpose != "" {
+		p.put(jaybarrow.HostKey("d2"), jaybarrow.Host{ID: "d2", Pool: "desk", DataCentre: "north", Capacity: jaybarrow.Demand{Slots: 8}})
+		p.put(jaybarrow.DrainKey("desk"), jaybarrow.PoolDrains{Pool: "desk", Drains: map[jaybarrow.HostID]jaybarrow.Drain{
+			"d2": {Host: "d2", Purpose: p.purpose},
+		}})
+	}
 	if p.wave {
 		p.put(jaybarrow.DrainKey("spare"), jaybarrow.PoolDrains{Pool: "spare", Pending: []jaybarrow.HostID{"s1", "s2", "s3"}})
 	}
@@ -125,7 +132,8 @@
 const hour = 360 // rounds
 
 // Guards against moves by an entry host that does not drive, against moves that are switched off, against a second move before
-// the first has ended, and against moves of another data centre's hosts or for work that another data centre takes.
+// the first has ended, against moves that replace a host during its reboot, and against moves of another data centre's hosts or for work that another
+// data centre takes.
 func TestWhenMovesBegin(t *testing.T) {
 	desk := func(dataCentre jaybarrow.DataCentreID, load schedule.Load) mover.Load {
 		return mover.Load{Pool: "desk", DataCentre: dataCentre, Load: load}
@@ -140,6 +148,8 @@
 		{"the watch lags", platform{driving: true, behind: true}, true, 1},
 		{"not driving", platform{}, true, 0},
 		{"switched off", platform{driving: true}, false, 0},
+		{"a host of the pool reboots", platform{driving: true, purpose: jaybarrow.PurposeReboot}, true, 0},
+		{"a host of the pool is on hold", platform{driving: true, purpose: jaybarrow.PurposeHold}, true, 1},
 		{"a wave will reboot the spare hosts", platform{driving: true, wave: true}, true, 0},
 		{"no load", platform{driving: true, loads: []mover.Load{}}, true, 0},
 		{"another data centre has room", platform{driving: true, loads: []mover.Load{
--- a/internal/mover/snapshot.go
+++ b/internal/mover/snapshot.go
@@ -29,15 +29,16 @@
 func (m *Mover) snapshot() snapshot {
 	var s snapshot
 	views := m.views()
-	moving, draining := m.underWay(&s.fleet)
+	draining := m.underWay(&s.fleet)
 	pending := m.pending()
 	capacity, accepting := make(map[jaybarrow.PoolID]jaybarrow.Slots), make(map[jaybarrow.PoolID]jaybarrow.Slots)
 	m.deps.Directory.Hosts.Each(func(id jaybarrow.HostID, h jaybarrow.Host) {
 		if h.DataCentre != m.deps.DataCentre {
 			return
 		}
-		host := balance.Host{ID: id, Pool: h.Pool, Slots: h.Capacity.Slots, Returning: draining[id], Pending: pending[id]}
-		host.Accepting = !moving[id] && !draining[id] && !m.down(id)
+		returning, drains := draining[id]
+		host := balance.Host{ID: id, Pool: h.Pool, Slots: h.Capacity.Slots, Returning: returning, Pending: pending[id]}
+		host.Accepting = !drains && !m.down(id)
 		if host.Accepting {
 			accepting[h.Pool] += h.Capacity.Slots
 		}
@@ -88,27 +89,25 @@
 	}
 }
 
-// underWay fills in the moves that have begun, and returns the hosts that move and those that drain for another purpose. A move
-// that this entry host began counts until the local copy of the records has reached it.
-func (m *Mover) underWay(fleet *balance.Fleet) (moving, draining map[jaybarrow.HostID]bool) {
+// underWay fills in the moves that have begun, and returns the hosts that drain and whether each returns to its pool by itself;
+// a host on hold does not. A move that this entry host began counts until the local copy of the records has reached it.
+func (m *Mover) underWay(fleet *balance.Fleet) map[jaybarrow.HostID]bool {
 	applied := m.deps.Directory.Applied()
 	m.begun = slices.DeleteFunc(m.begun, func(b begunMove) bool { return applied >= b.revision })
-	moving, draining = make(map[jaybarrow.HostID]bool), make(map[jaybarrow.HostID]bool)
+	draining := make(map[jaybarrow.HostID]bool)
 	for _, b := range m.begun {
-		moving[b.Host] = true
+		draining[b.Host] = false
 		fleet.Moves = append(fleet.Moves, balance.UnderWay{From: b.From, To: b.To})
 	}
 	m.deps.Directory.Drains.Each(func(pool jaybarrow.PoolID, record jaybarrow.PoolDrains) {
 		for id, d := range record.Drains {
-			if d.Purpose != jaybarrow.PurposeMove {
-				draining[id] = true
-				continue
+			draining[id] = d.Purpose == jaybarrow.PurposeReboot
+			if d.Purpose == jaybarrow.PurposeMove {
+				fleet.Moves = append(fleet.Moves, balance.UnderWay{From: pool, To: d.MoveTo})
 			}
-			moving[id] = true
-			fleet.Moves = append(fleet.Moves, balance.UnderWay{From: pool, To: d.MoveTo})
 		}
 	})
-	return moving, draining
+	return draining
 }
 
 // pending returns the hosts that a wave has not begun to drain.
