--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/maintenance"
 	"github.com/jaybarrow/jaybarrow/internal/member"
 	"github.com/jaybarrow/jaybarrow/internal/metrics"
+	"github.com/jaybarrow/jaybarrow/internal/mover"
 	"github.com/jaybarrow/jaybarrow/internal/order/fairshare"
 	"github.com/jaybarrow/jaybarrow/internal/peer"
 	"github.com/jaybarrow/jaybarrow/internal/permit"
@@ -68,6 +69,7 @@
 	peerServer  *peer.Server
 	router      *route.Router
 	maintenance *maintenance.Manager
+	mover       *mover.Mover
 	journal     *journal.Journal
 	meter       *metrics.Metrics
 	http        *httpapi.Server
@@ -131,6 +133,7 @@
 		Signals: signals{e}, NewPool: func() *schedule.Pool {
 			limits := schedule.Settings{
 				MaxWaiting: queues.MaxWaiting, MaxTeamWaiting: queues.MaxWaitingPerTeam, Admission: true, QuickReserve: quickReserve,
+				GatherAfter: gatherAfter,
 			}
 			return schedule.New(limits, fairshare.New(), twochoices.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 		},
@@ -154,6 +157,10 @@
 // answers more quick work in time beside long tasks, and costs idle slots and nearness to share: see docs/measurements.md.
 const quickReserve = 0.1
 
+// gatherAfter is how many usual run times a job of several slots waits before a host gathers slots for it; more often costs
+// quick targets, and less often makes these jobs wait longer (docs/measurements.md, jobs of several slots).
+const gatherAfter = 4
+
 func (e *Entry) startPeers() {
 	d, own := e.deps, e.deps.Settings.Entry
 	e.gossip = peer.NewGossip(peer.GossipDeps{
@@ -174,6 +181,11 @@
 		Platform: d.Platform, Conditions: e.conditions, Journal: e.journal, NewChange: identity.NewChangeID,
 		DataCentre: own.DataCentre, Driving: e.drives, Settings: e.times.Maintenance,
 	})
+	e.mover = mover.New(mover.Deps{
+		Clock: d.Clock, Log: logging.For(d.Log, "mover"), Directory: e.directory, Conditions: e.conditions,
+		Drains: e.maintenance, Lenders: e.roster, Journal: e.journal, DataCentre: own.DataCentre, Driving: e.drives,
+		Loads: e.poolLoads, Settings: e.times.Mover,
+	})
 }
 
 // drives reports whether this entry host drives the drains of its data centre.
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -52,6 +52,7 @@
 	}
 	err := errors.Join(failed, e.closeFrontEnds(ctx))
 	e.scheduler.Close()
+	e.mover.Close()
 	e.maintenance.Close()
 	e.leaveStore(ctx)
 	e.closeParts()
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -13,6 +13,7 @@
 	MaxTeamWaiting int     // requests of one team that may wait; 0: no bound of its own
 	Admission      bool    // refuse requests whose deadline cannot be met
 	QuickReserve   float64 // largest part of the slots that is held for recent quick work; 0: none
+	GatherAfter    float64 // usual run times that work of several slots waits before a host gathers slots for it; 0: never
 }
 
 // Start is the decision to run an item on a host now.
@@ -60,7 +61,9 @@
 	tried     map[jaybarrow.RequestID][]jaybarrow.HostID // hosts that a waiting item should not go to again
 	reserve   *reserve
 	reserved  bool // an item was skipped for the reserve since the last change
+	gather    *gathering
 	attempts  jaybarrow.AttemptID
+	missed    int64 // requests refused or dropped for their deadlines
 }
 
 // New returns a Pool without hosts.
@@ -74,6 +77,7 @@
 		waiting:   newWaitingSet(),
 		tried:     make(map[jaybarrow.RequestID][]jaybarrow.HostID),
 		reserve:   newReserve(settings.QuickReserve),
+		gather:    newGathering(settings.GatherAfter),
 	}
 }
 
@@ -82,6 +86,7 @@
 func (p *Pool) Arrive(now time.Time, item jaybarrow.Item, likely time.Duration) (evicted []jaybarrow.Item, err error) {
 	p.reserve.arrive(now, item)
 	if err := p.attainable(now, item, likely); err != nil {
+		p.missed++
 		return nil, err
 	}
 	if n := p.waiting.count(item.Team); p.settings.MaxTeamWaiting > 0 && n >= p.settings.MaxTeamWaiting {
@@ -102,10 +107,12 @@
 func (p *Pool) push(now time.Time, item jaybarrow.Item) {
 	p.order.Push(now, item)
 	p.waiting.add(item)
+	p.gather.add(item)
 }
 
 func (p *Pool) left(item jaybarrow.Item) {
 	p.waiting.remove(item)
+	p.gather.remove(item.ID)
 	delete(p.tried, item.ID)
 }
 
@@ -119,7 +126,13 @@
 // Next decides the next start, if any.
 func (p *Pool) Next(now time.Time, in Inputs) (Start, bool) {
 	p.reserved = false
-	if p.order.Len() == 0 || p.freeSlots(now) == 0 {
+	if p.order.Len() == 0 {
+		return Start{}, false
+	}
+	if start, ok := p.startGathered(now, in); ok {
+		return start, true
+	}
+	if p.freeSlots(now, false)+p.freeSlots(now, true) == 0 {
 		return Start{}, false
 	}
 	s := newSelection(p, now, in)
@@ -161,6 +174,7 @@
 		p.reserve.add(now, r.start.Item, -1)
 	}
 	p.order.Finished(now, r.start.Item, ran)
+	p.gather.finished(r.start, ran)
 	p.hosts[r.start.Host].charge(r.start.Item.Demand, -1)
 	p.forgetHost(r.start.Host)
 }
@@ -197,6 +211,7 @@
 	var expired []Expiry
 	for _, item := range p.order.Expired(now) {
 		expired = append(expired, Expiry{item, p.waiting.skip(item)})
+		p.missed++
 		p.left(item)
 	}
 	return expired
@@ -229,11 +244,13 @@
 // Load is a pool's load in one data centre.
 type Load struct {
 	Waiting   int             `json:"waiting"`
-	Running   int             `json:"running"`
-	FreeSlots jaybarrow.Slots `json:"freeSlots"`
+	Running   int             `json:"running"`   // on own and borrowed hosts
+	FreeSlots jaybarrow.Slots `json:"freeSlots"` // of own hosts, so that borrowed ones attract no work of other data centres
+	// Missed counts the requests that the pool refused or dropped for their deadlines; it is known on this entry host only.
+	Missed int64 `json:"-"`
 }
 
 // Load returns the current load.
 func (p *Pool) Load(now time.Time) Load {
-	return Load{Waiting: p.order.Len(), Running: len(p.running), FreeSlots: p.freeSlots(now)}
+	return Load{Waiting: p.order.Len(), Running: len(p.running), FreeSlots: p.freeSlots(now, false), Missed: p.missed}
 }
