Count permit writes by reason, and measure the time until the reachable share is used

Cause: the experiment reported only writes a second and mean shares, so neither the reason for the writes nor the time that permits take to follow a shift was known, and the idle phase began before the floors were taken. Change: writes are counted by what they change; each phase reports the time to 90% and 95% of the reachable share and the waits of tasks; the idle phase begins after a second without writes.

--- a/cmd/experiment-permits/experiment.go
+++ b/cmd/experiment-permits/experiment.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"runtime"
 	"sync"
 	"syscall"
@@ -79,98 +78,6 @@
 	s.used[s.key(h, t)]--
 }
 
-// workload is the queues and running tasks of all hosts and teams under one kind of permits.
-type workload struct {
-	config
-	permits
-	random  *rand.Rand
-	busiest int       // host with the skewed part of the demand
-	waiting [][]int   // by team and host
-	owed    []float64 // fractional arrivals, by team
-	running []running
-	busy    int // slots in use
-	sum     int // of busy, over the ticks of a phase
-	arrived int
-	ticks   int
-}
-
-type running struct {
-	host, team, end int
-}
-
-func newWorkload(c config, p permits) *workload {
-	w := &workload{config: c, permits: p, random: rand.New(rand.NewPCG(c.seed, 1)), owed: make([]float64, c.teams)}
-	for range c.teams {
-		w.waiting = append(w.waiting, make([]int, c.hosts))
-	}
-	return w
-}
-
-// step ends the tasks that are due, adds arrivals and starts what has permits. The demand is closed at the limit's queue:
-// a host with more than the limit waiting receives no more, so that an overload stays bounded.
-func (w *workload) step(now int) {
-	left := w.running[:0]
-	for _, r := range w.running {
-		if r.end > now {
-			left = append(left, r)
-			continue
-		}
-		w.release(r.host, r.team)
-		w.busy--
-	}
-	w.running = left
-	rate := w.load * float64(w.limit) * float64(tick) / float64(w.task)
-	for t := range w.teams {
-		for w.owed[t] += rate; w.owed[t] >= 1; w.owed[t]-- {
-			if h := w.choose(); w.waiting[t][h] < w.limit {
-				w.waiting[t][h]++
-			}
-		}
-		for h := range w.hosts {
-			w.start(t, h, now)
-		}
-	}
-	w.sum += w.busy
-	w.ticks++
-}
-
-func (w *workload) choose() int {
-	if w.random.Float64() < w.skew {
-		return w.busiest
-	}
-	others := w.hosts - 1
-	if w.silent {
-		others-- // the last host is silent and has no demand
-	}
-	h := w.random.IntN(others)
-	if h >= w.busiest {
-		h++
-	}
-	return h
-}
-
-func (w *workload) start(t, h, now int) {
-	for w.waiting[t][h] > 0 && w.acquire(h, t) {
-		w.waiting[t][h]--
-		w.busy++
-		took := 1 + int(w.random.ExpFloat64()*float64(w.task)/float64(tick))
-		w.running = append(w.running, running{host: h, team: t, end: now + took})
-	}
-}
-
-// phase runs the workload in real time and returns the mean part of the limits in use.
-func (w *workload) phase(length time.Duration) float64 {
-	w.sum, w.ticks = 0, 0
-	timer := time.NewTicker(tick)
-	defer timer.Stop()
-	for begun := time.Now(); time.Since(begun) < length; {
-		<-timer.C
-		w.arrived++
-		w.step(w.arrived)
-	}
-	return float64(w.sum) / float64(w.ticks) / float64(w.limit*w.teams)
-}
-
 // both runs a phase of the three workloads at once, and reports the writes and the processor time of it.
 func both(f *fleet, name string, c config, loads []*workload) {
 	writes, cpu, begun := f.writes.Load(), processorTime(), time.Now()
@@ -181,8 +88,20 @@
 	}
 	group.Wait()
 	seconds := time.Since(begun).Seconds()
-	fmt.Printf("%-22s used share of limit: keepers %.3f  static split %.3f  ideal %.3f  writes/s %.1f  cores %.2f\n",
-		name, shares[0], shares[1], shares[2], float64(f.writes.Load()-writes)/seconds, (processorTime()-cpu).Seconds()/seconds)
+	high, most, oldest := loads[0].waited()
+	fmt.Printf("%-22s used share of limit: keepers %.3f  static split %.3f  ideal %.3f  writes/s %.1f  cores %.2f\n"+
+		"    reachable %.3f: 90%% after %v, 95%% after %v; wait p99 %v, most %v, oldest waiting %v; writes %v\n",
+		name, shares[0], shares[1], shares[2], float64(f.writes.Load()-writes)/seconds, (processorTime()-cpu).Seconds()/seconds,
+		loads[0].reachable(), when(loads[0].reached(0.9*loads[0].reachable())), when(loads[0].reached(0.95*loads[0].reachable())),
+		high, most, oldest, f.reasons.take())
+}
+
+// when formats a time that may never have come.
+func when(d time.Duration) string {
+	if d < 0 {
+		return "(not reached)"
+	}
+	return d.String()
 }
 
 func experiment(c config) {
@@ -191,6 +110,7 @@
 	fmt.Printf("seed %d, %d hosts, limit %d, %d teams, skew %.2f, load %.2f, task %v, silent %v\n",
 		c.seed, c.hosts, c.limit, c.teams, c.skew, c.load, c.task, c.silent)
 	quiet(f, "start, no demand", c)
+	settle(f)
 	quiet(f, "idle", c)
 	loads := []*workload{newWorkload(c, keepers{f}), newWorkload(c, newSplit(c)), newWorkload(c, newIdeal(c))}
 	if c.silent {
@@ -208,6 +128,19 @@
 	fmt.Printf("heap %.1f MB, %d goroutines\n", float64(memory.HeapAlloc)/1e6, runtime.NumGoroutine())
 }
 
+// settle waits until there was no write for a second, so that the floors are taken.
+func settle(f *fleet) {
+	begun := time.Now()
+	for before := int64(-1); before != f.writes.Load(); time.Sleep(time.Second) {
+		before = f.writes.Load()
+		if time.Since(begun) > time.Minute {
+			fmt.Println("still writing after a minute")
+			return
+		}
+	}
+	fmt.Printf("no writes for 1 s, %.0f s after the first phase; writes so far %v\n", time.Since(begun).Seconds(), f.reasons.take())
+}
+
 // quiet measures a phase without demand.
 func quiet(f *fleet, name string, c config) {
 	writes, cpu := f.writes.Load(), processorTime()
--- a/cmd/experiment-permits/fleet.go
+++ b/cmd/experiment-permits/fleet.go
@@ -20,9 +20,11 @@
 // countingStore counts the writes of allotments; while it is frozen its calls wait.
 type countingStore struct {
 	*store.Core
-	writes *atomic.Int64
-	frozen chan struct{} // closed to freeze
-	closed chan struct{} // closed at the end
+	entry   jaybarrow.EntryID
+	writes  *atomic.Int64
+	reasons *reasons
+	frozen  chan struct{} // closed to freeze
+	closed  chan struct{} // closed at the end
 }
 
 func (s *countingStore) wait() {
@@ -36,7 +38,13 @@
 func (s *countingStore) CompareAndSwap(ctx context.Context, key jaybarrow.Key, previous jaybarrow.Revision, value []byte, lease jaybarrow.LeaseID) (jaybarrow.Revision, error) {
 	s.wait()
 	s.writes.Add(1)
-	return s.Core.CompareAndSwap(ctx, key, previous, value, lease)
+	reason := s.reason(ctx, key, previous, value)
+	revision, err := s.Core.CompareAndSwap(ctx, key, previous, value, lease)
+	if err != nil {
+		reason = reasonFailed
+	}
+	s.reasons.add(reason)
+	return revision, err
 }
 
 // host is one entry host of the experiment.
@@ -48,12 +56,13 @@
 
 // fleet is the entry hosts on one store.
 type fleet struct {
-	core   *store.Core
-	writes atomic.Int64
-	hosts  []*host
-	group  conc.WaitGroup
-	ctx    context.Context
-	cancel context.CancelFunc
+	core    *store.Core
+	writes  atomic.Int64
+	reasons reasons
+	hosts   []*host
+	group   conc.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 func team(i int) jaybarrow.TeamID { return jaybarrow.TeamID(fmt.Sprintf("team-%d", i)) }
@@ -78,7 +87,7 @@
 
 func (f *fleet) newHost(i int) *host {
 	id := jaybarrow.EntryID(fmt.Sprintf("entry-%d", i))
-	h := &host{store: &countingStore{Core: f.core, writes: &f.writes, frozen: make(chan struct{}), closed: make(chan struct{})}}
+	h := &host{store: &countingStore{Core: f.core, entry: id, writes: &f.writes, reasons: &f.reasons, frozen: make(chan struct{}), closed: make(chan struct{})}}
 	d := directory.New()
 	f.group.Go(func() { f.feed(h, d) })
 	h.presence = presence.New(presence.Deps{
--- /dev/null
+++ b/cmd/experiment-permits/reasons.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"sync"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// reason is what a write changes.
+type reason string
+
+const (
+	reasonTake   reason = "take"   // raises the own grant
+	reasonGive   reason = "give"   // raises another host's grant
+	reasonReturn reason = "return" // lowers the own grant only
+	reasonWant   reason = "want"   // changes the own want only
+	reasonFailed reason = "failed" // conflicts, or the call failed
+	reasonOther  reason = "other"
+)
+
+// reasons counts the writes by reason.
+type reasons struct {
+	mutex  sync.Mutex
+	counts map[reason]int
+}
+
+func (r *reasons) add(why reason) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.counts == nil {
+		r.counts = make(map[reason]int)
+	}
+	r.counts[why]++
+}
+
+// take returns the counts since the last call.
+func (r *reasons) take() map[reason]int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	counts := r.counts
+	r.counts = nil
+	return counts
+}
+
+// reason compares the value with the record that it replaces.
+func (s *countingStore) reason(ctx context.Context, key jaybarrow.Key, previous jaybarrow.Revision, value []byte) reason {
+	stored, err := s.Core.Get(ctx, key)
+	if err != nil || stored.Revision != previous {
+		return reasonFailed
+	}
+	var old, next jaybarrow.Allotment
+	if json.Unmarshal(stored.Value, &old) != nil || json.Unmarshal(value, &next) != nil {
+		return reasonOther
+	}
+	for id, g := range next.Grants {
+		if id != s.entry && g.Slots > old.Grants[id].Slots {
+			return reasonGive
+		}
+	}
+	own, before := next.Grants[s.entry].Slots, old.Grants[s.entry].Slots
+	switch {
+	case own > before:
+		return reasonTake
+	case own < before:
+		return reasonReturn
+	case !maps.Equal(old.Wants, next.Wants):
+		return reasonWant
+	}
+	return reasonOther
+}
--- /dev/null
+++ b/cmd/experiment-permits/workload.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// workload is the queues and running tasks of all hosts and teams under one kind of permits.
+type workload struct {
+	config
+	permits
+	random  *rand.Rand
+	busiest int       // host with the skewed part of the demand
+	waiting [][][]int // arrival ticks of waiting tasks, by team and host
+	owed    []float64 // fractional arrivals, by team
+	running []running
+	busy    int // slots in use
+	sum     int // of busy, over the ticks of a phase
+	arrived int
+	ticks   int
+	samples []int // of busy, by tick of the phase
+	waits   []int // ticks that the tasks started in the phase had waited
+}
+
+type running struct {
+	host, team, end int
+}
+
+func newWorkload(c config, p permits) *workload {
+	w := &workload{config: c, permits: p, random: rand.New(rand.NewPCG(c.seed, 1)), owed: make([]float64, c.teams)}
+	for range c.teams {
+		w.waiting = append(w.waiting, make([][]int, c.hosts))
+	}
+	return w
+}
+
+// step ends the tasks that are due, adds arrivals and starts what has permits. The demand is closed at the limit's queue:
+// a host with more than the limit waiting receives no more, so that an overload stays bounded.
+func (w *workload) step(now int) {
+	left := w.running[:0]
+	for _, r := range w.running {
+		if r.end > now {
+			left = append(left, r)
+			continue
+		}
+		w.release(r.host, r.team)
+		w.busy--
+	}
+	w.running = left
+	rate := w.load * float64(w.limit) * float64(tick) / float64(w.task)
+	for t := range w.teams {
+		for w.owed[t] += rate; w.owed[t] >= 1; w.owed[t]-- {
+			if h := w.choose(); len(w.waiting[t][h]) < w.limit {
+				w.waiting[t][h] = append(w.waiting[t][h], now)
+			}
+		}
+		for h := range w.hosts {
+			w.start(t, h, now)
+		}
+	}
+	w.sum += w.busy
+	w.samples = append(w.samples, w.busy)
+	w.ticks++
+}
+
+func (w *workload) choose() int {
+	if w.random.Float64() < w.skew {
+		return w.busiest
+	}
+	others := w.hosts - 1
+	if w.silent {
+		others-- // the last host is silent and has no demand
+	}
+	h := w.random.IntN(others)
+	if h >= w.busiest {
+		h++
+	}
+	return h
+}
+
+func (w *workload) start(t, h, now int) {
+	for len(w.waiting[t][h]) > 0 && w.acquire(h, t) {
+		w.waits = append(w.waits, now-w.waiting[t][h][0])
+		w.waiting[t][h] = w.waiting[t][h][1:]
+		w.busy++
+		took := 1 + int(w.random.ExpFloat64()*float64(w.task)/float64(tick))
+		w.running = append(w.running, running{host: h, team: t, end: now + took})
+	}
+}
+
+// phase runs the workload in real time and returns the mean part of the limits in use.
+func (w *workload) phase(length time.Duration) float64 {
+	w.sum, w.ticks, w.samples, w.waits = 0, 0, nil, nil
+	timer := time.NewTicker(tick)
+	defer timer.Stop()
+	for begun := time.Now(); time.Since(begun) < length; {
+		<-timer.C
+		w.arrived++
+		w.step(w.arrived)
+	}
+	return float64(w.sum) / float64(w.ticks) / float64(w.limit*w.teams)
+}
+
+// reachable is the share that escrow can use at most: the busiest host cannot have the floors of the others.
+func (w *workload) reachable() float64 {
+	// A task takes half a tick more than its drawn time, because it is rounded up.
+	demand := min(1, w.load*(1+float64(tick)/2/float64(w.task))) * float64(w.limit)
+	floors := float64(w.limit) / 2 * float64(w.hosts-1) / float64(w.hosts)
+	return (min(w.skew*demand, float64(w.limit)-floors) + (1-w.skew)*demand) / float64(w.limit)
+}
+
+// reached returns the time from the start of the phase until the mean use over ten ticks was the given share; negative when
+// it never was.
+func (w *workload) reached(share float64) time.Duration {
+	const window = 10
+	for i := window; i <= len(w.samples); i++ {
+		sum := 0
+		for _, n := range w.samples[i-window : i] {
+			sum += n
+		}
+		if float64(sum)/window >= share*float64(w.limit*w.teams) {
+			return time.Duration(i) * tick
+		}
+	}
+	return -1
+}
+
+// waited returns the 99th percentile and the highest wait of the tasks that started in the phase, and the age of the
+// oldest task that still waits.
+func (w *workload) waited() (high, most, oldest time.Duration) {
+	for _, hosts := range w.waiting {
+		for _, queue := range hosts {
+			if len(queue) > 0 {
+				oldest = max(oldest, time.Duration(w.arrived-queue[0])*tick)
+			}
+		}
+	}
+	if len(w.waits) == 0 {
+		return 0, 0, oldest
+	}
+	slices.Sort(w.waits)
+	return time.Duration(w.waits[len(w.waits)*99/100]) * tick, time.Duration(w.waits[len(w.waits)-1]) * tick, oldest
+}
