Report the waiting slots of a team to the permit keeper

Cause: the keeper learnt of unmet demand only from refused starts and took permits in doubling steps, so a host needed several writes to reach its demand; quiet hosts asked for a permit at every short lack and returned it later. Change: Permits.Waiting tells the team's waiting slots that hosts have room for, summed over the pools; the keeper asks for them at once. A lack of less than half of the grant must last 10 times the patience, because own tasks usually end it.

--- a/cmd/experiment-permits/experiment.go
+++ b/cmd/experiment-permits/experiment.go
@@ -27,13 +27,17 @@
 type permits interface {
 	acquire(host, team int) bool
 	release(host, team int)
+	waiting(host, team, slots int)
 }
 
 // keepers takes permits from the keepers under test.
 type keepers struct{ *fleet }
 
 func (k keepers) acquire(h, t int) bool { return k.hosts[h].keeper.TryAcquire(team(t), 1) }
-func (k keepers) release(h, t int)      { k.hosts[h].keeper.Release(team(t), 1) }
+func (k keepers) waiting(h, t, n int) {
+	k.hosts[h].keeper.Waiting(team(t), jaybarrow.Slots(n))
+}
+func (k keepers) release(h, t int) { k.hosts[h].keeper.Release(team(t), 1) }
 
 // counter is the ideal: one counter for each team that all hosts share without cost. With parts it is the static split.
 type counter struct {
@@ -72,6 +76,8 @@
 	return true
 }
 
+func (s *counter) waiting(int, int, int) {}
+
 func (s *counter) release(h, t int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/cmd/experiment-permits/workload.go
+++ b/cmd/experiment-permits/workload.go
@@ -12,7 +12,8 @@
 	permits
 	random  *rand.Rand
 	busiest int       // host with the skewed part of the demand
-	waiting [][][]int // arrival ticks of waiting tasks, by team and host
+	queues  [][][]int // arrival ticks of waiting tasks, by team and host
+	lacks   [][]bool  // by team and host, whether waiting slots were reported
 	owed    []float64 // fractional arrivals, by team
 	running []running
 	busy    int // slots in use
@@ -30,7 +31,8 @@
 func newWorkload(c config, p permits) *workload {
 	w := &workload{config: c, permits: p, random: rand.New(rand.NewPCG(c.seed, 1)), owed: make([]float64, c.teams)}
 	for range c.teams {
-		w.waiting = append(w.waiting, make([][]int, c.hosts))
+		w.queues = append(w.queues, make([][]int, c.hosts))
+		w.lacks = append(w.lacks, make([]bool, c.hosts))
 	}
 	return w
 }
@@ -51,8 +53,8 @@
 	rate := w.load * float64(w.limit) * float64(tick) / float64(w.task)
 	for t := range w.teams {
 		for w.owed[t] += rate; w.owed[t] >= 1; w.owed[t]-- {
-			if h := w.choose(); len(w.waiting[t][h]) < w.limit {
-				w.waiting[t][h] = append(w.waiting[t][h], now)
+			if h := w.choose(); len(w.queues[t][h]) < w.limit {
+				w.queues[t][h] = append(w.queues[t][h], now)
 			}
 		}
 		for h := range w.hosts {
@@ -80,13 +82,22 @@
 }
 
 func (w *workload) start(t, h, now int) {
-	for len(w.waiting[t][h]) > 0 && w.acquire(h, t) {
-		w.waits = append(w.waits, now-w.waiting[t][h][0])
-		w.waiting[t][h] = w.waiting[t][h][1:]
+	for len(w.queues[t][h]) > 0 {
+		if !w.acquire(h, t) {
+			w.lacks[t][h] = true
+			w.permits.waiting(h, t, len(w.queues[t][h]))
+			return
+		}
+		w.waits = append(w.waits, now-w.queues[t][h][0])
+		w.queues[t][h] = w.queues[t][h][1:]
 		w.busy++
 		took := 1 + int(w.random.ExpFloat64()*float64(w.task)/float64(tick))
 		w.running = append(w.running, running{host: h, team: t, end: now + took})
 	}
+	if w.lacks[t][h] {
+		w.lacks[t][h] = false
+		w.permits.waiting(h, t, 0)
+	}
 }
 
 // phase runs the workload in real time and returns the mean part of the limits in use.
@@ -129,7 +140,7 @@
 // waited returns the 99th percentile and the highest wait of the tasks that started in the phase, and the age of the
 // oldest task that still waits.
 func (w *workload) waited() (high, most, oldest time.Duration) {
-	for _, hosts := range w.waiting {
+	for _, hosts := range w.queues {
 		for _, queue := range hosts {
 			if len(queue) > 0 {
 				oldest = max(oldest, time.Duration(w.arrived-queue[0])*tick)
--- a/internal/permit/demand.go
+++ b/internal/permit/demand.go
@@ -6,7 +6,7 @@
 	"github.com/jaybarrow/jaybarrow"
 )
 
-// demand estimates how many permits beyond the grant are wanted. A refused start says only that something waits, so the
+// demand is how many permits are wanted beyond those in use. The scheduler reports the waiting slots; while it does not, the
 // estimate starts small and doubles each time it was met and starts are still refused.
 type demand struct {
 	lacking  bool
@@ -20,6 +20,8 @@
 	met      time.Time
 	probed   time.Time
 	patience time.Duration
+	reported bool // the scheduler reports the waiting slots, so that no estimate is needed
+	backlog  jaybarrow.Slots
 }
 
 // demandMemory is how long after a lack was met a new lack counts as its continuation.
@@ -33,7 +35,7 @@
 		return false // never runnable under this limit; permits must not move for it
 	}
 	if d.lacking {
-		raised := slots > d.unit || (!d.lasting && now.Sub(d.begun) >= d.patience)
+		raised := slots > d.unit || (!d.lasting && now.Sub(d.begun) >= d.wait(granted))
 		d.unit, d.lasting = max(d.unit, slots), d.lasting || raised
 		return raised
 	}
@@ -46,6 +48,33 @@
 	return true
 }
 
+// report takes the number of waiting slots; it reports whether the scale of the demand changed.
+func (d *demand) report(now time.Time, slots, granted jaybarrow.Slots) bool {
+	before := d.backlog
+	d.reported, d.backlog = true, slots
+	if slots > 0 {
+		d.renewed = true
+	}
+	if !d.lacking || slots == 0 {
+		return false
+	}
+	raised := !d.lasting && now.Sub(d.begun) >= d.wait(granted)
+	d.lasting = d.lasting || raised
+	return raised || slots > 2*before
+}
+
+// smallLack is how many times longer the patience is for a lack of less than half of the grant: the host's own tasks
+// usually end it soon, and asking for a few permits costs as many writes as asking for many.
+const smallLack = 10
+
+// wait returns how long a lack must last before permits are asked for.
+func (d *demand) wait(granted jaybarrow.Slots) time.Duration {
+	if d.reported && 2*d.backlog < granted {
+		return smallLack * d.patience
+	}
+	return d.patience
+}
+
 // gain counts permits towards the estimate.
 func (d *demand) gain(slots jaybarrow.Slots) { d.estimate = max(0, d.estimate-slots) }
 
@@ -54,12 +83,23 @@
 	if !d.lacking || !d.lasting {
 		return 0
 	}
+	return d.beyond(granted, used)
+}
+
+func (d *demand) beyond(granted, used jaybarrow.Slots) jaybarrow.Slots {
+	if d.reported {
+		return max(d.unit, d.backlog)
+	}
 	return max(d.unit, granted-used+d.estimate)
 }
 
 // settle ends the lack when the usable permits cover it.
 func (d *demand) settle(now time.Time, usable, used jaybarrow.Slots) {
-	if d.lacking && d.estimate == 0 && usable-used >= d.unit {
+	met := d.estimate == 0
+	if d.reported {
+		met = usable-used >= d.backlog
+	}
+	if d.lacking && met && usable-used >= d.unit {
 		d.lacking, d.unit, d.met = false, 0, now
 	}
 }
@@ -80,7 +120,7 @@
 	}
 	d.probed = now
 	if !d.renewed {
-		d.lacking, d.unit, d.estimate = false, 0, 0
+		d.lacking, d.unit, d.estimate, d.backlog = false, 0, 0, 0
 		return false
 	}
 	d.renewed = false
--- a/internal/permit/holding.go
+++ b/internal/permit/holding.go
@@ -111,6 +111,15 @@
 	return false
 }
 
+// waiting takes the scheduler's count of waiting slots. Only a change of scale wakes the loop, as each start changes the count.
+func (h *holding) waiting(now time.Time, slots jaybarrow.Slots) {
+	h.Lock()
+	defer h.Unlock()
+	if h.demand.report(now, slots, h.granted()) {
+		h.signal()
+	}
+}
+
 // release returns permits and reports whether a start was refused since the last call that returned true.
 func (h *holding) release(slots jaybarrow.Slots) bool {
 	h.Lock()
--- a/internal/permit/snapshot.go
+++ b/internal/permit/snapshot.go
@@ -43,7 +43,7 @@
 		Quarantined: h.quarantined(), InForce: allotment.InForce(h.record), Pending: allotment.Pending(h.record),
 	}
 	if h.demand.lacking {
-		s.Wanted = max(h.demand.estimate, h.demand.unit-(s.Granted-s.InUse))
+		s.Wanted = max(0, h.demand.beyond(s.Granted, s.InUse)-(s.Granted-s.InUse))
 	}
 	return s, h.revision > 0 && !h.deleted
 }
--- a/internal/pool/fakes_test.go
+++ b/internal/pool/fakes_test.go
@@ -62,6 +62,7 @@
 	limit     map[jaybarrow.TeamID]jaybarrow.Slots // absent: unlimited
 	used      jaybarrow.Slots
 	asked     int
+	waiting   map[jaybarrow.TeamID]jaybarrow.Slots // as last reported
 	available chan struct{}
 }
 
@@ -86,6 +87,21 @@
 	}
 }
 
+func (p *permits) Waiting(team jaybarrow.TeamID, slots jaybarrow.Slots) {
+	p.Lock()
+	defer p.Unlock()
+	if p.waiting == nil {
+		p.waiting = make(map[jaybarrow.TeamID]jaybarrow.Slots)
+	}
+	p.waiting[team] = slots
+}
+
+func (p *permits) waitingOf(team jaybarrow.TeamID) jaybarrow.Slots {
+	p.Lock()
+	defer p.Unlock()
+	return p.waiting[team]
+}
+
 func (p *permits) Available() <-chan struct{} { return p.available }
 
 func (p *permits) setLimit(team jaybarrow.TeamID, limit jaybarrow.Slots) {
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -22,6 +22,7 @@
 	wake    chan struct{}
 	// lacksPermits is set before permits are asked for, so that permits that become available in between are noticed.
 	lacksPermits atomic.Bool
+	lacks        map[jaybarrow.TeamID]bool // teams that wait for permits, since the last decision
 }
 
 // batch is what one decision leads to outside the pool's lock.
@@ -128,11 +129,14 @@
 	for _, e := range p.state.Expired(now) {
 		b.expired = append(b.expired, expiry{p.takeWaiter(e.Item.ID), e.Skip})
 	}
-	lacking := false
+	lacks := make(map[jaybarrow.TeamID]bool)
 	in := schedule.Inputs{Signals: s.deps.Signals.Signals, Acquire: func(team jaybarrow.TeamID, slots jaybarrow.Slots) bool {
 		p.lacksPermits.Store(true)
 		acquired := s.deps.Permits.TryAcquire(team, slots)
-		lacking = lacking || !acquired
+		if !acquired {
+			lacks[team] = true
+			s.lacks.set(p.id, team, max(slots, p.state.CouldUse(now, team)))
+		}
 		return acquired
 	}}
 	for {
@@ -143,7 +147,13 @@
 		s.life.taskStarted()
 		b.starts = append(b.starts, taskStart{start, p.takeWaiter(start.Item.ID)})
 	}
-	if !lacking {
+	for team := range p.lacks {
+		if !lacks[team] {
+			s.lacks.set(p.id, team, 0)
+		}
+	}
+	p.lacks = lacks
+	if len(lacks) == 0 {
 		p.lacksPermits.Store(false)
 	}
 	return b
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -17,6 +17,7 @@
 	deps  Deps
 	pools *shard.Map[jaybarrow.PoolID, *poolRun]
 	owned *shard.Map[requestKey, *waiter]
+	lacks *lacks
 	life  lifecycle
 	group conc.WaitGroup
 	stop  chan struct{}
@@ -29,6 +30,7 @@
 		deps:  deps.withDefaults(),
 		pools: shard.New[jaybarrow.PoolID, *poolRun](),
 		owned: shard.New[requestKey, *waiter](),
+		lacks: newLacks(deps.Permits),
 		stop:  make(chan struct{}),
 	}
 	s.group.Go(func() {
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -226,6 +226,15 @@
 	return a
 }
 
+// CouldUse returns how many slots of the team's waiting work the free slots have room for.
+func (p *Pool) CouldUse(now time.Time, team jaybarrow.TeamID) jaybarrow.Slots {
+	t, ok := p.waiting.teams[team]
+	if !ok {
+		return 0
+	}
+	return min(t.slots, p.freeSlots(now))
+}
+
 // Load is a pool's load in one data centre.
 type Load struct {
 	Waiting   int             `json:"waiting"`
--- a/internal/schedule/waiting.go
+++ b/internal/schedule/waiting.go
@@ -17,6 +17,7 @@
 	share jaybarrow.Share
 	items *list.List // of jaybarrow.Item, oldest push first
 	work  time.Duration
+	slots jaybarrow.Slots
 	skips map[jaybarrow.Demand]Skip
 }
 
@@ -35,6 +36,7 @@
 	}
 	t.share = max(item.Share, minShare)
 	t.work += work(item)
+	t.slots += item.Slots
 	w.items[item.ID] = t.items.PushBack(item)
 }
 
@@ -47,6 +49,7 @@
 	t := w.teams[item.Team]
 	t.items.Remove(element)
 	t.work -= work(item)
+	t.slots -= item.Slots
 	if t.items.Len() == 0 {
 		delete(w.teams, item.Team)
 	}
--- a/scheduling.go
+++ b/scheduling.go
@@ -84,6 +84,8 @@
 type Permits interface {
 	// TryAcquire takes permits for a start, or records the lack as demand and returns false.
 	TryAcquire(team TeamID, slots Slots) bool
+	// Waiting tells how many slots of the team's work wait here for permits alone; 0 when none do.
+	Waiting(team TeamID, slots Slots)
 	// Release returns permits after the end of the task is known.
 	Release(team TeamID, slots Slots)
 	// Available signals when permits may have become available.
