Spend the budget of permit writes on the most urgent ones first

Cause: all teams' loops polled one token bucket, so writes went out in no order, and each token woke every waiting loop. Change: waiting writes are ordered by urgency (a host that cannot start one task, other demand, idle permits) and then by age; one goroutine wakes the next one. Writes for idle permits leave half of the budget to the others. The experiment times the busiest host alone, because work that still runs at the former host hid the delay after a shift.

--- a/cmd/experiment-permits/experiment.go
+++ b/cmd/experiment-permits/experiment.go
@@ -95,10 +95,11 @@
 	group.Wait()
 	seconds := time.Since(begun).Seconds()
 	high, most, oldest := loads[0].waited()
+	reachable, busiest := loads[0].reachable()
 	fmt.Printf("%-22s used share of limit: keepers %.3f  static split %.3f  ideal %.3f  writes/s %.1f  cores %.2f\n"+
-		"    reachable %.3f: 90%% after %v, 95%% after %v; wait p99 %v, most %v, oldest waiting %v; writes %v\n",
+		"    reachable %.3f, %.3f at the busiest host; of that 90%% after %v, 95%% after %v; wait p99 %v, most %v, oldest waiting %v; writes %v\n",
 		name, shares[0], shares[1], shares[2], float64(f.writes.Load()-writes)/seconds, (processorTime()-cpu).Seconds()/seconds,
-		loads[0].reachable(), when(loads[0].reached(0.9*loads[0].reachable())), when(loads[0].reached(0.95*loads[0].reachable())),
+		reachable, busiest, when(loads[0].reached(0.9)), when(loads[0].reached(0.95)),
 		high, most, oldest, f.reasons.take())
 }
 
--- a/cmd/experiment-permits/workload.go
+++ b/cmd/experiment-permits/workload.go
@@ -20,7 +20,8 @@
 	sum     int // of busy, over the ticks of a phase
 	arrived int
 	ticks   int
-	samples []int // of busy, by tick of the phase
+	busyAt  []int // slots in use, by host
+	samples []int // slots in use at the busiest host, by tick of the phase
 	waits   []int // ticks that the tasks started in the phase had waited
 }
 
@@ -29,7 +30,7 @@
 }
 
 func newWorkload(c config, p permits) *workload {
-	w := &workload{config: c, permits: p, random: rand.New(rand.NewPCG(c.seed, 1)), owed: make([]float64, c.teams)}
+	w := &workload{config: c, permits: p, random: rand.New(rand.NewPCG(c.seed, 1)), owed: make([]float64, c.teams), busyAt: make([]int, c.hosts)}
 	for range c.teams {
 		w.queues = append(w.queues, make([][]int, c.hosts))
 		w.lacks = append(w.lacks, make([]bool, c.hosts))
@@ -48,8 +49,10 @@
 		}
 		w.release(r.host, r.team)
 		w.busy--
+		w.busyAt[r.host]--
 	}
 	w.running = left
+	w.samples = append(w.samples, w.busyAt[w.busiest])
 	rate := w.load * float64(w.limit) * float64(tick) / float64(w.task)
 	for t := range w.teams {
 		for w.owed[t] += rate; w.owed[t] >= 1; w.owed[t]-- {
@@ -62,7 +65,6 @@
 		}
 	}
 	w.sum += w.busy
-	w.samples = append(w.samples, w.busy)
 	w.ticks++
 }
 
@@ -91,6 +93,7 @@
 		w.waits = append(w.waits, now-w.queues[t][h][0])
 		w.queues[t][h] = w.queues[t][h][1:]
 		w.busy++
+		w.busyAt[h]++
 		took := 1 + int(w.random.ExpFloat64()*float64(w.task)/float64(tick))
 		w.running = append(w.running, running{host: h, team: t, end: now + took})
 	}
@@ -113,24 +116,26 @@
 	return float64(w.sum) / float64(w.ticks) / float64(w.limit*w.teams)
 }
 
-// reachable is the share that escrow can use at most: the busiest host cannot have the floors of the others.
-func (w *workload) reachable() float64 {
+// reachable is the share that escrow can use at most, of all hosts and of the busiest one, which cannot have the floors of the
+// others.
+func (w *workload) reachable() (all, busiest float64) {
 	// A task takes half a tick more than its drawn time, because it is rounded up.
-	demand := min(1, w.load*(1+float64(tick)/2/float64(w.task))) * float64(w.limit)
-	floors := float64(w.limit) / 2 * float64(w.hosts-1) / float64(w.hosts)
-	return (min(w.skew*demand, float64(w.limit)-floors) + (1-w.skew)*demand) / float64(w.limit)
+	demand := min(1, w.load*(1+float64(tick)/2/float64(w.task)))
+	busiest = min(w.skew*demand, 1-float64(w.hosts-1)/float64(w.hosts)/2)
+	return busiest + (1-w.skew)*demand, busiest
 }
 
-// reached returns the time from the start of the phase until the mean use over ten ticks was the given share; negative when
-// it never was.
-func (w *workload) reached(share float64) time.Duration {
+// reached returns the time from the start of the phase until the mean use of the busiest host over ten ticks was the given
+// part of its reachable share; negative when it never was.
+func (w *workload) reached(part float64) time.Duration {
 	const window = 10
+	_, busiest := w.reachable()
 	for i := window; i <= len(w.samples); i++ {
 		sum := 0
 		for _, n := range w.samples[i-window : i] {
 			sum += n
 		}
-		if float64(sum)/window >= share*float64(w.limit*w.teams) {
+		if float64(sum)/window >= part*busiest*float64(w.limit*w.teams) {
 			return time.Duration(i) * tick
 		}
 	}
--- a/internal/allotment/decide.go
+++ b/internal/allotment/decide.go
@@ -184,6 +184,24 @@
 
 func (d *draft) decision() Decision {
 	return Decision{
-		Next: d.next, Write: d.changed, Ceiling: d.ceiling, Above: d.held > d.floor, Rivals: len(d.rivals) > 0,
+		Next: d.next, Write: d.changed, Ceiling: d.ceiling, Above: d.held > d.floor, Rivals: len(d.rivals) > 0, Urgency: d.urgency(),
 	}
 }
+
+func (d *draft) urgency() Urgency {
+	own := d.self.Demand > 0 && d.old.Grants[d.self.Entry].Slots < max(1, d.self.Unit)
+	gives := false
+	for _, r := range d.rivals {
+		if d.next.Grants[r.id].Slots > r.have {
+			own = own || r.starved()
+			gives = true
+		}
+	}
+	switch {
+	case own:
+		return UrgencyStarved
+	case gives || d.self.Demand > 0 || d.self.Leaving || !InForce(d.old):
+		return UrgencyDemand
+	}
+	return UrgencyIdle
+}
--- a/internal/allotment/state.go
+++ b/internal/allotment/state.go
@@ -28,7 +28,23 @@
 	Ceiling jaybarrow.Slots // no start may bring the permits in use above it
 	Above   bool            // holds more than its floor, so time alone may change the decision
 	Rivals  bool            // other entry hosts want permits
+	Urgency Urgency         // of the write
 }
 
+// Urgency orders the writes that compete for the budget of an entry host.
+type Urgency string
+
+// The urgencies.
+const (
+	UrgencyStarved Urgency = "starved" // an entry host that wants permits cannot start one task
+	UrgencyDemand  Urgency = "demand"  // work starts sooner with the write
+	UrgencyIdle    Urgency = "idle"    // floors, and the return of idle permits that nobody wants
+)
+
+var urgencyRanks = map[Urgency]int{UrgencyStarved: 0, UrgencyDemand: 1, UrgencyIdle: 2}
+
+// Before reports whether a write of this urgency goes before one of the other.
+func (u Urgency) Before(other Urgency) bool { return urgencyRanks[u] < urgencyRanks[other] }
+
 // slack is the part of n that is kept, or taken, beyond it so that steady traffic causes no writes.
 func slack(n jaybarrow.Slots) jaybarrow.Slots { return n / 4 }
--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -10,7 +10,6 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
-	"github.com/jaybarrow/jaybarrow/internal/ratelimit"
 	"github.com/jaybarrow/jaybarrow/internal/shard"
 )
 
@@ -20,7 +19,7 @@
 	span      time.Duration // longest run of a task without renewal, from the decision to start it
 	holdings  *shard.Map[jaybarrow.TeamID, *holding]
 	fleet     atomic.Pointer[fleetView]
-	budget    *ratelimit.Bucket
+	turns     *turns
 	available chan struct{}
 	progress  chan struct{} // a holding may have become empty
 	group     conc.WaitGroup
@@ -36,13 +35,14 @@
 		deps:      deps,
 		span:      taskSpan(deps.Settings.StartWindow),
 		holdings:  shard.New[jaybarrow.TeamID, *holding](),
-		budget:    ratelimit.New(deps.Settings.WritesPerSecond, deps.Settings.WritesPerSecond),
+		turns:     newTurns(deps.Settings.WritesPerSecond),
 		available: make(chan struct{}, 1),
 		progress:  make(chan struct{}, 1),
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	k.fleet.Store(&fleetView{})
 	k.group.Go(k.follow)
+	k.group.Go(k.dispatch)
 	return k
 }
 
--- a/internal/permit/loop.go
+++ b/internal/permit/loop.go
@@ -81,16 +81,19 @@
 	// A pending write that was not found by the read-back may still arrive; another write from the same revision settles it.
 	write := decision.Write || h.pending.open
 	if h.fenced || h.incarnation == 0 || h.revision == 0 || h.deleted || !write {
+		k.turns.drop(h)
 		return plan{wait: wait}
 	}
 	if left := h.retry.next.Sub(now); left > 0 {
+		k.turns.drop(h)
 		return plan{wait: earlier(wait, left)}
 	}
 	if h.pending.read {
+		k.turns.drop(h)
 		return plan{read: true}
 	}
-	if left, ok := k.budget.Take(now); !ok {
-		return plan{wait: earlier(wait, left)}
+	if !k.turns.take(now, h, decision.Urgency) {
+		return plan{wait: wait}
 	}
 	p := plan{write: true, next: decision.Next, previous: h.revision, before: h.pending}
 	p.next.Change = k.deps.NewChange()
--- /dev/null
+++ b/internal/permit/turns.go
@@ -0,0 +1,130 @@
+package permit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/allotment"
+	"github.com/jaybarrow/jaybarrow/internal/ratelimit"
+)
+
+// turns spends the entry host's budget of writes on the most urgent ones first, and on the longest waiting of equal urgency.
+type turns struct {
+	sync.Mutex
+	budget  *ratelimit.Bucket
+	reserve int // tokens that writes for idle permits leave to the others
+	waiting map[*holding]claim
+	changed chan struct{} // the waiting writes or the budget changed
+}
+
+// claim is a write that waits for its turn.
+type claim struct {
+	urgency allotment.Urgency
+	since   time.Time
+	team    jaybarrow.TeamID
+}
+
+func (c claim) before(other claim) bool {
+	if c.urgency != other.urgency {
+		return c.urgency.Before(other.urgency)
+	}
+	if !c.since.Equal(other.since) {
+		return c.since.Before(other.since)
+	}
+	return c.team < other.team
+}
+
+func newTurns(writesPerSecond int) *turns {
+	return &turns{
+		budget: ratelimit.New(writesPerSecond, writesPerSecond), reserve: writesPerSecond / 2,
+		waiting: make(map[*holding]claim), changed: make(chan struct{}, 1),
+	}
+}
+
+// take spends a write, or lets the holding wait until it is woken for its turn.
+func (t *turns) take(now time.Time, h *holding, urgency allotment.Urgency) bool {
+	t.Lock()
+	defer t.Unlock()
+	c, waits := t.waiting[h]
+	if !waits {
+		c = claim{since: now, team: h.id}
+	}
+	c.urgency = urgency
+	defer notify(t.changed)
+	if first, _ := t.first(); (first == nil || first == h || !t.waiting[first].before(c)) && t.spend(now, c) {
+		delete(t.waiting, h)
+		return true
+	}
+	t.waiting[h] = c
+	return false
+}
+
+// drop forgets a write that is no longer due.
+func (t *turns) drop(h *holding) {
+	t.Lock()
+	defer t.Unlock()
+	if _, waits := t.waiting[h]; waits {
+		delete(t.waiting, h)
+		notify(t.changed)
+	}
+}
+
+func (t *turns) spend(now time.Time, c claim) bool {
+	_, ok := t.budget.TakeAbove(now, t.kept(c))
+	return ok
+}
+
+func (t *turns) kept(c claim) int {
+	if c.urgency == allotment.UrgencyIdle {
+		return t.reserve
+	}
+	return 0
+}
+
+// first returns the holding whose write is next.
+func (t *turns) first() (*holding, claim) {
+	var next *holding
+	var best claim
+	for h, c := range t.waiting {
+		if next == nil || c.before(best) {
+			next, best = h, c
+		}
+	}
+	return next, best
+}
+
+// next returns the holding whose write is next, and how long until the budget allows it.
+func (t *turns) next(now time.Time) (*holding, time.Duration) {
+	t.Lock()
+	defer t.Unlock()
+	h, c := t.first()
+	if h == nil {
+		return nil, 0
+	}
+	return h, t.budget.Wait(now, t.kept(c))
+}
+
+// wakeTimeout is how long a woken holding may take to make its write or to drop it before it is woken again.
+const wakeTimeout = 100 * time.Millisecond
+
+// dispatch wakes the holdings that wait for the budget, one for each write that it allows.
+func (k *Keeper) dispatch() {
+	for {
+		h, wait := k.turns.next(k.deps.Clock.Now())
+		var timer <-chan time.Time
+		if h != nil {
+			if wait <= 0 {
+				h.signal()
+				wait = wakeTimeout
+			}
+			timer = k.deps.Clock.After(wait)
+		}
+		select {
+		case <-k.ctx.Done():
+			return
+		case <-k.turns.changed:
+		case <-timer:
+		}
+	}
+}
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -20,18 +20,36 @@
 }
 
 // Take takes a token; when there is none it returns false and how long until the next one.
-func (b *Bucket) Take(now time.Time) (time.Duration, bool) {
+func (b *Bucket) Take(now time.Time) (time.Duration, bool) { return b.TakeAbove(now, 0) }
+
+// TakeAbove takes a token if at least keep tokens are left afterwards; otherwise it returns false and how long until it can.
+func (b *Bucket) TakeAbove(now time.Time, keep int) (time.Duration, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if wait := b.wait(now, keep); wait > 0 {
+		return wait, false
+	}
+	b.tokens--
+	return 0, true
+}
+
+// Wait returns how long until a token can be taken above keep.
+func (b *Bucket) Wait(now time.Time, keep int) time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	return b.wait(now, keep)
+}
+
+func (b *Bucket) wait(now time.Time, keep int) time.Duration {
 	if !b.last.IsZero() && now.After(b.last) {
 		b.tokens = min(b.burst, b.tokens+now.Sub(b.last).Seconds()*b.rate)
 	}
 	if now.After(b.last) {
 		b.last = now
 	}
-	if b.tokens < 1 {
-		return time.Duration((1 - b.tokens) / b.rate * float64(time.Second)), false
+	missing := float64(keep+1) - b.tokens
+	if missing <= 0 {
+		return 0
 	}
-	b.tokens--
-	return 0, true
+	return max(1, time.Duration(missing/b.rate*float64(time.Second)))
 }
