Divide the first floors of a team in one write

Cause: each of nine entry hosts took its own floor, 2250 writes for 250 teams, which took about 8 s of the whole budget. Change: the host that is first for a team divides the floors of all live hosts in one write; the others wait for their turn.

--- a/internal/allotment/decide.go
+++ b/internal/allotment/decide.go
@@ -16,6 +16,7 @@
 		return d.decision()
 	}
 	d.shed()
+	d.found()
 	d.rivals = d.findRivals()
 	switch {
 	case self.Leaving:
@@ -105,6 +106,21 @@
 	d.lower(max(d.self.Used, part))
 }
 
+// found divides the floors of a team that nobody holds permits of, for all live hosts in one write. It requires that the own
+// floor is not 0, because a record that stays empty would be divided again after each host that leaves.
+func (d *draft) found() {
+	if len(d.next.Grants) > 0 || d.self.Leaving || d.floor == 0 {
+		return
+	}
+	for id, incarnation := range d.fleet.Live {
+		floor := Floor(d.next.Team, d.next.Limit, d.fleet.Live, id)
+		if id != d.self.Entry && floor > 0 {
+			d.next.Grants[id] = jaybarrow.Grant{Incarnation: incarnation, Slots: floor}
+		}
+	}
+	d.take(d.floor)
+}
+
 // lower reduces the own grant to the given value.
 func (d *draft) lower(to jaybarrow.Slots) {
 	if to < d.held {
--- a/internal/allotment/divide.go
+++ b/internal/allotment/divide.go
@@ -85,17 +85,21 @@
 		return 0
 	}
 	half := limit / 2
-	own := score(team, id)
-	var before jaybarrow.Slots
+	if jaybarrow.Slots(Rank(team, live, id)) < half%count {
+		return half/count + 1
+	}
+	return half / count
+}
+
+// Rank returns the entry host's place among the live ones in an order that differs for each team.
+func Rank(team jaybarrow.TeamID, live map[jaybarrow.EntryID]jaybarrow.Incarnation, id jaybarrow.EntryID) int {
+	own, rank := score(team, id), 0
 	for other := range live {
 		if s := score(team, other); s < own || (s == own && other < id) {
-			before++
+			rank++
 		}
 	}
-	if before < half%count {
-		return half/count + 1
-	}
-	return half / count
+	return rank
 }
 
 // score orders entry hosts differently for each team (rendezvous hashing).
--- a/internal/permit/fleet.go
+++ b/internal/permit/fleet.go
@@ -13,6 +13,7 @@
 	live        map[jaybarrow.EntryID]jaybarrow.Incarnation
 	incarnation jaybarrow.Incarnation
 	fenced      bool
+	changedAt   time.Time // when the live entry hosts last changed
 	settledAt   time.Time // tasks of older incarnations have ended by then
 }
 
@@ -38,7 +39,12 @@
 		// The presence record may be missing for a moment, such as after an outage of the store.
 		next.live[k.deps.Entry] = next.incarnation
 	}
-	old := k.fleet.Swap(next)
+	old := k.fleet.Load()
+	next.changedAt = old.changedAt
+	if !maps.Equal(old.live, next.live) {
+		next.changedAt = k.deps.Clock.Now()
+	}
+	k.fleet.Store(next)
 	return !maps.Equal(old.live, next.live) || old.incarnation != next.incarnation || old.fenced != next.fenced
 }
 
--- a/internal/permit/loop.go
+++ b/internal/permit/loop.go
@@ -73,9 +73,23 @@
 		k.announce()
 	}
 	h.demand.settle(now, h.usable(), h.used)
+	if left := k.foundingDelay(h, now, view, decision); left > 0 {
+		decision.Write = false
+		wait = earlier(wait, left)
+	}
 	return k.due(h, now, decision, earlier(wait, h.nextCheck(now, decision, view)))
 }
 
+// foundingDelay returns how long the first floors of a team without demand are left to others: until the entry hosts that start
+// together know each other, and then a turn for each entry host, so that one write serves them all and few writes collide.
+func (k *Keeper) foundingDelay(h *holding, now time.Time, view *fleetView, decision allotment.Decision) time.Duration {
+	if len(h.record.Grants) > 0 || decision.Urgency != allotment.UrgencyIdle {
+		return 0
+	}
+	turn := 1 + allotment.Rank(h.id, view.live, h.entry)
+	return view.changedAt.Add(time.Duration(turn) * h.limits.FoundingTurn).Sub(now)
+}
+
 // due turns the decision into a plan, unless the pace of writes delays it.
 func (k *Keeper) due(h *holding, now time.Time, decision allotment.Decision, wait time.Duration) plan {
 	// A pending write that was not found by the read-back may still arrive; another write from the same revision settles it.
--- a/internal/permit/settings.go
+++ b/internal/permit/settings.go
@@ -21,6 +21,7 @@
 	CallTimeout     time.Duration // of one call to the store
 	ScanPace        time.Duration // least time between two scans of the allotments for changes
 	StartWindow     time.Duration // a task must start at the worker within this time of taking its permits
+	FoundingTurn    time.Duration // between the entry hosts that could divide the first floors of a team
 	WritesPerSecond int           // of this entry host for all teams
 }
 
@@ -31,7 +32,7 @@
 	return Settings{
 		WritePace: 100 * time.Millisecond, IdleWindow: 400 * time.Millisecond, Turn: 200 * time.Millisecond,
 		Patience: 50 * time.Millisecond, Probe: 250 * time.Millisecond, FirstBackoff: 50 * time.Millisecond, MaxBackoff: 2 * time.Second,
-		CallTimeout: 2 * time.Second, ScanPace: 20 * time.Millisecond, StartWindow: 2 * time.Second, WritesPerSecond: 40,
+		CallTimeout: 2 * time.Second, ScanPace: 20 * time.Millisecond, StartWindow: 2 * time.Second, FoundingTurn: 200 * time.Millisecond, WritesPerSecond: 40,
 	}
 }
 
