Let an entry host use what the fleet leaves of the store's writes

Cause: when the demand of 250 teams moves to one entry host, that host alone has to write, and its 40 writes a second make this last more than 6 s while the other hosts write nothing. Change: for work that waits, a host also writes within a budget of the fleet, less the writes of others that it sees in the store's revisions. A lagging watch hides writes, so several hosts may exceed it for as long as the lag.

--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -35,7 +35,7 @@
 		deps:      deps,
 		span:      taskSpan(deps.Settings.StartWindow),
 		holdings:  shard.New[jaybarrow.TeamID, *holding](),
-		turns:     newTurns(deps.Settings.WritesPerSecond),
+		turns:     newTurns(deps.Settings.WritesPerSecond, deps.Settings.FleetWritesPerSecond),
 		available: make(chan struct{}, 1),
 		progress:  make(chan struct{}, 1),
 	}
@@ -156,12 +156,15 @@
 		allotments, entries, conditions := tables.Allotments.Changed(), tables.Entries.Changed(), k.conditionsChanged()
 		all := k.refreshFleet() || evidence
 		evidence = false
+		newest := jaybarrow.Revision(0)
 		tables.Allotments.EachVersioned(func(id jaybarrow.TeamID, v directory.Versioned[jaybarrow.Allotment]) {
+			newest = max(newest, v.Revision)
 			h := k.holding(id)
 			if all || h.isOlder(v.Revision) {
 				h.signal()
 			}
 		})
+		k.turns.observe(newest)
 		select {
 		case <-k.ctx.Done():
 			return
--- a/internal/permit/settings.go
+++ b/internal/permit/settings.go
@@ -23,6 +23,8 @@
 	StartWindow     time.Duration // a task must start at the worker within this time of taking its permits
 	FoundingTurn    time.Duration // between the entry hosts that could divide the first floors of a team
 	WritesPerSecond int           // of this entry host for all teams
+	// FleetWritesPerSecond may be used by any entry host for work that waits, less the writes that it sees of the others.
+	FleetWritesPerSecond int
 }
 
 // DefaultSettings returns the settings for production. An idle permit goes back within two idle windows and one write,
@@ -33,6 +35,7 @@
 		WritePace: 100 * time.Millisecond, IdleWindow: 400 * time.Millisecond, Turn: 200 * time.Millisecond,
 		Patience: 50 * time.Millisecond, Probe: 250 * time.Millisecond, FirstBackoff: 50 * time.Millisecond, MaxBackoff: 2 * time.Second,
 		CallTimeout: 2 * time.Second, ScanPace: 20 * time.Millisecond, StartWindow: 2 * time.Second, FoundingTurn: 200 * time.Millisecond, WritesPerSecond: 40,
+		FleetWritesPerSecond: 320,
 	}
 }
 
--- a/internal/permit/turns.go
+++ b/internal/permit/turns.go
@@ -12,7 +12,10 @@
 // turns spends the entry host's budget of writes on the most urgent ones first, and on the longest waiting of equal urgency.
 type turns struct {
 	sync.Mutex
-	budget  *ratelimit.Bucket
+	budget  *ratelimit.Bucket // of this entry host alone
+	shared  *ratelimit.Bucket // of the fleet; every write that the watch shows is taken from it
+	seen    jaybarrow.Revision
+	unseen  int // own writes since the last look at the revisions
 	reserve int // tokens that writes for idle permits leave to the others
 	waiting map[*holding]claim
 	changed chan struct{} // the waiting writes or the budget changed
@@ -35,10 +38,10 @@
 	return c.team < other.team
 }
 
-func newTurns(writesPerSecond int) *turns {
+func newTurns(writesPerSecond, fleetWritesPerSecond int) *turns {
 	return &turns{
 		budget: ratelimit.New(writesPerSecond, writesPerSecond), reserve: writesPerSecond / 2,
-		waiting: make(map[*holding]claim), changed: make(chan struct{}, 1),
+		shared: ratelimit.New(fleetWritesPerSecond, fleetWritesPerSecond/8), waiting: make(map[*holding]claim), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -70,11 +73,36 @@
 	}
 }
 
+// spend takes a write from the own budget, and for work that waits also from what the fleet leaves of the shared one.
 func (t *turns) spend(now time.Time, c claim) bool {
-	_, ok := t.budget.TakeAbove(now, t.kept(c))
+	if _, ok := t.budget.TakeAbove(now, t.kept(c)); ok {
+		t.shared.Spend(1)
+		t.unseen++
+		return true
+	}
+	if c.urgency == allotment.UrgencyIdle {
+		return false
+	}
+	_, ok := t.shared.Take(now)
+	if ok {
+		t.unseen++
+	}
 	return ok
 }
 
+// observe takes the writes of other processes, which the store's revisions count, from the shared budget.
+func (t *turns) observe(revision jaybarrow.Revision) {
+	t.Lock()
+	defer t.Unlock()
+	if revision <= t.seen {
+		return
+	}
+	if others := int(revision-t.seen) - t.unseen; t.seen > 0 && others > 0 {
+		t.shared.Spend(others)
+	}
+	t.seen, t.unseen = revision, 0
+}
+
 func (t *turns) kept(c claim) int {
 	if c.urgency == allotment.UrgencyIdle {
 		return t.reserve
@@ -102,7 +130,11 @@
 	if h == nil {
 		return nil, 0
 	}
-	return h, t.budget.Wait(now, t.kept(c))
+	wait := t.budget.Wait(now, t.kept(c))
+	if c.urgency != allotment.UrgencyIdle {
+		wait = min(wait, t.shared.Wait(now, 0))
+	}
+	return h, wait
 }
 
 // wakeTimeout is how long a woken holding may take to make its write or to drop it before it is woken again.
--- a/internal/permit/turns_test.go
+++ b/internal/permit/turns_test.go
@@ -13,7 +13,7 @@
 // against a write that is no longer due and blocks the others.
 func TestTurnsGoByUrgencyThenByAge(t *testing.T) {
 	now := time.Unix(1000, 0)
-	turns := newTurns(2)
+	turns := newTurns(2, 0)
 	spent, idle, early, late, starved := &holding{id: "a"}, &holding{id: "b"}, &holding{id: "c"}, &holding{id: "d"}, &holding{id: "e"}
 	assert.Assert(t, turns.take(now, spent, allotment.UrgencyDemand))
 	assert.Assert(t, !turns.take(now, idle, allotment.UrgencyIdle), "the reserve is left to demand")
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -33,6 +33,13 @@
 	return 0, true
 }
 
+// Spend takes n tokens that were used without asking. The debt is at most the burst.
+func (b *Bucket) Spend(n int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.tokens = max(-b.burst, b.tokens-float64(n))
+}
+
 // Wait returns how long until a token can be taken above keep.
 func (b *Bucket) Wait(now time.Time, keep int) time.Duration {
 	b.mutex.Lock()
