Report from when the used share of permits stays at 95% of the reachable one

Cause: the time of the busiest host alone does not say when all hosts together use what they can reach. Change: a mean over half a second of all hosts is compared with the reachable share. Conclusion: a phase says when permits have followed the demand.

--- a/cmd/experiment-permits/experiment.go
+++ b/cmd/experiment-permits/experiment.go
@@ -97,9 +97,9 @@
 	high, most, oldest := loads[0].waited()
 	reachable, busiest := loads[0].reachable()
 	fmt.Printf("%-22s used share of limit: keepers %.3f  static split %.3f  ideal %.3f  writes/s %.1f  cores %.2f\n"+
-		"    reachable %.3f, %.3f at the busiest host; of that 90%% after %v, 95%% after %v; wait p99 %v, most %v, oldest waiting %v; writes %v\n",
+		"    reachable %.3f, 95%% of it from %v; %.3f at the busiest host, of it 90%% after %v, 95%% after %v; wait p99 %v, most %v, oldest waiting %v; writes %v\n",
 		name, shares[0], shares[1], shares[2], float64(f.writes.Load()-writes)/seconds, (processorTime()-cpu).Seconds()/seconds,
-		reachable, busiest, when(loads[0].reached(0.9)), when(loads[0].reached(0.95)),
+		reachable, when(loads[0].stays(0.95)), busiest, when(loads[0].reached(0.9)), when(loads[0].reached(0.95)),
 		high, most, oldest, f.reasons.take())
 }
 
--- a/cmd/experiment-permits/workload.go
+++ b/cmd/experiment-permits/workload.go
@@ -21,6 +21,7 @@
 	arrived int
 	ticks   int
 	busyAt  []int // slots in use, by host
+	totals  []int // slots in use, by tick of the phase
 	samples []int // slots in use at the busiest host, by tick of the phase
 	waits   []int // ticks that the tasks started in the phase had waited
 }
@@ -65,6 +66,7 @@
 		}
 	}
 	w.sum += w.busy
+	w.totals = append(w.totals, w.busy)
 	w.ticks++
 }
 
@@ -105,7 +107,7 @@
 
 // phase runs the workload in real time and returns the mean part of the limits in use.
 func (w *workload) phase(length time.Duration) float64 {
-	w.sum, w.ticks, w.samples, w.waits = 0, 0, nil, nil
+	w.sum, w.ticks, w.samples, w.totals, w.waits = 0, 0, nil, nil, nil
 	timer := time.NewTicker(tick)
 	defer timer.Stop()
 	for begun := time.Now(); time.Since(begun) < length; {
@@ -142,6 +144,27 @@
 	return -1
 }
 
+// stays returns the time from which the mean use over half a second stayed at the given part of the reachable share; negative
+// when it was below at the end of the phase.
+func (w *workload) stays(part float64) time.Duration {
+	const window = 50
+	reachable, _ := w.reachable()
+	last, sum := 0, 0
+	for i, n := range w.totals {
+		sum += n
+		if i < window {
+			continue
+		}
+		if sum -= w.totals[i-window]; float64(sum)/window < part*reachable*float64(w.limit*w.teams) {
+			last = i + 1
+		}
+	}
+	if last == len(w.totals) {
+		return -1
+	}
+	return time.Duration(last) * tick
+}
+
 // waited returns the 99th percentile and the highest wait of the tasks that started in the phase, and the age of the
 // oldest task that still waits.
 func (w *workload) waited() (high, most, oldest time.Duration) {
