Rank writes for small lacks and lower wants behind those that let much work start

Cause: under overload more than half of the writes changed only a want, and a lower want took its turn like a new one. Change: a want is rewritten only when it also changed by an eighth of the limit; a lower want ranks with idle permits, and a lack of less than half of the grant behind larger ones.

--- a/internal/allotment/contend.go
+++ b/internal/allotment/contend.go
@@ -164,7 +164,8 @@
 	}
 }
 
-// writeWant records the want. A want that changed by less than half is left as it is, because holders only need its scale.
+// writeWant records the want. Holders only need its scale, so a want is left as it is while it changed by less than half, or
+// by no more than an eighth of the limit.
 func (d *draft) writeWant() {
 	id := d.self.Entry
 	want := min(max(0, d.want), d.next.Limit)
@@ -173,7 +174,7 @@
 		unit = d.self.Unit
 	}
 	before := d.old.Wants[id]
-	if (before > 0) != (want > 0) || want > 2*before || 2*want < before || (want > 0 && unit != d.old.Units[id]) {
+	if (before > 0) != (want > 0) || d.rescaled(before, want) || (want > 0 && unit != d.old.Units[id]) {
 		d.changed = true
 	}
 	delete(d.next.Wants, id)
@@ -185,3 +186,7 @@
 		d.next.Units[id] = unit
 	}
 }
+
+func (d *draft) rescaled(before, want jaybarrow.Slots) bool {
+	return (want > 2*before || 2*want < before) && max(want-before, before-want) > d.next.Limit/8
+}
--- a/internal/allotment/decide.go
+++ b/internal/allotment/decide.go
@@ -205,7 +205,8 @@
 }
 
 func (d *draft) urgency() Urgency {
-	own := d.self.Demand > 0 && d.old.Grants[d.self.Entry].Slots < max(1, d.self.Unit)
+	before := d.old.Grants[d.self.Entry].Slots
+	own := d.self.Demand > 0 && before < max(1, d.self.Unit)
 	gives := false
 	for _, r := range d.rivals {
 		if d.next.Grants[r.id].Slots > r.have {
@@ -216,8 +217,12 @@
 	switch {
 	case own:
 		return UrgencyStarved
-	case gives || d.self.Demand > 0 || d.self.Leaving || !InForce(d.old):
+	case gives || d.self.Leaving || !InForce(d.old):
+		return UrgencyDemand
+	case d.self.Demand == 0 || (d.held <= before && d.next.Wants[d.self.Entry] <= d.old.Wants[d.self.Entry]):
+		return UrgencyIdle
+	case 2*d.self.Demand > before:
 		return UrgencyDemand
 	}
-	return UrgencyIdle
+	return UrgencyMinor
 }
--- a/internal/allotment/state.go
+++ b/internal/allotment/state.go
@@ -38,10 +38,11 @@
 const (
 	UrgencyStarved Urgency = "starved" // an entry host that wants permits cannot start one task
 	UrgencyDemand  Urgency = "demand"  // work starts sooner with the write
-	UrgencyIdle    Urgency = "idle"    // floors, and the return of idle permits that nobody wants
+	UrgencyMinor   Urgency = "minor"   // as demand, for less than half of the grant, which own tasks usually free soon
+	UrgencyIdle    Urgency = "idle"    // floors, lower wants, and the return of idle permits that nobody wants
 )
 
-var urgencyRanks = map[Urgency]int{UrgencyStarved: 0, UrgencyDemand: 1, UrgencyIdle: 2}
+var urgencyRanks = map[Urgency]int{UrgencyStarved: 0, UrgencyDemand: 1, UrgencyMinor: 2, UrgencyIdle: 3}
 
 // Before reports whether a write of this urgency goes before one of the other.
 func (u Urgency) Before(other Urgency) bool { return urgencyRanks[u] < urgencyRanks[other] }
