Count lower wants apart from new ones in the permit experiment

Cause: a want that is lowered or ended needs no budget at once, so it should be told from one that is new. Change: a reason of its own for it. Conclusion: the writes of a shift can be told apart.

--- a/cmd/experiment-permits/reasons.go
+++ b/cmd/experiment-permits/reasons.go
@@ -16,7 +16,8 @@
 	reasonTake   reason = "take"   // raises the own grant
 	reasonGive   reason = "give"   // raises another host's grant
 	reasonReturn reason = "return" // lowers the own grant only
-	reasonWant   reason = "want"   // changes the own want only
+	reasonWant   reason = "want"   // begins or raises the own want only
+	reasonLess   reason = "less"   // lowers or ends the own want only
 	reasonFailed reason = "failed" // conflicts, or the call failed
 	reasonOther  reason = "other"
 )
@@ -66,6 +67,8 @@
 		return reasonTake
 	case own < before:
 		return reasonReturn
+	case next.Wants[s.entry] < old.Wants[s.entry]:
+		return reasonLess
 	case !maps.Equal(old.Wants, next.Wants):
 		return reasonWant
 	}
