--- a/internal/allotment/contend.go
+++ b/internal/allotment/contend.go
@@ -112,7 +112,6 @@
 	// What is free is taken by the rivals themselves.
 	wish = max(0, min(wish, max(d.held-keep, lack))-d.free())
 	wish = min(wish, d.held)
-	d.unlowered = d.ceiling
 	d.ceiling = min(d.ceiling, d.held-wish)
 	d.pass(min(wish, d.held-d.self.Used), waiting, deficits)
 }
--- a/internal/allotment/decide.go
+++ b/internal/allotment/decide.go
@@ -40,10 +40,8 @@
 	want    jaybarrow.Slots
 	floor   jaybarrow.Slots
 	ceiling jaybarrow.Slots
-	// unlowered is the ceiling before room was made for the rivals.
-	unlowered jaybarrow.Slots
-	rivals    []claimant // others with wants, in cyclic order of id after the entry host
-	changed   bool
+	rivals  []claimant // others with wants, in cyclic order of id after the entry host
+	changed bool
 }
 
 func newDraft(record jaybarrow.Allotment, self Self, fleet Fleet) *draft {
@@ -202,7 +200,7 @@
 
 func (d *draft) decision() Decision {
 	return Decision{
-		Next: d.next, Write: d.changed, Ceiling: d.ceiling, Keep: max(d.ceiling, d.unlowered), Above: d.held > d.floor, Rivals: len(d.rivals) > 0, Urgency: d.urgency(),
+		Next: d.next, Write: d.changed, Ceiling: d.ceiling, Above: d.held > d.floor, Rivals: len(d.rivals) > 0, Urgency: d.urgency(),
 	}
 }
 
--- a/internal/allotment/state.go
+++ b/internal/allotment/state.go
@@ -25,7 +25,6 @@
 type Decision struct {
 	Next    jaybarrow.Allotment // to be written if Write is set; its Change is still that of the old record
 	Write   bool
-	Keep    jaybarrow.Slots // the ceiling if the entry host does not make room for rivals yet
 	Ceiling jaybarrow.Slots // no start may bring the permits in use above it
 	Above   bool            // holds more than its floor, so time alone may change the decision
 	Rivals  bool            // other entry hosts want permits
--- a/internal/permit/holding.go
+++ b/internal/permit/holding.go
@@ -28,7 +28,6 @@
 	pending  pendingWrites
 	part     jaybarrow.Slots // of a lowered limit, from the record
 	ceiling  jaybarrow.Slots // from the last decision
-	giving   bool            // starts make room for rivals
 	seen     jaybarrow.Slots // usable permits at the last step
 
 	used   jaybarrow.Slots
--- a/internal/permit/loop.go
+++ b/internal/permit/loop.go
@@ -66,8 +66,8 @@
 	probe := h.demand.probe(now, h.limits.Probe)
 	ended, wait := k.ended(h.record)
 	settled := !now.Before(view.settledAt)
-	decision, retry := k.makeRoom(h, allotment.Decide(h.record, h.self(now, settled), view.fleet(ended)))
-	wait = earlier(wait, retry)
+	decision := allotment.Decide(h.record, h.self(now, settled), view.fleet(ended))
+	h.ceiling = decision.Ceiling
 	if h.usableRose() || probe {
 		h.demand.takeRefused()
 		k.announce()
@@ -80,26 +80,6 @@
 	return k.due(h, now, decision, earlier(wait, h.nextCheck(now, decision, view)))
 }
 
-// crowdedRetry is how often an entry host looks again whether it should make room for its rivals.
-const crowdedRetry = 100 * time.Millisecond
-
-// makeRoom lowers the ceiling for what the rivals lack. While many writes wait for the budget, permits that are in use stay
-// in use, because nobody could use them until the write is made.
-func (k *Keeper) makeRoom(h *holding, d allotment.Decision) (allotment.Decision, time.Duration) {
-	h.ceiling = d.Ceiling
-	wish := d.Keep - d.Ceiling
-	switch {
-	case wish <= 0:
-		h.giving = false
-	case h.giving || d.Urgency == allotment.UrgencyStarved || 2*(d.Keep-h.used) >= wish || !k.turns.crowded():
-		h.giving = true
-	default:
-		h.ceiling, d.Write = d.Keep, false
-		return d, crowdedRetry
-	}
-	return d, -1
-}
-
 // foundingDelay returns how long the first floors of a team without demand are left to others: until the entry hosts that start
 // together know each other, and then a turn for each entry host, so that one write serves them all and few writes collide.
 func (k *Keeper) foundingDelay(h *holding, now time.Time, view *fleetView, decision allotment.Decision) time.Duration {
--- a/internal/permit/turns.go
+++ b/internal/permit/turns.go
@@ -63,17 +63,6 @@
 	return false
 }
 
-// crowd is the number of waiting writes from which on an entry host goes on using permits that it is going to give away. It
-// covers about a tenth of a second of the fleet's budget, in which tasks can end and make room.
-const crowd = 32
-
-// crowded reports whether a further write would wait for long.
-func (t *turns) crowded() bool {
-	t.Lock()
-	defer t.Unlock()
-	return len(t.waiting) >= crowd
-}
-
 // drop forgets a write that is no longer due.
 func (t *turns) drop(h *holding) {
 	t.Lock()
