Bound the writes that no work waits long for

Change: such writes have a quarter of the entry host's budget; a small lack that waits a second ranks as demand.

--- a/internal/permit/turns.go
+++ b/internal/permit/turns.go
@@ -15,8 +15,8 @@
 	budget  *ratelimit.Bucket // of this entry host alone
 	shared  *ratelimit.Bucket // of the fleet; every write that the watch shows is taken from it
 	seen    jaybarrow.Revision
-	unseen  int // own writes since the last look at the revisions
-	reserve int // tokens that writes for idle permits leave to the others
+	unseen  int               // own writes since the last look at the revisions
+	minor   *ratelimit.Bucket // of the writes that no work waits long for; they would use up the fleet's budget
 	waiting map[*holding]claim
 	changed chan struct{} // the waiting writes or the budget changed
 }
@@ -40,11 +40,14 @@
 
 func newTurns(writesPerSecond, fleetWritesPerSecond int) *turns {
 	return &turns{
-		budget: ratelimit.New(writesPerSecond, writesPerSecond), reserve: writesPerSecond / 2,
-		shared: ratelimit.New(fleetWritesPerSecond, fleetWritesPerSecond/8), waiting: make(map[*holding]claim), changed: make(chan struct{}, 1),
+		budget: ratelimit.New(writesPerSecond, writesPerSecond), minor: ratelimit.New(max(1, writesPerSecond/4), max(1, writesPerSecond/2)),
+		shared: ratelimit.New(max(1, fleetWritesPerSecond), fleetWritesPerSecond/8), waiting: make(map[*holding]claim), changed: make(chan struct{}, 1),
 	}
 }
 
+// minorWait is how long a write for a small lack may wait; then the own tasks did not end it, and it ranks as demand.
+const minorWait = time.Second
+
 // take spends a write, or lets the holding wait until it is woken for its turn.
 func (t *turns) take(now time.Time, h *holding, urgency allotment.Urgency) bool {
 	t.Lock()
@@ -54,6 +57,9 @@
 		c = claim{since: now, team: h.id}
 	}
 	c.urgency = urgency
+	if urgency == allotment.UrgencyMinor && now.Sub(c.since) >= minorWait {
+		c.urgency = allotment.UrgencyDemand
+	}
 	defer notify(t.changed)
 	if first, _ := t.first(); (first == nil || first == h || !t.waiting[first].before(c)) && t.spend(now, c) {
 		delete(t.waiting, h)
@@ -75,19 +81,21 @@
 
 // spend takes a write from the own budget, and for work that waits also from what the fleet leaves of the shared one.
 func (t *turns) spend(now time.Time, c claim) bool {
-	if _, ok := t.budget.TakeAbove(now, t.kept(c)); ok {
-		t.shared.Spend(1)
-		t.unseen++
-		return true
+	if c.isMinor() && t.minor.Wait(now) > 0 {
+		return false
 	}
-	if c.urgency == allotment.UrgencyIdle {
+	if _, ok := t.budget.Take(now); ok {
+		t.shared.Spend(1)
+	} else if c.isMinor() {
+		return false
+	} else if _, ok := t.shared.Take(now); !ok {
 		return false
 	}
-	_, ok := t.shared.Take(now)
-	if ok {
-		t.unseen++
+	if c.isMinor() {
+		t.minor.Spend(1)
 	}
-	return ok
+	t.unseen++
+	return true
 }
 
 // observe takes the writes of other processes, which the store's revisions count, from the shared budget.
@@ -103,11 +111,8 @@
 	t.seen, t.unseen = revision, 0
 }
 
-func (t *turns) kept(c claim) int {
-	if c.urgency == allotment.UrgencyIdle {
-		return t.reserve
-	}
-	return 0
+func (c claim) isMinor() bool {
+	return c.urgency == allotment.UrgencyMinor || c.urgency == allotment.UrgencyIdle
 }
 
 // first returns the holding whose write is next.
@@ -130,11 +135,10 @@
 	if h == nil {
 		return nil, 0
 	}
-	wait := t.budget.Wait(now, t.kept(c))
-	if c.urgency != allotment.UrgencyIdle {
-		wait = min(wait, t.shared.Wait(now, 0))
+	if c.isMinor() {
+		return h, max(t.budget.Wait(now), t.minor.Wait(now))
 	}
-	return h, wait
+	return h, min(t.budget.Wait(now), t.shared.Wait(now))
 }
 
 // wakeTimeout is how long a woken holding may take to make its write or to drop it before it is woken again.
--- a/internal/permit/turns_test.go
+++ b/internal/permit/turns_test.go
@@ -13,11 +13,15 @@
 // against a write that is no longer due and blocks the others.
 func TestTurnsGoByUrgencyThenByAge(t *testing.T) {
 	now := time.Unix(1000, 0)
-	turns := newTurns(2, 0)
+	turns := newTurns(4, 0)
 	spent, idle, early, late, starved := &holding{id: "a"}, &holding{id: "b"}, &holding{id: "c"}, &holding{id: "d"}, &holding{id: "e"}
-	assert.Assert(t, turns.take(now, spent, allotment.UrgencyDemand))
-	assert.Assert(t, !turns.take(now, idle, allotment.UrgencyIdle), "the reserve is left to demand")
-	assert.Assert(t, turns.take(now, spent, allotment.UrgencyDemand))
+	for range 2 {
+		assert.Assert(t, turns.take(now, spent, allotment.UrgencyIdle))
+	}
+	assert.Assert(t, !turns.take(now, idle, allotment.UrgencyIdle), "half of the budget is left to demand")
+	for range 2 {
+		assert.Assert(t, turns.take(now, spent, allotment.UrgencyDemand))
+	}
 	for i, w := range []struct {
 		h       *holding
 		urgency allotment.Urgency
@@ -25,12 +29,12 @@
 		assert.Assert(t, !turns.take(now.Add(time.Duration(i)*time.Millisecond), w.h, w.urgency))
 	}
 	turns.drop(late)
-	now = now.Add(time.Second) // two tokens
+	now = now.Add(500 * time.Millisecond) // two tokens
 	assert.Assert(t, !turns.take(now, early, allotment.UrgencyDemand), "a more urgent write waits")
 	next, wait := turns.next(now)
 	assert.Assert(t, next == starved && wait == 0)
 	assert.Assert(t, turns.take(now, starved, allotment.UrgencyStarved))
 	assert.Assert(t, turns.take(now, early, allotment.UrgencyDemand))
 	next, wait = turns.next(now)
-	assert.Assert(t, next == idle && wait == time.Second, "%v", wait)
+	assert.Assert(t, next == idle && wait == 500*time.Millisecond, "%v", wait)
 }
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -20,13 +20,10 @@
 }
 
 // Take takes a token; when there is none it returns false and how long until the next one.
-func (b *Bucket) Take(now time.Time) (time.Duration, bool) { return b.TakeAbove(now, 0) }
-
-// TakeAbove takes a token if at least keep tokens are left afterwards; otherwise it returns false and how long until it can.
-func (b *Bucket) TakeAbove(now time.Time, keep int) (time.Duration, bool) {
+func (b *Bucket) Take(now time.Time) (time.Duration, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if wait := b.wait(now, keep); wait > 0 {
+	if wait := b.wait(now); wait > 0 {
 		return wait, false
 	}
 	b.tokens--
@@ -40,21 +37,21 @@
 	b.tokens = max(-b.burst, b.tokens-float64(n))
 }
 
-// Wait returns how long until a token can be taken above keep.
-func (b *Bucket) Wait(now time.Time, keep int) time.Duration {
+// Wait returns how long until a token can be taken.
+func (b *Bucket) Wait(now time.Time) time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.wait(now, keep)
+	return b.wait(now)
 }
 
-func (b *Bucket) wait(now time.Time, keep int) time.Duration {
+func (b *Bucket) wait(now time.Time) time.Duration {
 	if !b.last.IsZero() && now.After(b.last) {
 		b.tokens = min(b.burst, b.tokens+now.Sub(b.last).Seconds()*b.rate)
 	}
 	if now.After(b.last) {
 		b.last = now
 	}
-	missing := float64(keep+1) - b.tokens
+	missing := 1 - b.tokens
 	if missing <= 0 {
 		return 0
 	}
