Treat a lack of less than the grant as small

Cause: under overload quiet hosts with a floor of 5 asked for permits at a backlog of 3, and each such move took a want, a gift and a return. Change: a lack is small below the whole grant, no longer below half of it.

--- a/internal/allotment/decide.go
+++ b/internal/allotment/decide.go
@@ -221,7 +221,7 @@
 		return UrgencyDemand
 	case d.self.Demand == 0 || (d.held <= before && d.next.Wants[d.self.Entry] <= d.old.Wants[d.self.Entry]):
 		return UrgencyIdle
-	case 2*d.self.Demand > before:
+	case d.self.Demand >= before:
 		return UrgencyDemand
 	}
 	return UrgencyMinor
--- a/internal/allotment/state.go
+++ b/internal/allotment/state.go
@@ -38,7 +38,7 @@
 const (
 	UrgencyStarved Urgency = "starved" // an entry host that wants permits cannot start one task
 	UrgencyDemand  Urgency = "demand"  // work starts sooner with the write
-	UrgencyMinor   Urgency = "minor"   // as demand, for less than half of the grant, which own tasks usually free soon
+	UrgencyMinor   Urgency = "minor"   // as demand, for less than the grant, which own tasks usually free soon
 	UrgencyIdle    Urgency = "idle"    // floors, lower wants, and the return of idle permits that nobody wants
 )
 
--- a/internal/permit/demand.go
+++ b/internal/permit/demand.go
@@ -63,13 +63,13 @@
 	return raised || slots > 2*before
 }
 
-// smallLack is how many times longer the patience is for a lack of less than half of the grant: the host's own tasks
+// smallLack is how many times longer the patience is for a lack of less than the grant: the host's own tasks
 // usually end it soon, and asking for a few permits costs as many writes as asking for many.
 const smallLack = 10
 
 // wait returns how long a lack must last before permits are asked for.
 func (d *demand) wait(granted jaybarrow.Slots) time.Duration {
-	if d.reported && 2*d.backlog < granted {
+	if d.reported && d.backlog < granted {
 		return smallLack * d.patience
 	}
 	return d.patience
