--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -10,7 +10,6 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
-	"github.com/jaybarrow/jaybarrow/internal/ratelimit"
 	"github.com/jaybarrow/jaybarrow/internal/shard"
 )
 
@@ -20,7 +19,7 @@
 	span      time.Duration // longest run of a task without renewal, from the decision to start it
 	holdings  *shard.Map[jaybarrow.TeamID, *holding]
 	fleet     atomic.Pointer[fleetView]
-	budget    *ratelimit.Bucket
+	turns     *turns
 	available chan struct{}
 	progress  chan struct{} // a holding may have become empty
 	group     conc.WaitGroup
@@ -36,13 +35,14 @@
 		deps:      deps,
 		span:      taskSpan(deps.Settings.StartWindow),
 		holdings:  shard.New[jaybarrow.TeamID, *holding](),
-		budget:    ratelimit.New(deps.Settings.WritesPerSecond, deps.Settings.WritesPerSecond),
+		turns:     newTurns(deps.Settings.WritesPerSecond, deps.Settings.FleetWritesPerSecond),
 		available: make(chan struct{}, 1),
 		progress:  make(chan struct{}, 1),
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	k.fleet.Store(&fleetView{})
 	k.group.Go(k.follow)
+	k.group.Go(k.dispatch)
 	return k
 }
 
@@ -55,6 +55,13 @@
 	return h.tryAcquire(k.deps.Clock.Now(), slots)
 }
 
+// Waiting tells how many slots of the team's work wait here for permits alone; 0 when none do.
+func (k *Keeper) Waiting(team jaybarrow.TeamID, slots jaybarrow.Slots) {
+	if h, ok := k.holdings.Get(team); ok {
+		h.waiting(k.deps.Clock.Now(), slots)
+	}
+}
+
 // Release returns permits after the end of the task is known.
 func (k *Keeper) Release(team jaybarrow.TeamID, slots jaybarrow.Slots) {
 	h, ok := k.holdings.Get(team)
@@ -149,12 +156,15 @@
 		allotments, entries, conditions := tables.Allotments.Changed(), tables.Entries.Changed(), k.conditionsChanged()
 		all := k.refreshFleet() || evidence
 		evidence = false
+		newest := jaybarrow.Revision(0)
 		tables.Allotments.EachVersioned(func(id jaybarrow.TeamID, v directory.Versioned[jaybarrow.Allotment]) {
+			newest = max(newest, v.Revision)
 			h := k.holding(id)
 			if all || h.isOlder(v.Revision) {
 				h.signal()
 			}
 		})
+		k.turns.observe(newest)
 		select {
 		case <-k.ctx.Done():
 			return
