--- a/internal/mover/mover_test.go
+++ b/internal/mover/mover_test.go
@@ -53,6 +53,8 @@
 
 func (p *platform) Condition(string) jaybarrow.HostCondition { return jaybarrow.HostLive }
 
+func (p *platform) ReadAt() time.Time { return time.Now() }
+
 func (p *platform) GoneFor(string) (time.Duration, bool) { return 0, false }
 
 func (p *platform) Changed() <-chan struct{} { return nil }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -31,6 +31,8 @@
 
 func (c conditions) Changed() <-chan struct{} { return nil }
 
+func (c conditions) ReadAt() time.Time { return time.Time{} }
+
 // ejected is the workers' health.
 type ejected map[jaybarrow.HostID]bool
 
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -247,7 +247,7 @@
 	if !ok {
 		return 0
 	}
-	return min(t.slots, p.freeSlots(now))
+	return min(t.slots, p.freeSlots(now, false)+p.freeSlots(now, true))
 }
 
 // Load is a pool's load in one data centre.
