Keep keyed work going when the whole fleet loses the store

Change: an entry host counts as in contact for 3 s after its last confirmation, the loss is told at once, and a confirmation counts 3 s longer while an entry host of another data centre says that it has lost the store. Conclusion: behind a cut no other data centre is heard, so the longer time does not apply there.

--- a/internal/member/freshness.go
+++ b/internal/member/freshness.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
@@ -21,21 +22,39 @@
 	Confirmed time.Time          // when the store last proved it current; zero: never
 }
 
+// contactTime is how long after its last confirmation an entry host counts as being in contact with the store; the watch
+// reports progress each second, and a confirmation is dated back by up to another.
+const contactTime = 3 * time.Second
+
+// bridgeTime is how much longer a confirmation counts while other data centres say that they have lost the store too. They
+// can say so only after contactTime and some heartbeats, and keyed work must not stop meanwhile.
+const bridgeTime = 3 * time.Second
+
+// InContact reports whether the entry host was in contact with the store when it was last heard.
+func (s State) InContact() bool { return confirmedWithin(s.Heard, s.Confirmed, contactTime) }
+
 // Fresh reports whether a withdrawal accepted more than limit ago would be known here: the store or a live peer proved the
-// configuration current within limit, or every other data centre is reached and no entry host had store contact within limit
-// when it was last heard, in which case no withdrawal can have been accepted. A peer that had contact when it was last heard
-// may have it still. dataCentres lists all and is called only when it matters.
+// configuration current within limit, or every other data centre is reached and no entry host was in contact with the store
+// when it was last heard, in which case no withdrawal can have been accepted. A peer that was in contact when it was last
+// heard may be so still. dataCentres lists all and is called only when it matters.
 func (m *Members) Fresh(now time.Time, own Own, limit time.Duration, dataCentres func() []jaybarrow.DataCentreID) bool {
+	if confirmedWithin(now, own.Confirmed, limit) {
+		return true
+	}
+	live := m.LiveStates(now)
+	if m.othersLostStore(now, live, limit) {
+		limit += bridgeTime
+	}
 	if confirmedWithin(now, own.Confirmed, limit) {
 		return true
 	}
 	reached := map[jaybarrow.DataCentreID]bool{m.dataCentre: true}
 	storeSeen := false
-	for _, s := range m.LiveStates(now) {
+	for _, s := range live {
 		if confirmedWithin(now, s.Confirmed, limit) && own.Applied >= s.Newest {
 			return true
 		}
-		storeSeen = storeSeen || confirmedWithin(s.Heard, s.Confirmed, limit)
+		storeSeen = storeSeen || s.InContact()
 		reached[s.DataCentre] = reached[s.DataCentre] || now.Sub(s.Heard) <= m.timeouts.Reach
 	}
 	if storeSeen || own.Applied == 0 {
@@ -49,6 +68,13 @@
 	return true
 }
 
+// othersLostStore reports whether an entry host of another data centre was heard lately and had lost the store.
+func (m *Members) othersLostStore(now time.Time, live []State, limit time.Duration) bool {
+	return slices.ContainsFunc(live, func(s State) bool {
+		return s.DataCentre != m.dataCentre && now.Sub(s.Heard) <= limit && !s.InContact()
+	})
+}
+
 func confirmedWithin(now, confirmed time.Time, limit time.Duration) bool {
 	return !confirmed.IsZero() && now.Sub(confirmed) <= limit
 }
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -44,6 +44,12 @@
 		{"cut off just after the peers had store contact", member.Own{Applied: 7, Confirmed: now.Add(-6 * time.Second)}, []member.State{
 			state("b1", "b", 5*time.Second, 6*time.Second, 7), state("c1", "c", 5*time.Second, 6*time.Second, 7),
 		}, false},
+		{"store lost everywhere a moment ago", member.Own{Applied: 7, Confirmed: now.Add(-6 * time.Second)}, []member.State{
+			state("b1", "b", time.Second, 6*time.Second, 7), state("c1", "c", 5*time.Second, 6*time.Second, 7),
+		}, true},
+		{"store lost everywhere, one data centre not heard since", member.Own{Applied: 7, Confirmed: now.Add(-9 * time.Second)}, []member.State{
+			state("b1", "b", time.Second, 9*time.Second, 7), state("c1", "c", 8*time.Second, 9*time.Second, 7),
+		}, false},
 		{"peers without store contact not heard lately", member.Own{Applied: 7}, []member.State{
 			state("b1", "b", 9*time.Second, time.Minute, 7), state("c1", "c", 0, time.Minute, 7),
 		}, false},
--- a/internal/peer/told.go
+++ b/internal/peer/told.go
@@ -32,19 +32,24 @@
 	sequence    int64
 	details     uint32
 	ready       bool
+	contact     bool // with the store
 	at          time.Time
 }
 
 func newTold() *told { return &told{members: make(map[jaybarrow.EntryID]telling)} }
 
-// news reports whether the receiver should be told the state now; whether an entry host schedules is told at once.
+// news reports whether the receiver should be told the state now; whether an entry host schedules or has lost the store is
+// told at once.
 func (t *told) news(now time.Time, s member.State, near bool) bool {
 	last, ok := t.members[s.ID]
 	pace := farTelling
 	if near {
 		pace = nearTelling
 	}
-	return !ok || last.ready != s.Ready || (last.sequence != s.Sequence && now.Sub(last.at) >= pace)
+	if !ok || last.ready != s.Ready || last.contact != s.InContact() {
+		return true
+	}
+	return last.sequence != s.Sequence && now.Sub(last.at) >= pace
 }
 
 // encode returns the state as a message, brief when the receiver knows the details.
@@ -54,7 +59,7 @@
 	if ok && last.incarnation == s.Incarnation && last.details == m.Details {
 		m.Brief, m.DataCentre, m.PeerAddress, m.Loads = true, "", "", nil
 	}
-	t.members[s.ID] = telling{s.Incarnation, s.Sequence, m.Details, s.Ready, now}
+	t.members[s.ID] = telling{s.Incarnation, s.Sequence, m.Details, s.Ready, s.InContact(), now}
 	return m
 }
 
