--- a/test/e2e/holders_test.go
+++ b/test/e2e/holders_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/standin/faultproxy"
 	"github.com/jaybarrow/jaybarrow/internal/standin/worker"
 )
 
@@ -114,3 +115,44 @@
 	more.stop()
 	checkEveryAnswer(t, c, h)
 }
+
+// Guards against starts that an ended entry host sent and that reach their worker after its permits went to others.
+func TestLateStartsOfGoneEntryHost(t *testing.T) {
+	t.Parallel()
+	const limit = 8
+	c := newCluster(t, quickPlan(2, 1, 2, limit))
+	h := &history{}
+	gone := c.entries[0]
+	c.sendAll(h, gone, []call{ // the entry host learns the workers' clocks, so that a start needs one message
+		{team: "trail", queue: "match", id: "warm-1", run: 50 * time.Millisecond},
+		{team: "trail", queue: "match", id: "warm-2", run: 50 * time.Millisecond},
+		{team: "trail", queue: "match", id: "warm-3", run: 50 * time.Millisecond},
+		{team: "trail", queue: "match", id: "warm-4", run: 50 * time.Millisecond},
+	})
+	for _, w := range c.pool("desk", gone.dataCentre) {
+		assert.NilError(t, w.proxy.Set(faultproxy.Faults{Up: faultproxy.Path{Frozen: true}}))
+	}
+	for i := range limit {
+		go c.send(h, gone, call{team: "trail", queue: "match", id: jaybarrow.RequestID(fmt.Sprintf("late-%d", i)), nonIdempotent: true, run: 5 * time.Second})
+	}
+	time.Sleep(time.Second) // within the start window of 2 s
+	gone.kill()
+	c.condition(string(gone.id), jaybarrow.HostGone)
+	load := c.loadThrough(h, 2*limit, c.entries[1])
+	c.awaitRunning("the permits of the ended host are not used", func(running []worker.Entry) bool { return len(running) >= limit })
+	for _, w := range c.pool("desk", gone.dataCentre) {
+		assert.NilError(t, w.proxy.Set(noFaults))
+	}
+	time.Sleep(2 * time.Second)
+	load.stop()
+	late := 0
+	for _, entries := range c.ledgers() {
+		for _, e := range entries {
+			if strings.HasPrefix(string(e.Request), "late-") {
+				late++
+			}
+		}
+	}
+	assert.Check(t, late > 0, "no start reached a worker late")
+	checkEveryAnswer(t, c, h)
+}
