--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,26 +115,6 @@
 	return p
 }
 
-// nextPort is below the range from which the kernel takes ports for outgoing connections, and starts at a place that depends
-// on the process, so that neither connections nor another run of the tests take a port between its choice and its use.
-var nextPort atomic.Int32
-
-func init() { nextPort.Store(int32(10000 + os.Getpid()%200*100)) }
-
-// freeAddress returns an address that nothing listens on and that no other call returns.
-func freeAddress(t *testing.T) jaybarrow.Address {
-	t.Helper()
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return jaybarrow.Address(address)
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 func (c *cluster) planEntries() {
 	for i := range c.plan.dataCentres {
 		for j := range c.plan.entriesPerDC {
