Show cut-off entry hosts as pending after their registration ends

Cause: with whenCutOff = serve, an entry host that is cut off goes on with keyed work, but 10 s after the cut its registration ended with its lease, and the status called a withdrawal in force everywhere. Change: with that setting, every entry host that was heard of counts until it has left or the platform's list calls it gone. Leaving entry hosts are passed on in heartbeats, so that other data centres do not wait for them. TestCutOffDataCentreServesWhenTold failed before once it waited for longer than the lease: inForce was true. Conclusion: a withdrawal is called in force only where it is; an entry host that crashed counts as pending until it is replaced or gone.

--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -13,6 +13,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/query/explain"
 	fleetquery "github.com/jaybarrow/jaybarrow/internal/query/fleet"
 	"github.com/jaybarrow/jaybarrow/internal/query/status"
+	"github.com/jaybarrow/jaybarrow/internal/settings"
 )
 
 // commands returns the operators' commands.
@@ -61,7 +62,8 @@
 // fleetView answers the queries' questions about the fleet from what this entry host knows.
 type fleetView struct{ entry *Entry }
 
-// Members returns the entry hosts that count for a change being in force: this one, and each registered one.
+// Members returns the entry hosts that count for a change being in force: this one, each registered one, and each that may
+// still take keyed work although its registration has ended.
 func (v fleetView) Members() []status.Member {
 	self := v.entry.self()
 	members := []status.Member{toMember(self)}
@@ -75,10 +77,25 @@
 		}
 		members = append(members, toMember(s))
 	})
+	for _, s := range v.unregistered() {
+		members = append(members, toMember(s))
+	}
 	slices.SortFunc(members, func(a, b status.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return members
 }
 
+// unregistered returns the entry hosts that may be cut off for longer than the lease of their registration and go on with
+// keyed work, as the settings allow: all that were heard of and neither left nor are gone by the platform's list.
+func (v fleetView) unregistered() []member.State {
+	if v.entry.deps.Settings.Keys.WhenCutOff != settings.CutOffServe {
+		return nil
+	}
+	return slices.DeleteFunc(v.entry.members.Known(), func(s member.State) bool {
+		_, registered := v.entry.directory.Entries.Get(s.ID)
+		return registered || s.Leaving || v.entry.conditions.Condition(string(s.ID)) == jaybarrow.HostGone
+	})
+}
+
 func toMember(s member.State) status.Member {
 	return status.Member{
 		ID: s.ID, DataCentre: s.DataCentre, AppliedRevision: s.Applied, LastHeard: s.Heard, Ready: s.Ready,
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -72,6 +72,11 @@
 	return now.Sub(s.Heard) <= limit
 }
 
+// HeardStates returns the states of the other entry hosts that were heard recently, leaving ones included, in order of id.
+func (m *Members) HeardStates(now time.Time) []State {
+	return slices.DeleteFunc(m.Known(), func(s State) bool { return !m.heard(now, s) })
+}
+
 // LiveStates returns the states of the other live entry hosts, in order of id.
 func (m *Members) LiveStates(now time.Time) []State {
 	return slices.DeleteFunc(m.Known(), func(s State) bool { return !m.Live(now, s) })
@@ -96,8 +101,8 @@
 // schedules its pools.
 func (m *Members) LeavingOwner(now time.Time, pool jaybarrow.PoolID, dataCentre jaybarrow.DataCentreID, avoid map[jaybarrow.EntryID]bool) (jaybarrow.EntryID, bool) {
 	var candidates []jaybarrow.EntryID
-	for _, s := range m.Known() {
-		if s.DataCentre == dataCentre && s.Leaving && m.heard(now, s) && !avoid[s.ID] {
+	for _, s := range m.HeardStates(now) {
+		if s.DataCentre == dataCentre && s.Leaving && !avoid[s.ID] {
 			candidates = append(candidates, s.ID)
 		}
 	}
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -191,7 +191,8 @@
 	})
 	told.Lock()
 	defer told.Unlock()
-	for _, s := range g.deps.Members.LiveStates(now) {
+	// A leaving entry host is passed on too, so that other data centres do not wait for it.
+	for _, s := range g.deps.Members.HeardStates(now) {
 		if s.ID == to || told.sequences[s.ID] == s.Sequence {
 			continue
 		}
