Test withdrawn keys on paused and long cut-off entry hosts

Cause: the tests covered neither a pause across a withdrawal nor a cut that lasts longer than the registration's lease. Change: both cases, and a bound on the starts of tasks of a withdrawn key by the ledgers.

--- a/test/e2e/key_test.go
+++ b/test/e2e/key_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"syscall"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/presence"
 	"github.com/jaybarrow/jaybarrow/internal/standin/faultproxy"
 	"github.com/jaybarrow/jaybarrow/internal/standin/store"
 	"github.com/jaybarrow/jaybarrow/pkg/client"
@@ -82,6 +84,10 @@
 		{name: "frozenLink", before: func(c *cluster) {
 			_ = c.stores["dc2"].Set(faultproxy.Faults{Down: faultproxy.Path{Frozen: true}})
 		}},
+		{name: "pausedEntryHost", before: func(c *cluster) { c.entries[1].signal(syscall.SIGSTOP) }, after: func(c *cluster) {
+			time.Sleep(inForce + 2*time.Second)
+			c.entries[1].signal(syscall.SIGCONT)
+		}},
 		{name: "silentWatches", before: func(c *cluster) { c.faults(store.Faults{FrozenWatches: store.FreezeAll}) }},
 		{name: "storeDownAfter", before: func(c *cluster) {
 			c.faults(store.Faults{FrozenWatches: store.FreezeOpen})
@@ -107,6 +113,11 @@
 			assert.NilError(t, checkWithdrawn(h.list(), at.Add(inForce)))
 			assert.NilError(t, checkAll(c.ledgers(), h.list(), c.plan.teams))
 			assert.NilError(t, checkTeams(c.ledgers(), h.list()))
+			for _, entries := range c.ledgers() {
+				for _, e := range entries { // one second covers what was taken just in time
+					assert.Check(t, e.StartedNs < at.Add(inForce+time.Second).UnixNano(), "%s started late", e.Request)
+				}
+			}
 		})
 	}
 }
@@ -222,7 +233,8 @@
 	h := &history{}
 	c.cutOff("dc2", true)
 	changed, _ := c.withdraw(c.entries[0], key)
-	time.Sleep(inForce + time.Second)
+	// The registration of the entry host that is cut off has ended with its lease by then.
+	time.Sleep(presence.DefaultSettings().TTL + 4*time.Second)
 	served := c.send(h, c.entries[1], call{team: "trail", key: key.Secret, queue: "match", id: "served"})
 	assert.Equal(t, served.kind, jaybarrow.ErrorKind(""), "%+v", served)
 	for _, e := range []*entryHost{c.entries[0], c.entries[2]} {
@@ -234,7 +246,12 @@
 	}
 	c.cutOff("dc2", false)
 	c.awaitInForce(c.operator(c.entries[0]), changed.Revision)
+	c.entries[2].kill()
+	c.condition(string(c.entries[2].id), jaybarrow.HostGone)
+	next := c.addKey("clubs") // waits until it is in force on those that are left
 	refused := c.send(h, c.entries[1], call{team: "trail", key: key.Secret, queue: "match", id: "late"})
 	assert.Equal(t, refused.kind, jaybarrow.KindBadKey, "%+v", refused)
+	taken := c.send(h, c.entries[1], call{team: "clubs", key: next.Secret, queue: "match", id: "next"})
+	assert.Equal(t, taken.kind, jaybarrow.ErrorKind(""), "%+v", taken)
 	assert.NilError(t, checkAll(c.ledgers(), h.list(), c.plan.teams))
 }
