Do not end the drain of a host that is not in the local copy yet

Cause: a driver whose copy had a drain and not yet the record of its host, as after its watch had fallen behind its own reads, took the host for gone and removed the drain, which gave its part of the budget back. Change: a host that is missing in the copy is read from the store. TestDrainOfAHostThatIsNotInTheCopy failed before: the drain was removed. Conclusion: only the store or the platform's list says that a host is gone.

--- a/internal/maintenance/fleet_test.go
+++ b/internal/maintenance/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,7 +30,8 @@
 	booted   map[jaybarrow.HostID]time.Time
 	draining map[jaybarrow.HostID]bool
 	down     map[string]bool
-	unread   bool // the list of hosts has not been read
+	hidden   jaybarrow.Key // a record that has not reached the directories
+	unread   bool          // the list of hosts has not been read
 	reboots  map[jaybarrow.HostID]int
 	log      *writes
 }
@@ -167,6 +169,10 @@
 	w.records = append(w.records, r)
 }
 
+func (f *fleet) visible(records []jaybarrow.Record) []jaybarrow.Record {
+	return slices.DeleteFunc(slices.Clone(records), func(r jaybarrow.Record) bool { return r.Key == f.hidden })
+}
+
 // manager starts a manager with a directory of its own that follows the store.
 func (f *fleet) manager(t *testing.T, s jaybarrow.Store) *maintenance.Manager {
 	t.Helper()
@@ -174,7 +180,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	list, revision, err := f.core.List(ctx, jaybarrow.Prefix)
 	assert.NilError(t, err)
-	assert.NilError(t, d.Apply(list, revision))
+	assert.NilError(t, d.Apply(f.visible(list), revision))
 	watch, err := f.core.Watch(ctx, jaybarrow.Prefix, revision)
 	assert.NilError(t, err)
 	var group sync.WaitGroup
@@ -184,7 +190,7 @@
 			if err != nil {
 				return
 			}
-			_ = d.Apply(event.Records, event.Revision)
+			_ = d.Apply(f.visible(event.Records), event.Revision)
 		}
 	})
 	m := maintenance.New(maintenance.Deps{
--- a/internal/maintenance/manager_test.go
+++ b/internal/maintenance/manager_test.go
@@ -75,6 +75,27 @@
 	assert.ErrorContains(t, checkHistory(moved), "moved")
 }
 
+// Guards against an end to the drain of a host whose record has not reached the driver's copy yet, which is not gone.
+func TestDrainOfAHostThatIsNotInTheCopy(t *testing.T) {
+	f := newFleet(t, 2, "p")
+	f.hidden = jaybarrow.HostKey("h00")
+	now := time.Now().UnixMilli()
+	f.put(t, jaybarrow.DrainKey("p"), jaybarrow.PoolDrains{Pool: "p", Drains: map[jaybarrow.HostID]jaybarrow.Drain{
+		"h00": {ID: "d", Host: "h00", Phase: jaybarrow.PhaseDraining, Purpose: jaybarrow.PurposeHold, StartedMs: now, PhaseMs: now},
+	}})
+	f.manager(t, f.core)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		d, ok := f.drains(t, "p").Drains["h00"]
+		switch {
+		case !ok:
+			return poll.Error(fmt.Errorf("the drain was removed"))
+		case d.Phase != jaybarrow.PhaseDrained:
+			return poll.Continue("%+v", d)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
 // Guards against a drain that exceeds the budget because the platform's list, which tells the hosts that are down, was not
 // read.
 func TestNoDrainBeginsWithoutTheList(t *testing.T) {
--- a/internal/maintenance/steps.go
+++ b/internal/maintenance/steps.go
@@ -20,7 +20,17 @@
 }
 
 func (m *Manager) advance(ctx context.Context, pool jaybarrow.PoolID, host jaybarrow.Host, d jaybarrow.Drain) error {
-	if host.ID == "" || m.deps.Conditions.Condition(string(d.Host)) == jaybarrow.HostGone {
+	if host.ID == "" {
+		// The local copy may be older than the drain; only the store knows whether the host has a record.
+		_, err := read(ctx, m.deps.Store, jaybarrow.HostKey(d.Host), &host)
+		if jaybarrow.IsKind(err, jaybarrow.KindNotFound) {
+			return m.remove(ctx, pool, d, "the host has no record")
+		}
+		if err != nil || host.DataCentre != m.deps.DataCentre {
+			return err
+		}
+	}
+	if m.deps.Conditions.Condition(string(d.Host)) == jaybarrow.HostGone {
 		return m.remove(ctx, pool, d, "the host is gone")
 	}
 	switch d.Phase {
