Wait for an owner before refusing an accepted request

Cause: an entry host of another data centre that did not know the successor of a stopping scheduler yet tried for 0.75 s and refused what had been handed back, although heartbeats from another data centre may need 6 s. Change: while no owner is known a request waits for up to 10 s, or until its deadline; these tries do not count as attempts. TestRequestWaitsForAnOwner failed before after 0.75 s; TestStopWithoutEasySuccessor failed once in a whole run of the tests with 20 forwarded requests refused. Conclusion: a hand-over cuts off no forwarded request while the membership settles.

--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -76,6 +77,13 @@
 // retryDelay is the wait before another attempt, in which the membership can change.
 const retryDelay = 150 * time.Millisecond
 
+// ownerWait is how long a request waits while no owner of its pool is known. Heartbeats need up to 6 s to tell another data
+// centre of an entry host, so a shorter wait would refuse what a stopping scheduler has just handed back.
+const ownerWait = 10 * time.Second
+
+// errNoOwner is the cause of a failed attempt for which no owner was known.
+var errNoOwner = errors.New("no live entry host schedules it")
+
 // Run runs the request on the owner of its pool. Another attempt is made only when the last one certainly did not run the
 // request, or when the request is idempotent and its entry host was lost.
 func (r *Router) Run(ctx context.Context, request jaybarrow.Request) ([]byte, error) {
@@ -86,7 +94,8 @@
 	defer r.placed.Delete(key)
 	effect := jaybarrow.EffectNotRun
 	avoid := make(map[jaybarrow.EntryID]bool)
-	for attempt := 1; ; attempt++ {
+	attempts, noOwnerUntil := 0, r.deps.Clock.Now().Add(ownerWait)
+	for {
 		body, err := r.attempt(ctx, request, avoid)
 		if err == nil {
 			return body, nil
@@ -95,10 +104,16 @@
 		if e.Effect != jaybarrow.EffectNotRun {
 			effect = e.Effect
 		}
-		if attempt == maxAttempts || !again(request, e) || r.expired(request) {
+		counts := !errors.Is(e, errNoOwner) || r.deps.Clock.Now().After(noOwnerUntil)
+		if counts {
+			attempts++
+		}
+		if attempts == maxAttempts || !again(request, e) || r.expired(request) {
 			return nil, e.WithEffect(effect)
 		}
-		r.deps.Journal.Note(jaybarrow.Subject{Kind: jaybarrow.SubjectRequest, ID: string(request.ID)}, "forwarded again", e.Message)
+		if counts {
+			r.deps.Journal.Note(jaybarrow.Subject{Kind: jaybarrow.SubjectRequest, ID: string(request.ID)}, "forwarded again", e.Message)
+		}
 		select {
 		case <-ctx.Done():
 			return nil, jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled between attempts").WithEffect(effect)
@@ -139,7 +154,7 @@
 	options := r.options(request.Pool, avoid)
 	if len(options) == 0 {
 		clear(avoid)
-		return nil, jaybarrow.Errorf(jaybarrow.KindHandOver, "no live entry host schedules pool %s", request.Pool)
+		return nil, jaybarrow.Errorf(jaybarrow.KindHandOver, "pool %s: %w", request.Pool, errNoOwner)
 	}
 	option := options[Choose(options)]
 	avoid[option.Owner] = true
