Give proxies and the store's stand-in addresses of their own in end-to-end tests

Cause: a proxy that refuses and then listens again could find its address, from the kernel's range, taken by a connection: two tests failed in a whole run with 'address already in use'. Change: these addresses come from the blocks of the run.

--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -92,7 +92,7 @@
 		callers: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
 	}
 	t.Cleanup(c.callers.CloseIdleConnections)
-	process, addresses := startStandin(t, "store", "-lag", "500ms", "-reboot", "1s")
+	process, addresses := startStandin(t, "store", "-listen", string(freeAddress(t)), "-lag", "500ms", "-reboot", "1s")
 	c.store, c.control = process, addresses.Control
 	for i := range p.dataCentres {
 		c.stores[dataCentre(i)] = c.proxy(addresses.Listen)
@@ -108,7 +108,7 @@
 }
 
 func (c *cluster) proxy(target jaybarrow.Address) *faultproxy.Proxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", string(freeAddress(c.t))) // it listens again after a refusal
 	assert.NilError(c.t, err)
 	p := faultproxy.New(jaybarrow.SystemClock{}, l, target)
 	c.t.Cleanup(p.Close)
