--- a/internal/maintenance/steps.go
+++ b/internal/maintenance/steps.go
@@ -28,7 +28,17 @@
 }
 
 func (m *Manager) advance(ctx context.Context, j job) error {
-	if j.host.ID == "" || m.deps.Conditions.Condition(string(j.drain.Host)) == jaybarrow.HostGone {
+	if j.host.ID == "" {
+		// The local copy may be older than the drain; only the store knows whether the host has a record.
+		_, err := read(ctx, m.deps.Store, jaybarrow.HostKey(j.drain.Host), &j.host)
+		if jaybarrow.IsKind(err, jaybarrow.KindNotFound) {
+			return m.remove(ctx, j, "the host has no record")
+		}
+		if err != nil || j.host.DataCentre != m.deps.DataCentre {
+			return err
+		}
+	}
+	if m.deps.Conditions.Condition(string(j.drain.Host)) == jaybarrow.HostGone {
 		return m.remove(ctx, j, "the host is gone")
 	}
 	switch j.drain.Phase {
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -65,7 +65,7 @@
 
 // Expire drops the entry hosts that were silent for long.
 func (m *Members) Expire(now time.Time) {
-	for _, s := range m.Known() {
+	for _, s := range m.all() {
 		if now.Sub(s.Heard) > forgetAfter {
 			m.states.Delete(s.ID)
 			m.changed()
@@ -73,8 +73,11 @@
 	}
 }
 
-// Known returns all states, live or not, in order of id; the result must not be changed.
-func (m *Members) Known() []State {
+// Known returns all states, live or not, in order of id.
+func (m *Members) Known() []State { return slices.Clone(m.all()) }
+
+// all returns the shared copy of all states, in order of id; it must not be changed.
+func (m *Members) all() []State {
 	if known := m.known.Load(); known != nil {
 		return *known
 	}
@@ -103,16 +106,25 @@
 	return now.Sub(s.Heard) <= limit
 }
 
+// HeardStates returns the states of the other entry hosts that were heard recently, leaving ones included, in order of id.
+func (m *Members) HeardStates(now time.Time) []State {
+	return m.filter(func(s State) bool { return m.heard(now, s) })
+}
+
 // LiveStates returns the states of the other live entry hosts, in order of id.
 func (m *Members) LiveStates(now time.Time) []State {
-	known := m.Known()
-	live := make([]State, 0, len(known))
-	for _, s := range known {
-		if m.Live(now, s) {
-			live = append(live, s)
+	return m.filter(func(s State) bool { return m.Live(now, s) })
+}
+
+func (m *Members) filter(keep func(State) bool) []State {
+	all := m.all()
+	kept := make([]State, 0, len(all))
+	for _, s := range all {
+		if keep(s) {
+			kept = append(kept, s)
 		}
 	}
-	return live
+	return kept
 }
 
 // Owner returns the entry host that schedules the pool in the data centre; self is a candidate when selfReady, and those in
@@ -134,8 +146,8 @@
 // schedules its pools.
 func (m *Members) LeavingOwner(now time.Time, pool jaybarrow.PoolID, dataCentre jaybarrow.DataCentreID, avoid map[jaybarrow.EntryID]bool) (jaybarrow.EntryID, bool) {
 	var candidates []jaybarrow.EntryID
-	for _, s := range m.Known() {
-		if s.DataCentre == dataCentre && s.Leaving && m.heard(now, s) && !avoid[s.ID] {
+	for _, s := range m.HeardStates(now) {
+		if s.DataCentre == dataCentre && s.Leaving && !avoid[s.ID] {
 			candidates = append(candidates, s.ID)
 		}
 	}
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -203,7 +203,8 @@
 	t.Lock()
 	defer t.Unlock()
 	m := &peerpb.Heartbeat{Self: t.encode(now, self), Resend: g.lacks.Swap(false)}
-	for _, s := range g.deps.Members.LiveStates(now) {
+	// A leaving entry host is passed on too, so that other data centres do not wait for it.
+	for _, s := range g.deps.Members.HeardStates(now) {
 		if s.ID != to && t.news(now, s, s.DataCentre == self.DataCentre) {
 			m.Relayed = append(m.Relayed, t.encode(now, s))
 		}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -101,7 +101,9 @@
 		if tries.spent(r.deps.Clock.Now()) || !again(request, e) || r.expired(request) {
 			return nil, e.WithEffect(effect)
 		}
-		r.deps.Journal.Note(jaybarrow.Subject{Kind: jaybarrow.SubjectRequest, ID: string(request.ID)}, "forwarded again", e.Message)
+		if tries.ownerless.IsZero() {
+			r.deps.Journal.Note(jaybarrow.Subject{Kind: jaybarrow.SubjectRequest, ID: string(request.ID)}, "forwarded again", e.Message)
+		}
 		select {
 		case <-ctx.Done():
 			return nil, jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled between attempts").WithEffect(effect)
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,7 +93,7 @@
 		callers: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
 	}
 	t.Cleanup(c.callers.CloseIdleConnections)
-	process, addresses := startStandin(t, "store", "-lag", "500ms", "-reboot", "1s")
+	process, addresses := startStandin(t, "store", "-listen", string(freeAddress(t)), "-lag", "500ms", "-reboot", "1s")
 	c.store, c.control = process, addresses.Control
 	for i := range p.dataCentres {
 		c.stores[dataCentre(i)] = c.proxy(addresses.Listen)
@@ -110,33 +109,13 @@
 }
 
 func (c *cluster) proxy(target jaybarrow.Address) *faultproxy.Proxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", string(freeAddress(c.t))) // it listens again after a refusal
 	assert.NilError(c.t, err)
 	p := faultproxy.New(jaybarrow.SystemClock{}, l, target)
 	c.t.Cleanup(p.Close)
 	return p
 }
 
-// nextPort is below the range from which the kernel takes ports for outgoing connections, and starts at a place that depends
-// on the process, so that neither connections nor another run of the tests take a port between its choice and its use.
-var nextPort atomic.Int32
-
-func init() { nextPort.Store(int32(10000 + os.Getpid()%200*100)) }
-
-// freeAddress returns an address that nothing listens on and that no other call returns.
-func freeAddress(t *testing.T) jaybarrow.Address {
-	t.Helper()
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return jaybarrow.Address(address)
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 func (c *cluster) planEntries() {
 	for i := range c.plan.dataCentres {
 		for j := range c.plan.entriesPerDC {
