--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -121,8 +121,9 @@
 func hostID(w int) jaybarrow.HostID { return jaybarrow.HostID(fmt.Sprintf("w%02d", w)) }
 
 // submit sends the job to the scheduler, or to a random one of nine.
-func (c *cluster) submit(j *job) {
-	d := c.domains[c.rand.IntN(len(c.domains))]
+func (c *cluster) submit(j *job) { c.submitTo(c.domains[c.rand.IntN(len(c.domains))], j) }
+
+func (c *cluster) submitTo(d *domain, j *job) {
 	c.nextID++
 	j.arrived, j.attempts, j.tried = c.loop.now, 0, nil
 	item := jaybarrow.Item{
@@ -178,7 +179,15 @@
 func (c *cluster) finish(d *domain, j *job, start schedule.Start, a attempt, begun time.Time) {
 	now := c.loop.now
 	d.pool.Finished(now, start.Attempt, a.took)
+	if a.kind == jaybarrow.KindWorkerRefused {
+		d.pool.HostRefused(now, start.Host)
+		j.tried = append(j.tried, start.Host)
+		d.pool.Return(now, start.Item, j.tried)
+		c.dispatch(d)
+		return
+	}
 	c.served(j, start.Host, begun, now)
+	d.pool.HostTook(start.Host)
 	d.hosts[start.Host].observe(a, start.Item.Estimate)
 	switch {
 	case a.kind == "":
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -42,6 +42,7 @@
 		{"placement", placementMetrics, runPlacement},
 		{"mix", mixMetrics, runMix},
 		{"wide", wideMetrics, runWide},
+		{"moves", movesMetrics, runMoves},
 	}
 }
 
