--- a/internal/experiment/doc.go
+++ b/internal/experiment/doc.go
@@ -1,3 +1,4 @@
-// Package experiment drives the decision code (schedule, orders, placements, estimate) with generated, seeded events on a
-// virtual clock, and measures shares, bursts and placement against baselines. It has no network and no processes.
+// Package experiment drives the decision code (schedule, orders, placements, estimate, balance, drain) with generated, seeded
+// events on a virtual clock, and measures shares, bursts, placement and moves against baselines. It has no network and no
+// processes.
 package experiment
