--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -175,8 +175,8 @@
 	}
 }
 
-// Guards against a drain that the budget forbids, against moving a host that a wave would then miss, against emptying a pool to its budget, and against moves that begin while
-// another one into or out of the pool is under way.
+// Guards against a drain that the budget forbids, against moving a host that a wave would then miss, against emptying a pool
+// to its budget, and against moves that begin while another one into or out of the pool is under way.
 func TestWhatForbidsMoves(t *testing.T) {
 	pool := func(id jaybarrow.PoolID, unavailable, hosts int) balance.Pool {
 		return balance.Pool{ID: id, Spare: id == "spare", MaxUnavailable: 1, Unavailable: unavailable, Hosts: hosts}
--- a/internal/mover/mover_test.go
+++ b/internal/mover/mover_test.go
@@ -132,8 +132,8 @@
 const hour = 360 // rounds
 
 // Guards against moves by an entry host that does not drive, against moves that are switched off, against a second move before
-// the first has ended, against moves that replace a host during its reboot, and against moves of another data centre's hosts or for work that another
-// data centre takes.
+// the first has ended, against moves that replace a host during its reboot, and against moves of another data centre's hosts
+// or for work that another data centre takes.
 func TestWhenMovesBegin(t *testing.T) {
 	desk := func(dataCentre jaybarrow.DataCentreID, load schedule.Load) mover.Load {
 		return mover.Load{Pool: "desk", DataCentre: dataCentre, Load: load}
