--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -98,3 +98,29 @@
 	assert.Assert(t, allotment.InForce(grants(9, 9, 2)))
 	assert.Equal(t, len(allotment.Pending(grants(9, 9, 2))), 0)
 }
+
+// Guards against floors that each host writes for itself, and against a division that a leaving host, or one without a floor
+// of its own, would repeat.
+func TestFirstFloorsAreOneWrite(t *testing.T) {
+	fleet := allotment.Fleet{Live: map[jaybarrow.EntryID]jaybarrow.Incarnation{}}
+	for i := range 9 {
+		fleet.Live[entry(i)] = 5
+	}
+	for _, limit := range []jaybarrow.Slots{9, 90, 101} {
+		record := jaybarrow.Allotment{Team: "trail", Limit: limit}
+		for id := range fleet.Live {
+			self := allotment.Self{Entry: id, Incarnation: 5, Settled: true}
+			d := allotment.Decide(record, self, fleet)
+			floor := allotment.Floor("trail", limit, fleet.Live, id)
+			assert.Equal(t, d.Write, floor > 0)
+			if floor > 0 {
+				assert.Equal(t, allotment.Sum(d.Next), limit/2)
+			}
+			for other := range fleet.Live {
+				assert.Assert(t, floor == 0 || d.Next.Grants[other].Slots == allotment.Floor("trail", limit, fleet.Live, other))
+			}
+			self.Leaving = true
+			assert.Assert(t, !allotment.Decide(record, self, fleet).Write)
+		}
+	}
+}
--- a/internal/permit/fleet_test.go
+++ b/internal/permit/fleet_test.go
@@ -44,6 +44,8 @@
 	mode fault
 	gate chan struct{} // closed while the host runs
 	lag  time.Duration // of the watch
+	late time.Duration // of a late write; 0: at random
+	sent int           // late writes
 
 	directory *directory.Directory
 	presence  *presence.Presence
@@ -106,6 +108,23 @@
 	}
 }
 
+// lateness counts a late write and returns how late it takes effect.
+func (h *host) lateness() time.Duration {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	h.sent++
+	if h.late > 0 {
+		return h.late
+	}
+	return time.Duration(h.rng.IntN(1000)) * time.Millisecond
+}
+
+func (h *host) lateWrites() int {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return h.sent
+}
+
 func lost() error { return jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "test: answer lost") }
 
 func (h *host) Get(ctx context.Context, key jaybarrow.Key) (jaybarrow.Record, error) {
@@ -128,7 +147,7 @@
 	case f == faultDropped:
 		return 0, lost()
 	case f == faultLate:
-		late := time.Duration(h.rng.IntN(1000)) * time.Millisecond
+		late := h.lateness()
 		go func() {
 			time.Sleep(late)
 			_, _ = write()
--- a/internal/permit/settings.go
+++ b/internal/permit/settings.go
@@ -22,14 +22,15 @@
 	ScanPace        time.Duration // least time between two scans of the allotments for changes
 	StartWindow     time.Duration // a task must start at the worker within this time of taking its permits
 	FoundingTurn    time.Duration // between the entry hosts that could divide the first floors of a team
-	WritesPerSecond int           // of this entry host for all teams
+	WritesPerSecond int           // of this entry host for all teams; a quarter of it for idle permits and small lacks
 	// FleetWritesPerSecond may be used by any entry host for work that waits, less the writes that it sees of the others.
 	FleetWritesPerSecond int
 }
 
 // DefaultSettings returns the settings for production. An idle permit goes back within two idle windows and one write,
-// which is less than a second. Nine entry hosts at 40 writes each stay within the several hundred writes a second of the
-// store.
+// which is less than a second unless more teams than the budget covers return permits at once. Nine entry hosts at 40 writes
+// each stay within the several hundred writes a second of the store. The fleet's 320 are for one or two hosts that need more
+// while the others write little; the writes of the others are taken from them with the lag of the watch.
 func DefaultSettings() Settings {
 	return Settings{
 		WritePace: 100 * time.Millisecond, IdleWindow: 400 * time.Millisecond, Turn: 200 * time.Millisecond,
