Let a small lack rank as demand while it waits

Cause: the age of a small lack counted only when its loop ran, which a more urgent queue could put off without end. Change: the order of the waiting writes computes the urgency at the current time.

--- a/internal/permit/turns.go
+++ b/internal/permit/turns.go
@@ -28,6 +28,14 @@
 	team    jaybarrow.TeamID
 }
 
+// at returns the claim with its urgency at the given time.
+func (c claim) at(now time.Time) claim {
+	if c.urgency == allotment.UrgencyMinor && now.Sub(c.since) >= minorWait {
+		c.urgency = allotment.UrgencyDemand
+	}
+	return c
+}
+
 func (c claim) before(other claim) bool {
 	if c.urgency != other.urgency {
 		return c.urgency.Before(other.urgency)
@@ -57,11 +65,9 @@
 		c = claim{since: now, team: h.id}
 	}
 	c.urgency = urgency
-	if urgency == allotment.UrgencyMinor && now.Sub(c.since) >= minorWait {
-		c.urgency = allotment.UrgencyDemand
-	}
 	defer notify(t.changed)
-	if first, _ := t.first(); (first == nil || first == h || !t.waiting[first].before(c)) && t.spend(now, c) {
+	first, best := t.first(now)
+	if (first == nil || first == h || !best.before(c.at(now))) && t.spend(now, c.at(now)) {
 		delete(t.waiting, h)
 		return true
 	}
@@ -116,10 +122,11 @@
 }
 
 // first returns the holding whose write is next.
-func (t *turns) first() (*holding, claim) {
+func (t *turns) first(now time.Time) (*holding, claim) {
 	var next *holding
 	var best claim
 	for h, c := range t.waiting {
+		c = c.at(now)
 		if next == nil || c.before(best) {
 			next, best = h, c
 		}
@@ -131,7 +138,7 @@
 func (t *turns) next(now time.Time) (*holding, time.Duration) {
 	t.Lock()
 	defer t.Unlock()
-	h, c := t.first()
+	h, c := t.first(now)
 	if h == nil {
 		return nil, 0
 	}
--- a/internal/permit/turns_test.go
+++ b/internal/permit/turns_test.go
@@ -38,3 +38,20 @@
 	next, wait = turns.next(now)
 	assert.Assert(t, next == idle && wait == 500*time.Millisecond, "%v", wait)
 }
+
+// Guards against a small lack that waits for ever behind larger ones.
+func TestSmallLackRanksAsDemandAfterAWhile(t *testing.T) {
+	now := time.Unix(1000, 0)
+	turns := newTurns(2, 0)
+	spent, small, large := &holding{id: "a"}, &holding{id: "b"}, &holding{id: "c"}
+	for range 2 {
+		assert.Assert(t, turns.take(now, spent, allotment.UrgencyDemand))
+	}
+	assert.Assert(t, !turns.take(now, small, allotment.UrgencyMinor))
+	now = now.Add(10 * time.Millisecond)
+	assert.Assert(t, !turns.take(now, large, allotment.UrgencyDemand))
+	next, _ := turns.next(now)
+	assert.Assert(t, next == large)
+	next, _ = turns.next(now.Add(minorWait))
+	assert.Assert(t, next == small)
+}
