Test permits that move through a slow store that loses answers

Cause: permits moved between entry hosts in tests only while the store was quick. Change: bursts alternate between two entry hosts while the store is slow and loses the answer to every write.

--- /dev/null
+++ b/test/e2e/transfer_test.go
@@ -0,0 +1,31 @@
+package e2e
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/standin/store"
+)
+
+// Guards against a holder that uses permits while its write that gives them away is under way or its answer is lost. Bursts
+// alternate between two entry hosts faster than the slow store answers.
+func TestPermitsMoveThroughASlowStore(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, quickPlan(2, 1, 2, 8))
+	h := &history{}
+	c.faults(store.Faults{DelayMs: 300, LostAnswers: store.LostAnswers{All: true}})
+	burst := func(n int, lasts time.Duration) {
+		load := c.startLoad(h, 16, func(int, int) *entryHost { return c.entries[n%2] }, func(caller, i int) call {
+			return call{team: "trail", queue: "match", id: jaybarrow.RequestID(fmt.Sprintf("r-%d-%d-%d", n, caller, i)), run: 40 * time.Millisecond, within: 5 * time.Second}
+		})
+		time.Sleep(lasts)
+		load.stop()
+	}
+	for n := range 12 {
+		burst(n, time.Duration(400+n*100)*time.Millisecond)
+	}
+	c.faults(store.Faults{})
+	checkEveryAnswer(t, c, h)
+}
