--- /dev/null
+++ b/internal/permit/holding_test.go
@@ -0,0 +1,24 @@
+package permit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// Guards against permits that are used while a write that gives them away may already have taken effect.
+func TestPendingWriteLowersUsablePermits(t *testing.T) {
+	h := &holding{
+		entry: "entry-1", incarnation: 1, ceiling: 4, wake: make(chan struct{}, 1), limits: DefaultSettings(),
+		record: jaybarrow.Allotment{Limit: 4, Grants: map[jaybarrow.EntryID]jaybarrow.Grant{"entry-1": {Incarnation: 1, Slots: 4}}},
+	}
+	now := time.Unix(1_800_000_000, 0)
+	h.pending = h.pending.with(1)
+	assert.Assert(t, h.tryAcquire(now, 1))
+	assert.Assert(t, !h.tryAcquire(now, 1), "used a permit that a pending write gives away")
+	h.pending = h.pending.with(3)
+	assert.Assert(t, !h.tryAcquire(now, 1), "a later pending write undid an earlier one")
+}
