--- a/internal/permit/holding_test.go
+++ b/internal/permit/holding_test.go
@@ -16,9 +16,9 @@
 		record: jaybarrow.Allotment{Limit: 4, Grants: map[jaybarrow.EntryID]jaybarrow.Grant{"entry-1": {Incarnation: 1, Slots: 4}}},
 	}
 	now := time.Unix(1_800_000_000, 0)
-	h.pending = h.pending.with(1)
+	h.pending = h.pending.with(1, "first")
 	assert.Assert(t, h.tryAcquire(now, 1))
 	assert.Assert(t, !h.tryAcquire(now, 1), "used a permit that a pending write gives away")
-	h.pending = h.pending.with(3)
+	h.pending = h.pending.with(3, "second")
 	assert.Assert(t, !h.tryAcquire(now, 1), "a later pending write undid an earlier one")
 }
