--- a/internal/permit/holding_test.go
+++ b/internal/permit/holding_test.go
@@ -12,7 +12,7 @@
 // Guards against permits that are used while a write that gives them away may already have taken effect.
 func TestPendingWriteLowersUsablePermits(t *testing.T) {
 	h := &holding{
-		entry: "entry-1", incarnation: 1, ceiling: 4, wake: make(chan struct{}, 1), limits: DefaultSettings(),
+		entry: "entry-1", incarnation: 1, ceiling: 4, part: 4, wake: make(chan struct{}, 1), limits: DefaultSettings(),
 		record: jaybarrow.Allotment{Limit: 4, Grants: map[jaybarrow.EntryID]jaybarrow.Grant{"entry-1": {Incarnation: 1, Slots: 4}}},
 	}
 	now := time.Unix(1_800_000_000, 0)
