--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -98,7 +98,7 @@
 func (e *Entry) closeParts() {
 	var parts conc.WaitGroup
 	for _, stop := range []func(){
-		e.gossip.Close, e.claims.Close, e.presence.Close, e.follower.Close, e.conditions.Close, e.roster.Close,
+		e.spill.Close, e.gossip.Close, e.claims.Close, e.presence.Close, e.follower.Close, e.conditions.Close, e.roster.Close,
 		e.health.Close, e.workers.Close, e.fetches.Wait,
 	} {
 		parts.Go(stop)
--- a/internal/pool/scheduler_test.go
+++ b/internal/pool/scheduler_test.go
@@ -279,3 +279,21 @@
 		"refused 2", `answered "noPermit" to t`,
 	})
 }
+
+// Guards against a hand-back that takes the requests that have waited longest, or ones that run.
+func TestHandBackTakesTheLatest(t *testing.T) {
+	hold, open := gate()
+	f := newFixture(t, 1, hold)
+	defer f.scheduler.Close()
+	defer close(open)
+	f.submit(f.request("a", "1", 0))
+	f.eventually("one runs", func() bool { return f.load().Running == 1 })
+	f.submit(f.request("a", "2", 0))
+	f.eventually("one waits", func() bool { return f.load().Waiting == 1 })
+	latest := f.submit(f.request("a", "3", 0))
+	f.eventually("two wait", func() bool { return f.load().Waiting == 2 })
+	assert.Equal(t, f.scheduler.HandBack("p", 1), 1)
+	assertError(t, f.await(latest).err, jaybarrow.KindHandOver, jaybarrow.EffectNotRun)
+	assert.Equal(t, f.load().Waiting, 1)
+	assert.Equal(t, f.scheduler.HandBack("none", 1), 0)
+}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -70,9 +70,13 @@
 	}
 }
 
-// maxAttempts bounds how often one request is forwarded; more than that many owners in a row do not leave or fail.
+// maxAttempts bounds how often one request is lost on its way; more than that many owners in a row do not fail.
 const maxAttempts = 6
 
+// maxHandOvers bounds how often one request is handed back; schedulers hand requests back when they stop and when another
+// data centre has free slots.
+const maxHandOvers = 100
+
 // ownerPatience is how long a request waits for an owner of its pool to be heard of, such as after the last one has left.
 const ownerPatience = 10 * time.Second
 
@@ -98,6 +102,7 @@
 		if e.Effect != jaybarrow.EffectNotRun {
 			effect = e.Effect
 		}
+		tries.note(e)
 		if tries.spent(r.deps.Clock.Now()) || !again(request, e) || r.expired(request) {
 			return nil, e.WithEffect(effect)
 		}
@@ -115,13 +120,25 @@
 // attempts is what one request has tried.
 type attempts struct {
 	avoid     map[jaybarrow.EntryID]bool // owners that failed it
-	forwards  int
+	lost      int
+	handOvers int
 	ownerless time.Time // since when no owner is known; zero: one is
 }
 
+// note counts a failed attempt.
+func (a *attempts) note(e *jaybarrow.Error) {
+	switch {
+	case !a.ownerless.IsZero():
+	case e.Kind == jaybarrow.KindHandOver:
+		a.handOvers++
+	default:
+		a.lost++
+	}
+}
+
 // spent reports whether the request is given up.
 func (a *attempts) spent(now time.Time) bool {
-	return a.forwards >= maxAttempts || (!a.ownerless.IsZero() && now.Sub(a.ownerless) > ownerPatience)
+	return a.lost >= maxAttempts || a.handOvers >= maxHandOvers || (!a.ownerless.IsZero() && now.Sub(a.ownerless) > ownerPatience)
 }
 
 // reserve notes that the request is here; it reports whether it was not.
@@ -161,7 +178,6 @@
 	}
 	option := options[Choose(options)]
 	tries.avoid[option.Owner], tries.ownerless = true, time.Time{}
-	tries.forwards++
 	if option.Owner == r.deps.Self {
 		r.placed.Set(keyOf(request.Team, request.ID), "")
 		return r.deps.Local.Run(ctx, request)
