Let the demo reboot hosts

Cause: an operator's drain for a reboot never ended in the demo, since nobody played the platform. Change: the demo starts a worker again on its address when its reboot was requested. Figures: TestDemoRebootsAHost passes twice under the race detector; by hand, before, the host stayed in phase rebooting. Conclusion: drains and waves can be tried in the demo.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/command/request"
@@ -30,8 +33,13 @@
 	Callers  jaybarrow.Address
 	store    *store.Server
 	platform *platform.Client
-	workers  []*worker.Server
 	entry    *entry.Entry
+
+	workers []*worker.Server // replaced by reboots
+	hosts   []jaybarrow.Host
+	group   conc.WaitGroup
+	stop    chan struct{}
+	once    sync.Once
 }
 
 const (
@@ -50,7 +58,7 @@
 
 // New starts the demo; the entry host listens on the callers' address.
 func New(ctx context.Context, log zerolog.Logger, callers string) (*Demo, error) {
-	d := &Demo{}
+	d := &Demo{stop: make(chan struct{})}
 	if err := d.start(ctx, log, callers); err != nil {
 		d.Close(ctx)
 		return nil, err
@@ -75,6 +83,7 @@
 	if err := configure(ctx, d.store.Core()); err != nil {
 		return err
 	}
+	d.group.Go(d.reboot)
 	if err := d.startEntry(log, callers); err != nil {
 		return err
 	}
@@ -108,6 +117,8 @@
 		_ = d.entry.Close(ctx)
 		d.platform.Close()
 	}
+	d.once.Do(func() { close(d.stop) })
+	d.group.Wait()
 	for _, w := range d.workers {
 		w.Close()
 	}
@@ -130,10 +141,43 @@
 		Capacity:   jaybarrow.Demand{Slots: workerSlots, Memory: 128000},
 	}
 	w := worker.New(jaybarrow.SystemClock{}, host.ID, host.Capacity)
-	d.workers = append(d.workers, worker.NewServer(w, listener))
+	d.workers, d.hosts = append(d.workers, worker.NewServer(w, listener)), append(d.hosts, host)
 	return host, nil
 }
 
+// rebootPoll is the wait between two looks at the platform's requests for reboots.
+const rebootPoll = 200 * time.Millisecond
+
+// reboot plays the platform: it starts the worker of a host again when a reboot was requested.
+func (d *Demo) reboot() {
+	done := 0
+	for {
+		select {
+		case <-d.stop:
+			return
+		case <-time.After(rebootPoll):
+		}
+		requested := d.store.Hosts().Reboots()
+		for _, r := range requested[done:] {
+			d.restartWorker(r.Host)
+		}
+		done = len(requested)
+	}
+}
+
+func (d *Demo) restartWorker(id jaybarrow.HostID) {
+	i := slices.IndexFunc(d.hosts, func(h jaybarrow.Host) bool { return h.ID == id })
+	if i < 0 {
+		return
+	}
+	d.workers[i].Close()
+	listener, err := net.Listen("tcp", string(d.hosts[i].Address))
+	if err != nil {
+		return // the host stays down, as one that does not come back from a reboot
+	}
+	d.workers[i] = worker.NewServer(worker.New(jaybarrow.SystemClock{}, id, d.hosts[i].Capacity), listener)
+}
+
 func configure(ctx context.Context, s jaybarrow.Store) error {
 	records := []struct {
 		key   jaybarrow.Key
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -7,13 +7,16 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/demo"
 	"github.com/jaybarrow/jaybarrow/internal/httpapi"
+	"github.com/jaybarrow/jaybarrow/pkg/client"
 )
 
 // Guards against a break anywhere on the path from a caller to a worker and back.
@@ -61,3 +64,24 @@
 		})
 	}
 }
+
+// Guards against a reboot that an operator asks for and that never ends, because nobody plays the platform.
+func TestDemoRebootsAHost(t *testing.T) {
+	d, err := demo.New(context.Background(), zerolog.Nop(), "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer d.Close(context.Background())
+	operator := client.New(http.DefaultClient, d.Callers, demo.OperatorKey)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := operator.BeginDrain(context.Background(), "host-1", jaybarrow.PurposeReboot, ""); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		drains, err := operator.Drains(context.Background())
+		if err != nil || len(drains) == 0 || len(drains[0].Drains) > 0 {
+			return poll.Continue("%+v %v", drains, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+}
