Start the processes of end-to-end tests in groups of their own

The shell that had started the tests in the background ended meanwhile, which orphaned the group of the tests, and the kernel sends SIGHUP to stopped members of such a group. Ruled out: a crash of the entry host, a taken port. Change: each process has a group of its own; when a test fails, processes that had ended are shown with the end of their log. Conclusion: the fault was in the harness.

--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -59,6 +59,8 @@
 	assert.NilError(t, err)
 	p.output = log.Name()
 	p.cmd.Stderr, p.cmd.Stdout = log, stdout
+	// In the group of the tests, a paused process would get SIGHUP from the kernel when the shell that started the tests ends.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	assert.NilError(t, p.cmd.Start())
 	go func() {
 		_ = p.cmd.Wait()
@@ -66,12 +68,25 @@
 		close(p.exited)
 	}()
 	t.Cleanup(func() {
+		if t.Failed() && p.ended() {
+			t.Logf("%s %v had ended: %s; end of its log:\n%s", name, args, p.cmd.ProcessState, p.log())
+		}
 		p.signal(syscall.SIGCONT)
 		p.kill()
 	})
 	return p
 }
 
+// ended reports whether the process has ended.
+func (p *process) ended() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 // kill ends the process at once and waits for its end.
