Rename the client of the etcd gateway to internal/etcd

Cause: a top-level platform/ folder is coming, and internal/platform spoke only the store protocol of our own stand-in. One name for two clients would mislead. Change: package and folder are renamed; nothing else changes. Ruled out: merging both clients, since the protocols share nothing but HTTP.

--- a/cmd/jaybarrow/serve.go
+++ b/cmd/jaybarrow/serve.go
@@ -15,7 +15,7 @@
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/entry"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
-	"github.com/jaybarrow/jaybarrow/internal/platform"
+	"github.com/jaybarrow/jaybarrow/internal/etcd"
 	"github.com/jaybarrow/jaybarrow/internal/settings"
 )
 
@@ -53,7 +53,7 @@
 		log.Error().Err(err).Msg("cannot listen")
 		return exitFailure
 	}
-	client := platform.New(entry.PlatformSettings(s, s.Platform.StoreAddress))
+	client := etcd.New(entry.PlatformSettings(s, s.Platform.StoreAddress))
 	defer client.Close()
 	e := entry.New(entry.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: root, Platform: client, Settings: s,
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -15,7 +15,7 @@
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/command/request"
 	"github.com/jaybarrow/jaybarrow/internal/entry"
-	"github.com/jaybarrow/jaybarrow/internal/platform"
+	"github.com/jaybarrow/jaybarrow/internal/etcd"
 	"github.com/jaybarrow/jaybarrow/internal/settings"
 	"github.com/jaybarrow/jaybarrow/internal/standin/store"
 	"github.com/jaybarrow/jaybarrow/internal/standin/worker"
@@ -32,7 +32,7 @@
 type Demo struct {
 	Callers  jaybarrow.Address
 	store    *store.Server
-	platform *platform.Client
+	platform *etcd.Client
 	entry    *entry.Entry
 
 	workers []*worker.Server // replaced by reboots
@@ -103,7 +103,7 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	d.Callers = jaybarrow.Address(callerListener.Addr().String())
-	d.platform = platform.New(entry.PlatformSettings(s, d.store.Address()))
+	d.platform = etcd.New(entry.PlatformSettings(s, d.store.Address()))
 	d.entry = entry.New(entry.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: log, Platform: d.platform, Settings: s,
 		Callers: callerListener, Peers: peerListener, Times: entry.DefaultTimes(),
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
-	"github.com/jaybarrow/jaybarrow/internal/platform"
+	"github.com/jaybarrow/jaybarrow/internal/etcd"
 	"github.com/jaybarrow/jaybarrow/internal/standin/store"
 )
 
@@ -48,7 +48,7 @@
 
 func (b *bench) follow(peers directory.Peers) {
 	b.t.Helper()
-	client := platform.New(platform.Settings{
+	client := etcd.New(etcd.Settings{
 		Address: b.store.Address(), Connections: 4, DialTimeout: 5 * time.Second, CallTimeout: 5 * time.Second,
 	})
 	counted := func(ctx context.Context, after jaybarrow.Revision) ([]jaybarrow.Record, jaybarrow.Revision, error) {
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -13,7 +13,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/member"
 	"github.com/jaybarrow/jaybarrow/internal/mover"
 	"github.com/jaybarrow/jaybarrow/internal/permit"
-	"github.com/jaybarrow/jaybarrow/internal/platform"
+	"github.com/jaybarrow/jaybarrow/internal/etcd"
 	"github.com/jaybarrow/jaybarrow/internal/presence"
 	"github.com/jaybarrow/jaybarrow/internal/settings"
 	"github.com/jaybarrow/jaybarrow/internal/task"
@@ -78,8 +78,8 @@
 const storeConnections = 8
 
 // PlatformSettings returns the settings of the platform's client at an address.
-func PlatformSettings(s settings.Settings, address jaybarrow.Address) platform.Settings {
-	return platform.Settings{
+func PlatformSettings(s settings.Settings, address jaybarrow.Address) etcd.Settings {
+	return etcd.Settings{
 		Address: address, Connections: storeConnections, DialTimeout: s.Platform.CallTimeout, CallTimeout: s.Platform.CallTimeout,
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,7 +24,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/peer"
 	"github.com/jaybarrow/jaybarrow/internal/permit"
 	"github.com/jaybarrow/jaybarrow/internal/placement/twochoices"
-	"github.com/jaybarrow/jaybarrow/internal/platform"
+	"github.com/jaybarrow/jaybarrow/internal/etcd"
 	"github.com/jaybarrow/jaybarrow/internal/pool"
 	"github.com/jaybarrow/jaybarrow/internal/presence"
 	"github.com/jaybarrow/jaybarrow/internal/rendezvous"
@@ -55,7 +55,7 @@
 	directory   *directory.Directory
 	records     *directory.WriteThrough
 	follower    *directory.Follower
-	conditions  *platform.Conditions
+	conditions  *etcd.Conditions
 	presence    *presence.Presence
 	permits     *permit.Keeper
 	claims      *claim.Claims
@@ -100,7 +100,7 @@
 		Clock: d.Clock, Log: logging.For(d.Log, "directory"), Store: d.Platform, Directory: e.directory,
 		Peers: e.changesFromPeers, Settings: e.times.Follower,
 	})
-	e.conditions = platform.NewConditions(platform.ConditionsDeps{
+	e.conditions = etcd.NewConditions(etcd.ConditionsDeps{
 		Clock: d.Clock, Log: logging.For(d.Log, "platform"), Hosts: d.Platform, Interval: e.times.HostList,
 	})
 	e.presence = presence.New(presence.Deps{
--- a/internal/platform/client.go
+++ b/internal/etcd/client.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/jaybarrow/jaybarrow"
-	"github.com/jaybarrow/jaybarrow/internal/platform/gateway"
+	"github.com/jaybarrow/jaybarrow/internal/etcd/gateway"
 )
 
 // Settings bounds the client's connections and waits.
--- a/internal/platform/platform_test.go
+++ b/internal/etcd/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package etcd_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jaybarrow/jaybarrow"
-	"github.com/jaybarrow/jaybarrow/internal/platform"
+	"github.com/jaybarrow/jaybarrow/internal/etcd"
 	"github.com/jaybarrow/jaybarrow/internal/standin/faultproxy"
 	"github.com/jaybarrow/jaybarrow/internal/standin/store"
 )
@@ -25,9 +25,9 @@
 	return s
 }
 
-func connect(t *testing.T, s *store.Server, timeout time.Duration) *platform.Client {
+func connect(t *testing.T, s *store.Server, timeout time.Duration) *etcd.Client {
 	t.Helper()
-	c := platform.New(platform.Settings{Address: s.Address(), Connections: 16, DialTimeout: timeout, CallTimeout: timeout})
+	c := etcd.New(etcd.Settings{Address: s.Address(), Connections: 16, DialTimeout: timeout, CallTimeout: timeout})
 	t.Cleanup(c.Close)
 	return c
 }
@@ -87,23 +87,23 @@
 		deletes bool
 		then    func(t *testing.T, c *store.Core, first jaybarrow.Revision)
 		stale   jaybarrow.Revision
-		outcome platform.Outcome
+		outcome etcd.Outcome
 		failed  bool
 	}{
-		{"written", false, func(t *testing.T, c *store.Core, first jaybarrow.Revision) { write(t, c, first, "own") }, 0, platform.OutcomeWritten, false},
-		{"unchanged", false, func(*testing.T, *store.Core, jaybarrow.Revision) {}, 0, platform.OutcomeUnchanged, false},
-		{"another writer won", false, func(t *testing.T, c *store.Core, first jaybarrow.Revision) { write(t, c, first, "other") }, 0, platform.OutcomeReplaced, false},
+		{"written", false, func(t *testing.T, c *store.Core, first jaybarrow.Revision) { write(t, c, first, "own") }, 0, etcd.OutcomeWritten, false},
+		{"unchanged", false, func(*testing.T, *store.Core, jaybarrow.Revision) {}, 0, etcd.OutcomeUnchanged, false},
+		{"another writer won", false, func(t *testing.T, c *store.Core, first jaybarrow.Revision) { write(t, c, first, "other") }, 0, etcd.OutcomeReplaced, false},
 		{"overwritten", false, func(t *testing.T, c *store.Core, first jaybarrow.Revision) {
 			write(t, c, write(t, c, first, "own"), "other")
-		}, 0, platform.OutcomeReplaced, false},
+		}, 0, etcd.OutcomeReplaced, false},
 		{"deleted by itself", true, func(t *testing.T, c *store.Core, first jaybarrow.Revision) {
 			_, err := c.Delete(ctx, "/k", first)
 			assert.NilError(t, err)
-		}, 0, platform.OutcomeWritten, false},
+		}, 0, etcd.OutcomeWritten, false},
 		{"deleted by another", false, func(t *testing.T, c *store.Core, first jaybarrow.Revision) {
 			_, err := c.Delete(ctx, "/k", first)
 			assert.NilError(t, err)
-		}, 0, platform.OutcomeReplaced, false},
+		}, 0, etcd.OutcomeReplaced, false},
 		{"stale answer without the record", true, func(*testing.T, *store.Core, jaybarrow.Revision) {}, 1, "", true},
 	}
 	for _, c := range cases {
@@ -114,7 +114,7 @@
 			c.then(t, s.Core(), first)
 			assert.NilError(t, s.SetFaults(store.Faults{StaleBy: c.stale}))
 			before := s.Core().Revision()
-			outcome, _, err := platform.Confirm(ctx, client, "/k", first, func(r jaybarrow.Record) bool {
+			outcome, _, err := etcd.Confirm(ctx, client, "/k", first, func(r jaybarrow.Record) bool {
 				return r.Deleted == c.deletes && (c.deletes || string(r.Value) == "own")
 			})
 			assert.Equal(t, jaybarrow.IsKind(err, jaybarrow.KindStoreUnavailable), c.failed, "%v", err)
@@ -168,7 +168,7 @@
 	assert.NilError(t, err)
 	proxy := faultproxy.New(jaybarrow.SystemClock{}, listener, s.Address())
 	t.Cleanup(proxy.Close)
-	client := platform.New(platform.Settings{Address: proxy.Address(), Connections: 16, DialTimeout: time.Second, CallTimeout: time.Second})
+	client := etcd.New(etcd.Settings{Address: proxy.Address(), Connections: 16, DialTimeout: time.Second, CallTimeout: time.Second})
 	t.Cleanup(client.Close)
 
 	assert.NilError(t, s.SetFaults(store.Faults{DelayMs: 100}))
@@ -184,7 +184,7 @@
 	proxy.FreezeOpen(faultproxy.Down)
 	_, err = client.CompareAndSwap(ctx, "/a", 0, []byte("v"), 0)
 	assert.Equal(t, jaybarrow.AsError(err).Effect, jaybarrow.EffectMayHaveRun, "%v", err)
-	outcome, _, err := platform.Confirm(ctx, client, "/a", 0, func(r jaybarrow.Record) bool { return string(r.Value) == "v" })
+	outcome, _, err := etcd.Confirm(ctx, client, "/a", 0, func(r jaybarrow.Record) bool { return string(r.Value) == "v" })
 	assert.NilError(t, err)
-	assert.Equal(t, outcome, platform.OutcomeWritten)
+	assert.Equal(t, outcome, etcd.OutcomeWritten)
 }
--- a/internal/platform/confirm.go
+++ b/internal/etcd/confirm.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"context"
--- a/internal/platform/history_test.go
+++ b/internal/etcd/history_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package etcd_test
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jaybarrow/jaybarrow"
-	"github.com/jaybarrow/jaybarrow/internal/platform"
+	"github.com/jaybarrow/jaybarrow/internal/etcd"
 	"github.com/jaybarrow/jaybarrow/internal/standin/store"
 )
 
@@ -157,7 +157,7 @@
 }
 
 // step reads a key and then writes or deletes it from the revision that was read.
-func step(r *recorder, client *platform.Client, n int, key jaybarrow.Key, value string, deletes bool) {
+func step(r *recorder, client *etcd.Client, n int, key jaybarrow.Key, value string, deletes bool) {
 	ctx, called := context.Background(), time.Now()
 	record, err := client.Get(ctx, key)
 	if err != nil && !jaybarrow.IsKind(err, jaybarrow.KindNotFound) {
@@ -181,12 +181,12 @@
 }
 
 // confirm records a write of unknown outcome as known when the read-back finds its own value.
-func confirm(r *recorder, client *platform.Client, n int, called time.Time, in operation) {
-	outcome, record, err := platform.Confirm(context.Background(), client, in.key, in.previous, func(record jaybarrow.Record) bool {
+func confirm(r *recorder, client *etcd.Client, n int, called time.Time, in operation) {
+	outcome, record, err := etcd.Confirm(context.Background(), client, in.key, in.previous, func(record jaybarrow.Record) bool {
 		return in.kind == "write" && string(record.Value) == in.value
 	})
 	if err != nil {
 		panic(err)
 	}
-	r.add(n, called, in, observed{revision: record.Revision}, outcome == platform.OutcomeWritten)
+	r.add(n, called, in, observed{revision: record.Revision}, outcome == etcd.OutcomeWritten)
 }
--- a/internal/platform/watch.go
+++ b/internal/etcd/watch.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
-	"github.com/jaybarrow/jaybarrow/internal/platform/gateway"
+	"github.com/jaybarrow/jaybarrow/internal/etcd/gateway"
 )
 
 // Watch opens a watch on a connection of its own and returns once the store has confirmed it.
--- a/internal/platform/watch_test.go
+++ b/internal/etcd/watch_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package etcd_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jaybarrow/jaybarrow"
-	"github.com/jaybarrow/jaybarrow/internal/platform"
+	"github.com/jaybarrow/jaybarrow/internal/etcd"
 	"github.com/jaybarrow/jaybarrow/internal/standin/store"
 )
 
@@ -102,7 +102,7 @@
 	defer s.Close()
 	client := connect(t, s, callTimeout)
 	defer client.Close()
-	c := platform.NewConditions(platform.ConditionsDeps{
+	c := etcd.NewConditions(etcd.ConditionsDeps{
 		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Hosts: client, Interval: 5 * time.Millisecond,
 	})
 	defer c.Close()
--- a/internal/standin/store/gateway.go
+++ b/internal/standin/store/gateway.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
-	"github.com/jaybarrow/jaybarrow/internal/platform/gateway"
+	"github.com/jaybarrow/jaybarrow/internal/etcd/gateway"
 )
 
 // selection returns which keys a key and a range end select: one key, or those below a prefix.
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -10,7 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
-	"github.com/jaybarrow/jaybarrow/internal/platform/gateway"
+	"github.com/jaybarrow/jaybarrow/internal/etcd/gateway"
 	"github.com/jaybarrow/jaybarrow/internal/standin/gate"
 )
 
--- a/internal/standin/store/watch.go
+++ b/internal/standin/store/watch.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"github.com/jaybarrow/jaybarrow"
-	"github.com/jaybarrow/jaybarrow/internal/platform/gateway"
+	"github.com/jaybarrow/jaybarrow/internal/etcd/gateway"
 )
 
 // watch streams changes from the start revision on, and progress while there are none.
