Run jobs on the users' platform: types, scheduling state, scheduler, leader and adapter

Cause: the product ran one opaque request on one slot; the platform hands in durable jobs of steps and tasks, and fixes how callers, workers, the store and machines speak. Change: root types and interfaces for jobs; internal/workload (decisions for one pool, without I/O), internal/scheduler (one shard a pool, write-ahead of assignments), internal/leader (leased record; its revision is the fence), internal/catalog, commands and queries on jobs, jobpeer over gRPC, jobhost as assembly, platform/ as the only translation, jaybarrow join, deploy/system.toml. Ruled out: one owner for each pool (tenant limits and moves cross pools, and each owner would need the other's view); storing assignments after the start (a successor would have to wait out the lease of every silent worker).

--- a/cmd/jaybarrow/main.go
+++ b/cmd/jaybarrow/main.go
@@ -1,4 +1,4 @@
-// Command jaybarrow runs an entry host, checks its settings, runs the demo, and carries operators' commands.
+// Command jaybarrow runs an entry host, with its own interface or on the users' platform, checks its settings, runs the demo, and carries operators' commands.
 package main
 
 import (
@@ -29,6 +29,7 @@
 var subcommands = map[string]subcommand{
 	"check":   runCheck,
 	"demo":    runDemo,
+	"join":    runJoin,
 	"serve":   runServe,
 	"version": runVersion,
 
--- a/cmd/jaybarrow/serve.go
+++ b/cmd/jaybarrow/serve.go
@@ -14,8 +14,8 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/entry"
-	"github.com/jaybarrow/jaybarrow/internal/logging"
 	"github.com/jaybarrow/jaybarrow/internal/etcd"
+	"github.com/jaybarrow/jaybarrow/internal/logging"
 	"github.com/jaybarrow/jaybarrow/internal/settings"
 )
 
--- /dev/null
+++ b/internal/boottime/doc.go
@@ -0,0 +1,2 @@
+// Package boottime reads a clock that goes on while the machine is suspended.
+package boottime
--- /dev/null
+++ b/internal/catalog/doc.go
@@ -0,0 +1,2 @@
+// Package catalog holds the operators' configuration in force at an entry host.
+package catalog
--- /dev/null
+++ b/internal/command/job/doc.go
@@ -0,0 +1,2 @@
+// Package job holds the commands on jobs: accept and cancel.
+package job
--- /dev/null
+++ b/internal/command/job/validate.go
@@ -0,0 +1,71 @@
+package job
+
+import (
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// The bounds of a job; a larger one is refused before anything is stored.
+const (
+	maxSpec  = 4000    // bytes
+	maxSteps = 1000    // of one job
+	maxTasks = 100_000 // of one job, over all its occurrences
+	idLength = 16      // hexadecimal digits
+)
+
+func validate(in Accept) error {
+	switch {
+	case !ValidID(in.ID):
+		return jaybarrow.Errorf(jaybarrow.KindBadRequest, "job id %q: want %d hexadecimal digits", in.ID, idLength)
+	case len(in.Spec) > maxSpec:
+		return jaybarrow.Errorf(jaybarrow.KindBadRequest, "spec has %d bytes, at most %d are allowed", len(in.Spec), maxSpec)
+	case len(in.Steps) == 0 || len(in.Steps) > maxSteps:
+		return jaybarrow.Errorf(jaybarrow.KindBadRequest, "%d steps: want 1 to %d", len(in.Steps), maxSteps)
+	}
+	runs := 1
+	if r := in.Recurrence; r != nil {
+		if r.Runs < 1 || r.IntervalMs < 0 {
+			return jaybarrow.Errorf(jaybarrow.KindBadRequest, "%d runs every %d ms: want at least 1 run and no negative interval", r.Runs, r.IntervalMs)
+		}
+		runs = min(r.Runs, maxTasks+1)
+	}
+	tasks := 0
+	for i, s := range in.Steps {
+		if err := validateStep(i, s); err != nil {
+			return err
+		}
+		tasks += min(s.Tasks, maxTasks+1)
+	}
+	if tasks*runs > maxTasks {
+		return jaybarrow.Errorf(jaybarrow.KindBadRequest, "more than %d tasks", maxTasks)
+	}
+	return nil
+}
+
+func validateStep(i int, s jaybarrow.Step) error {
+	if s.Tasks < 1 {
+		return jaybarrow.Errorf(jaybarrow.KindBadRequest, "step %d: %d tasks: want at least 1", i, s.Tasks)
+	}
+	d := s.Demand
+	if d.CPU < 0 || d.Memory < 0 || d.Accelerators < 0 || s.EstimateMs < 0 || s.MaxPerWorker < 0 || s.MayMiss < 0 || s.LatencyMs < 0 {
+		return jaybarrow.Errorf(jaybarrow.KindBadRequest, "step %d: a figure is negative", i)
+	}
+	for _, before := range s.After {
+		if before < 0 || int(before) >= i {
+			return jaybarrow.Errorf(jaybarrow.KindBadRequest, "step %d: after %d: want an earlier step", i, before)
+		}
+	}
+	return nil
+}
+
+// ValidID reports whether the id is one that a caller may choose.
+func ValidID(id jaybarrow.JobID) bool {
+	if len(id) != idLength {
+		return false
+	}
+	for _, c := range id {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/jobhost/jobhost.go
@@ -0,0 +1,164 @@
+package jobhost
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/catalog"
+	command "github.com/jaybarrow/jaybarrow/internal/command/job"
+	"github.com/jaybarrow/jaybarrow/internal/follow"
+	"github.com/jaybarrow/jaybarrow/internal/identity"
+	"github.com/jaybarrow/jaybarrow/internal/jobpeer"
+	"github.com/jaybarrow/jaybarrow/internal/leader"
+	"github.com/jaybarrow/jaybarrow/internal/logging"
+	query "github.com/jaybarrow/jaybarrow/internal/query/job"
+	"github.com/jaybarrow/jaybarrow/internal/scheduler"
+)
+
+// Platform is what an entry host needs of the platform.
+type Platform struct {
+	Store     jaybarrow.JobStore
+	Register  jaybarrow.Register
+	Operators jaybarrow.Operators
+	Agents    jaybarrow.Agents
+	Fleet     jaybarrow.Fleet
+}
+
+// Settings are the times of an entry host.
+type Settings struct {
+	// MaxConfigurationAge is how old the configuration may be when a caller's key is judged by it.
+	MaxConfigurationAge time.Duration
+	// ReadyAge is how old it may be while new callers are wanted.
+	ReadyAge  time.Duration
+	Operators follow.Settings
+	Leader    leader.Settings
+	Scheduler scheduler.Settings
+	Command   command.Settings
+	Query     query.Settings
+}
+
+// DefaultSettings returns the usual times.
+func DefaultSettings() Settings {
+	return Settings{
+		MaxConfigurationAge: 4 * time.Second,
+		// Two unanswered calls for changes.
+		ReadyAge:  2500 * time.Millisecond,
+		Operators: follow.Settings{Wait: time.Second, Slack: 500 * time.Millisecond, Retry: 100 * time.Millisecond},
+		Leader:    leader.DefaultSettings(),
+		Scheduler: scheduler.DefaultSettings(),
+		Command:   command.DefaultSettings(),
+		Query:     query.DefaultSettings(),
+	}
+}
+
+// Deps are what a Host depends on.
+type Deps struct {
+	Clock    jaybarrow.Clock
+	Log      zerolog.Logger
+	Entry    jaybarrow.EntryID
+	Peers    net.Listener
+	Platform Platform
+	Settings Settings
+}
+
+// Host is a running entry host.
+type Host struct {
+	deps    Deps
+	cancel  context.CancelFunc
+	group   conc.WaitGroup
+	leaving atomic.Bool
+
+	catalog *catalog.Catalog
+	leader  *leader.Leader
+	client  *jobpeer.Client
+	server  *jobpeer.Server
+	current atomic.Pointer[scheduler.Scheduler] // nil while another entry host leads
+
+	// Authorizer, Accept, Cancel, State and Waiting serve the front end.
+	Authorizer *command.Authorizer
+	Accept     *command.AcceptHandler
+	Cancel     *command.CancelHandler
+	State      *query.StateHandler
+	Waiting    *query.WaitingHandler
+}
+
+// New returns a running Host.
+func New(d Deps) *Host {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{deps: d, cancel: cancel, catalog: catalog.New(d.Clock.Now()), client: jobpeer.NewClient()}
+	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
+	commands := command.Deps{Clock: d.Clock, Store: relay{JobStore: d.Platform.Store, host: h}, Authorizer: h.Authorizer, Settings: d.Settings.Command}
+	h.Accept, h.Cancel = command.NewAccept(commands), command.NewCancel(commands)
+	queries := query.Deps{Directory: directory{h}, Store: d.Platform.Store, Settings: d.Settings.Query}
+	h.State, h.Waiting = query.NewState(queries), query.NewWaiting(queries)
+	h.leader = leader.New(leader.Deps{
+		Clock: d.Clock, Log: logging.For(d.Log, "leader"), Store: d.Platform.Store, NewChange: identity.NewChangeID,
+		Self:     leader.Holder{Entry: d.Entry, Address: jaybarrow.Address(d.Peers.Addr().String())},
+		Settings: d.Settings.Leader, Lead: h.lead,
+	})
+	h.server = jobpeer.NewServer(logging.For(d.Log, "peer"), d.Peers, local{h})
+	h.group.Go(func() { h.followOperators(ctx) })
+	h.group.Go(func() { h.askPeers(ctx) })
+	return h
+}
+
+// Leave makes the balancer send new callers elsewhere and gives the lead away; open connections are still served.
+func (h *Host) Leave() {
+	h.leaving.Store(true)
+	h.leader.Close()
+}
+
+// Leaving reports whether the host is about to stop.
+func (h *Host) Leaving() bool { return h.leaving.Load() }
+
+// Close stops everything.
+func (h *Host) Close() {
+	h.Leave()
+	h.cancel()
+	h.server.Close()
+	h.client.Close()
+	h.group.Wait()
+}
+
+// Ready reports whether new callers are wanted here.
+func (h *Host) Ready() bool {
+	age, known := h.catalog.Age(h.deps.Clock.Now())
+	return known && age <= h.deps.Settings.ReadyAge && !h.leaving.Load()
+}
+
+// lead schedules until the term ends.
+func (h *Host) lead(ctx context.Context, term leader.Term) {
+	log := logging.For(h.deps.Log, "scheduler")
+	s := scheduler.New(scheduler.Deps{
+		Clock: h.deps.Clock, Log: log, Store: h.deps.Platform.Store, Register: h.deps.Platform.Register,
+		Agents: h.deps.Platform.Agents, Catalog: h.catalog, Observer: observer{log}, Term: term, Settings: h.deps.Settings.Scheduler,
+	})
+	h.current.Store(s)
+	<-ctx.Done()
+	h.current.Store(nil)
+	s.Close()
+}
+
+// followOperators keeps the configuration up to date.
+func (h *Host) followOperators(ctx context.Context) {
+	log := logging.For(h.deps.Log, "operators")
+	follow.Run(ctx, follow.Deps{Clock: h.deps.Clock, Log: log, Settings: h.deps.Settings.Operators}, follow.Source[jaybarrow.OperatorNews]{
+		Name: "operators", List: h.deps.Platform.Operators.News, Changes: h.deps.Platform.Operators.NewsAfter,
+		Apply: func(news jaybarrow.OperatorNews, _ bool, received time.Time) {
+			h.apply(log, news.Configuration)
+			h.catalog.Confirm(received)
+		},
+	})
+}
+
+func (h *Host) apply(log zerolog.Logger, c *jaybarrow.Configuration) {
+	if c != nil && h.catalog.Apply(c) {
+		log.Info().Int64("version", int64(c.Version)).Int("queues", len(c.Queues)).Int("teams", len(c.Teams)).Msg("configuration in force")
+	}
+}
--- /dev/null
+++ b/internal/jobpeer/client.go
@@ -0,0 +1,160 @@
+package jobpeer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/jobpeer/jobpb"
+)
+
+// maxMessage is the largest message in bytes: a configuration of the largest value that the store holds, with room to spare.
+const maxMessage = 4 << 20
+
+// silentCalls is how many calls in a row may stay unanswered before their connection counts as silent and is replaced.
+const silentCalls = 2
+
+// Client asks the entry host that leads; it holds one connection.
+type Client struct {
+	lock    sync.Mutex
+	address jaybarrow.Address
+	conn    *grpc.ClientConn
+	missed  int
+}
+
+// NewClient returns a Client without a connection.
+func NewClient() *Client { return &Client{} }
+
+// Close closes the connection.
+func (c *Client) Close() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.drop()
+}
+
+func (c *Client) drop() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+	c.conn, c.missed = nil, 0
+}
+
+// connection returns the connection to the address; calls on the one before end with an error.
+func (c *Client) connection(address jaybarrow.Address) (*grpc.ClientConn, error) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.conn != nil && c.address == address {
+		return c.conn, nil
+	}
+	c.drop()
+	conn, err := grpc.NewClient("passthrough:///"+string(address),
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		// A write must not be sent twice by the library.
+		grpc.WithDisableRetry(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
+			MinConnectTimeout: time.Second,
+		}),
+	)
+	if err != nil {
+		return nil, err
+	}
+	c.conn, c.address = conn, address
+	return conn, nil
+}
+
+// note counts unanswered calls and replaces a connection that has gone silent.
+func (c *Client) note(conn *grpc.ClientConn, answered bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if conn != c.conn {
+		return
+	}
+	if answered {
+		c.missed = 0
+		return
+	}
+	c.missed++
+	if c.missed >= silentCalls {
+		c.drop()
+	}
+}
+
+// call runs use on the connection to the address; an error is of kind peerLost and the effect is not known.
+func call[T any](c *Client, address jaybarrow.Address, use func(jobpb.JobsClient) (T, error)) (T, error) {
+	var none T
+	conn, err := c.connection(address)
+	if err != nil {
+		return none, jaybarrow.Errorf(jaybarrow.KindPeerLost, "connect to %s: %w", address, err)
+	}
+	answer, err := use(jobpb.NewJobsClient(conn))
+	c.note(conn, err == nil)
+	if err != nil {
+		return none, jaybarrow.Errorf(jaybarrow.KindPeerLost, "ask %s: %w", address, err)
+	}
+	return answer, nil
+}
+
+// JobStatus asks for the state of a job.
+func (c *Client) JobStatus(ctx context.Context, to jaybarrow.Address, id jaybarrow.JobID) (jaybarrow.JobStatus, error) {
+	answer, err := call(c, to, func(p jobpb.JobsClient) (*jobpb.StatusAnswer, error) {
+		return p.Status(ctx, &jobpb.StatusRequest{Id: string(id)})
+	})
+	if err != nil {
+		return jaybarrow.JobStatus{}, err
+	}
+	return jaybarrow.JobStatus{
+		Known: answer.Known, State: jaybarrow.JobState(answer.State), Team: jaybarrow.TeamID(answer.Team),
+	}, decodeFault(answer.Fault)
+}
+
+// JobsWaiting asks how many jobs of the queue wait.
+func (c *Client) JobsWaiting(ctx context.Context, to jaybarrow.Address, queue jaybarrow.QueueID) (int, error) {
+	answer, err := call(c, to, func(p jobpb.JobsClient) (*jobpb.WaitingAnswer, error) {
+		return p.Waiting(ctx, &jobpb.WaitingRequest{Queue: string(queue)})
+	})
+	if err != nil {
+		return 0, err
+	}
+	return int(answer.Count), decodeFault(answer.Fault)
+}
+
+// Commit asks the peer to write to the store.
+func (c *Client) Commit(ctx context.Context, to jaybarrow.Address, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
+	in := &jobpb.CommitRequest{}
+	for _, e := range changes.Expect {
+		in.Expect = append(in.Expect, &jobpb.Expectation{Key: string(e.Key), Revision: int64(e.Revision)})
+	}
+	for _, p := range changes.Puts {
+		in.Puts = append(in.Puts, &jobpb.Put{Key: string(p.Key), Value: p.Value})
+	}
+	answer, err := call(c, to, func(p jobpb.JobsClient) (*jobpb.CommitAnswer, error) { return p.Commit(ctx, in) })
+	if err != nil {
+		return 0, err
+	}
+	return jaybarrow.Revision(answer.Revision), decodeFault(answer.Fault)
+}
+
+// Newest asks for a configuration newer than the version and the age of its last confirmation in ms.
+func (c *Client) Newest(ctx context.Context, to jaybarrow.Address, version jaybarrow.ConfigurationVersion) ([]byte, int64, error) {
+	answer, err := call(c, to, func(p jobpb.JobsClient) (*jobpb.ConfigurationAnswer, error) {
+		return p.Configuration(ctx, &jobpb.ConfigurationRequest{Version: int64(version)})
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	return answer.Configuration, answer.ConfirmedAgeMs, decodeFault(answer.Fault)
+}
+
+func decodeFault(f *jobpb.Fault) error {
+	if f == nil {
+		return nil
+	}
+	return &jaybarrow.Error{Kind: jaybarrow.ErrorKind(f.Kind), Effect: jaybarrow.Effect(f.Effect), Message: f.Message}
+}
--- /dev/null
+++ b/internal/jobpeer/jobpb/doc.go
@@ -0,0 +1,2 @@
+// Package jobpb holds the generated messages that entry hosts exchange about jobs.
+package jobpb
--- /dev/null
+++ b/internal/query/job/waiting.go
@@ -0,0 +1,20 @@
+package job
+
+import (
+	"context"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// WaitingHandler counts the jobs of a queue that have started no task.
+type WaitingHandler struct{ deps Deps }
+
+// NewWaiting returns a WaitingHandler.
+func NewWaiting(d Deps) *WaitingHandler { return &WaitingHandler{deps: d} }
+
+// Handle returns the count; KindPeerLost when no scheduler answers.
+func (h *WaitingHandler) Handle(ctx context.Context, queue jaybarrow.QueueID) (int, error) {
+	limited, cancel := context.WithTimeout(ctx, h.deps.Settings.Read)
+	defer cancel()
+	return h.deps.Directory.JobsWaiting(limited, queue)
+}
--- /dev/null
+++ b/internal/scheduler/hold.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// hold renews a worker's lease and collects its reports until the worker is forgotten.
+func (p *poolShard) hold(ctx context.Context, id jaybarrow.WorkerID) {
+	failures := 0
+	var last jaybarrow.Worker
+	for ctx.Err() == nil {
+		p.lock.Lock()
+		sent := p.deps.Clock.Now()
+		worker, order, ok := p.work.HoldOrder(id, sent)
+		if !ok {
+			delete(p.holds, id)
+		}
+		p.lock.Unlock()
+		if ok {
+			last = worker
+		} else {
+			p.deps.Agents.Forget(last)
+			p.log.Info().Str("worker", string(id)).Msg("worker forgotten")
+			return
+		}
+		if p.holdOnce(ctx, worker, order, sent) {
+			if failures > 0 {
+				p.log.Info().Str("worker", string(id)).Int("failures", failures).Msg("worker regained")
+			}
+			failures = 0
+			p.awaitStored(ctx, id)
+			continue
+		}
+		if failures == 0 && ctx.Err() == nil {
+			p.log.Warn().Str("worker", string(id)).Msg("worker lost")
+		}
+		failures++
+		p.sleep(ctx, p.deps.Settings.HoldRetry<<min(failures-1, 2))
+	}
+}
+
+// holdOnce gives one order and takes the report into account; it reports whether there was one.
+func (p *poolShard) holdOnce(ctx context.Context, worker jaybarrow.Worker, order jaybarrow.HoldOrder, sent time.Time) bool {
+	limited, cancel := context.WithTimeout(ctx, order.Wait+p.deps.Settings.Hold)
+	defer cancel()
+	report, err := p.deps.Agents.Hold(limited, worker, order)
+	if ctx.Err() != nil {
+		return false
+	}
+	if jaybarrow.IsKind(err, jaybarrow.KindConflict) {
+		p.deps.Term.Resign("a worker has seen a higher fence")
+		return false
+	}
+	now := p.deps.Clock.Now()
+	p.lock.Lock()
+	if err != nil {
+		p.work.HoldFailed(worker.ID, jaybarrow.IsKind(err, jaybarrow.KindNotFound), now)
+	} else {
+		p.work.Held(worker.ID, report, sent, now)
+	}
+	p.lock.Unlock()
+	p.signal()
+	return err == nil
+}
+
+// awaitStored waits until the ends that the worker listed are stored, since it would only list them again.
+func (p *poolShard) awaitStored(ctx context.Context, id jaybarrow.WorkerID) {
+	limit := p.deps.Clock.After(p.deps.Settings.Stored)
+	for {
+		written := p.written.Changed()
+		p.lock.Lock()
+		done := p.work.Acknowledgeable(id)
+		p.lock.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-limit:
+			return
+		case <-written:
+		}
+	}
+}
+
+func (p *poolShard) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-p.deps.Clock.After(d):
+	}
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,270 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/catalog"
+	"github.com/jaybarrow/jaybarrow/internal/follow"
+	"github.com/jaybarrow/jaybarrow/internal/leader"
+	"github.com/jaybarrow/jaybarrow/internal/shard"
+	"github.com/jaybarrow/jaybarrow/internal/workload"
+)
+
+// Deps are what a Scheduler depends on.
+type Deps struct {
+	Clock    jaybarrow.Clock
+	Log      zerolog.Logger
+	Store    jaybarrow.JobStore
+	Register jaybarrow.Register
+	Agents   jaybarrow.Agents
+	Catalog  *catalog.Catalog
+	Observer workload.Observer
+	Term     leader.Term
+	Settings Settings
+}
+
+// Scheduler serves one term.
+type Scheduler struct {
+	deps   Deps
+	teams  *teams
+	cancel context.CancelFunc
+	ctx    context.Context
+	group  conc.WaitGroup
+	pools  *shard.Map[jaybarrow.PoolID, *poolShard]
+	places *shard.Map[jaybarrow.JobID, jaybarrow.PoolID] // the pool of each job
+	homes  *shard.Map[jaybarrow.WorkerID, jaybarrow.PoolID]
+	loaded chan struct{} // closed once every stored job is known
+}
+
+// New returns a Scheduler that begins by reading what is stored.
+func New(d Deps) *Scheduler {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Scheduler{
+		deps: d, teams: newTeams(d.Catalog.Limit), ctx: ctx, cancel: cancel,
+		pools: shard.New[jaybarrow.PoolID, *poolShard](), places: shard.New[jaybarrow.JobID, jaybarrow.PoolID](),
+		homes: shard.New[jaybarrow.WorkerID, jaybarrow.PoolID](), loaded: make(chan struct{}),
+	}
+	registered := make(chan struct{})
+	s.group.Go(func() { s.followRegister(ctx, registered) })
+	s.group.Go(func() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-registered:
+		}
+		s.followInput(ctx)
+	})
+	return s
+}
+
+// Close stops giving orders; what runs goes on until its leases end.
+func (s *Scheduler) Close() {
+	s.cancel()
+	s.group.Wait()
+	s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) { p.group.Wait() })
+}
+
+// followRegister keeps the workers of all shards up to date; registered is closed after the first list.
+func (s *Scheduler) followRegister(ctx context.Context, registered chan struct{}) {
+	var first sync.Once
+	follow.Run(ctx, follow.Deps{Clock: s.deps.Clock, Log: s.deps.Log, Settings: s.deps.Settings.Register},
+		follow.Source[[]jaybarrow.WorkerChange]{
+			Name: "register", List: s.deps.Register.Workers, Changes: s.deps.Register.WorkerChanges,
+			Apply: func(news []jaybarrow.WorkerChange, whole bool, now time.Time) {
+				s.applyWorkers(news, whole, now)
+				first.Do(func() { close(registered) })
+			},
+		})
+}
+
+func (s *Scheduler) applyWorkers(news []jaybarrow.WorkerChange, whole bool, now time.Time) {
+	if whole {
+		listed := make(map[jaybarrow.WorkerID]bool, len(news))
+		for _, c := range news {
+			listed[c.ID] = c.Worker != nil
+		}
+		s.homes.Each(func(id jaybarrow.WorkerID, _ jaybarrow.PoolID) {
+			if !listed[id] {
+				s.dropWorker(id)
+			}
+		})
+	}
+	for _, c := range news {
+		if c.Worker == nil {
+			s.dropWorker(c.ID)
+			continue
+		}
+		if home, ok := s.homes.Get(c.ID); ok && home != c.Worker.Pool {
+			s.dropWorker(c.ID)
+		}
+		s.homes.Set(c.ID, c.Worker.Pool)
+		s.pool(c.Worker.Pool).setWorker(*c.Worker, now)
+	}
+}
+
+func (s *Scheduler) dropWorker(id jaybarrow.WorkerID) {
+	home, ok := s.homes.Get(id)
+	if !ok {
+		return
+	}
+	s.homes.Delete(id)
+	s.pool(home).dropWorker(id)
+}
+
+// pool returns the shard of the pool, created when needed.
+func (s *Scheduler) pool(id jaybarrow.PoolID) *poolShard {
+	return s.pools.GetOrCreate(id, func() *poolShard { return newPoolShard(s, id) })
+}
+
+// policy returns what the configuration says of a queue.
+func (s *Scheduler) policy(id jaybarrow.QueueID) (workload.Policy, bool) {
+	q, ok := s.deps.Catalog.Queue(id)
+	if !ok {
+		return workload.Policy{}, false
+	}
+	return workload.Policy{
+		Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target, Advice: q.Advice,
+	}, true
+}
+
+// inputs are accepted jobs and cancellations.
+type inputs struct {
+	records []jaybarrow.Record
+	states  []jaybarrow.Record // of the jobs; only with a list
+}
+
+// followInput takes over the stored jobs and then every accepted job and cancellation.
+func (s *Scheduler) followInput(ctx context.Context) {
+	var first sync.Once
+	follow.Run(ctx, follow.Deps{Clock: s.deps.Clock, Log: s.deps.Log, Settings: s.deps.Settings.Input}, follow.Source[inputs]{
+		Name: "accepted jobs",
+		List: func(ctx context.Context) (inputs, jaybarrow.Revision, error) {
+			records, at, err := s.deps.Store.List(ctx, jaybarrow.JobInputPrefix)
+			if err != nil {
+				return inputs{}, 0, err
+			}
+			states, _, err := s.deps.Store.List(ctx, jaybarrow.JobStatePrefix)
+			return inputs{records: records, states: states}, at, err
+		},
+		Changes: func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) (inputs, jaybarrow.Revision, error) {
+			records, at, err := s.deps.Store.Changes(ctx, jaybarrow.JobInputPrefix, after, wait)
+			return inputs{records: records}, at, err
+		},
+		Apply: func(news inputs, whole bool, now time.Time) {
+			s.applyInputs(news, now)
+			if whole {
+				first.Do(func() {
+					s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) { p.begin() })
+					close(s.loaded)
+					s.deps.Log.Info().Int("records", len(news.records)).Msg("took over the stored jobs")
+				})
+			}
+		},
+	})
+}
+
+func (s *Scheduler) applyInputs(news inputs, now time.Time) {
+	stored := make(map[jaybarrow.JobID]*workload.Record, len(news.states))
+	for _, r := range news.states {
+		id, ok := jaybarrow.CutJobState(r.Key)
+		if !ok || r.Deleted {
+			continue
+		}
+		record, err := workload.DecodeRecord(r.Value)
+		if err != nil {
+			s.deps.Log.Error().Err(err).Str("job", string(id)).Msg("the stored progress of a job cannot be read")
+			continue
+		}
+		stored[id] = &record
+	}
+	touched := make(map[*poolShard]bool)
+	for _, r := range news.records {
+		if id, ok := jaybarrow.CutJobAccepted(r.Key); ok && !r.Deleted {
+			s.addJob(id, r, stored[id], now, touched)
+		}
+	}
+	for _, r := range news.records {
+		if id, ok := jaybarrow.CutJobCancelled(r.Key); ok && !r.Deleted {
+			s.cancelJob(id, now, touched)
+		}
+	}
+	for p := range touched {
+		p.signal()
+	}
+}
+
+func (s *Scheduler) addJob(id jaybarrow.JobID, r jaybarrow.Record, stored *workload.Record, now time.Time, touched map[*poolShard]bool) {
+	if _, known := s.places.Get(id); known {
+		return
+	}
+	spec := new(jaybarrow.Job)
+	if err := json.Unmarshal(r.Value, spec); err != nil {
+		s.deps.Log.Error().Err(err).Str("job", string(id)).Msg("an accepted job cannot be read")
+		return
+	}
+	p := s.pool(spec.Pool)
+	p.lock.Lock()
+	p.work.AddJob(spec, stored, now)
+	p.lock.Unlock()
+	s.places.Set(id, spec.Pool)
+	touched[p] = true
+}
+
+func (s *Scheduler) cancelJob(id jaybarrow.JobID, now time.Time, touched map[*poolShard]bool) {
+	home, known := s.places.Get(id)
+	if !known {
+		s.deps.Log.Warn().Str("job", string(id)).Msg("an unknown job is cancelled")
+		return
+	}
+	p := s.pool(home)
+	p.lock.Lock()
+	p.work.Cancel(id, now)
+	p.lock.Unlock()
+	touched[p] = true
+}
+
+// JobStatus returns the stored state of a job.
+func (s *Scheduler) JobStatus(ctx context.Context, id jaybarrow.JobID) (jaybarrow.JobStatus, error) {
+	if err := s.ready(ctx); err != nil {
+		return jaybarrow.JobStatus{}, err
+	}
+	home, known := s.places.Get(id)
+	if !known {
+		return jaybarrow.JobStatus{}, nil
+	}
+	p := s.pool(home)
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.work.Status(id), nil
+}
+
+// JobsWaiting returns how many jobs of the queue have started no task.
+func (s *Scheduler) JobsWaiting(ctx context.Context, queue jaybarrow.QueueID) (int, error) {
+	if err := s.ready(ctx); err != nil {
+		return 0, err
+	}
+	n := 0
+	s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) {
+		p.lock.Lock()
+		defer p.lock.Unlock()
+		n += p.work.Waiting(queue)
+	})
+	return n, nil
+}
+
+func (s *Scheduler) ready(ctx context.Context) error {
+	select {
+	case <-s.loaded:
+		return nil
+	case <-ctx.Done():
+	case <-s.ctx.Done():
+	}
+	return jaybarrow.Errorf(jaybarrow.KindPeerLost, "the scheduler has not read the stored jobs yet")
+}
--- /dev/null
+++ b/internal/scheduler/teams.go
@@ -0,0 +1,44 @@
+package scheduler
+
+import (
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/shard"
+)
+
+// teams counts what each team has running in all pools; it implements workload.Teams.
+type teams struct {
+	used  *shard.Map[jaybarrow.TeamID, jaybarrow.Resources]
+	limit func(jaybarrow.TeamID) (jaybarrow.Resources, bool)
+}
+
+func newTeams(limit func(jaybarrow.TeamID) (jaybarrow.Resources, bool)) *teams {
+	return &teams{used: shard.New[jaybarrow.TeamID, jaybarrow.Resources](), limit: limit}
+}
+
+// TryUse charges the resources unless the team's limit forbids it; work without a team has no limit.
+func (t *teams) TryUse(team jaybarrow.TeamID, r jaybarrow.Resources) bool {
+	limit, limited := t.limit(team)
+	allowed := true
+	t.used.Update(team, func(old jaybarrow.Resources, _ bool) (jaybarrow.Resources, bool) {
+		next := old.Plus(r)
+		allowed = !limited || next.FitsLimit(limit)
+		if !allowed {
+			next = old
+		}
+		return next, true
+	})
+	return allowed
+}
+
+// Use charges the resources.
+func (t *teams) Use(team jaybarrow.TeamID, r jaybarrow.Resources) {
+	t.used.Update(team, func(old jaybarrow.Resources, _ bool) (jaybarrow.Resources, bool) { return old.Plus(r), true })
+}
+
+// Release takes a charge back.
+func (t *teams) Release(team jaybarrow.TeamID, r jaybarrow.Resources) {
+	t.used.Update(team, func(old jaybarrow.Resources, _ bool) (jaybarrow.Resources, bool) {
+		next := old.Minus(r)
+		return next, next != jaybarrow.Resources{}
+	})
+}
--- a/keys.go
+++ b/keys.go
@@ -1,5 +1,7 @@
 package jaybarrow
 
+import "strings"
+
 // Prefix is the part of the store that belongs to the system.
 const Prefix Key = "/jaybarrow/"
 
@@ -47,3 +49,48 @@
 
 // ClaimKey returns the key of the claim of a request's id.
 func ClaimKey(team TeamID, id RequestID) Key { return ClaimPrefix + Key(team) + "/" + Key(id) }
+
+// The keys of jobs are outside Prefix, since their changes are for the scheduler alone.
+const (
+	// JobInputPrefix holds what entry hosts write: accepted jobs and cancellations.
+	JobInputPrefix Key = "jaybarrow-jobs/input/"
+	// JobStatePrefix holds what the scheduler writes of each job.
+	JobStatePrefix Key = "jaybarrow-jobs/state/"
+	// JobLeaderKey names the scheduler; its revision is the scheduler's fence.
+	JobLeaderKey Key = "jaybarrow-jobs/leader"
+	// JobSequencePrefix holds the number of the last write for each pool.
+	JobSequencePrefix Key = "jaybarrow-jobs/sequence/"
+
+	jobAcceptedPrefix  = JobInputPrefix + "accepted/"
+	jobCancelledPrefix = JobInputPrefix + "cancelled/"
+)
+
+// JobAcceptedKey returns the key of an accepted job.
+func JobAcceptedKey(id JobID) Key { return jobAcceptedPrefix + Key(id) }
+
+// JobCancelledKey returns the key of a job's cancellation.
+func JobCancelledKey(id JobID) Key { return jobCancelledPrefix + Key(id) }
+
+// JobStateKey returns the key of a job's progress.
+func JobStateKey(id JobID) Key { return JobStatePrefix + Key(id) }
+
+// JobSequenceKey returns the key of the number of the last write for a pool.
+func JobSequenceKey(pool PoolID) Key { return JobSequencePrefix + Key(pool) }
+
+// CutJobAccepted returns the job whose acceptance the key holds.
+func CutJobAccepted(key Key) (JobID, bool) {
+	id, ok := strings.CutPrefix(string(key), string(jobAcceptedPrefix))
+	return JobID(id), ok
+}
+
+// CutJobCancelled returns the job whose cancellation the key holds.
+func CutJobCancelled(key Key) (JobID, bool) {
+	id, ok := strings.CutPrefix(string(key), string(jobCancelledPrefix))
+	return JobID(id), ok
+}
+
+// CutJobState returns the job whose progress the key holds.
+func CutJobState(key Key) (JobID, bool) {
+	id, ok := strings.CutPrefix(string(key), string(JobStatePrefix))
+	return JobID(id), ok
+}
