Drive maintenance waves and move hosts between pools

Change: internal/fleetplan decides, from hosts, loads and waves, which hosts move, which are emptied and which are maintained; internal/fleetkeeper gives the orders, waits out a predecessor's, and stores the progress of waves; reserved workers receive no new tasks and hand lasting tasks over one at a time. Ruled out: maintenance without emptying the host (ends lasting tasks and throws work away).

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -81,6 +81,8 @@
 	settings := jobhost.DefaultSettings()
 	settings.MaxConfigurationAge = time.Duration(staleShare * float64(s.Bounds.Configuration+s.Bounds.Outage))
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.Hold)
+	settings.Fleet.Quiet = s.Bounds.OrderTurns
+	settings.Fleet.Maintenance, settings.Fleet.Move = s.Bounds.Maintenance, s.Bounds.Move
 	host := jobhost.New(jobhost.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: root, Entry: s.Node, Peers: listeners[0], Settings: settings,
 		Platform: jobhost.Platform{
--- a/following.go
+++ b/following.go
@@ -40,8 +40,6 @@
 	News(ctx context.Context) (OperatorNews, Revision, error)
 	// NewsAfter waits up to wait for changes after the revision, with the errors of JobStore.Changes.
 	NewsAfter(ctx context.Context, after Revision, wait time.Duration) (OperatorNews, Revision, error)
-	// WaveState returns what was last reported of a wave; empty when nothing was.
-	WaveState(ctx context.Context, wave WaveID) (WaveState, error)
 	// ReportWave tells operators the state of a wave.
 	ReportWave(ctx context.Context, wave WaveID, state WaveState) error
 }
--- /dev/null
+++ b/internal/fleetkeeper/view.go
@@ -0,0 +1,138 @@
+package fleetkeeper
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/fleetplan"
+	"github.com/jaybarrow/jaybarrow/internal/workload"
+)
+
+// observe samples the need of each pool.
+func (k *Keeper) observe(now time.Time) {
+	loads := k.deps.Pools.Loads(now)
+	k.state.lock.Lock()
+	defer k.state.lock.Unlock()
+	for id, l := range loads {
+		n := k.state.needs[id]
+		if n == nil {
+			n = &need{low: now}
+			k.state.needs[id] = n
+		}
+		n.add(now, k.hostsFor(id, l), k.deps.Settings.Plan.Calm)
+	}
+}
+
+// add takes a sample and drops those older than calm.
+func (n *need) add(now time.Time, hosts float64, calm time.Duration) {
+	before := n.recent()
+	n.samples = append(n.samples, sample{now, hosts})
+	n.samples = slices.DeleteFunc(n.samples, func(s sample) bool { return now.Sub(s.at) > calm })
+	// A need that grows by more than a host ends the calm.
+	if hosts > before+1 {
+		n.low = now
+	}
+}
+
+func (n *need) recent() float64 {
+	most := 0.0
+	for _, s := range n.samples {
+		most = max(most, s.hosts)
+	}
+	return most
+}
+
+// hostsFor returns how many hosts of the pool's usual size the load needs.
+func (k *Keeper) hostsFor(id jaybarrow.PoolID, l workload.Load) float64 {
+	size := k.size(id)
+	all := l.Used.Plus(l.Waiting)
+	return max(part(all.CPU, size.CPU), part(all.Memory, size.Memory), part(all.Accelerators, size.Accelerators)) / k.deps.Settings.Plan.Fill
+}
+
+func part[T ~int | ~int64](used, capacity T) float64 {
+	if capacity <= 0 {
+		return 0
+	}
+	return float64(used) / float64(capacity)
+}
+
+// size returns the capacity of a host of the pool, or of any host.
+func (k *Keeper) size(id jaybarrow.PoolID) jaybarrow.Resources {
+	var any jaybarrow.Resources
+	for _, h := range k.state.hosts {
+		if h.Capacity.CPU == 0 {
+			continue
+		}
+		if h.Pool == id {
+			return h.Capacity
+		}
+		any = h.Capacity
+	}
+	return any
+}
+
+// view returns the state to decide on.
+func (k *Keeper) view(now time.Time) fleetplan.State {
+	loads := k.deps.Pools.Loads(now)
+	workers := make(map[jaybarrow.WorkerID]workload.WorkerLoad)
+	for _, l := range loads {
+		for _, w := range l.Workers {
+			workers[w.ID] = w
+		}
+	}
+	k.state.lock.Lock()
+	defer k.state.lock.Unlock()
+	var out fleetplan.State
+	joining := make(map[jaybarrow.PoolID]int)
+	up := make(map[jaybarrow.PoolID]bool)
+	for _, h := range k.state.hosts {
+		w, known := workers[h.Worker]
+		o := k.state.orders[h.ID]
+		up[h.Pool] = true
+		if o != nil && o.to != "" {
+			joining[o.to]++
+		} else if o == nil && (h.State == jaybarrow.FleetHostMoving || h.State == jaybarrow.FleetHostUp && !known) && !k.spare(h.Pool) {
+			joining[h.Pool]++
+		}
+		out.Hosts = append(out.Hosts, fleetplan.Host{
+			FleetHost: h, Known: known, Usable: w.Usable, Reserved: w.Reserved, Ordered: o != nil, Runs: w.Runs, Lasting: w.Lasting,
+		})
+	}
+	for id := range loads {
+		up[id] = true
+	}
+	for _, id := range slices.Sorted(maps.Keys(up)) {
+		p := fleetplan.Pool{ID: id, Spare: k.spare(id), Joining: joining[id]}
+		if n := k.state.needs[id]; n != nil && len(n.samples) > 0 {
+			p.Need, p.Recent, p.IdleFor = n.samples[len(n.samples)-1].hosts, n.recent(), now.Sub(n.low)
+		}
+		out.Pools = append(out.Pools, p)
+	}
+	for _, id := range slices.Sorted(maps.Keys(k.state.waves)) {
+		out.Waves = append(out.Waves, k.waveView(k.state.waves[id], now)...)
+	}
+	return out
+}
+
+// waveView returns the wave unless it has ended.
+func (k *Keeper) waveView(w *wave, now time.Time) []fleetplan.Wave {
+	if !w.loaded {
+		return nil
+	}
+	v := fleetplan.Wave{Wave: w.Wave, TimeLeft: w.Since.Add(w.Within).Sub(now)}
+	for _, id := range w.Hosts {
+		o := k.state.orders[id]
+		switch {
+		case o != nil && o.wave == w.ID:
+			v.Down++
+		case !w.done[id]:
+			v.Left = append(v.Left, id)
+		}
+	}
+	if len(v.Left) == 0 {
+		return nil
+	}
+	return []fleetplan.Wave{v}
+}
--- /dev/null
+++ b/internal/fleetplan/plan.go
@@ -0,0 +1,266 @@
+package fleetplan
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// Settings are the bounds of the decisions.
+type Settings struct {
+	// Fill is the part of a host's capacity that is planned with; tasks do not fill hosts exactly.
+	Fill float64
+	// Keep is how many hosts a pool keeps beyond its need before others may take them.
+	Keep int
+	// Calm is how long a pool's need must have been low before it lends hosts.
+	Calm time.Duration
+	// IdleReturn is how long hosts beyond the need stay in a pool before they go back to the spare pool.
+	IdleReturn time.Duration
+	// Round is how long the drain and the maintenance of one host take together, for the pace of a wave.
+	Round time.Duration
+}
+
+// DefaultSettings returns the usual bounds.
+func DefaultSettings() Settings {
+	return Settings{
+		Fill: 0.9,
+		Keep: 2,
+		// About the run time of a short task: the need of a pool that is still busy does not fall for longer.
+		Calm: time.Second,
+		// A move there and back costs as much as two seconds in a pool, and takes three.
+		IdleReturn: 6 * time.Second,
+		// The longest usual task and a maintenance of 2 s.
+		Round: 6 * time.Second,
+	}
+}
+
+// Host is a host with what runs on its worker.
+type Host struct {
+	jaybarrow.FleetHost
+	Known    bool // its worker has reported to the scheduler
+	Usable   bool
+	Reserved bool
+	Ordered  bool // an order for it is under way
+	Runs     int
+	Lasting  int
+}
+
+// idle reports whether the host could leave its pool at once.
+func (h Host) idle(spare bool) bool {
+	return h.State == jaybarrow.FleetHostUp && !h.Ordered && !h.Reserved && (spare || h.Known && h.Runs == 0)
+}
+
+// Pool is a pool with its need.
+type Pool struct {
+	ID      jaybarrow.PoolID
+	Spare   bool
+	Need    float64 // hosts' worth of running and waiting work
+	Recent  float64 // the largest Need of the last while
+	Joining int     // hosts on their way to it
+	IdleFor time.Duration
+}
+
+// Wave is a wave that has not ended.
+type Wave struct {
+	jaybarrow.Wave
+	Left     []jaybarrow.HostID // hosts whose maintenance has not begun
+	Down     int                // hosts that may be in maintenance now
+	TimeLeft time.Duration
+}
+
+// State is what is decided on.
+type State struct {
+	Hosts []Host
+	Pools []Pool
+	Waves []Wave
+}
+
+// Move takes a host to another pool.
+type Move struct {
+	Host   Host
+	To     jaybarrow.PoolID
+	Reason string
+}
+
+// Maintenance begins or prepares a host's maintenance.
+type Maintenance struct {
+	Host Host
+	Wave jaybarrow.WaveID
+}
+
+// Orders are the decisions.
+type Orders struct {
+	Moves    []Move
+	Prepare  []Maintenance // keep new tasks from the host and wait until it is empty
+	Maintain []Maintenance // the host is empty
+}
+
+// Decide returns the orders to give now.
+func Decide(s Settings, in State) Orders {
+	d := decision{settings: s, state: in, taken: make(map[jaybarrow.HostID]bool)}
+	d.waves()
+	d.moves()
+	return d.orders
+}
+
+type decision struct {
+	settings Settings
+	state    State
+	taken    map[jaybarrow.HostID]bool
+	orders   Orders
+}
+
+func (d *decision) spare(id jaybarrow.PoolID) bool {
+	return slices.ContainsFunc(d.state.Pools, func(p Pool) bool { return p.ID == id && p.Spare })
+}
+
+// waves prepares and begins maintenance, at most AtOnce hosts of a wave together.
+func (d *decision) waves() {
+	for _, w := range d.state.Waves {
+		room := w.AtOnce - w.Down
+		left := d.candidates(w)
+		for _, h := range left {
+			if room <= 0 {
+				break
+			}
+			if h.Runs == 0 && (h.Reserved || d.spare(h.Pool)) {
+				d.orders.Maintain = append(d.orders.Maintain, Maintenance{h, w.ID})
+				d.taken[h.ID] = true
+				room--
+			}
+		}
+		for _, h := range left {
+			if h.Reserved && !d.taken[h.ID] {
+				room--
+			}
+		}
+		hurried := w.TimeLeft < time.Duration(math.Ceil(float64(len(w.Left))/float64(max(1, w.AtOnce)))+1)*d.settings.Round
+		for _, h := range left {
+			if room <= 0 {
+				break
+			}
+			if d.taken[h.ID] || h.Reserved || !hurried && !d.relaxed(h) {
+				continue
+			}
+			d.orders.Prepare = append(d.orders.Prepare, Maintenance{h, w.ID})
+			d.taken[h.ID] = true
+			room--
+		}
+	}
+}
+
+// candidates returns the wave's hosts that can be maintained, those with the least to move first.
+func (d *decision) candidates(w Wave) []Host {
+	var out []Host
+	for _, h := range d.state.Hosts {
+		if h.State == jaybarrow.FleetHostUp && !h.Ordered && slices.Contains(w.Left, h.ID) && (h.Known || d.spare(h.Pool)) {
+			out = append(out, h)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(a.Lasting, b.Lasting), cmp.Compare(a.Runs, b.Runs), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+// relaxed reports whether the host's pool can do without it now.
+func (d *decision) relaxed(h Host) bool {
+	for _, p := range d.state.Pools {
+		if p.ID == h.Pool {
+			return p.Spare || p.Recent+1 <= float64(d.serving(p.ID))
+		}
+	}
+	return true
+}
+
+// serving counts the hosts of a pool that take tasks.
+func (d *decision) serving(id jaybarrow.PoolID) int {
+	n := 0
+	for _, h := range d.state.Hosts {
+		if h.Pool == id && h.State == jaybarrow.FleetHostUp && h.Usable && !h.Reserved && !d.taken[h.ID] {
+			n++
+		}
+	}
+	return n
+}
+
+// moves brings idle hosts to the pools that lack them, and hosts that nobody needs back to the spare pool.
+func (d *decision) moves() {
+	short := slices.Clone(d.state.Pools)
+	slices.SortStableFunc(short, func(a, b Pool) int { return cmp.Compare(d.lack(b), d.lack(a)) })
+	for _, p := range short {
+		if p.Spare {
+			continue
+		}
+		for range d.lack(p) {
+			h, ok := d.lender(p.ID)
+			if !ok {
+				return
+			}
+			d.move(h, p.ID, "work waits")
+		}
+	}
+	d.giveBack()
+}
+
+// lack returns how many hosts a pool is short of.
+func (d *decision) lack(p Pool) int {
+	return int(math.Ceil(p.Need)) - d.serving(p.ID) - p.Joining
+}
+
+func (d *decision) move(h Host, to jaybarrow.PoolID, reason string) {
+	d.taken[h.ID] = true
+	d.orders.Moves = append(d.orders.Moves, Move{h, to, reason})
+}
+
+// lender returns the idle host that its pool misses least: a spare one, or one of the pool with the most beyond its need.
+func (d *decision) lender(to jaybarrow.PoolID) (Host, bool) {
+	best, most := Host{}, math.Inf(-1)
+	for _, h := range d.state.Hosts {
+		if h.Pool == to || d.taken[h.ID] {
+			continue
+		}
+		spare := d.spare(h.Pool)
+		if !h.idle(spare) {
+			continue
+		}
+		beyond := math.Inf(1)
+		if !spare {
+			beyond = d.beyond(h.Pool)
+		}
+		if beyond >= 1 && beyond > most {
+			best, most = h, beyond
+		}
+	}
+	return best, best.ID != ""
+}
+
+// beyond returns how many hosts a pool has beyond its recent need and what it keeps.
+func (d *decision) beyond(id jaybarrow.PoolID) float64 {
+	for _, p := range d.state.Pools {
+		if p.ID == id {
+			return float64(d.serving(id)-d.settings.Keep) - p.Recent
+		}
+	}
+	return float64(d.serving(id))
+}
+
+// giveBack sends hosts of pools that have long had too many to the spare pool.
+func (d *decision) giveBack() {
+	target := slices.IndexFunc(d.state.Pools, func(p Pool) bool { return p.Spare })
+	if target < 0 {
+		return
+	}
+	for _, h := range d.state.Hosts {
+		i := slices.IndexFunc(d.state.Pools, func(p Pool) bool { return p.ID == h.Pool })
+		if i < 0 || d.state.Pools[i].Spare || d.taken[h.ID] || !h.idle(false) {
+			continue
+		}
+		if d.state.Pools[i].IdleFor >= d.settings.IdleReturn && d.beyond(h.Pool) >= 1 {
+			d.move(h, d.state.Pools[target].ID, "nobody needs it")
+		}
+	}
+}
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -12,6 +12,7 @@
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
 	command "github.com/jaybarrow/jaybarrow/internal/command/job"
+	"github.com/jaybarrow/jaybarrow/internal/fleetkeeper"
 	"github.com/jaybarrow/jaybarrow/internal/follow"
 	"github.com/jaybarrow/jaybarrow/internal/identity"
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer"
@@ -39,6 +40,7 @@
 	Operators follow.Settings
 	Leader    leader.Settings
 	Scheduler scheduler.Settings
+	Fleet     fleetkeeper.Settings
 	Command   command.Settings
 	Query     query.Settings
 }
@@ -52,6 +54,7 @@
 		Operators: follow.Settings{Wait: time.Second, Slack: 500 * time.Millisecond, Retry: 100 * time.Millisecond},
 		Leader:    leader.DefaultSettings(),
 		Scheduler: scheduler.DefaultSettings(),
+		Fleet:     fleetkeeper.DefaultSettings(),
 		Command:   command.DefaultSettings(),
 		Query:     query.DefaultSettings(),
 	}
@@ -76,6 +79,7 @@
 
 	catalog *catalog.Catalog
 	leader  *leader.Leader
+	waves   waves
 	client  *jobpeer.Client
 	server  *jobpeer.Server
 	current atomic.Pointer[scheduler.Scheduler] // nil while another entry host leads
@@ -92,6 +96,7 @@
 func New(d Deps) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{deps: d, cancel: cancel, catalog: catalog.New(d.Clock.Now()), client: jobpeer.NewClient()}
+	h.waves.operators = d.Platform.Operators
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
 	commands := command.Deps{Clock: d.Clock, Store: relay{JobStore: d.Platform.Store, host: h}, Authorizer: h.Authorizer, Settings: d.Settings.Command}
 	h.Accept, h.Cancel = command.NewAccept(commands), command.NewCancel(commands)
@@ -139,9 +144,14 @@
 		Clock: h.deps.Clock, Log: log, Store: h.deps.Platform.Store, Register: h.deps.Platform.Register,
 		Agents: h.deps.Platform.Agents, Catalog: h.catalog, Observer: observer{log}, Term: term, Settings: h.deps.Settings.Scheduler,
 	})
+	keeper := fleetkeeper.New(fleetkeeper.Deps{
+		Clock: h.deps.Clock, Log: logging.For(h.deps.Log, "fleet"), Fleet: h.deps.Platform.Fleet, Store: h.deps.Platform.Store,
+		Pools: s, Waves: &h.waves, Catalog: h.catalog, Term: term, Settings: h.deps.Settings.Fleet,
+	})
 	h.current.Store(s)
 	<-ctx.Done()
 	h.current.Store(nil)
+	keeper.Close()
 	s.Close()
 }
 
@@ -152,6 +162,7 @@
 		Name: "operators", List: h.deps.Platform.Operators.News, Changes: h.deps.Platform.Operators.NewsAfter,
 		Apply: func(news jaybarrow.OperatorNews, _ bool, received time.Time) {
 			h.apply(log, news.Configuration)
+			h.waves.add(news.Waves, received)
 			h.catalog.Confirm(received)
 		},
 	})
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -268,3 +268,37 @@
 	}
 	return jaybarrow.Errorf(jaybarrow.KindPeerLost, "the scheduler has not read the stored jobs yet")
 }
+
+// Loads returns the load of each pool; none before the stored jobs are known.
+func (s *Scheduler) Loads(now time.Time) map[jaybarrow.PoolID]workload.Load {
+	out := make(map[jaybarrow.PoolID]workload.Load)
+	select {
+	case <-s.loaded:
+	default:
+		return out
+	}
+	s.pools.Each(func(id jaybarrow.PoolID, p *poolShard) {
+		p.lock.Lock()
+		defer p.lock.Unlock()
+		out[id] = p.work.Load(now)
+	})
+	return out
+}
+
+// Reserve keeps new tasks from a worker; see workload.Pool.
+func (s *Scheduler) Reserve(pool jaybarrow.PoolID, worker jaybarrow.WorkerID, onlyEmpty bool) bool {
+	p := s.pool(pool)
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	defer p.signal()
+	return p.work.Reserve(worker, onlyEmpty)
+}
+
+// Unreserve lets a worker receive new tasks again.
+func (s *Scheduler) Unreserve(pool jaybarrow.PoolID, worker jaybarrow.WorkerID) {
+	p := s.pool(pool)
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	defer p.signal()
+	p.work.Unreserve(worker)
+}
--- /dev/null
+++ b/internal/workload/reserve.go
@@ -0,0 +1,111 @@
+package workload
+
+import (
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// WorkerLoad is what runs on a worker.
+type WorkerLoad struct {
+	ID       jaybarrow.WorkerID
+	Usable   bool
+	Reserved bool
+	Runs     int
+	Lasting  int // of the runs
+}
+
+// Load is what a pool's workers do and what waits for them.
+type Load struct {
+	Workers []WorkerLoad
+	Used    jaybarrow.Resources // by runs that count as used capacity
+	Waiting jaybarrow.Resources // by tasks that could start now
+}
+
+// Load returns the pool's load.
+func (p *Pool) Load(now time.Time) Load {
+	var out Load
+	for _, w := range p.workers {
+		if w.gone {
+			continue
+		}
+		l := WorkerLoad{
+			ID: w.entry.ID, Usable: w.usable(now, p.settings.Suspect) || w.reserved && w.failing == 0, Reserved: w.reserved, Runs: len(w.runs),
+		}
+		for _, r := range w.runs {
+			if r.task.step.spec.Lasting {
+				l.Lasting++
+			}
+		}
+		out.Workers = append(out.Workers, l)
+		out.Used = out.Used.Plus(w.used)
+	}
+	for _, j := range p.jobs {
+		if j.state.Ended() {
+			continue
+		}
+		for _, s := range j.steps {
+			if s.idle > 0 && s.ready(now) {
+				out.Waiting = out.Waiting.Plus(s.spec.Demand.Times(s.idle))
+			}
+		}
+	}
+	return out
+}
+
+// Reserve keeps new tasks from a worker that is to be moved or maintained; with onlyEmpty it does nothing unless nothing runs
+// there. It reports whether the worker is reserved.
+func (p *Pool) Reserve(id jaybarrow.WorkerID, onlyEmpty bool) bool {
+	w := p.workers[id]
+	if w == nil || onlyEmpty && len(w.runs) > 0 {
+		return false
+	}
+	w.reserved = true
+	return true
+}
+
+// Unreserve lets the worker receive new tasks again.
+func (p *Pool) Unreserve(id jaybarrow.WorkerID) {
+	if w := p.workers[id]; w != nil {
+		w.reserved = false
+	}
+}
+
+// evacuate moves lasting tasks from reserved workers, as far as their steps may miss them.
+func (p *Pool) evacuate(now time.Time) {
+	for _, w := range p.workers {
+		if !w.reserved || w.failing > 0 {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.task.step.spec.Lasting && r.phase == runRunning && p.mayMiss(r, now) {
+				p.stop(r, now)
+			}
+		}
+	}
+}
+
+// mayMiss reports whether a lasting task may be away: enough others of its step are at work, and another worker has room.
+func (p *Pool) mayMiss(r *run, now time.Time) bool {
+	s := r.task.step
+	away := 0
+	for _, t := range s.tasks {
+		if t != r.task && !t.atWork() {
+			away++
+		}
+	}
+	if away >= max(1, s.spec.MayMiss) {
+		return false
+	}
+	for _, w := range p.workers {
+		if w != r.worker && w.usable(now, p.settings.Suspect) && p.allowed(r.task, w) {
+			return true
+		}
+	}
+	return false
+}
+
+// atWork reports whether a lasting task has started up.
+func (t *task) atWork() bool {
+	return t.current != nil && t.current.phase == runRunning && t.current.progress >= fullPace
+}
