Wait for the stored jobs before workers are held, and let silent workers' leases run out

Retried holds extended the lease of a dark worker again and again, so its tasks were never ended. A task on a silent worker counted as at work when another of its step was stopped. Ruled out: a second copy of the register's life signs, since it lags.

--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -9,6 +9,12 @@
 
 // hold renews a worker's lease and collects its reports until the worker is forgotten.
 func (p *poolShard) hold(ctx context.Context, id jaybarrow.WorkerID) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-p.started:
+		// Without the stored jobs the reported runs would count as unknown.
+	}
 	failures := 0
 	var last jaybarrow.Worker
 	for ctx.Err() == nil {
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -61,7 +61,8 @@
 	if !w.reached || w.failing > 0 {
 		o.Wait = 0
 	}
-	if w.reached {
+	// An order to a worker that does not answer may still arrive and extend the lease; then its tasks would never count as ended.
+	if w.reached && w.failing == 0 {
 		o.Expires = w.expiry(now, p.settings.Lease)
 		w.extend(o.Expires)
 	}
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -90,7 +90,7 @@
 	s := r.task.step
 	away := 0
 	for _, t := range s.tasks {
-		if t != r.task && !t.atWork() {
+		if t != r.task && !t.atWork(now, p.settings.Suspect) {
 			away++
 		}
 	}
@@ -105,7 +105,9 @@
 	return false
 }
 
-// atWork reports whether a lasting task has started up.
-func (t *task) atWork() bool {
-	return t.current != nil && t.current.phase == runRunning && t.current.progress >= fullPace
+// atWork reports whether a lasting task has started up on a worker that reports.
+func (t *task) atWork(now time.Time, suspect time.Duration) bool {
+	r := t.current
+	return r != nil && r.phase == runRunning && r.progress >= fullPace && r.worker.failing == 0 && !r.worker.gone &&
+		now.Sub(r.worker.seen) <= suspect
 }
