--- a/internal/jobhost/directory.go
+++ b/internal/jobhost/directory.go
@@ -38,7 +38,7 @@
 func (h *Host) holder() (jaybarrow.Address, error) {
 	holder, held := h.leader.Holder()
 	if !held || holder.Entry == h.deps.Entry {
-		return "", jaybarrow.Errorf(jaybarrow.KindPeerLost, "no entry host leads")
+		return "", jaybarrow.Errorf(jaybarrow.KindPeerLost, "no entry host leads").WithEffect(jaybarrow.EffectNotRun)
 	}
 	return holder.Address, nil
 }
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -20,7 +20,7 @@
 	for ctx.Err() == nil {
 		p.lock.Lock()
 		sent := p.deps.Clock.Now()
-		worker, order, ok := p.work.HoldOrder(id, sent)
+		worker, order, ok := p.work.HoldOrder(id, p.deps.Term.Valid(), sent)
 		if !ok {
 			delete(p.holds, id)
 		}
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -48,8 +48,9 @@
 	}
 }
 
-// HoldOrder returns the next order for the worker; false when the worker needs none any more.
-func (p *Pool) HoldOrder(id jaybarrow.WorkerID, now time.Time) (jaybarrow.Worker, jaybarrow.HoldOrder, bool) {
+// HoldOrder returns the next order for the worker; false when the worker needs none any more. The lease is only extended with
+// extend, which must be false once another scheduler may lead: that one waits for no longer than a lease from its beginning.
+func (p *Pool) HoldOrder(id jaybarrow.WorkerID, extend bool, now time.Time) (jaybarrow.Worker, jaybarrow.HoldOrder, bool) {
 	w := p.workers[id]
 	if w == nil {
 		return jaybarrow.Worker{}, jaybarrow.HoldOrder{}, false
@@ -62,7 +63,7 @@
 		o.Wait = 0
 	}
 	// An order to a worker that does not answer may still arrive and extend the lease; then its tasks would never count as ended.
-	if w.reached && w.failing == 0 {
+	if extend && w.reached && w.failing == 0 {
 		o.Expires = w.expiry(now, p.settings.Lease)
 		w.extend(o.Expires)
 	}
