Repeat late writes, renew leases without waiting, and give no orders to a platform that does not answer

Cause: with slow or lossy answers of the store each write and renewal waited for its own time-out, so that a store at a hundredth of its speed cost the lead and refused jobs; each order for a host without an answer kept one more host from its work. Change: internal/hedge sends a write again over another connection after a short delay, which is safe because each write expects what it replaces; renewals overlap; the list of hosts is read apart from the decisions, and no order is given until it can be read again; reserved workers are released when neither an order nor a wave needs them. Ruled out: longer time-outs alone (a lost answer would then cost as much).

--- a/internal/command/job/accept.go
+++ b/internal/command/job/accept.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/hedge"
 )
 
 // Accept asks to take a job.
@@ -28,14 +29,18 @@
 
 // Settings are the times of the commands.
 type Settings struct {
-	Attempt  time.Duration // for one write
-	Attempts int           // writes, each on condition that the job is not stored yet
+	Read  time.Duration  // for one read
+	Write hedge.Settings // each write is made on condition that it has not been made before
 }
 
 // DefaultSettings returns the usual times.
 func DefaultSettings() Settings {
-	// A hundred times the store's usual answer; a second try meets a new connection where the first one was silent.
-	return Settings{Attempt: 500 * time.Millisecond, Attempts: 2}
+	return Settings{
+		// Hundreds of the store's usual answers, and less than callers wait.
+		Read: time.Second,
+		// Twenty of the store's usual answers. A second call meets a new connection where the first one was silent.
+		Write: hedge.Settings{Delay: 120 * time.Millisecond, Most: 3, Limit: 1500 * time.Millisecond},
+	}
 }
 
 // AcceptHandler stores jobs.
@@ -66,24 +71,15 @@
 	})
 }
 
-// writeOnce commits changes that expect a record not to exist. The same changes may be tried again after an unknown outcome,
-// and a conflict means that they are stored.
+// writeOnce commits changes that expect a record not to exist. They may be sent again after an unknown outcome, and a conflict
+// means that they are stored.
 func writeOnce(ctx context.Context, d Deps, changes jaybarrow.Commit) error {
-	var last *jaybarrow.Error
-	for range d.Settings.Attempts {
-		limited, cancel := context.WithTimeout(ctx, d.Settings.Attempt)
-		_, err := d.Store.Commit(limited, changes)
-		cancel()
-		if err == nil || jaybarrow.IsKind(err, jaybarrow.KindConflict) {
-			return nil
-		}
-		// One attempt of unknown outcome makes the whole command's outcome unknown.
-		if next := jaybarrow.AsError(err); last == nil || last.Effect == jaybarrow.EffectNotRun {
-			last = next
-		}
-		if last.Effect == jaybarrow.EffectNotRun {
-			break
-		}
+	stored := func(err error) bool { return jaybarrow.IsKind(err, jaybarrow.KindConflict) }
+	_, err := hedge.Do(ctx, d.Clock, d.Settings.Write, func(ctx context.Context) (jaybarrow.Revision, error) {
+		return d.Store.Commit(ctx, changes)
+	}, stored)
+	if stored(err) {
+		return nil
 	}
-	return last
+	return err
 }
--- a/internal/command/job/cancel.go
+++ b/internal/command/job/cancel.go
@@ -24,7 +24,7 @@
 	if _, err := h.deps.Authorizer.Team(in.Queue, in.Key); err != nil {
 		return "", err
 	}
-	limited, cancel := context.WithTimeout(ctx, h.deps.Settings.Attempt)
+	limited, cancel := context.WithTimeout(ctx, h.deps.Settings.Read)
 	defer cancel()
 	accepted, err := h.deps.Store.Get(limited, jaybarrow.JobAcceptedKey(in.ID))
 	if err != nil {
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -59,7 +60,8 @@
 		Plan: fleetplan.DefaultSettings(),
 		// A twentieth of the time that a move takes, and well below the platform's rate of calls.
 		Interval: 100 * time.Millisecond, List: 250 * time.Millisecond,
-		Call:  time.Second,
+		// Hundreds of the platform's usual answers.
+		Call:  3 * time.Second,
 		Quiet: 3 * time.Second, Maintenance: 2 * time.Second, Move: 1500 * time.Millisecond,
 	}
 }
@@ -89,6 +91,7 @@
 func New(d Deps) *Keeper {
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{deps: d, cancel: cancel, state: newState()}
+	k.group.Go(func() { k.follow(ctx) })
 	k.group.Go(func() { k.run(ctx) })
 	return k
 }
@@ -99,50 +102,67 @@
 	k.group.Wait()
 }
 
+// run decides again and again.
 func (k *Keeper) run(ctx context.Context) {
 	quiet := k.deps.Clock.Now().Add(k.deps.Settings.Quiet)
-	var listed time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-k.deps.Clock.After(k.deps.Settings.Interval):
-		}
-		now := k.deps.Clock.Now()
-		if now.Sub(listed) >= k.deps.Settings.List {
-			listed = now
-			k.list(ctx)
-		}
+	for k.sleep(ctx, k.deps.Settings.Interval) {
 		k.loadWaves(ctx)
-		k.observe(k.deps.Clock.Now())
-		if now.Before(quiet) || !k.deps.Term.Valid() || !k.state.listed {
+		now := k.deps.Clock.Now()
+		k.observe(now)
+		if now.Before(quiet) || !k.deps.Term.Valid() || !k.state.usable() {
 			continue
 		}
-		k.act(ctx, fleetplan.Decide(k.deps.Settings.Plan, k.view(k.deps.Clock.Now())))
+		view := k.view(now)
+		k.release(view)
+		k.act(ctx, fleetplan.Decide(k.deps.Settings.Plan, view))
 		k.reportWaves(ctx)
 	}
 }
 
+// sleep waits; it reports false when ctx has ended.
+func (k *Keeper) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-k.deps.Clock.After(d):
+		return true
+	}
+}
+
+// follow reads the list of hosts again and again.
+func (k *Keeper) follow(ctx context.Context) {
+	for k.list(ctx); k.sleep(ctx, k.deps.Settings.List); {
+		k.list(ctx)
+	}
+}
+
 func (k *Keeper) list(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, k.deps.Settings.Call)
 	defer cancel()
 	asked := k.deps.Clock.Now()
 	hosts, err := k.deps.Fleet.Hosts(limited)
-	if ctx.Err() != nil {
-		return
-	}
-	if err != nil {
-		if !k.state.lost {
-			k.deps.Log.Warn().Err(err).Msg("the list of hosts cannot be read")
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		if k.state.lose() {
+			k.deps.Log.Warn().Err(err).Msg("the list of hosts cannot be read; no orders until it can")
 		}
-		k.state.lost = true
-		return
+	case k.state.replace(hosts, asked):
+		k.deps.Log.Info().Int("hosts", len(hosts)).Msg("the list of hosts can be read")
 	}
-	if k.state.lost {
-		k.deps.Log.Info().Msg("the list of hosts can be read again")
+}
+
+// release lets workers receive tasks again that are reserved for no order and no wave any more.
+func (k *Keeper) release(view fleetplan.State) {
+	for _, h := range view.Hosts {
+		if h.Reserved && !h.Ordered && !left(view.Waves, h.ID) {
+			k.deps.Pools.Unreserve(h.Pool, h.Worker)
+		}
 	}
-	k.state.lost = false
-	k.state.replace(hosts, asked)
+}
+
+func left(waves []fleetplan.Wave, host jaybarrow.HostID) bool {
+	return slices.ContainsFunc(waves, func(w fleetplan.Wave) bool { return slices.Contains(w.Left, host) })
 }
 
 // act carries out the decisions, each in a goroutine of its own.
@@ -152,7 +172,6 @@
 			continue
 		}
 		if k.deps.Pools.Reserve(m.Host.Pool, m.Host.Worker, false) {
-			k.state.reserve(m.Host.ID, m.Host.Worker)
 			k.deps.Log.Info().Str("host", string(m.Host.ID)).Int64("wave", int64(m.Wave)).Int("runs", m.Host.Runs).
 				Int("lasting", m.Host.Lasting).Msg("host is emptied for its maintenance")
 		}
@@ -201,9 +220,9 @@
 	if outcome == jaybarrow.FleetOrderFenced {
 		k.deps.Term.Resign("the platform has seen a higher fence")
 	}
-	refused := outcome != "" && outcome != jaybarrow.FleetOrderDone || err != nil && jaybarrow.AsError(err).Effect == jaybarrow.EffectNotRun
-	wave, reserved := k.state.answered(host.ID, outcome, refused, k.deps.Clock.Now())
-	if refused && reserved != "" && wave == 0 {
-		k.deps.Pools.Unreserve(host.Pool, reserved)
+	if outcome == "" && jaybarrow.AsError(err).Effect != jaybarrow.EffectNotRun {
+		// The platform may not answer the next orders either, and each would keep a host from its work.
+		k.state.lose()
 	}
+	k.state.answered(host.ID, outcome, err != nil && jaybarrow.AsError(err).Effect == jaybarrow.EffectNotRun, k.deps.Clock.Now())
 }
--- a/internal/fleetkeeper/state.go
+++ b/internal/fleetkeeper/state.go
@@ -13,13 +13,10 @@
 	lock   *sync.Mutex
 	listed bool
 	lost   bool // the list of hosts cannot be read
-	asked  time.Time
 	hosts  []jaybarrow.FleetHost
 	orders map[jaybarrow.HostID]*order
-	// reserved are workers that are emptied for a wave.
-	reserved map[jaybarrow.HostID]jaybarrow.WorkerID
-	needs    map[jaybarrow.PoolID]*need
-	waves    map[jaybarrow.WaveID]*wave
+	needs  map[jaybarrow.PoolID]*need
+	waves  map[jaybarrow.WaveID]*wave
 }
 
 // order is an order that may not be finished yet.
@@ -54,16 +51,17 @@
 
 func newState() state {
 	return state{
-		lock: new(sync.Mutex), orders: make(map[jaybarrow.HostID]*order), reserved: make(map[jaybarrow.HostID]jaybarrow.WorkerID),
+		lock: new(sync.Mutex), orders: make(map[jaybarrow.HostID]*order),
 		needs: make(map[jaybarrow.PoolID]*need), waves: make(map[jaybarrow.WaveID]*wave),
 	}
 }
 
-// replace takes over a list that was asked for at the time, and forgets orders that it shows as finished.
-func (s *state) replace(hosts []jaybarrow.FleetHost, asked time.Time) {
+// replace takes over a list that was asked for at the time, and forgets orders that it shows as finished. It reports whether
+// there was no answer before.
+func (s *state) replace(hosts []jaybarrow.FleetHost, asked time.Time) bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.listed, s.hosts, s.asked = true, hosts, asked
+	s.hosts = hosts
 	byID := make(map[jaybarrow.HostID]jaybarrow.FleetHost, len(hosts))
 	for _, h := range hosts {
 		byID[h.ID] = h
@@ -74,11 +72,25 @@
 			delete(s.orders, id)
 		}
 	}
-	for id, worker := range s.reserved {
-		if h, ok := byID[id]; !ok || h.Worker != worker {
-			delete(s.reserved, id)
-		}
-	}
+	regained := s.lost || !s.listed
+	s.listed, s.lost = true, false
+	return regained
+}
+
+// lose notes that the platform does not answer; it reports whether it did before.
+func (s *state) lose() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	before := s.lost
+	s.lost = true
+	return !before
+}
+
+// usable reports whether the hosts are known and the platform answers.
+func (s *state) usable() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.listed && !s.lost
 }
 
 // unknownFor is how long an order without an answer may still be carried out.
@@ -99,32 +111,25 @@
 	return asked.After(o.answered) && (o.to == "" || o.to == h.Pool)
 }
 
-func (s *state) reserve(host jaybarrow.HostID, worker jaybarrow.WorkerID) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.reserved[host] = worker
-}
-
 func (s *state) order(h fleetplan.Host, to jaybarrow.PoolID, wave jaybarrow.WaveID, now time.Time) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.orders[h.ID] = &order{to: to, wave: wave, worker: h.Worker, sent: now}
 }
 
-// answered notes the outcome of an order; it returns its wave and the worker that was reserved for it.
-func (s *state) answered(id jaybarrow.HostID, outcome jaybarrow.FleetOrderOutcome, refused bool, now time.Time) (jaybarrow.WaveID, jaybarrow.WorkerID) {
+// answered notes the outcome of an order; one that certainly was not carried out is forgotten.
+func (s *state) answered(id jaybarrow.HostID, outcome jaybarrow.FleetOrderOutcome, notDone bool, now time.Time) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	o := s.orders[id]
 	if o == nil {
-		return 0, ""
+		return
 	}
 	o.answered, o.done = now, outcome == jaybarrow.FleetOrderDone
 	if w := s.waves[o.wave]; w != nil && (o.done || outcome == jaybarrow.FleetOrderNotDue) {
 		w.done[id] = true
 	}
-	if refused {
+	if notDone || outcome != "" && !o.done {
 		delete(s.orders, id)
 	}
-	return o.wave, o.worker
 }
--- /dev/null
+++ b/internal/hedge/doc.go
@@ -0,0 +1,2 @@
+// Package hedge repeats a call whose answer is late while the first one goes on.
+package hedge
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -40,8 +40,8 @@
 		// Half as much again as the shortest lease that the store grants: it bears two lost renewals.
 		Lease: 1500 * time.Millisecond,
 		Renew: 350 * time.Millisecond,
-		// A hundred times the store's usual answer, and short enough for a second try within a lease.
-		Call: 400 * time.Millisecond,
+		// A hundred times the store's usual answer.
+		Call: 600 * time.Millisecond,
 		// A few round trips to the store, so that most candidates see the first one's write before they try.
 		Jitter: 25 * time.Millisecond,
 		Rest:   3 * time.Second,
@@ -246,13 +246,14 @@
 	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 	var valid atomic.Int64 // the lease holds until then, by boottime
+	var over atomic.Bool
 	valid.Store(int64(begun + d.Settings.Lease - expiryMargin))
 	resigned := make(chan string, 1)
 	term := Term{
 		Fence: jaybarrow.FenceToken(revision), Revision: revision,
 		Valid: func() bool {
 			now, err := boottime.Now()
-			return err == nil && int64(now) < valid.Load()
+			return err == nil && int64(now) < valid.Load() && !over.Load()
 		},
 		Resign: func(reason string) {
 			select {
@@ -267,7 +268,7 @@
 	group.Go(func() {
 		l.renew(ctx, cancel, lease, &valid)
 		// The successor need not wait until the last orders of this term are answered: their fence is old.
-		valid.Store(0)
+		over.Store(true)
 		l.release(lease)
 	})
 	d.Lead(ctx, term)
@@ -292,39 +293,55 @@
 	}
 }
 
-// renew keeps the lease alive; it cancels the term when the lease has ended.
+// renew keeps the lease alive; it cancels the term when the lease has ended. A renewal does not wait for the answer to the one
+// before, so that a slow store does not cost the lead.
 func (l *Leader) renew(ctx context.Context, lost context.CancelFunc, lease jaybarrow.LeaseID, valid *atomic.Int64) {
-	d := l.deps
-	failures := 0
+	var group conc.WaitGroup
+	defer group.Wait()
+	var failures atomic.Int64
 	for {
-		l.sleep(ctx, d.Settings.Renew)
+		l.sleep(ctx, l.deps.Settings.Renew)
 		if ctx.Err() != nil {
 			return
 		}
-		sent, err := boottime.Now()
-		if err == nil {
-			_, err = call(ctx, d.Settings.Call, func(ctx context.Context) (struct{}, error) {
-				return struct{}{}, d.Store.KeepAlive(ctx, lease)
-			})
-		}
-		switch {
-		case err == nil:
-			valid.Store(int64(sent + d.Settings.Lease - expiryMargin))
-			if failures > 0 {
-				d.Log.Info().Int("failures", failures).Msg("lease renewed again")
-			}
-			failures = 0
-		case jaybarrow.IsKind(err, jaybarrow.KindNotFound):
-			d.Log.Warn().Msg("lease has ended")
-			lost()
-			return
-		default:
-			if failures == 0 {
-				d.Log.Warn().Err(err).Msg("cannot renew the lease")
+		group.Go(func() {
+			if !l.renewOnce(ctx, lease, valid, &failures) {
+				lost()
 			}
-			failures++
+		})
+	}
+}
+
+// renewOnce sends one renewal; it reports false when the lease has ended.
+func (l *Leader) renewOnce(ctx context.Context, lease jaybarrow.LeaseID, valid, failures *atomic.Int64) bool {
+	d := l.deps
+	sent, err := boottime.Now()
+	if err == nil {
+		_, err = call(ctx, d.Settings.Lease, func(ctx context.Context) (struct{}, error) {
+			return struct{}{}, d.Store.KeepAlive(ctx, lease)
+		})
+	}
+	switch {
+	case err == nil:
+		raise(valid, int64(sent+d.Settings.Lease-expiryMargin))
+		if n := failures.Swap(0); n > 0 {
+			d.Log.Info().Int64("failures", n).Msg("lease renewed again")
+		}
+	case jaybarrow.IsKind(err, jaybarrow.KindNotFound):
+		d.Log.Warn().Msg("lease has ended")
+		return false
+	case ctx.Err() == nil:
+		if failures.Add(1) == 1 {
+			d.Log.Warn().Err(err).Msg("cannot renew the lease")
 		}
 	}
+	return true
+}
+
+// raise sets v to the value unless it is higher already.
+func raise(v *atomic.Int64, to int64) {
+	for old := v.Load(); old < to && !v.CompareAndSwap(old, to); old = v.Load() {
+	}
 }
 
 func call[T any](ctx context.Context, limit time.Duration, f func(context.Context) (T, error)) (T, error) {
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jaybarrow/jaybarrow/internal/follow"
+	"github.com/jaybarrow/jaybarrow/internal/hedge"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
@@ -18,8 +19,9 @@
 	HoldRetry time.Duration
 	// Stored is how long a worker's next order waits at most for its ends to be stored.
 	Stored time.Duration
-	// Commit bounds one write; CommitRetry is the pause before it is tried again.
-	Commit, CommitRetry time.Duration
+	// Commit bounds one attempt at a write; CommitRetry is the pause before the next.
+	Commit      hedge.Settings
+	CommitRetry time.Duration
 	// Input and Register are the times of following accepted jobs and the register of workers.
 	Input, Register follow.Settings
 }
@@ -30,13 +32,14 @@
 		Workload: workload.DefaultSettings(),
 		// Fine enough for the lapse of a lease and for the shortest patience of the decisions.
 		Tick: 100 * time.Millisecond,
-		// A hundred round trips between data centres.
-		Start: 400 * time.Millisecond, Stop: 400 * time.Millisecond, Hold: 500 * time.Millisecond,
+		// Tens of round trips between data centres, and longer than a machine stands still that has used up its processor share.
+		Start: 250 * time.Millisecond, Stop: 250 * time.Millisecond, Hold: 400 * time.Millisecond,
 		HoldRetry: 150 * time.Millisecond,
 		Stored:    200 * time.Millisecond,
-		// A hundred times the store's usual answer.
-		Commit: 500 * time.Millisecond, CommitRetry: 50 * time.Millisecond,
-		Input: follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, Retry: 50 * time.Millisecond},
+		// Ten of the store's usual answers; a slow store answers within the limit.
+		Commit:      hedge.Settings{Delay: 80 * time.Millisecond, Most: 3, Limit: 1500 * time.Millisecond},
+		CommitRetry: 30 * time.Millisecond,
+		Input:       follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, Retry: 50 * time.Millisecond},
 		// Workers renew their entries all the time; the pause gathers them into a few answers a second.
 		Register: follow.Settings{
 			Wait: 2 * time.Second, Slack: 600 * time.Millisecond, Pause: 300 * time.Millisecond, Retry: 50 * time.Millisecond,
--- a/internal/scheduler/writer.go
+++ b/internal/scheduler/writer.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/hedge"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
@@ -66,12 +67,15 @@
 	}
 	puts = append(puts, jaybarrow.Put{Key: w.key, Value: value})
 	for failures := 0; ; failures++ {
-		done, err := w.try(ctx, puts)
-		if done || err != nil {
+		err := w.try(ctx, puts)
+		if err == nil || errors.Is(err, errDeposed) || ctx.Err() != nil {
 			return err
 		}
+		if errors.Is(err, errRepeat) {
+			continue
+		}
 		if failures == 0 {
-			w.log.Warn().Str("key", string(w.key)).Int("records", len(puts)-1).Msg("write has no answer; trying again")
+			w.log.Warn().Err(err).Str("key", string(w.key)).Int("records", len(puts)-1).Msg("write failed; trying again")
 		}
 		select {
 		case <-ctx.Done():
@@ -81,29 +85,33 @@
 	}
 }
 
-// try makes one attempt; it reports false when the attempt must be repeated.
-func (w *writer) try(ctx context.Context, puts []jaybarrow.Put) (bool, error) {
-	limited, cancel := context.WithTimeout(ctx, w.settings.Commit)
-	defer cancel()
-	revision, err := w.store.Commit(limited, jaybarrow.Commit{
+// try makes one attempt; an error other than errDeposed means that it must be repeated.
+func (w *writer) try(ctx context.Context, puts []jaybarrow.Put) error {
+	changes := jaybarrow.Commit{
 		Expect: []jaybarrow.Expectation{
 			{Key: jaybarrow.JobLeaderKey, Revision: w.leader}, {Key: w.key, Revision: w.previous},
 		},
 		Puts: puts,
-	})
+	}
+	revision, err := hedge.Do(ctx, w.clock, w.settings.Commit, func(ctx context.Context) (jaybarrow.Revision, error) {
+		return w.store.Commit(ctx, changes)
+	}, func(err error) bool { return jaybarrow.IsKind(err, jaybarrow.KindConflict) })
 	if err == nil {
 		w.previous = revision
-		return true, nil
+		return nil
 	}
 	var conflict *jaybarrow.ConflictError
 	if !errors.As(err, &conflict) {
-		return false, nil
+		return err
 	}
 	return w.resolve(conflict)
 }
 
+// errRepeat means that the sequence record was another one than expected.
+var errRepeat = errors.New("the sequence record has changed")
+
 // resolve finds out from the current records whether an earlier attempt took effect.
-func (w *writer) resolve(conflict *jaybarrow.ConflictError) (bool, error) {
+func (w *writer) resolve(conflict *jaybarrow.ConflictError) error {
 	found := jaybarrow.Revision(0)
 	leads := false
 	for _, r := range conflict.Current {
@@ -119,13 +127,13 @@
 			}
 			if s.Leader == w.leader && s.Number == w.number {
 				w.previous = r.Revision
-				return true, nil
+				return nil
 			}
 		}
 	}
 	if !leads {
-		return false, errDeposed
+		return errDeposed
 	}
 	w.previous = found
-	return false, nil
+	return errRepeat
 }
--- a/internal/workload/settings.go
+++ b/internal/workload/settings.go
@@ -31,8 +31,9 @@
 		// The longest wait that workers grant.
 		Idle: 2 * time.Second,
 		// A report is due each Renew; half as much again covers a slow answer.
-		Suspect:   1500 * time.Millisecond,
-		StopRetry: 500 * time.Millisecond,
+		Suspect: 1500 * time.Millisecond,
+		// Above the time that a stop's answer is waited for.
+		StopRetry: 300 * time.Millisecond,
 		// Ten times the progress step of the shortest usual task, and above the time that a start takes.
 		Stall: 1200 * time.Millisecond,
 		// A tenth of the time that a quick job can wait; at a burst a worker lists an end about as often.
