Let capable entry hosts lead, and write logs in batches

Cause: on the grown deployments an entry host of 0.19 cores took the lead and fell behind for the rest of the term (2.3 s to read the stored jobs, 500 lines a second against 4,000), so most jobs were late or lost; each decision on hosts also counted the hosts of a pool once for each candidate. Change: a campaign waits in inverse proportion to the entry host's cores; counts for each pool are kept during a decision; steps that fit no worker are passed over; log lines are written in batches by a writer that never blocks. Ruled out: spreading the pools over several leaders for now, since the processor time at 350 workers fits one host of 0.4 cores.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -54,8 +54,8 @@
 	if len(faults) > 0 {
 		return exitUsage
 	}
-	out, flush := logging.Bounded(stdout)
-	defer flush()
+	out := logging.NewBounded(stdout)
+	defer out.Close()
 	log, err := logging.New(out, *level)
 	if err != nil {
 		fmt.Fprintln(stderr, "jaybarrow:", err)
@@ -81,6 +81,7 @@
 	settings := jobhost.DefaultSettings()
 	settings.MaxConfigurationAge = time.Duration(staleShare * float64(s.Bounds.Configuration+s.Bounds.Outage))
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.Hold)
+	settings.Leader.Capacity = s.Capacity
 	settings.Fleet.Quiet = s.Bounds.OrderTurns
 	settings.Fleet.Maintenance, settings.Fleet.Move = s.Bounds.Maintenance, s.Bounds.Move
 	host := jobhost.New(jobhost.Deps{
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -53,6 +53,11 @@
 	return h.State == jaybarrow.FleetHostUp && !h.Ordered && !h.Reserved && (spare || h.Known && h.Runs == 0)
 }
 
+// serving reports whether the host takes tasks.
+func (h Host) serving() bool {
+	return h.State == jaybarrow.FleetHostUp && h.Usable && !h.Reserved && !h.Ordered
+}
+
 // Pool is a pool with its need.
 type Pool struct {
 	ID      jaybarrow.PoolID
@@ -100,7 +105,18 @@
 
 // Decide returns the orders to give now.
 func Decide(s Settings, in State) Orders {
-	d := decision{settings: s, state: in, taken: make(map[jaybarrow.HostID]bool)}
+	d := decision{
+		settings: s, state: in, taken: make(map[jaybarrow.HostID]bool),
+		pools: make(map[jaybarrow.PoolID]Pool, len(in.Pools)), serves: make(map[jaybarrow.PoolID]int, len(in.Pools)),
+	}
+	for _, p := range in.Pools {
+		d.pools[p.ID] = p
+	}
+	for _, h := range in.Hosts {
+		if h.serving() {
+			d.serves[h.Pool]++
+		}
+	}
 	d.waves()
 	d.moves()
 	return d.orders
@@ -110,11 +126,19 @@
 	settings Settings
 	state    State
 	taken    map[jaybarrow.HostID]bool
+	pools    map[jaybarrow.PoolID]Pool
+	serves   map[jaybarrow.PoolID]int // hosts that take tasks
 	orders   Orders
 }
 
-func (d *decision) spare(id jaybarrow.PoolID) bool {
-	return slices.ContainsFunc(d.state.Pools, func(p Pool) bool { return p.ID == id && p.Spare })
+func (d *decision) spare(id jaybarrow.PoolID) bool { return d.pools[id].Spare }
+
+// take marks a host as spoken for.
+func (d *decision) take(h Host) {
+	if !d.taken[h.ID] && h.serving() {
+		d.serves[h.Pool]--
+	}
+	d.taken[h.ID] = true
 }
 
 // waves prepares and begins maintenance, at most AtOnce hosts of a wave together.
@@ -128,7 +152,7 @@
 			}
 			if h.Runs == 0 && (h.Reserved || d.spare(h.Pool)) {
 				d.orders.Maintain = append(d.orders.Maintain, Maintenance{h, w.ID})
-				d.taken[h.ID] = true
+				d.take(h)
 				room--
 			}
 		}
@@ -146,7 +170,7 @@
 				continue
 			}
 			d.orders.Prepare = append(d.orders.Prepare, Maintenance{h, w.ID})
-			d.taken[h.ID] = true
+			d.take(h)
 			room--
 		}
 	}
@@ -168,23 +192,8 @@
 
 // relaxed reports whether the host's pool can do without it now.
 func (d *decision) relaxed(h Host) bool {
-	for _, p := range d.state.Pools {
-		if p.ID == h.Pool {
-			return p.Spare || p.Recent+1 <= float64(d.serving(p.ID))
-		}
-	}
-	return true
-}
-
-// serving counts the hosts of a pool that take tasks.
-func (d *decision) serving(id jaybarrow.PoolID) int {
-	n := 0
-	for _, h := range d.state.Hosts {
-		if h.Pool == id && h.State == jaybarrow.FleetHostUp && h.Usable && !h.Reserved && !d.taken[h.ID] {
-			n++
-		}
-	}
-	return n
+	p, known := d.pools[h.Pool]
+	return !known || p.Spare || p.Recent+1 <= float64(d.serves[p.ID])
 }
 
 // moves brings idle hosts to the pools that lack them, and hosts that nobody needs back to the spare pool.
@@ -208,11 +217,11 @@
 
 // lack returns how many hosts a pool is short of.
 func (d *decision) lack(p Pool) int {
-	return int(math.Ceil(p.Need)) - d.serving(p.ID) - p.Joining
+	return int(math.Ceil(p.Need)) - d.serves[p.ID] - p.Joining
 }
 
 func (d *decision) move(h Host, to jaybarrow.PoolID, reason string) {
-	d.taken[h.ID] = true
+	d.take(h)
 	d.orders.Moves = append(d.orders.Moves, Move{h, to, reason})
 }
 
@@ -240,12 +249,11 @@
 
 // beyond returns how many hosts a pool has beyond its recent need and what it keeps.
 func (d *decision) beyond(id jaybarrow.PoolID) float64 {
-	for _, p := range d.state.Pools {
-		if p.ID == id {
-			return float64(d.serving(id)-d.settings.Keep) - p.Recent
-		}
+	p, known := d.pools[id]
+	if !known {
+		return float64(d.serves[id])
 	}
-	return float64(d.serving(id))
+	return float64(d.serves[id]-d.settings.Keep) - p.Recent
 }
 
 // giveBack sends hosts of pools that have long had too many to the spare pool.
@@ -255,11 +263,11 @@
 		return
 	}
 	for _, h := range d.state.Hosts {
-		i := slices.IndexFunc(d.state.Pools, func(p Pool) bool { return p.ID == h.Pool })
-		if i < 0 || d.state.Pools[i].Spare || d.taken[h.ID] || !h.idle(false) {
+		p, known := d.pools[h.Pool]
+		if !known || p.Spare || d.taken[h.ID] || !h.idle(false) {
 			continue
 		}
-		if d.state.Pools[i].IdleFor >= d.settings.IdleReturn && d.beyond(h.Pool) >= 1 {
+		if p.IdleFor >= d.settings.IdleReturn && d.beyond(h.Pool) >= 1 {
 			d.move(h, d.state.Pools[target].ID, "nobody needs it")
 		}
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -29,9 +29,13 @@
 	Lease  time.Duration // time to live of the leader's record
 	Renew  time.Duration
 	Call   time.Duration // for one call to the store
-	Jitter time.Duration // largest wait before a campaign
-	Rest   time.Duration // after giving the lead away
-	Follow follow.Settings
+	Jitter time.Duration // largest random wait before a campaign
+	// Handicap is the wait of an entry host with one core before a campaign; one with less waits longer in proportion, so that
+	// the scheduler runs where there is processor time for it.
+	Handicap time.Duration
+	Capacity float64       // cores of this entry host
+	Rest     time.Duration // after giving the lead away
+	Follow   follow.Settings
 }
 
 // DefaultSettings returns the usual times.
@@ -43,7 +47,9 @@
 		// A hundred times the store's usual answer.
 		Call: 600 * time.Millisecond,
 		// A few round trips to the store, so that most candidates see the first one's write before they try.
-		Jitter: 25 * time.Millisecond,
+		Jitter: 15 * time.Millisecond,
+		// Hosts of 0.2 and 0.4 cores are then a few round trips to the store apart.
+		Handicap: 20 * time.Millisecond, Capacity: 1,
 		Rest:   3 * time.Second,
 		Follow: follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, Retry: 100 * time.Millisecond},
 	}
@@ -169,7 +175,7 @@
 			}
 			continue
 		}
-		l.sleep(ctx, rand.N(l.deps.Settings.Jitter+1))
+		l.sleep(ctx, l.handicap()+rand.N(l.deps.Settings.Jitter+1))
 		if ctx.Err() != nil || !l.vacant() {
 			continue
 		}
@@ -179,6 +185,14 @@
 	}
 }
 
+// handicap returns how long this entry host leaves the lead to larger ones.
+func (l *Leader) handicap() time.Duration {
+	return time.Duration(float64(l.deps.Settings.Handicap) / max(minCapacity, l.deps.Settings.Capacity))
+}
+
+// minCapacity is the least number of cores that the handicap tells apart.
+const minCapacity = 0.1
+
 func (l *Leader) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/logging/bounded_test.go
@@ -0,0 +1,43 @@
+package logging_test
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow/internal/logging"
+)
+
+// blocked is an output that takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	lock    sync.Mutex
+	out     bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.out.Write(p)
+}
+
+// Guards against a standard output that is not read and stops decisions, and against an unbounded queue.
+func TestABlockedOutputStopsNothing(t *testing.T) {
+	out := &blocked{release: make(chan struct{})}
+	w := logging.NewBounded(out)
+	line := bytes.Repeat([]byte("x"), 999)
+	line = append(line, '\n')
+	for range 5000 {
+		n, err := w.Write(line)
+		assert.NilError(t, err)
+		assert.Equal(t, n, len(line))
+	}
+	assert.Assert(t, w.Dropped() > 2000, "%d lines dropped", w.Dropped())
+	close(out.release)
+	w.Close()
+	written := bytes.Count(out.out.Bytes(), []byte("\n"))
+	assert.Equal(t, int64(written)+w.Dropped(), int64(5000))
+}
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -20,15 +20,35 @@
 	if len(open) == 0 {
 		return
 	}
+	largest := largestFree(open)
 	for _, j := range p.order(now) {
 		for _, s := range j.steps {
-			if s.idle > 0 && s.ready(now) {
+			if s.idle > 0 && s.roomLeft(largest) && s.ready(now) {
 				p.placeStep(s, open, now)
 			}
 		}
 	}
 }
 
+// largestFree returns the largest free part of each resource on any worker: what exceeds it fits nowhere.
+func largestFree(open []*worker) jaybarrow.Resources {
+	var out jaybarrow.Resources
+	for _, w := range open {
+		f := w.free()
+		out.CPU, out.Memory, out.Accelerators = max(out.CPU, f.CPU), max(out.Memory, f.Memory), max(out.Accelerators, f.Accelerators)
+	}
+	return out
+}
+
+// roomLeft reports whether a task of the step could fit a worker with that much room.
+func (s *step) roomLeft(largest jaybarrow.Resources) bool {
+	demand := s.spec.Demand
+	if s.spec.Background {
+		demand.CPU = 0
+	}
+	return demand.FitsIn(largest)
+}
+
 // order returns the jobs with tasks to start: by priority, then those that can still meet their target, then by it.
 func (p *Pool) order(now time.Time) []*job {
 	var waiting []*job
