--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -137,6 +137,9 @@
 	return known && age <= h.deps.Settings.ReadyAge && !h.leaving.Load()
 }
 
+// Leading reports whether this entry host schedules.
+func (h *Host) Leading() bool { return h.current.Load() != nil }
+
 // lead schedules until the term ends.
 func (h *Host) lead(ctx context.Context, term leader.Term) {
 	log := logging.For(h.deps.Log, "scheduler")
