Serve metrics, ask the adviser for tickets, and count a gang's job as begun only when it begins

Cause: nothing but logs told what a process did; starts on a queue with an adviser would have been rejected for want of a ticket; a gang that found no room marked its job as begun, so that it was missing from the count of waiting jobs. The test of gangs failed once in two runs because it reported an end from a worker that may not have run the task; it now uses the run's own worker and also checks the count. Ruled out: expvar's global registry, since a process may hold several entry hosts.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/jobhost"
+	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
 	"github.com/jaybarrow/jaybarrow/platform"
 )
@@ -39,12 +41,13 @@
 	flags := flag.NewFlagSet("join", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	file := flags.String("settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
+	port := flags.Uint("metrics", 0, "port of the metrics at path /metrics; 0: none")
 	level := flags.String("log", "info", "least level of log lines: debug, info, warn or error")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
 	if *file == "" || flags.NArg() > 0 {
-		fmt.Fprintln(stderr, "usage: jaybarrow join [-settings FILE] [-log LEVEL]")
+		fmt.Fprintln(stderr, "usage: jaybarrow join [-settings FILE] [-log LEVEL] [-metrics PORT]")
 		return exitUsage
 	}
 	s, faults := platform.ReadSettings(*file)
@@ -61,11 +64,21 @@
 		fmt.Fprintln(stderr, "jaybarrow:", err)
 		return exitUsage
 	}
-	return join(ctx, *file, s, log)
+	metrics := jobmetrics.New()
+	metrics.Gauge("log.dropped", out.Dropped)
+	if *port > 0 {
+		server, err := serveMetrics(net.JoinHostPort(s.IP, strconv.FormatUint(uint64(*port), 10)), metrics)
+		if err != nil {
+			log.Error().Err(err).Msg("cannot serve the metrics")
+			return exitFailure
+		}
+		defer server.close()
+	}
+	return join(ctx, *file, s, log, metrics)
 }
 
 // join runs an entry host on the platform until ctx ends.
-func join(ctx context.Context, file string, s platform.Settings, root zerolog.Logger) int {
+func join(ctx context.Context, file string, s platform.Settings, root zerolog.Logger, metrics *jobmetrics.Metrics) int {
 	log := logging.For(root, "join")
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	debug.SetGCPercent(collectPercent)
@@ -78,6 +91,8 @@
 	defer store.Close()
 	fleet := platform.NewFleet(s.Fleet, s.Node)
 	defer fleet.Close()
+	adviser := platform.NewAdviser(s.Adviser)
+	defer adviser.Close()
 	settings := jobhost.DefaultSettings()
 	settings.MaxConfigurationAge = time.Duration(staleShare * float64(s.Bounds.Configuration+s.Bounds.Outage))
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.Hold)
@@ -85,13 +100,13 @@
 	settings.Fleet.Quiet = s.Bounds.OrderTurns
 	settings.Fleet.Maintenance, settings.Fleet.Move = s.Bounds.Maintenance, s.Bounds.Move
 	host := jobhost.New(jobhost.Deps{
-		Clock: jaybarrow.SystemClock{}, Log: root, Entry: s.Node, Peers: listeners[0], Settings: settings,
+		Clock: jaybarrow.SystemClock{}, Log: root, Entry: s.Node, Peers: listeners[0], Settings: settings, Metrics: metrics,
 		Platform: jobhost.Platform{
 			Store: store, Register: platform.NewRegister(logging.For(root, "register"), store),
-			Operators: platform.NewOperators(logging.For(root, "operators"), store), Agents: platform.NewAgents(), Fleet: fleet,
+			Operators: platform.NewOperators(logging.For(root, "operators"), store), Agents: platform.NewAgents(), Fleet: fleet, Adviser: adviser,
 		},
 	})
-	front := platform.NewFront(logging.For(root, "front"), listeners[1], listeners[2], host)
+	front := platform.NewFront(logging.For(root, "front"), listeners[1], listeners[2], host, metrics)
 	log.Info().Str("entry", string(s.Node)).Str("callers", string(s.Front)).Str("version", version).Msg("joined")
 	reloadUntil(ctx, file, log)
 	log.Info().Msg("stopping")
--- /dev/null
+++ b/cmd/jaybarrow/metrics.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"net"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
+)
+
+// metricsServer serves the metrics of one process.
+type metricsServer struct {
+	app   *fiber.App
+	group conc.WaitGroup
+}
+
+// serveMetrics returns a running server at the address.
+func serveMetrics(address string, metrics *jobmetrics.Metrics) (*metricsServer, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &metricsServer{app: fiber.New()}
+	s.app.Get("/metrics", func(c fiber.Ctx) error {
+		_, err := metrics.WriteTo(c.Response().BodyWriter())
+		return err
+	})
+	s.group.Go(func() {
+		// An error means that the listener was closed; the metrics end with the process.
+		_ = s.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
+	})
+	return s, nil
+}
+
+func (s *metricsServer) close() {
+	_ = s.app.Shutdown()
+	s.group.Wait()
+}
--- /dev/null
+++ b/internal/jobhost/counted.go
@@ -0,0 +1,50 @@
+package jobhost
+
+import (
+	"context"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
+)
+
+// countedStore counts the outcomes of the store's calls.
+type countedStore struct {
+	jaybarrow.JobStore
+	metrics *jobmetrics.Metrics
+}
+
+func (s countedStore) count(call string, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = string(jaybarrow.AsError(err).Kind)
+	}
+	s.metrics.Count("store." + call + "." + outcome)
+}
+
+// Get counts reads.
+func (s countedStore) Get(ctx context.Context, key jaybarrow.Key) (jaybarrow.Record, error) {
+	r, err := s.JobStore.Get(ctx, key)
+	s.count("get", err)
+	return r, err
+}
+
+// List counts lists.
+func (s countedStore) List(ctx context.Context, prefix jaybarrow.Key) ([]jaybarrow.Record, jaybarrow.Revision, error) {
+	records, at, err := s.JobStore.List(ctx, prefix)
+	s.count("list", err)
+	return records, at, err
+}
+
+// Commit counts writes.
+func (s countedStore) Commit(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
+	at, err := s.JobStore.Commit(ctx, changes)
+	s.count("commit", err)
+	return at, err
+}
+
+// KeepAlive counts renewals.
+func (s countedStore) KeepAlive(ctx context.Context, lease jaybarrow.LeaseID) error {
+	err := s.JobStore.KeepAlive(ctx, lease)
+	s.count("keepAlive", err)
+	return err
+}
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -15,6 +15,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/fleetkeeper"
 	"github.com/jaybarrow/jaybarrow/internal/follow"
 	"github.com/jaybarrow/jaybarrow/internal/identity"
+	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
@@ -29,6 +30,7 @@
 	Operators jaybarrow.Operators
 	Agents    jaybarrow.Agents
 	Fleet     jaybarrow.Fleet
+	Adviser   jaybarrow.Adviser
 }
 
 // Settings are the times of an entry host.
@@ -67,6 +69,7 @@
 	Entry    jaybarrow.EntryID
 	Peers    net.Listener
 	Platform Platform
+	Metrics  *jobmetrics.Metrics
 	Settings Settings
 }
 
@@ -96,6 +99,18 @@
 func New(d Deps) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{deps: d, cancel: cancel, catalog: catalog.New(d.Clock.Now()), client: jobpeer.NewClient()}
+	h.deps.Platform.Store = countedStore{d.Platform.Store, d.Metrics}
+	d = h.deps
+	d.Metrics.Gauge("configuration.ageMs", func() int64 {
+		age, _ := h.catalog.Age(d.Clock.Now())
+		return age.Milliseconds()
+	})
+	d.Metrics.Gauge("leader.leading", func() int64 {
+		if h.Leading() {
+			return 1
+		}
+		return 0
+	})
 	h.waves.operators = d.Platform.Operators
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
 	commands := command.Deps{Clock: d.Clock, Store: relay{JobStore: d.Platform.Store, host: h}, Authorizer: h.Authorizer, Settings: d.Settings.Command}
@@ -143,9 +158,10 @@
 // lead schedules until the term ends.
 func (h *Host) lead(ctx context.Context, term leader.Term) {
 	log := logging.For(h.deps.Log, "scheduler")
+	h.deps.Metrics.Count("leader.terms")
 	s := scheduler.New(scheduler.Deps{
 		Clock: h.deps.Clock, Log: log, Store: h.deps.Platform.Store, Register: h.deps.Platform.Register,
-		Agents: h.deps.Platform.Agents, Catalog: h.catalog, Observer: observer{log}, Term: term, Settings: h.deps.Settings.Scheduler,
+		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: observer{log, h.deps.Metrics}, Term: term, Settings: h.deps.Settings.Scheduler,
 	})
 	keeper := fleetkeeper.New(fleetkeeper.Deps{
 		Clock: h.deps.Clock, Log: logging.For(h.deps.Log, "fleet"), Fleet: h.deps.Platform.Fleet, Store: h.deps.Platform.Store,
--- a/internal/jobhost/observer.go
+++ b/internal/jobhost/observer.go
@@ -6,24 +6,47 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
 )
 
-// observer logs decisions; it implements workload.Observer.
-type observer struct{ log zerolog.Logger }
+// observer logs and counts decisions; it implements workload.Observer.
+type observer struct {
+	log     zerolog.Logger
+	metrics *jobmetrics.Metrics
+}
+
+// Began records how long a job waited for its first start.
+func (o observer) Began(job *jaybarrow.Job, waited time.Duration) {
+	o.record("job.toStartMs", job, waited)
+}
+
+// Answered counts the answers to starts.
+func (o observer) Answered(outcome jaybarrow.StartOutcome) {
+	o.metrics.Count("start." + string(outcome))
+}
 
 // Ended logs the end of a run.
 func (o observer) Ended(task jaybarrow.TaskRef, run jaybarrow.RunNumber, worker jaybarrow.WorkerID, kind jaybarrow.EndKind, ran time.Duration) {
+	o.metrics.Count("end." + string(kind))
 	o.log.Info().Str("task", task.String()).Int64("run", int64(run)).Str("worker", string(worker)).Str("end", string(kind)).
 		Int64("ranMs", ran.Milliseconds()).Msg("run ended")
 }
 
 // Finished logs the final state of a job.
 func (o observer) Finished(job *jaybarrow.Job, state jaybarrow.JobState, took time.Duration, failures int) {
+	o.metrics.Count("job." + string(state))
+	o.record("job.toEndMs", job, took)
 	o.log.Info().Str("job", string(job.ID)).Str("queue", string(job.Queue)).Str("team", string(job.Team)).
 		Str("state", string(state)).Int64("tookMs", took.Milliseconds()).Int("failures", failures).Msg("job ended")
 }
 
 // Doubted logs that a worker rests.
 func (o observer) Doubted(worker jaybarrow.WorkerID, reason string) {
+	o.metrics.Count("worker.doubted")
 	o.log.Warn().Str("worker", string(worker)).Str("reason", reason).Msg("worker receives no new tasks for a while")
 }
+
+func (o observer) record(name string, job *jaybarrow.Job, d time.Duration) {
+	o.metrics.Record(name+".team."+string(job.Team), d)
+	o.metrics.Record(name+".queue."+string(job.Queue), d)
+}
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -130,6 +130,9 @@
 	for _, s := range out.Paces {
 		p.group.Go(func() { p.pace(ctx, s) })
 	}
+	for _, q := range out.Asks {
+		p.group.Go(func() { p.ask(ctx, q) })
+	}
 	if err := p.writer.write(ctx, out.Records); err != nil {
 		return err
 	}
@@ -199,3 +202,20 @@
 	p.work.Paced(s, err == nil)
 	p.lock.Unlock()
 }
+
+// ask puts one question to the adviser.
+func (p *poolShard) ask(ctx context.Context, q workload.AskAdvice) {
+	limited, cancel := context.WithTimeout(ctx, p.deps.Settings.Advice)
+	defer cancel()
+	asked := p.deps.Clock.Now()
+	advice, err := p.deps.Adviser.Advise(limited, q.Step, q.Workers)
+	p.log.Info().Str("job", string(q.Step.Job)).Int("step", int(q.Step.Step)).Int("asked", len(q.Workers)).Int("allowed", len(advice.Tickets)).
+		Err(err).Msg("advice")
+	if err != nil {
+		return
+	}
+	p.lock.Lock()
+	p.work.Advised(q, advice, asked)
+	p.lock.Unlock()
+	p.signal()
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -24,6 +24,7 @@
 	Store    jaybarrow.JobStore
 	Register jaybarrow.Register
 	Agents   jaybarrow.Agents
+	Adviser  jaybarrow.Adviser
 	Catalog  *catalog.Catalog
 	Observer workload.Observer
 	Term     leader.Term
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -15,6 +15,8 @@
 	Tick time.Duration
 	// Start, Stop and Hold bound the answer to an order; Hold is added to the wait that the order asks for.
 	Start, Stop, Hold time.Duration
+	// Advice bounds the adviser's answer, which takes time for each worker and for the questions before.
+	Advice time.Duration
 	// HoldRetry is the pause after a missing report; it grows to four times.
 	HoldRetry time.Duration
 	// Stored is how long a worker's next order waits at most for its ends to be stored.
@@ -34,6 +36,7 @@
 		Tick: 100 * time.Millisecond,
 		// Tens of round trips between data centres, and longer than a machine stands still that has used up its processor share.
 		Start: 250 * time.Millisecond, Stop: 250 * time.Millisecond, Hold: 400 * time.Millisecond,
+		Advice:    2 * time.Second,
 		HoldRetry: 150 * time.Millisecond,
 		Stored:    200 * time.Millisecond,
 		// Ten of the store's usual answers; a slow store answers within the limit.
--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -20,6 +20,7 @@
 	limit    jaybarrow.Resources
 	used     jaybarrow.Resources
 	attempts int
+	advice   *jaybarrow.AdviceTerms
 	now      time.Time
 	clocks   map[jaybarrow.WorkerID]jaybarrow.WorkerClock
 	ends     map[jaybarrow.WorkerID]jaybarrow.EndNumber
@@ -35,7 +36,7 @@
 	b.pool = workload.New(workload.Deps{
 		Settings: b.settings, ID: "desk", Fence: ownFence, Teams: b, Observer: b,
 		Policies: func(jaybarrow.QueueID) (workload.Policy, bool) {
-			return workload.Policy{MaxAttempts: b.attempts, Stretch: 2, Target: time.Second}, true
+			return workload.Policy{MaxAttempts: b.attempts, Stretch: 2, Target: time.Second, Advice: b.advice}, true
 		},
 	})
 	return b
@@ -54,7 +55,9 @@
 
 func (b *bench) Ended(jaybarrow.TaskRef, jaybarrow.RunNumber, jaybarrow.WorkerID, jaybarrow.EndKind, time.Duration) {
 }
-func (b *bench) Doubted(jaybarrow.WorkerID, string) {}
+func (b *bench) Began(*jaybarrow.Job, time.Duration) {}
+func (b *bench) Answered(jaybarrow.StartOutcome)     {}
+func (b *bench) Doubted(jaybarrow.WorkerID, string)  {}
 
 func (b *bench) Finished(job *jaybarrow.Job, state jaybarrow.JobState, _ time.Duration, _ int) {
 	b.finished[job.ID] = state
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -90,18 +90,29 @@
 		if p.placeTask(t, open, now) == nil {
 			return
 		}
+		p.begin(s.job, now)
+	}
+}
+
+// begin notes that runs of the job were assigned.
+func (p *Pool) begin(j *job, now time.Time) {
+	p.urgent[j] = true
+	j.state = jaybarrow.JobRunning
+	if !j.begun {
+		j.begun = true
+		p.observer.Began(j.spec, now.Sub(j.accepted))
 	}
 }
 
 // placeTask assigns the task to the best worker; nil when none can take it now.
 func (p *Pool) placeTask(t *task, open []*worker, now time.Time) *run {
-	w := p.choose(t, open)
+	w := p.choose(t, open, now)
 	if w == nil || !p.teams.TryUse(t.step.job.spec.Team, t.step.spec.Demand) {
 		return nil
 	}
-	p.urgent[t.step.job] = true
-	t.step.job.state = jaybarrow.JobRunning
-	return p.attach(t, w, t.run+1, now)
+	r := p.attach(t, w, t.run+1, now)
+	r.ticket, _ = t.step.ticketFor(w, now)
+	return r
 }
 
 // placeGang assigns all tasks of a gang under one run number, or none.
@@ -125,6 +136,7 @@
 		}
 		placed = append(placed, r)
 	}
+	p.begin(s.job, now)
 }
 
 // withdraw undoes an assignment that was not stored or sent.
@@ -140,13 +152,16 @@
 }
 
 // choose returns the worker for the task, or nil.
-func (p *Pool) choose(t *task, open []*worker) *worker {
+func (p *Pool) choose(t *task, open []*worker, now time.Time) *worker {
 	var best *worker
 	var bestScore float64
 	for _, w := range open {
 		if !p.allowed(t, w) {
 			continue
 		}
+		if _, ok := t.step.ticketFor(w, now); !ok {
+			continue
+		}
 		if score := p.score(t, w); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -35,12 +35,13 @@
 	Record Record
 }
 
-// Round is what a Plan decided. Stops and paces may be sent at once; starts only after the records are written.
+// Round is what a Plan decided. Stops, paces and questions may be sent at once; starts only after the records are written.
 type Round struct {
 	Records []Stored
 	Starts  []StartRun
 	Stops   []StopRun
 	Paces   []PaceRun
+	Asks    []AskAdvice
 	noted   map[jaybarrow.WorkerID]notedEnds
 }
 
@@ -51,7 +52,7 @@
 
 // Empty reports whether there is nothing to do.
 func (r Round) Empty() bool {
-	return len(r.Records)+len(r.Starts)+len(r.Stops)+len(r.Paces) == 0 && len(r.noted) == 0
+	return len(r.Records)+len(r.Starts)+len(r.Stops)+len(r.Paces)+len(r.Asks) == 0 && len(r.noted) == 0
 }
 
 // Plan decides what to do now. With starting false no task is started.
@@ -65,6 +66,7 @@
 	var out Round
 	if starting {
 		p.place(now)
+		out.Asks = p.ask(now)
 	}
 	out.Paces = p.pace(now)
 	out.Stops = p.dueStops(now)
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -18,6 +18,10 @@
 
 // Observer learns of decisions; its methods must not block.
 type Observer interface {
+	// Began tells how long a job waited for its first start.
+	Began(job *jaybarrow.Job, waited time.Duration)
+	// Answered tells a worker's answer to a start.
+	Answered(outcome jaybarrow.StartOutcome)
 	// Ended tells how a run ended.
 	Ended(task jaybarrow.TaskRef, run jaybarrow.RunNumber, worker jaybarrow.WorkerID, kind jaybarrow.EndKind, ran time.Duration)
 	// Finished tells the final state of a job and how long it took since it was accepted.
@@ -136,7 +140,6 @@
 	t.current = r
 	t.step.idle--
 	t.step.job.runs++
-	t.step.job.begun = true
 	w.used = w.used.Plus(r.demand)
 	w.runs[runKey{t.ref, r.number}] = r
 	return r
--- a/internal/workload/pool_test.go
+++ b/internal/workload/pool_test.go
@@ -267,6 +267,7 @@
 	b.add("j", gang)
 	assert.Equal(t, len(b.start(jaybarrow.StartDone)), 0)
 	assert.Equal(t, b.used, jaybarrow.Resources{})
+	assert.Equal(t, b.pool.Waiting("match"), 1)
 	b.worker("w2")
 	s := b.start(jaybarrow.StartDone)
 	assert.Equal(t, len(s), 3)
@@ -274,7 +275,7 @@
 		assert.Equal(t, member.Run, s[0].Run)
 	}
 	// One end of a gang that is done stands for all of them.
-	b.report("w1", nil, b.end(s[0], jaybarrow.EndDone))
+	b.report(s[0].Worker.ID, nil, b.end(s[0], jaybarrow.EndDone))
 	b.plan()
 	assert.Equal(t, b.finished["j"], jaybarrow.JobCompleted)
 }
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -176,6 +176,7 @@
 		return
 	}
 	r.since = now
+	p.observer.Answered(outcome)
 	switch outcome {
 	case jaybarrow.StartDone:
 		r.phase, r.moved = runRunning, now
