--- a/internal/jobhost/observer.go
+++ b/internal/jobhost/observer.go
@@ -15,8 +15,10 @@
 	metrics *jobmetrics.Metrics
 }
 
-// Began records how long a job waited for its first start.
+// Began logs and records how long a job waited for its first start.
 func (o observer) Began(job *jaybarrow.Job, waited time.Duration) {
+	o.log.Info().Str("job", string(job.ID)).Str("queue", string(job.Queue)).Str("pool", string(job.Pool)).
+		Int64("waitedMs", waited.Milliseconds()).Msg("job begins")
 	o.record("job.toStartMs", job, waited)
 }
 
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -32,7 +32,8 @@
 			p.log.Info().Str("worker", string(id)).Msg("worker forgotten")
 			return
 		}
-		if p.holdOnce(ctx, worker, order, sent) {
+		err := p.holdOnce(ctx, worker, order, sent)
+		if err == nil {
 			if failures > 0 {
 				p.log.Info().Str("worker", string(id)).Int("failures", failures).Msg("worker regained")
 			}
@@ -41,24 +42,24 @@
 			continue
 		}
 		if failures == 0 && ctx.Err() == nil {
-			p.log.Warn().Str("worker", string(id)).Msg("worker lost")
+			p.log.Warn().Err(err).Str("worker", string(id)).Msg("worker lost")
 		}
 		failures++
 		p.sleep(ctx, p.deps.Settings.HoldRetry<<min(failures-1, 2))
 	}
 }
 
-// holdOnce gives one order and takes the report into account; it reports whether there was one.
-func (p *poolShard) holdOnce(ctx context.Context, worker jaybarrow.Worker, order jaybarrow.HoldOrder, sent time.Time) bool {
+// holdOnce gives one order and takes the report into account, or its absence.
+func (p *poolShard) holdOnce(ctx context.Context, worker jaybarrow.Worker, order jaybarrow.HoldOrder, sent time.Time) error {
 	limited, cancel := context.WithTimeout(ctx, order.Wait+p.deps.Settings.Hold)
 	defer cancel()
 	report, err := p.deps.Agents.Hold(limited, worker, order)
 	if ctx.Err() != nil {
-		return false
+		return ctx.Err()
 	}
 	if jaybarrow.IsKind(err, jaybarrow.KindConflict) {
 		p.deps.Term.Resign("a worker has seen a higher fence")
-		return false
+		return err
 	}
 	now := p.deps.Clock.Now()
 	p.lock.Lock()
@@ -69,7 +70,7 @@
 	}
 	p.lock.Unlock()
 	p.signal()
-	return err == nil
+	return err
 }
 
 // awaitStored waits until the ends that the worker listed are stored, since it would only list them again.
