--- a/cmd/jaybarrow/demo.go
+++ b/cmd/jaybarrow/demo.go
@@ -14,9 +14,13 @@
 	flags := flag.NewFlagSet("demo", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	listen := flags.String("listen", "127.0.0.1:8080", "address for callers and operators")
+	job := flags.Bool("job", false, "run a job of two steps on a stand-in of the platform and exit")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
+	if *job {
+		return runJobDemo(ctx, stdout, stderr)
+	}
 	log, err := logging.New(stderr, "info")
 	if err != nil {
 		fmt.Fprintln(stderr, "jaybarrow:", err)
--- a/internal/standin/site/http.go
+++ b/internal/standin/site/http.go
@@ -3,8 +3,12 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 // answer writes a JSON answer; a caller that has gone does not matter to a stand-in.
@@ -29,3 +33,32 @@
 	c.Body = io.NopCloser(strings.NewReader(body))
 	return c
 }
+
+// server is an HTTP server on a loopback port of its own.
+type server struct {
+	address string
+	http    *http.Server
+	group   conc.WaitGroup
+}
+
+func newServer(handler http.Handler) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err) // no loopback port: nothing can be tested here
+	}
+	s := &server{address: l.Addr().String(), http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
+	s.group.Go(func() {
+		// An error means that the server was closed.
+		_ = s.http.Serve(l)
+	})
+	return s
+}
+
+// headerTimeout ends a connection that never sends a request.
+const headerTimeout = 10 * time.Second
+
+// close cuts every connection.
+func (s *server) close() {
+	_ = s.http.Close()
+	s.group.Wait()
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync"
 	"time"
 )
@@ -37,8 +35,8 @@
 	Store *Store
 
 	settings Settings
-	kv       *httptest.Server
-	cloud    *httptest.Server
+	kv       *server
+	cloud    *server
 
 	lock     sync.Mutex
 	version  int
@@ -57,8 +55,8 @@
 // New returns a running Site with its first manifest.
 func New(s Settings) *Site {
 	site := &Site{Store: newStore(), settings: s, workers: make(map[string]*Worker), machines: make(map[string]*machine)}
-	site.kv = httptest.NewServer(site.Store)
-	site.cloud = httptest.NewServer(http.HandlerFunc(site.serveCloud))
+	site.kv = newServer(site.Store)
+	site.cloud = newServer(http.HandlerFunc(site.serveCloud))
 	site.PutManifest(s.Queues, s.Tenants)
 	for pool, n := range s.Pools {
 		for range n {
@@ -78,17 +76,15 @@
 		w.stop()
 	}
 	close(s.Store.stop)
-	for _, server := range []*httptest.Server{s.kv, s.cloud} {
-		server.CloseClientConnections()
-		server.Close()
-	}
+	s.kv.close()
+	s.cloud.close()
 }
 
-// StoreAddress and FleetAddress are where the platform answers.
-func (s *Site) StoreAddress() string { return strings.TrimPrefix(s.kv.URL, "http://") }
+// StoreAddress is where the store answers.
+func (s *Site) StoreAddress() string { return s.kv.address }
 
 // FleetAddress is where the interface of the machines answers.
-func (s *Site) FleetAddress() string { return strings.TrimPrefix(s.cloud.URL, "http://") }
+func (s *Site) FleetAddress() string { return s.cloud.address }
 
 // PutManifest writes the next version of the manifest.
 func (s *Site) PutManifest(queues []Queue, tenants []Tenant) {
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -3,9 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -25,7 +23,7 @@
 type Worker struct {
 	ID    string
 	site  *Site
-	http  *httptest.Server
+	http  *server
 	begun time.Time
 
 	lock    sync.Mutex
@@ -49,7 +47,7 @@
 		state: "ready", pool: pool, machine: machine,
 	}
 	w.changed = sync.NewCond(&w.lock)
-	w.http = httptest.NewServer(w)
+	w.http = newServer(w)
 	go w.tick()
 	return w
 }
@@ -67,7 +65,7 @@
 // register writes the worker's entry.
 func (w *Worker) register() {
 	w.site.Store.Put("servers/"+w.ID, map[string]any{
-		"service": w.pool, "address": strings.TrimPrefix(w.http.URL, "http://"), "zone": "z1", "state": w.state, "slots": 8,
+		"service": w.pool, "address": w.http.address, "zone": "z1", "state": w.state, "slots": 8,
 		"capacity": capacity, "labels": []string{"a", "r1"}, "born": w.begun.UnixMilli(), "sequence": 1,
 	})
 }
@@ -89,8 +87,7 @@
 	}
 	w.changed.Broadcast()
 	w.lock.Unlock()
-	w.http.CloseClientConnections()
-	w.http.Close()
+	w.http.close()
 }
 
 func (w *Worker) clock() int64 { return time.Since(w.begun).Milliseconds() }
