--- /dev/null
+++ b/internal/fleetplan/plan_test.go
@@ -0,0 +1,113 @@
+package fleetplan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/fleetplan"
+)
+
+// hosts returns n hosts of a pool that are up and idle.
+func hosts(pool jaybarrow.PoolID, n int) []fleetplan.Host {
+	var out []fleetplan.Host
+	for i := range n {
+		id := jaybarrow.HostID(fmt.Sprintf("%s-%02d", pool, i))
+		h := fleetplan.Host{FleetHost: jaybarrow.FleetHost{ID: id, Pool: pool, State: jaybarrow.FleetHostUp}, Known: true, Usable: true}
+		if pool == "spare" {
+			h.Known, h.Usable = false, false
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+func busy(in []fleetplan.Host) []fleetplan.Host {
+	for i := range in {
+		in[i].Runs = 1
+	}
+	return in
+}
+
+func pools(desk, batch fleetplan.Pool) []fleetplan.Pool {
+	desk.ID, batch.ID = "desk", "batch"
+	return []fleetplan.Pool{desk, batch, {ID: "spare", Spare: true}}
+}
+
+func need(n float64) fleetplan.Pool { return fleetplan.Pool{Need: n, Recent: n} }
+
+// Guards against work that waits beside idle hosts, and against hosts that are taken from where they are needed.
+func TestMoves(t *testing.T) {
+	calm := need(0)
+	calm.IdleFor = time.Minute
+	joining := need(6)
+	joining.Joining = 2
+	cases := []struct {
+		name  string
+		state fleetplan.State
+		want  map[jaybarrow.PoolID]int // moves by target
+		from  jaybarrow.PoolID
+	}{
+		{"spare hosts first", fleetplan.State{Hosts: append(append(busy(hosts("desk", 4)), hosts("batch", 8)...), hosts("spare", 3)...), Pools: pools(need(6), need(0))}, map[jaybarrow.PoolID]int{"desk": 2}, "spare"},
+		{"then idle ones", fleetplan.State{Hosts: append(busy(hosts("desk", 4)), hosts("batch", 8)...), Pools: pools(need(6), need(0))}, map[jaybarrow.PoolID]int{"desk": 2}, "batch"},
+		{"hosts on their way count", fleetplan.State{Hosts: append(busy(hosts("desk", 4)), hosts("spare", 3)...), Pools: pools(joining, need(0))}, nil, ""},
+		{"busy hosts stay", fleetplan.State{Hosts: append(busy(hosts("desk", 4)), busy(hosts("batch", 8))...), Pools: pools(need(6), need(0))}, nil, ""},
+		{"needed hosts stay", fleetplan.State{Hosts: append(busy(hosts("desk", 4)), hosts("batch", 4)...), Pools: pools(need(6), need(3))}, nil, ""},
+		{"long idle hosts go back", fleetplan.State{Hosts: append(hosts("desk", 6), hosts("spare", 1)...), Pools: pools(calm, need(0))}, map[jaybarrow.PoolID]int{"spare": 4}, "desk"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := fleetplan.DefaultSettings()
+			s.Keep = 2
+			var got map[jaybarrow.PoolID]int
+			for _, m := range fleetplan.Decide(s, c.state).Moves {
+				if got == nil {
+					got = make(map[jaybarrow.PoolID]int)
+				}
+				got[m.To]++
+				assert.Equal(t, m.Host.Pool, c.from)
+			}
+			assert.DeepEqual(t, got, c.want)
+		})
+	}
+}
+
+// Guards against more hosts of a wave down than allowed, hosts with tasks among them, and a wave that waits for calm too long.
+func TestWaves(t *testing.T) {
+	wave := func(atOnce, down int, left time.Duration, in []fleetplan.Host) []fleetplan.Wave {
+		w := fleetplan.Wave{Wave: jaybarrow.Wave{ID: 1, AtOnce: atOnce}, Down: down, TimeLeft: left}
+		for _, h := range in {
+			w.Left = append(w.Left, h.ID)
+		}
+		return []fleetplan.Wave{w}
+	}
+	reserved := hosts("desk", 4)
+	for i := range reserved {
+		reserved[i].Reserved = true
+	}
+	cases := []struct {
+		name              string
+		hosts             []fleetplan.Host
+		waves             []fleetplan.Wave
+		need              float64
+		prepare, maintain int
+	}{
+		{"empty hosts begin", reserved, wave(3, 0, time.Minute, reserved), 0, 0, 3},
+		{"those that are down count", reserved, wave(3, 2, time.Minute, reserved), 0, 0, 1},
+		{"busy ones are emptied first", busy(hosts("desk", 4)), wave(2, 0, time.Minute, hosts("desk", 4)), 0, 2, 0},
+		{"a busy pool is left alone", busy(hosts("desk", 4)), wave(2, 0, time.Minute, hosts("desk", 4)), 4, 0, 0},
+		{"until time runs out", busy(hosts("desk", 4)), wave(2, 0, 10*time.Second, hosts("desk", 4)), 4, 2, 0},
+		{"spare hosts need no emptying", hosts("spare", 2), wave(2, 0, time.Minute, hosts("spare", 2)), 0, 0, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := fleetplan.DefaultSettings()
+			got := fleetplan.Decide(s, fleetplan.State{Hosts: c.hosts, Pools: pools(need(c.need), need(0)), Waves: c.waves})
+			assert.Equal(t, len(got.Prepare), c.prepare)
+			assert.Equal(t, len(got.Maintain), c.maintain)
+		})
+	}
+}
--- /dev/null
+++ b/internal/hedge/hedge_test.go
@@ -0,0 +1,90 @@
+package hedge_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/hedge"
+)
+
+var settings = hedge.Settings{Delay: 10 * time.Millisecond, Most: 3, Limit: 20 * time.Second}
+
+func notRun() error {
+	return jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "refused").WithEffect(jaybarrow.EffectNotRun)
+}
+
+func unknown() error { return jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "no answer") }
+
+func none(error) bool { return false }
+
+// Guards against a silent connection that holds a write back until its deadline.
+func TestASilentCallIsRepeated(t *testing.T) {
+	var calls atomic.Int64
+	v, err := hedge.Do(context.Background(), jaybarrow.SystemClock{}, settings, func(ctx context.Context) (int64, error) {
+		n := calls.Add(1)
+		if n == 1 {
+			<-ctx.Done()
+			return 0, ctx.Err()
+		}
+		return n, nil
+	}, none)
+	assert.NilError(t, err)
+	assert.Equal(t, v, int64(2))
+}
+
+// Guards against a result that claims that nothing was done after one call whose outcome is not known.
+func TestAnUnknownOutcomeIsNotForgotten(t *testing.T) {
+	cases := []struct {
+		name  string
+		first error
+		then  error
+		want  jaybarrow.Effect
+		calls int64
+	}{
+		{"refused", notRun(), notRun(), jaybarrow.EffectNotRun, 1},
+		{"unknown, then refused", unknown(), notRun(), jaybarrow.EffectMayHaveRun, 3},
+		{"unknown each time", unknown(), unknown(), jaybarrow.EffectMayHaveRun, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var calls atomic.Int64
+			_, err := hedge.Do(context.Background(), jaybarrow.SystemClock{}, settings, func(context.Context) (int, error) {
+				if calls.Add(1) == 1 {
+					return 0, c.first
+				}
+				return 0, c.then
+			}, none)
+			assert.Equal(t, jaybarrow.AsError(err).Effect, c.want)
+			assert.Equal(t, calls.Load(), c.calls)
+		})
+	}
+}
+
+// Guards against calls that go on after an answer that settles the matter.
+func TestAFinalErrorEndsTheCalls(t *testing.T) {
+	conflict := errors.New("conflict")
+	var calls atomic.Int64
+	_, err := hedge.Do(context.Background(), jaybarrow.SystemClock{}, settings, func(context.Context) (int, error) {
+		calls.Add(1)
+		return 0, conflict
+	}, func(err error) bool { return errors.Is(err, conflict) })
+	assert.ErrorIs(t, err, conflict)
+	assert.Equal(t, calls.Load(), int64(1))
+}
+
+// Guards against a wait beyond the limit, and against its error being taken for a refusal.
+func TestTheLimitEndsTheWait(t *testing.T) {
+	s := settings
+	s.Limit = 50 * time.Millisecond
+	_, err := hedge.Do(context.Background(), jaybarrow.SystemClock{}, s, func(ctx context.Context) (int, error) {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}, none)
+	assert.Equal(t, jaybarrow.AsError(err).Effect, jaybarrow.EffectMayHaveRun)
+}
