Replace hosts that are emptied of lasting tasks

Change: a pool is short of hosts when fewer take tasks than hold lasting ones. The new case of TestMoves fails without it.

--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -108,6 +108,7 @@
 	d := decision{
 		settings: s, state: in, taken: make(map[jaybarrow.HostID]bool),
 		pools: make(map[jaybarrow.PoolID]Pool, len(in.Pools)), serves: make(map[jaybarrow.PoolID]int, len(in.Pools)),
+		holders: make(map[jaybarrow.PoolID]int, len(in.Pools)),
 	}
 	for _, p := range in.Pools {
 		d.pools[p.ID] = p
@@ -116,6 +117,9 @@
 		if h.serving() {
 			d.serves[h.Pool]++
 		}
+		if h.Lasting > 0 {
+			d.holders[h.Pool]++
+		}
 	}
 	d.waves()
 	d.moves()
@@ -128,6 +132,7 @@
 	taken    map[jaybarrow.HostID]bool
 	pools    map[jaybarrow.PoolID]Pool
 	serves   map[jaybarrow.PoolID]int // hosts that take tasks
+	holders  map[jaybarrow.PoolID]int // hosts with lasting tasks
 	orders   Orders
 }
 
@@ -215,9 +220,10 @@
 	d.giveBack()
 }
 
-// lack returns how many hosts a pool is short of.
+// lack returns how many hosts a pool is short of. Lasting tasks are spread: a host that is emptied of them needs another one in
+// its place, even where the rest has room.
 func (d *decision) lack(p Pool) int {
-	return int(math.Ceil(p.Need)) - d.serves[p.ID] - p.Joining
+	return max(int(math.Ceil(p.Need)), d.holders[p.ID]) - d.serves[p.ID] - p.Joining
 }
 
 func (d *decision) move(h Host, to jaybarrow.PoolID, reason string) {
--- a/internal/fleetplan/plan_test.go
+++ b/internal/fleetplan/plan_test.go
@@ -41,6 +41,10 @@
 
 // Guards against work that waits beside idle hosts, and against hosts that are taken from where they are needed.
 func TestMoves(t *testing.T) {
+	emptied := busy(hosts("desk", 4))
+	for i := range emptied {
+		emptied[i].Lasting, emptied[i].Reserved = 1, i < 2
+	}
 	calm := need(0)
 	calm.IdleFor = time.Minute
 	joining := need(6)
@@ -56,6 +60,7 @@
 		{"hosts on their way count", fleetplan.State{Hosts: append(busy(hosts("desk", 4)), hosts("spare", 3)...), Pools: pools(joining, need(0))}, nil, ""},
 		{"busy hosts stay", fleetplan.State{Hosts: append(busy(hosts("desk", 4)), busy(hosts("batch", 8))...), Pools: pools(need(6), need(0))}, nil, ""},
 		{"needed hosts stay", fleetplan.State{Hosts: append(busy(hosts("desk", 4)), hosts("batch", 4)...), Pools: pools(need(6), need(3))}, nil, ""},
+		{"hosts that are emptied of lasting tasks are replaced", fleetplan.State{Hosts: append(emptied, hosts("spare", 3)...), Pools: pools(need(1), need(0))}, map[jaybarrow.PoolID]int{"desk": 2}, "spare"},
 		{"long idle hosts go back", fleetplan.State{Hosts: append(hosts("desk", 6), hosts("spare", 1)...), Pools: pools(calm, need(0))}, map[jaybarrow.PoolID]int{"spare": 4}, "desk"},
 	}
 	for _, c := range cases {
