Begin lasting tasks on hosts that no wave is about to reach

Cause: lasting tasks that left a host for its maintenance were placed on hosts of the same wave and had to move again. Change: workers on hosts that a wave has not reached come last for lasting tasks. TestLastingTasksAvoidHostsThatAreDue fails without it. Ruled out: nothing else changes the number of moves of lasting tasks.

--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -23,6 +23,8 @@
 	Reserve(pool jaybarrow.PoolID, worker jaybarrow.WorkerID, onlyEmpty bool) bool
 	// Unreserve takes that back.
 	Unreserve(pool jaybarrow.PoolID, worker jaybarrow.WorkerID)
+	// SetDue names the workers whose hosts are still to be maintained.
+	SetDue(due map[jaybarrow.WorkerID]bool)
 }
 
 // Waves are the waves that operators asked for.
@@ -114,6 +116,7 @@
 		}
 		view := k.view(now)
 		k.release(view)
+		k.deps.Pools.SetDue(due(view))
 		k.act(ctx, fleetplan.Decide(k.deps.Settings.Plan, view))
 		k.reportWaves(ctx)
 	}
@@ -161,6 +164,17 @@
 	}
 }
 
+// due returns the workers on hosts that a wave has not reached yet.
+func due(view fleetplan.State) map[jaybarrow.WorkerID]bool {
+	out := make(map[jaybarrow.WorkerID]bool)
+	for _, h := range view.Hosts {
+		if h.Worker != "" && left(view.Waves, h.ID) {
+			out[h.Worker] = true
+		}
+	}
+	return out
+}
+
 func left(waves []fleetplan.Wave, host jaybarrow.HostID) bool {
 	return slices.ContainsFunc(waves, func(w fleetplan.Wave) bool { return slices.Contains(w.Left, host) })
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -303,3 +303,12 @@
 	defer p.signal()
 	p.work.Unreserve(worker)
 }
+
+// SetDue names the workers whose hosts are still to be maintained; see workload.Pool.
+func (s *Scheduler) SetDue(due map[jaybarrow.WorkerID]bool) {
+	s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) {
+		p.lock.Lock()
+		defer p.lock.Unlock()
+		p.work.SetDue(due)
+	})
+}
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -192,6 +192,7 @@
 	weightAvoid    = -100 // the task failed there
 	weightData     = 20   // far from its data it takes a multiple of its time
 	weightSameRack = 10   // so do the tasks of a step that is spread over racks
+	weightDue      = -30  // a lasting task would have to move again soon
 	weightApart    = -5   // background work beside work with a latency bound disturbs it
 	weightFull     = 1
 )
@@ -205,6 +206,9 @@
 	if s.DataRack != "" && s.DataRack == w.entry.Rack {
 		score += weightData
 	}
+	if s.Lasting && w.due {
+		score += weightDue
+	}
 	if s.SameRack && t.step.onRack(w.entry.Rack) {
 		score += weightSameRack
 	}
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// SetDue names the workers whose hosts are still to be maintained; lasting tasks begin elsewhere where they can.
+func (p *Pool) SetDue(due map[jaybarrow.WorkerID]bool) {
+	for id, w := range p.workers {
+		w.due = due[id]
+	}
+}
+
 // evacuate moves lasting tasks from reserved workers, as far as their steps may miss them.
 func (p *Pool) evacuate(now time.Time) {
 	for _, w := range p.workers {
--- a/internal/workload/takeover_test.go
+++ b/internal/workload/takeover_test.go
@@ -120,3 +120,17 @@
 		assert.Equal(t, len(b.plan().Stops), 0)
 	})
 }
+
+// Guards against lasting tasks that move from one host of a wave to the next.
+func TestLastingTasksAvoidHostsThatAreDue(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1")
+	b.add("short", tasks(1, 1000))
+	assert.Equal(t, len(b.start(jaybarrow.StartDone)), 1)
+	b.worker("w2")
+	b.pool.SetDue(map[jaybarrow.WorkerID]bool{"w1": true})
+	b.add("j", lasting(1))
+	s := b.start(jaybarrow.StartDone)
+	assert.Equal(t, len(s), 1)
+	assert.Equal(t, s[0].Worker.ID, jaybarrow.WorkerID("w2"))
+}
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -24,6 +24,7 @@
 	refusing time.Time
 	faults   int // runs that failed or stood still since the last success
 	reserved bool
+	due      bool // its host is still to be maintained in a wave
 }
 
 type runKey struct {
