--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -48,10 +48,9 @@
 	Interval time.Duration
 	// List is how often the platform's list of hosts is read.
 	List time.Duration
-	// Call bounds one call to the platform, Store one write before orders are given.
-	Call, Store time.Duration
-	// Quiet is how long two leaders' orders for one host must be apart. A new leader leaves the hosts alone that the previous one
-	// gave orders for lately.
+	// Call bounds one call to the platform.
+	Call time.Duration
+	// Quiet is how long after the start of a term no order is given, since the previous leader's may still be on its way.
 	Quiet time.Duration
 	// Maintenance and Move are how long the platform takes for an order.
 	Maintenance, Move time.Duration
@@ -64,7 +63,7 @@
 		// A twentieth of the time that a move takes, and well below the platform's rate of calls.
 		Interval: 100 * time.Millisecond, List: 250 * time.Millisecond,
 		// Hundreds of the platform's usual answers.
-		Call: 3 * time.Second, Store: 500 * time.Millisecond,
+		Call:  3 * time.Second,
 		Quiet: 3 * time.Second, Maintenance: 2 * time.Second, Move: 1500 * time.Millisecond,
 	}
 }
@@ -107,14 +106,12 @@
 
 // run decides again and again.
 func (k *Keeper) run(ctx context.Context) {
-	if !k.inherit(ctx) {
-		return
-	}
+	quiet := k.deps.Clock.Now().Add(k.deps.Settings.Quiet)
 	for k.sleep(ctx, k.deps.Settings.Interval) {
 		k.loadWaves(ctx)
 		now := k.deps.Clock.Now()
 		k.observe(now)
-		if !k.deps.Term.Valid() || !k.state.usable() {
+		if now.Before(quiet) || !k.deps.Term.Valid() || !k.state.usable() {
 			continue
 		}
 		view := k.view(now)
@@ -193,40 +190,30 @@
 				Int("lasting", m.Host.Lasting).Msg("host is emptied for its maintenance")
 		}
 	}
-	planned := k.reserve(orders)
-	if len(planned) == 0 {
-		return
-	}
-	if err := k.storeOrders(ctx, planned); err != nil {
-		k.deps.Log.Warn().Err(err).Int("orders", len(planned)).Msg("orders for hosts cannot be stored; none is given")
-		return
-	}
-	for _, p := range planned {
-		k.state.order(p.host, p.to, p.wave, k.deps.Clock.Now())
-		k.group.Go(func() { k.order(ctx, p) })
-	}
-}
-
-// plannedOrder is an order that is about to be given; without a wave it is a move.
-type plannedOrder struct {
-	host   fleetplan.Host
-	to     jaybarrow.PoolID
-	wave   jaybarrow.WaveID
-	reason string
-}
-
-// reserve keeps new tasks from the hosts and returns the orders for those that are empty.
-func (k *Keeper) reserve(orders fleetplan.Orders) []plannedOrder {
-	var planned []plannedOrder
 	for _, m := range orders.Maintain {
-		planned = append(planned, plannedOrder{host: m.Host, wave: m.Wave, reason: "maintenance is due"})
+		if !k.spare(m.Host.Pool) && !k.deps.Pools.Reserve(m.Host.Pool, m.Host.Worker, true) {
+			continue
+		}
+		k.state.order(m.Host, "", m.Wave, k.deps.Clock.Now())
+		k.group.Go(func() {
+			k.order(ctx, m.Host, "maintain", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
+				return k.deps.Fleet.Maintain(ctx, m.Host.ID, m.Wave, k.deps.Term.Fence)
+			})
+		})
 	}
 	for _, m := range orders.Moves {
-		planned = append(planned, plannedOrder{host: m.Host, to: m.To, reason: m.Reason})
+		if !k.spare(m.Host.Pool) && !k.deps.Pools.Reserve(m.Host.Pool, m.Host.Worker, true) {
+			continue
+		}
+		k.state.order(m.Host, m.To, 0, k.deps.Clock.Now())
+		k.deps.Log.Info().Str("host", string(m.Host.ID)).Str("from", string(m.Host.Pool)).Str("to", string(m.To)).
+			Str("reason", m.Reason).Msg("host moves")
+		k.group.Go(func() {
+			k.order(ctx, m.Host, "move", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
+				return k.deps.Fleet.Move(ctx, m.Host.ID, m.To, k.deps.Term.Fence)
+			})
+		})
 	}
-	return slices.DeleteFunc(planned, func(p plannedOrder) bool {
-		return !k.spare(p.host.Pool) && !k.deps.Pools.Reserve(p.host.Pool, p.host.Worker, true)
-	})
 }
 
 func (k *Keeper) spare(id jaybarrow.PoolID) bool {
@@ -235,17 +222,15 @@
 }
 
 // order gives one order and notes its outcome.
-func (k *Keeper) order(ctx context.Context, p plannedOrder) {
+func (k *Keeper) order(ctx context.Context, host fleetplan.Host, what string, give func(context.Context) (jaybarrow.FleetOrderOutcome, error)) {
 	limited, cancel := context.WithTimeout(ctx, k.deps.Settings.Call)
 	defer cancel()
-	host := p.host
-	outcome, err := k.give(limited, p)
+	outcome, err := give(limited)
 	line := k.deps.Log.Info()
 	if err != nil {
 		line = k.deps.Log.Warn().Err(err)
 	}
-	line.Str("host", string(host.ID)).Str("from", string(host.Pool)).Str("to", string(p.to)).Int64("wave", int64(p.wave)).
-		Str("reason", p.reason).Str("outcome", string(outcome)).Msg("order for a host")
+	line.Str("host", string(host.ID)).Str("order", what).Str("outcome", string(outcome)).Msg("order for a host")
 	if outcome == jaybarrow.FleetOrderFenced {
 		k.deps.Term.Resign("the platform has seen a higher fence")
 	}
@@ -255,14 +240,3 @@
 	}
 	k.state.answered(host.ID, outcome, err != nil && jaybarrow.AsError(err).Effect == jaybarrow.EffectNotRun, k.deps.Clock.Now())
 }
-
-// give sends the order, unless the lead may have ended meanwhile.
-func (k *Keeper) give(ctx context.Context, p plannedOrder) (jaybarrow.FleetOrderOutcome, error) {
-	if !k.deps.Term.Valid() {
-		return "", jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "the lead may have ended").WithEffect(jaybarrow.EffectNotRun)
-	}
-	if p.wave != 0 {
-		return k.deps.Fleet.Maintain(ctx, p.host.ID, p.wave, k.deps.Term.Fence)
-	}
-	return k.deps.Fleet.Move(ctx, p.host.ID, p.to, k.deps.Term.Fence)
-}
--- a/internal/fleetkeeper/state.go
+++ b/internal/fleetkeeper/state.go
@@ -15,10 +15,8 @@
 	lost   bool // the list of hosts cannot be read
 	hosts  []jaybarrow.FleetHost
 	orders map[jaybarrow.HostID]*order
-	// ordered is when a host last had an order, quietUntil how long the previous leader's orders keep it from having one.
-	ordered, quietUntil map[jaybarrow.HostID]time.Time
-	needs               map[jaybarrow.PoolID]*need
-	waves               map[jaybarrow.WaveID]*wave
+	needs  map[jaybarrow.PoolID]*need
+	waves  map[jaybarrow.WaveID]*wave
 }
 
 // order is an order that may not be finished yet.
@@ -54,7 +52,6 @@
 func newState() state {
 	return state{
 		lock: new(sync.Mutex), orders: make(map[jaybarrow.HostID]*order),
-		ordered: make(map[jaybarrow.HostID]time.Time), quietUntil: make(map[jaybarrow.HostID]time.Time),
 		needs: make(map[jaybarrow.PoolID]*need), waves: make(map[jaybarrow.WaveID]*wave),
 	}
 }
--- a/internal/fleetkeeper/view.go
+++ b/internal/fleetkeeper/view.go
@@ -97,7 +97,7 @@
 			joining[h.Pool]++
 		}
 		out.Hosts = append(out.Hosts, fleetplan.Host{
-			FleetHost: h, Known: known, Usable: w.Usable, Reserved: w.Reserved, Ordered: o != nil || now.Before(k.state.quietUntil[h.ID]), Runs: w.Runs, Lasting: w.Lasting,
+			FleetHost: h, Known: known, Usable: w.Usable, Reserved: w.Reserved, Ordered: o != nil, Runs: w.Runs, Lasting: w.Lasting,
 		})
 	}
 	for id := range loads {
--- a/keys.go
+++ b/keys.go
@@ -60,8 +60,6 @@
 	JobLeaderKey Key = "jaybarrow-jobs/leader"
 	// JobSequencePrefix holds the number of the last write for each pool.
 	JobSequencePrefix Key = "jaybarrow-jobs/sequence/"
-	// JobFleetKey names the hosts that the leader gave orders for lately.
-	JobFleetKey Key = "jaybarrow-jobs/fleet"
 	// JobWavePrefix holds the progress of maintenance waves.
 	JobWavePrefix Key = "jaybarrow-jobs/wave/"
 
