--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -42,13 +42,25 @@
 			continue
 		}
 		if failures == 0 && ctx.Err() == nil {
-			p.log.Warn().Err(err).Str("worker", string(id)).Msg("worker lost")
+			p.logLost(id, err)
 		}
 		failures++
 		p.sleep(ctx, p.deps.Settings.HoldRetry<<min(failures-1, 2))
 	}
 }
 
+// logLost tells a worker that has gone silent from one that was expected to end.
+func (p *poolShard) logLost(id jaybarrow.WorkerID, err error) {
+	p.lock.Lock()
+	leaving := p.work.Leaving(id)
+	p.lock.Unlock()
+	if leaving {
+		p.log.Info().Str("worker", string(id)).Msg("worker left with its host")
+		return
+	}
+	p.log.Warn().Err(err).Str("worker", string(id)).Msg("worker lost")
+}
+
 // holdOnce gives one order and takes the report into account, or its absence.
 func (p *poolShard) holdOnce(ctx context.Context, worker jaybarrow.Worker, order jaybarrow.HoldOrder, sent time.Time) error {
 	limited, cancel := context.WithTimeout(ctx, order.Wait+p.deps.Settings.Hold)
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -71,6 +71,12 @@
 	}
 }
 
+// Leaving reports whether the worker is expected to end, since its host is to be moved or maintained.
+func (p *Pool) Leaving(id jaybarrow.WorkerID) bool {
+	w := p.workers[id]
+	return w != nil && w.reserved
+}
+
 // SetDue names the workers whose hosts are still to be maintained; lasting tasks begin elsewhere where they can.
 func (p *Pool) SetDue(due map[jaybarrow.WorkerID]bool) {
 	for id, w := range p.workers {
