--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -98,7 +98,6 @@
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.Hold)
 	settings.Leader.Capacity = s.Capacity
 	settings.Fleet.Quiet = s.Bounds.OrderTurns
-	settings.Fleet.Maintenance, settings.Fleet.Move = s.Bounds.Maintenance, s.Bounds.Move
 	host := jobhost.New(jobhost.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: root, Entry: s.Node, Peers: listeners[0], Settings: settings, Metrics: metrics,
 		Platform: jobhost.Platform{
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -52,8 +52,6 @@
 	Call time.Duration
 	// Quiet is how long after the start of a term no order is given, since the previous leader's may still be on its way.
 	Quiet time.Duration
-	// Maintenance and Move are how long the platform takes for an order.
-	Maintenance, Move time.Duration
 }
 
 // DefaultSettings returns the usual times.
@@ -64,7 +62,7 @@
 		Interval: 100 * time.Millisecond, List: 250 * time.Millisecond,
 		// Hundreds of the platform's usual answers.
 		Call:  3 * time.Second,
-		Quiet: 3 * time.Second, Maintenance: 2 * time.Second, Move: 1500 * time.Millisecond,
+		Quiet: 3 * time.Second,
 	}
 }
 
