Let hosts move after a takeover unless the previous leader may have ordered them lately

Cause: after each takeover no host moved for 3 s, the time that two leaders' orders for one host must be apart. Change: a host is left alone only while its last order may be too recent. An order ends the host's worker at once and takes 1.5 s, so an old worker that reports, or 1.5 s of being up, rules it out. Maintenance waits for the whole 3 s as before.

--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -50,8 +50,12 @@
 	List time.Duration
 	// Call bounds one call to the platform.
 	Call time.Duration
-	// Quiet is how long after the start of a term no order is given, since the previous leader's may still be on its way.
+	// Quiet is how far apart two leaders' orders for one host must be.
 	Quiet time.Duration
+	// Move is how long the platform takes at least for an order; a host that is up had its last order no sooner.
+	Move time.Duration
+	// Skew is how far two hosts' wall clocks may be apart.
+	Skew time.Duration
 }
 
 // DefaultSettings returns the usual times.
@@ -62,7 +66,9 @@
 		Interval: 100 * time.Millisecond, List: 250 * time.Millisecond,
 		// Hundreds of the platform's usual answers.
 		Call:  3 * time.Second,
-		Quiet: 3 * time.Second,
+		Quiet: 3 * time.Second, Move: 1500 * time.Millisecond,
+		// Three times the largest step of a clock that the platform team names.
+		Skew: 6 * time.Second,
 	}
 }
 
@@ -109,10 +115,16 @@
 		k.loadWaves(ctx)
 		now := k.deps.Clock.Now()
 		k.observe(now)
-		if now.Before(quiet) || !k.deps.Term.Valid() || !k.state.usable() {
+		if !k.deps.Term.Valid() || !k.state.usable() {
+			continue
+		}
+		view := k.view(now, now.Before(quiet))
+		if now.Before(quiet) {
+			// The previous leader may have begun maintenance that the list does not show yet; a wave's limit would be exceeded.
+			view.Waves = nil
+			k.act(ctx, fleetplan.Decide(k.deps.Settings.Plan, view))
 			continue
 		}
-		view := k.view(now)
 		k.release(view)
 		k.deps.Pools.SetDue(due(view))
 		k.act(ctx, fleetplan.Decide(k.deps.Settings.Plan, view))
@@ -148,7 +160,7 @@
 		if k.state.lose() {
 			k.deps.Log.Warn().Err(err).Msg("the list of hosts cannot be read; no orders until it can")
 		}
-	case k.state.replace(hosts, asked):
+	case k.state.replace(hosts, asked, k.deps.Clock.Now()):
 		k.deps.Log.Info().Int("hosts", len(hosts)).Msg("the list of hosts can be read")
 	}
 }
--- a/internal/fleetkeeper/state.go
+++ b/internal/fleetkeeper/state.go
@@ -14,6 +14,7 @@
 	listed bool
 	lost   bool // the list of hosts cannot be read
 	hosts  []jaybarrow.FleetHost
+	up     map[jaybarrow.HostID]time.Time // since when each host has been listed as up
 	orders map[jaybarrow.HostID]*order
 	needs  map[jaybarrow.PoolID]*need
 	waves  map[jaybarrow.WaveID]*wave
@@ -51,20 +52,25 @@
 
 func newState() state {
 	return state{
-		lock: new(sync.Mutex), orders: make(map[jaybarrow.HostID]*order),
+		lock: new(sync.Mutex), up: make(map[jaybarrow.HostID]time.Time), orders: make(map[jaybarrow.HostID]*order),
 		needs: make(map[jaybarrow.PoolID]*need), waves: make(map[jaybarrow.WaveID]*wave),
 	}
 }
 
 // replace takes over a list that was asked for at the time, and forgets orders that it shows as finished. It reports whether
 // there was no answer before.
-func (s *state) replace(hosts []jaybarrow.FleetHost, asked time.Time) bool {
+func (s *state) replace(hosts []jaybarrow.FleetHost, asked, now time.Time) bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.hosts = hosts
 	byID := make(map[jaybarrow.HostID]jaybarrow.FleetHost, len(hosts))
 	for _, h := range hosts {
 		byID[h.ID] = h
+		if _, known := s.up[h.ID]; h.State != jaybarrow.FleetHostUp {
+			delete(s.up, h.ID)
+		} else if !known {
+			s.up[h.ID] = now
+		}
 	}
 	for id, o := range s.orders {
 		h, ok := byID[id]
--- a/internal/fleetkeeper/view.go
+++ b/internal/fleetkeeper/view.go
@@ -73,8 +73,8 @@
 	return any
 }
 
-// view returns the state to decide on.
-func (k *Keeper) view(now time.Time) fleetplan.State {
+// view returns the state to decide on. With taking over, the orders of the previous leader still count.
+func (k *Keeper) view(now time.Time, takingOver bool) fleetplan.State {
 	loads := k.deps.Pools.Loads(now)
 	workers := make(map[jaybarrow.WorkerID]workload.WorkerLoad)
 	for _, l := range loads {
@@ -98,6 +98,7 @@
 		}
 		out.Hosts = append(out.Hosts, fleetplan.Host{
 			FleetHost: h, Known: known, Usable: w.Usable, Reserved: w.Reserved, Ordered: o != nil, Runs: w.Runs, Lasting: w.Lasting,
+			Unsettled: takingOver && k.unsettled(h.ID, w, now),
 		})
 	}
 	for id := range loads {
@@ -116,6 +117,18 @@
 	return out
 }
 
+// unsettled reports whether a previous leader may have given an order for the host within Quiet. An order ends the host's worker
+// at once and takes at least Move, so that it is ruled out by an old worker that reports, and by a host that has been up for the
+// rest of Quiet. The state's lock is held.
+func (k *Keeper) unsettled(id jaybarrow.HostID, w workload.WorkerLoad, now time.Time) bool {
+	s := k.deps.Settings
+	if w.Usable && w.BornMs > 0 && now.Sub(time.UnixMilli(w.BornMs)) > s.Quiet+s.Skew {
+		return false
+	}
+	up, seen := k.state.up[id]
+	return !seen || now.Sub(up) < s.Quiet-s.Move
+}
+
 // waveView returns the wave unless it has ended.
 func (k *Keeper) waveView(w *wave, now time.Time) []fleetplan.Wave {
 	if !w.loaded {
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -44,13 +44,15 @@
 	Usable   bool
 	Reserved bool
 	Ordered  bool // an order for it is under way
-	Runs     int
-	Lasting  int
+	// Unsettled means that a previous leader may have given an order for it so lately that another one must wait.
+	Unsettled bool
+	Runs      int
+	Lasting   int
 }
 
 // idle reports whether the host could leave its pool at once.
 func (h Host) idle(spare bool) bool {
-	return h.State == jaybarrow.FleetHostUp && !h.Ordered && !h.Reserved && (spare || h.Known && h.Runs == 0)
+	return h.State == jaybarrow.FleetHostUp && !h.Ordered && !h.Unsettled && !h.Reserved && (spare || h.Known && h.Runs == 0)
 }
 
 // serving reports whether the host takes tasks.
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -11,6 +11,7 @@
 	ID       jaybarrow.WorkerID
 	Usable   bool
 	Reserved bool
+	BornMs   int64 // wall clock of the worker's start; 0: not known
 	Runs     int
 	Lasting  int // of the runs
 }
@@ -30,7 +31,8 @@
 			continue
 		}
 		l := WorkerLoad{
-			ID: w.entry.ID, Usable: w.usable(now, p.settings.Suspect) || w.reserved && w.failing == 0, Reserved: w.reserved, Runs: len(w.runs),
+			ID: w.entry.ID, Usable: w.usable(now, p.settings.Suspect) || w.reserved && w.failing == 0, Reserved: w.reserved,
+			BornMs: w.bornMs, Runs: len(w.runs),
 		}
 		for _, r := range w.runs {
 			if r.task.step.spec.Lasting {
