End the lease of a leader whose process has started again

Ruled out: ending the lease of a leader that refuses connections, since a cut between data centres can refuse them too. Change: the record names its lease; a process at the address of the record's writer ends it, as the writer can only be gone. The test fails without it.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -22,6 +22,12 @@
 	Entry   jaybarrow.EntryID  `json:"entry"`
 	Address jaybarrow.Address  `json:"address"` // of its peer server
 	Change  jaybarrow.ChangeID `json:"change"`  // recognizes the own write when its answer was lost
+	Lease   jaybarrow.LeaseID  `json:"lease"`   // of the record
+}
+
+// Replaces reports whether a process of h can only run once the process of other has ended: both listen at one address.
+func (h Holder) Replaces(other Holder) bool {
+	return h.Entry == other.Entry && h.Address == other.Address
 }
 
 // Settings are the times of an election.
@@ -169,6 +175,7 @@
 	for ctx.Err() == nil {
 		changed := l.Changed()
 		if !l.vacant() {
+			l.endAbandoned()
 			select {
 			case <-ctx.Done():
 			case <-changed:
@@ -185,6 +192,17 @@
 	}
 }
 
+// endAbandoned ends the lease of a record that an earlier process at this address wrote, or that this one wrote without hearing
+// of it: nobody serves under it, and the fleet would only wait for its end.
+func (l *Leader) endAbandoned() {
+	holder, held := l.Holder()
+	if !held || !l.deps.Self.Replaces(holder) {
+		return
+	}
+	l.deps.Log.Info().Str("holder", string(holder.Entry)).Msg("ends the lease of a process that is gone")
+	l.release(holder.Lease)
+}
+
 // handicap returns how long this entry host leaves the lead to larger ones.
 func (l *Leader) handicap() time.Duration {
 	return time.Duration(float64(l.deps.Settings.Handicap) / max(minCapacity, l.deps.Settings.Capacity))
@@ -205,11 +223,6 @@
 	d := l.deps
 	self := d.Self
 	self.Change = d.NewChange()
-	value, err := json.Marshal(self)
-	if err != nil {
-		d.Log.Error().Err(err).Msg("cannot encode the leader's record")
-		return false
-	}
 	begun, err := boottime.Now()
 	if err != nil {
 		d.Log.Error().Err(err).Msg("cannot read the clock")
@@ -222,6 +235,12 @@
 		d.Log.Info().Err(err).Msg("cannot campaign")
 		return false
 	}
+	self.Lease = lease
+	value, err := json.Marshal(self)
+	if err != nil {
+		d.Log.Error().Err(err).Msg("cannot encode the leader's record")
+		return false
+	}
 	revision, err := call(ctx, d.Settings.Call, func(ctx context.Context) (jaybarrow.Revision, error) {
 		return d.Store.Commit(ctx, jaybarrow.Commit{
 			Expect: []jaybarrow.Expectation{{Key: jaybarrow.JobLeaderKey}},
--- /dev/null
+++ b/internal/leader/leader_test.go
@@ -0,0 +1,139 @@
+package leader_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/identity"
+	"github.com/jaybarrow/jaybarrow/internal/leader"
+)
+
+// patience is how long a test waits for what must happen.
+const patience = 30 * time.Second
+
+// store holds the leader's record; its leases end only when they are revoked.
+type store struct {
+	jaybarrow.JobStore
+	lock     sync.Mutex
+	record   jaybarrow.Record
+	lease    jaybarrow.LeaseID // of the record
+	granted  jaybarrow.LeaseID // the last one
+	revision jaybarrow.Revision
+	changed  chan struct{} // closed at the next change
+}
+
+func newStore(holder leader.Holder) *store {
+	value, err := json.Marshal(holder)
+	if err != nil {
+		panic(err)
+	}
+	return &store{
+		record: jaybarrow.Record{Key: jaybarrow.JobLeaderKey, Value: value, Revision: 1}, lease: holder.Lease, granted: holder.Lease,
+		revision: 1, changed: make(chan struct{}),
+	}
+}
+
+// change is called with the lock held.
+func (s *store) change(r jaybarrow.Record) {
+	s.revision++
+	s.record = r
+	s.record.Key, s.record.Revision = jaybarrow.JobLeaderKey, s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) List(context.Context, jaybarrow.Key) ([]jaybarrow.Record, jaybarrow.Revision, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.record.Deleted {
+		return nil, s.revision, nil
+	}
+	return []jaybarrow.Record{s.record}, s.revision, nil
+}
+
+func (s *store) Changes(ctx context.Context, _ jaybarrow.Key, after jaybarrow.Revision, wait time.Duration) ([]jaybarrow.Record, jaybarrow.Revision, error) {
+	limit := time.After(wait)
+	for {
+		s.lock.Lock()
+		changed, record, revision := s.changed, s.record, s.revision
+		s.lock.Unlock()
+		if revision > after {
+			return []jaybarrow.Record{record}, revision, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		case <-limit:
+			return nil, after, nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *store) Commit(_ context.Context, c jaybarrow.Commit) (jaybarrow.Revision, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if !s.record.Deleted {
+		return 0, jaybarrow.Errorf(jaybarrow.KindConflict, "there is a leader")
+	}
+	s.lease = c.Puts[0].Lease
+	s.change(jaybarrow.Record{Value: c.Puts[0].Value})
+	return s.revision, nil
+}
+
+func (s *store) GrantLease(context.Context, time.Duration) (jaybarrow.LeaseID, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.granted++
+	return s.granted, nil
+}
+
+func (s *store) KeepAlive(context.Context, jaybarrow.LeaseID) error { return nil }
+
+func (s *store) RevokeLease(_ context.Context, lease jaybarrow.LeaseID) error {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if lease == s.lease && !s.record.Deleted {
+		s.change(jaybarrow.Record{Deleted: true})
+	}
+	return nil
+}
+
+// Guards against a fleet that waits for the lease of a leader whose process was killed and has started again.
+func TestARestartedLeaderDoesNotWaitForItsOldLease(t *testing.T) {
+	self := leader.Holder{Entry: "front-1", Address: "10.0.0.1:7000"}
+	earlier := self
+	earlier.Change, earlier.Lease = "earlier", 7
+	led := make(chan leader.Term, 1)
+	l := leader.New(leader.Deps{
+		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Store: newStore(earlier), Self: self, NewChange: identity.NewChangeID,
+		Settings: leader.DefaultSettings(),
+		Lead: func(ctx context.Context, term leader.Term) {
+			led <- term
+			<-ctx.Done()
+		},
+	})
+	defer l.Close()
+	select {
+	case term := <-led:
+		assert.Assert(t, term.Fence > 1)
+	case <-time.After(patience):
+		t.Fatal("the entry host does not lead")
+	}
+}
+
+// Guards against a lease that is taken away from a leader that may live.
+func TestOnlyAProcessAtTheSameAddressIsReplaced(t *testing.T) {
+	self := leader.Holder{Entry: "front-1", Address: "10.0.0.1:7000"}
+	assert.Assert(t, self.Replaces(leader.Holder{Entry: "front-1", Address: "10.0.0.1:7000", Change: "earlier"}))
+	assert.Assert(t, !self.Replaces(leader.Holder{Entry: "front-2", Address: "10.0.0.2:7000"}), "another entry host")
+	assert.Assert(t, !self.Replaces(leader.Holder{Entry: "front-1", Address: "10.0.0.9:7000"}), "the same name at another address")
+	assert.Assert(t, !self.Replaces(leader.Holder{Entry: "front-2", Address: "10.0.0.1:7000"}), "another name at the address")
+}
