Let hosts follow the demand: look ahead while it rises, lend idle hosts first, give back to an empty spare pool

Change: the need counts the work that arrives for each second, and grows by its trend for the time that a move takes; late work counts a quarter; the spare pool is known by the configuration; idle hosts of other pools go first; hosts go back after 2 s beyond the largest need of these 2 s. The course of a need is fleetplan.Need, without I/O.

--- /dev/null
+++ b/internal/fleetkeeper/keeper_test.go
@@ -0,0 +1,61 @@
+package fleetkeeper_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/fleetkeeper"
+	"github.com/jaybarrow/jaybarrow/internal/workload"
+)
+
+// Guards against two leaders that order one host shortly after one another, and against a takeover during which no host moves at
+// all: only hosts that the previous leader may have ordered lately must wait.
+func TestAfterATakeoverOnlyHostsThatMayHaveBeenOrderedWait(t *testing.T) {
+	clock := newManualClock()
+	worker := func(id jaybarrow.HostID, age time.Duration) workload.WorkerLoad {
+		return workload.WorkerLoad{ID: workerOf(id), Usable: true, BornMs: clock.Now().Add(-age).UnixMilli()}
+	}
+	settings := fleetkeeper.DefaultSettings()
+	settings.Plan.Keep = 0
+	k := newKeeper(
+		settings, clock,
+		[]jaybarrow.FleetHost{hostIn("batch", "old"), hostIn("batch", "young"), hostIn("rest", "due"), hostIn("reserve", "spare")},
+		newPools(map[jaybarrow.PoolID]workload.Load{
+			"desk":  {Waiting: jaybarrow.Resources{CPU: 2700}},
+			"batch": {Workers: []workload.WorkerLoad{worker("old", time.Hour), worker("young", time.Second)}},
+			"rest":  {Workers: []workload.WorkerLoad{worker("due", time.Hour)}, Used: jaybarrow.Resources{CPU: 900}},
+		}),
+		waves{{Wave: jaybarrow.Wave{ID: 1, Hosts: []jaybarrow.HostID{"due"}, AtOnce: 1, Within: time.Second}, Since: clock.Now()}},
+	)
+	k.run(2 * settings.Quiet)
+	k.Close()
+	at := func(id jaybarrow.HostID) time.Duration {
+		o, ok := k.fleet.firstOrder(id)
+		assert.Assert(t, ok, "no order for %s", id)
+		return o.at.Sub(k.began)
+	}
+	assert.Assert(t, at("old") < settings.Quiet-settings.Move, "the old host waited %v", at("old"))
+	assert.Assert(t, at("young") >= settings.Quiet-settings.Move, "the young host was ordered after %v", at("young"))
+	assert.Assert(t, at("spare") >= settings.Quiet-settings.Move, "the spare host was ordered after %v", at("spare"))
+	assert.Assert(t, at("due") >= settings.Quiet, "maintenance began after %v", at("due"))
+}
+
+// Guards against idle hosts that stay in their pools because the spare pool has no host at the moment.
+func TestIdleHostsGoBackToAnEmptySparePool(t *testing.T) {
+	clock := newManualClock()
+	var hosts []jaybarrow.FleetHost
+	var load workload.Load
+	for _, id := range []jaybarrow.HostID{"a", "b", "c", "d"} {
+		hosts = append(hosts, hostIn("desk", id))
+		load.Workers = append(load.Workers, workload.WorkerLoad{ID: workerOf(id), Usable: true, BornMs: clock.Now().Add(-time.Hour).UnixMilli()})
+	}
+	settings := fleetkeeper.DefaultSettings()
+	settings.Plan.Keep = 1
+	k := newKeeper(settings, clock, hosts, newPools(map[jaybarrow.PoolID]workload.Load{"desk": load}), nil)
+	k.run(settings.Quiet + 2*settings.Plan.IdleReturn)
+	k.Close()
+	assert.Equal(t, k.fleet.movedTo("reserve"), len(hosts)-settings.Plan.Keep)
+}
--- a/internal/fleetkeeper/state.go
+++ b/internal/fleetkeeper/state.go
@@ -16,7 +16,7 @@
 	hosts  []jaybarrow.FleetHost
 	up     map[jaybarrow.HostID]time.Time // since when each host has been listed as up
 	orders map[jaybarrow.HostID]*order
-	needs  map[jaybarrow.PoolID]*need
+	needs  map[jaybarrow.PoolID]*fleetplan.Need
 	waves  map[jaybarrow.WaveID]*wave
 }
 
@@ -30,17 +30,6 @@
 	done     bool
 }
 
-// need is the recent need of a pool.
-type need struct {
-	samples []sample
-	low     time.Time // since when the need has been low
-}
-
-type sample struct {
-	at    time.Time
-	hosts float64
-}
-
 // wave is the progress of a wave.
 type wave struct {
 	KnownWave
@@ -53,7 +42,7 @@
 func newState() state {
 	return state{
 		lock: new(sync.Mutex), up: make(map[jaybarrow.HostID]time.Time), orders: make(map[jaybarrow.HostID]*order),
-		needs: make(map[jaybarrow.PoolID]*need), waves: make(map[jaybarrow.WaveID]*wave),
+		needs: make(map[jaybarrow.PoolID]*fleetplan.Need), waves: make(map[jaybarrow.WaveID]*wave),
 	}
 }
 
--- a/internal/fleetkeeper/view.go
+++ b/internal/fleetkeeper/view.go
@@ -18,37 +18,22 @@
 	for id, l := range loads {
 		n := k.state.needs[id]
 		if n == nil {
-			n = &need{low: now}
+			n = fleetplan.NewNeed(k.deps.Settings.Plan)
 			k.state.needs[id] = n
 		}
-		n.add(now, k.hostsFor(id, l), k.deps.Settings.Plan.Calm)
+		n.Add(now, k.hostsFor(id, l))
 	}
 }
 
-// add takes a sample and drops those older than calm.
-func (n *need) add(now time.Time, hosts float64, calm time.Duration) {
-	before := n.recent()
-	n.samples = append(n.samples, sample{now, hosts})
-	n.samples = slices.DeleteFunc(n.samples, func(s sample) bool { return now.Sub(s.at) > calm })
-	// A need that grows by more than a host ends the calm.
-	if hosts > before+1 {
-		n.low = now
-	}
-}
-
-func (n *need) recent() float64 {
-	most := 0.0
-	for _, s := range n.samples {
-		most = max(most, s.hosts)
-	}
-	return most
-}
-
 // hostsFor returns how many hosts of the pool's usual size the load needs.
 func (k *Keeper) hostsFor(id jaybarrow.PoolID, l workload.Load) float64 {
 	size := k.size(id)
+	plan := k.deps.Settings.Plan
 	all := l.Used.Plus(l.Waiting)
-	return max(part(all.CPU, size.CPU), part(all.Memory, size.Memory), part(all.Accelerators, size.Accelerators)) / k.deps.Settings.Plan.Fill
+	hosts := func(r jaybarrow.Resources) float64 {
+		return max(part(r.CPU, size.CPU), part(r.Memory, size.Memory), part(r.Accelerators, size.Accelerators))
+	}
+	return max(hosts(all)+plan.Late*hosts(l.Late), hosts(l.Lasting.Plus(l.Offered))) / plan.Fill
 }
 
 func part[T ~int | ~int64](used, capacity T) float64 {
@@ -86,28 +71,34 @@
 	defer k.state.lock.Unlock()
 	var out fleetplan.State
 	joining := make(map[jaybarrow.PoolID]int)
-	up := make(map[jaybarrow.PoolID]bool)
+	known := make(map[jaybarrow.PoolID]bool)
 	for _, h := range k.state.hosts {
-		w, known := workers[h.Worker]
+		w, reports := workers[h.Worker]
 		o := k.state.orders[h.ID]
-		up[h.Pool] = true
+		known[h.Pool] = true
 		if o != nil && o.to != "" {
 			joining[o.to]++
-		} else if o == nil && (h.State == jaybarrow.FleetHostMoving || h.State == jaybarrow.FleetHostUp && !known) && !k.spare(h.Pool) {
+		} else if o == nil && (h.State == jaybarrow.FleetHostMoving || h.State == jaybarrow.FleetHostUp && !reports) && !k.spare(h.Pool) {
 			joining[h.Pool]++
 		}
 		out.Hosts = append(out.Hosts, fleetplan.Host{
-			FleetHost: h, Known: known, Usable: w.Usable, Reserved: w.Reserved, Ordered: o != nil, Runs: w.Runs, Lasting: w.Lasting,
+			FleetHost: h, Known: reports, Usable: w.Usable, Reserved: w.Reserved, Ordered: o != nil, Runs: w.Runs, Lasting: w.Lasting,
 			Unsettled: takingOver && k.unsettled(h.ID, w, now),
 		})
 	}
 	for id := range loads {
-		up[id] = true
+		known[id] = true
+	}
+	// A pool that has no hosts at the moment can still receive some.
+	if c := k.deps.Catalog.Configuration(); c != nil {
+		for _, p := range c.Pools {
+			known[p.ID] = true
+		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(up)) {
+	for _, id := range slices.Sorted(maps.Keys(known)) {
 		p := fleetplan.Pool{ID: id, Spare: k.spare(id), Joining: joining[id]}
-		if n := k.state.needs[id]; n != nil && len(n.samples) > 0 {
-			p.Need, p.Recent, p.IdleFor = n.samples[len(n.samples)-1].hosts, n.recent(), now.Sub(n.low)
+		if n := k.state.needs[id]; n != nil {
+			n.Fill(&p, now)
 		}
 		out.Pools = append(out.Pools, p)
 	}
--- /dev/null
+++ b/internal/fleetplan/need.go
@@ -0,0 +1,86 @@
+package fleetplan
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Need is the course of a pool's need of hosts over the last while.
+type Need struct {
+	settings Settings
+	since    time.Time // of the first sample
+	samples  []sample
+}
+
+type sample struct {
+	at    time.Time
+	hosts float64
+}
+
+// NewNeed returns a Need without samples.
+func NewNeed(s Settings) *Need { return &Need{settings: s} }
+
+// Add takes a sample.
+func (n *Need) Add(now time.Time, hosts float64) {
+	if n.since.IsZero() {
+		n.since = now
+	}
+	n.samples = append(n.samples, sample{now, hosts})
+	keep := max(n.settings.Calm, n.settings.IdleReturn, trendApart+trendRecent)
+	n.samples = slices.DeleteFunc(n.samples, func(s sample) bool { return now.Sub(s.at) > keep })
+}
+
+// Fill sets the pool's figures that follow from the course.
+func (n *Need) Fill(p *Pool, now time.Time) {
+	if len(n.samples) == 0 {
+		return
+	}
+	p.Need = n.expected(now)
+	p.Recent = n.most(now, n.settings.Calm)
+	p.Steady = math.Inf(1)
+	if now.Sub(n.since) >= n.settings.IdleReturn {
+		p.Steady = n.most(now, n.settings.IdleReturn)
+	}
+}
+
+// The times of a trend: the mean of the last trendRecent is compared with that of the same time trendApart before. Shorter times
+// would follow single jobs, longer ones come too late for a move.
+const (
+	trendRecent = 300 * time.Millisecond
+	trendApart  = 600 * time.Millisecond
+)
+
+// expected returns the last sample and, if the need has been rising, by how much it will have grown after Lead.
+func (n *Need) expected(now time.Time) float64 {
+	last := n.samples[len(n.samples)-1].hosts
+	recent, ok := n.mean(now.Add(-trendRecent), now)
+	before, known := n.mean(now.Add(-trendApart-trendRecent), now.Add(-trendApart))
+	if !ok || !known {
+		return last
+	}
+	return last + max(0, recent-before)*n.settings.Lead.Seconds()/trendApart.Seconds()
+}
+
+// mean returns the mean of the samples after from until to; false when there are none.
+func (n *Need) mean(from, to time.Time) (float64, bool) {
+	sum, count := 0.0, 0
+	for _, s := range n.samples {
+		if s.at.After(from) && !s.at.After(to) {
+			sum += s.hosts
+			count++
+		}
+	}
+	return sum / float64(max(1, count)), count > 0
+}
+
+// most returns the largest sample of the last while.
+func (n *Need) most(now time.Time, while time.Duration) float64 {
+	most := 0.0
+	for _, s := range n.samples {
+		if now.Sub(s.at) <= while {
+			most = max(most, s.hosts)
+		}
+	}
+	return most
+}
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -19,6 +19,10 @@
 	Calm time.Duration
 	// IdleReturn is how long hosts beyond the need stay in a pool before they go back to the spare pool.
 	IdleReturn time.Duration
+	// Lead is how far ahead a rising need is looked at: hosts that are asked for now serve after that time.
+	Lead time.Duration
+	// Late is the part of the waiting work of late jobs that hosts are planned for.
+	Late float64
 	// Round is how long the drain and the maintenance of one host take together, for the pace of a wave.
 	Round time.Duration
 }
@@ -30,8 +34,11 @@
 		Keep: 2,
 		// About the run time of a short task: the need of a pool that is still busy does not fall for longer.
 		Calm: time.Second,
-		// A move there and back costs as much as two seconds in a pool, and takes three.
-		IdleReturn: 6 * time.Second,
+		// A move there and back costs as much as two seconds in a pool.
+		IdleReturn: 2 * time.Second,
+		// A move and the time until the next decision.
+		Lead: 1600 * time.Millisecond,
+		Late: 0.25,
 		// The longest usual task and a maintenance of 2 s.
 		Round: 6 * time.Second,
 	}
@@ -67,7 +74,7 @@
 	Need    float64 // hosts' worth of running and waiting work
 	Recent  float64 // the largest Need of the last while
 	Joining int     // hosts on their way to it
-	IdleFor time.Duration
+	Steady  float64 // the largest Need since IdleReturn ago; +Inf: not known for that long
 }
 
 // Wave is a wave that has not ended.
@@ -233,7 +240,8 @@
 	d.orders.Moves = append(d.orders.Moves, Move{h, to, reason})
 }
 
-// lender returns the idle host that its pool misses least: a spare one, or one of the pool with the most beyond its need.
+// lender returns the idle host that its pool misses least: one of the pool with the most beyond its need, else a spare one. Both
+// arrive as soon, but the first costs something where it is.
 func (d *decision) lender(to jaybarrow.PoolID) (Host, bool) {
 	best, most := Host{}, math.Inf(-1)
 	for _, h := range d.state.Hosts {
@@ -244,11 +252,11 @@
 		if !h.idle(spare) {
 			continue
 		}
-		beyond := math.Inf(1)
+		beyond := 0.0
 		if !spare {
 			beyond = d.beyond(h.Pool)
 		}
-		if beyond >= 1 && beyond > most {
+		if (spare || beyond >= 1) && beyond > most {
 			best, most = h, beyond
 		}
 	}
@@ -275,7 +283,7 @@
 		if !known || p.Spare || d.taken[h.ID] || !h.idle(false) {
 			continue
 		}
-		if p.IdleFor >= d.settings.IdleReturn && d.beyond(h.Pool) >= 1 {
+		if float64(d.serves[p.ID]-d.settings.Keep)-p.Steady >= 1 {
 			d.move(h, d.state.Pools[target].ID, "nobody needs it")
 		}
 	}
--- /dev/null
+++ b/internal/workload/load_test.go
@@ -0,0 +1,38 @@
+package workload_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// Guards against hosts that are asked for only once work has piled up, and against those that a single job or an old one asks for.
+func TestOfferedLoadFollowsTheRateOfArrivals(t *testing.T) {
+	b := newBench(t)
+	offered := func() jaybarrow.Millicores { return b.pool.Load(b.now).Offered.CPU }
+	b.add("a", tasks(2, 1000))
+	assert.Equal(t, offered(), jaybarrow.Millicores(0))
+	b.add("b", tasks(2, 1000))
+	one := offered()
+	assert.Assert(t, one > 0)
+	b.add("c", tasks(2, 1000))
+	assert.Assert(t, offered() >= 2*one-1 && offered() <= 2*one+1, "%d after three jobs, %d after two", offered(), one)
+	b.wait(time.Second)
+	assert.Equal(t, offered(), jaybarrow.Millicores(0))
+}
+
+// Guards against hosts for work that is late whatever is done, in the place of work that can be in time.
+func TestWaitingWorkIsSplitByWhetherItCanBeInTime(t *testing.T) {
+	b := newBench(t)
+	b.add("a", tasks(2, 1000))
+	load := b.pool.Load(b.now)
+	assert.Equal(t, load.Waiting.CPU, jaybarrow.Millicores(2000))
+	assert.Equal(t, load.Late.CPU, jaybarrow.Millicores(0))
+	b.wait(time.Hour)
+	load = b.pool.Load(b.now)
+	assert.Equal(t, load.Waiting.CPU, jaybarrow.Millicores(0))
+	assert.Equal(t, load.Late.CPU, jaybarrow.Millicores(2000))
+}
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -67,15 +67,22 @@
 	return waiting
 }
 
-// rank orders lasting jobs first, which are few and wait for no turn, then jobs in time, then late ones.
+// The ranks of jobs: lasting ones, which are few and wait for no turn, then those in time, then late ones.
+const (
+	rankLasting = iota
+	rankInTime
+	rankLate
+)
+
+// rank returns the job's rank; a lower one is served first.
 func (j *job) rank(now time.Time) int {
 	switch {
 	case j.spec.Lasting():
-		return 0
+		return rankLasting
 	case now.Add(j.chain).Before(j.due):
-		return 1
+		return rankInTime
 	}
-	return 2
+	return rankLate
 }
 
 func (p *Pool) placeStep(s *step, open []*worker, now time.Time) {
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -39,13 +39,14 @@
 	observer Observer
 	policies func(jaybarrow.QueueID) (Policy, bool)
 
-	jobs    map[jaybarrow.JobID]*job
-	ended   map[jaybarrow.JobID]endedJob
-	workers map[jaybarrow.WorkerID]*worker
-	urgent  map[*job]bool // changed; starts or answers wait for the write
-	changed map[*job]bool // changed; the write may wait
-	since   time.Time     // when the first change that is not written was made
-	orphans []StopRun
+	jobs     map[jaybarrow.JobID]*job
+	ended    map[jaybarrow.JobID]endedJob
+	workers  map[jaybarrow.WorkerID]*worker
+	urgent   map[*job]bool // changed; starts or answers wait for the write
+	changed  map[*job]bool // changed; the write may wait
+	since    time.Time     // when the first change that is not written was made
+	arrivals arrivals
+	orphans  []StopRun
 }
 
 type endedJob struct {
@@ -91,6 +92,7 @@
 	}
 	j := newJob(spec, policy)
 	p.jobs[spec.ID] = j
+	p.arrivals.add(spec, earlier(j.accepted, now))
 	if stored != nil {
 		j.restore(*stored)
 		p.inherit(j, *stored, now)
@@ -98,6 +100,14 @@
 	}
 }
 
+// earlier returns the earlier of two times; another host's clock may be ahead.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // inherit rebuilds the runs that a previous scheduler assigned.
 func (p *Pool) inherit(j *job, stored Record, now time.Time) {
 	n := 0
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -20,7 +20,10 @@
 type Load struct {
 	Workers []WorkerLoad
 	Used    jaybarrow.Resources // by runs that count as used capacity
-	Waiting jaybarrow.Resources // by tasks that could start now
+	Lasting jaybarrow.Resources // by those of lasting tasks
+	Waiting jaybarrow.Resources // by tasks that could start now, of jobs that can still meet their target
+	Late    jaybarrow.Resources // by those of jobs that cannot
+	Offered jaybarrow.Resources // what runs on average while jobs arrive as they did lately
 }
 
 // Load returns the pool's load.
@@ -37,18 +40,26 @@
 		for _, r := range w.runs {
 			if r.task.step.spec.Lasting {
 				l.Lasting++
+				out.Lasting = out.Lasting.Plus(r.demand)
 			}
 		}
 		out.Workers = append(out.Workers, l)
 		out.Used = out.Used.Plus(w.used)
 	}
+	out.Offered = p.arrivals.offered(now)
 	for _, j := range p.jobs {
 		if j.state.Ended() {
 			continue
 		}
 		for _, s := range j.steps {
-			if s.idle > 0 && s.ready(now) {
-				out.Waiting = out.Waiting.Plus(s.spec.Demand.Times(s.idle))
+			if s.idle == 0 || !s.ready(now) {
+				continue
+			}
+			demand := s.spec.Demand.Times(s.idle)
+			if j.rank(now) == rankLate {
+				out.Late = out.Late.Plus(demand)
+			} else {
+				out.Waiting = out.Waiting.Plus(demand)
 			}
 		}
 	}
