Hold the lead under a lease of one second

Ruled out: a shorter worker's lease; tasks of workers that cannot be reached are late either way. Change: the shortest lease that the store grants, renewed each 250 ms; renewals overlap, so a slow store does not cost the lead.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -47,9 +47,9 @@
 // DefaultSettings returns the usual times.
 func DefaultSettings() Settings {
 	return Settings{
-		// Half as much again as the shortest lease that the store grants: it bears two lost renewals.
-		Lease: 1500 * time.Millisecond,
-		Renew: 350 * time.Millisecond,
+		// The shortest lease that the store grants: it bears two lost renewals, and a successor waits for no longer.
+		Lease: time.Second,
+		Renew: 250 * time.Millisecond,
 		// A hundred times the store's usual answer.
 		Call: 600 * time.Millisecond,
 		// A few round trips to the store, so that most candidates see the first one's write before they try.
--- a/internal/workload/settings.go
+++ b/internal/workload/settings.go
@@ -25,7 +25,7 @@
 // DefaultSettings returns the settings for a lease that a worker accepts whole.
 func DefaultSettings() Settings {
 	return Settings{
-		// Four times the time to live of the scheduler's own lease, so that a successor reaches every worker before it lapses.
+		// Five times the time to live of the scheduler's own lease, so that a successor reaches every worker before it lapses.
 		Lease: 5 * time.Second,
 		Renew: time.Second,
 		// The longest wait that workers grant.
