Announce accepted jobs to the leader; notice a silent watch of the register within half a second

Cause: after the store forgets its history its watches hear nothing for a second. Ruled out: reading the list of accepted jobs again and again, which costs a call of the store each time. Change: the entry host that stored a job or a cancellation tells the leader over the peer connection, without waiting for it; the store still counts, and announcements before the stored jobs are known are dropped. The register's watch waits for 0.5 s, since some worker renews its entry all the time. A new leader reads jobs and progress at once.

--- a/internal/jobhost/directory.go
+++ b/internal/jobhost/directory.go
@@ -66,6 +66,15 @@
 	return l.host.deps.Platform.Store.Commit(ctx, changes)
 }
 
+func (l local) Announce(record jaybarrow.Record) error {
+	s := l.host.current.Load()
+	if s == nil {
+		return notLeading()
+	}
+	s.Announce(record)
+	return nil
+}
+
 func (l local) Newest(_ context.Context, version jaybarrow.ConfigurationVersion) ([]byte, int64, error) {
 	c := l.host.catalog.Configuration()
 	age, known := l.host.catalog.Age(l.host.deps.Clock.Now())
@@ -92,6 +101,9 @@
 // Commit writes directly, and through the leader when the store certainly did nothing.
 func (r relay) Commit(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
 	revision, err := r.JobStore.Commit(ctx, changes)
+	if err == nil {
+		r.host.announcer.announce(changes, revision)
+	}
 	if err == nil || jaybarrow.IsKind(err, jaybarrow.KindConflict) || jaybarrow.AsError(err).Effect != jaybarrow.EffectNotRun {
 		return revision, err
 	}
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -80,12 +80,13 @@
 	group   conc.WaitGroup
 	leaving atomic.Bool
 
-	catalog *catalog.Catalog
-	leader  *leader.Leader
-	waves   waves
-	client  *jobpeer.Client
-	server  *jobpeer.Server
-	current atomic.Pointer[scheduler.Scheduler] // nil while another entry host leads
+	catalog   *catalog.Catalog
+	leader    *leader.Leader
+	waves     waves
+	announcer *announcer
+	client    *jobpeer.Client
+	server    *jobpeer.Server
+	current   atomic.Pointer[scheduler.Scheduler] // nil while another entry host leads
 
 	// Authorizer, Accept, Cancel, State and Waiting serve the front end.
 	Authorizer *command.Authorizer
@@ -112,6 +113,7 @@
 		return 0
 	})
 	h.waves.operators = d.Platform.Operators
+	h.announcer = &announcer{host: h, log: logging.For(d.Log, "peer")}
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
 	commands := command.Deps{Clock: d.Clock, Store: relay{JobStore: d.Platform.Store, host: h}, Authorizer: h.Authorizer, Settings: d.Settings.Command}
 	h.Accept, h.Cancel = command.NewAccept(commands), command.NewCancel(commands)
@@ -141,6 +143,7 @@
 func (h *Host) Close() {
 	h.Leave()
 	h.cancel()
+	h.announcer.close()
 	h.server.Close()
 	h.client.Close()
 	h.group.Wait()
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -141,6 +141,17 @@
 	return jaybarrow.Revision(answer.Revision), decodeFault(answer.Fault)
 }
 
+// Announce tells the peer of a record that is stored.
+func (c *Client) Announce(ctx context.Context, to jaybarrow.Address, record jaybarrow.Record) error {
+	answer, err := call(c, to, func(p jobpb.JobsClient) (*jobpb.AnnounceAnswer, error) {
+		return p.Announce(ctx, &jobpb.AnnounceRequest{Key: string(record.Key), Value: record.Value, Revision: int64(record.Revision)})
+	})
+	if err != nil {
+		return err
+	}
+	return decodeFault(answer.Fault)
+}
+
 // Newest asks for a configuration newer than the version and the age of its last confirmation in ms.
 func (c *Client) Newest(ctx context.Context, to jaybarrow.Address, version jaybarrow.ConfigurationVersion) ([]byte, int64, error) {
 	answer, err := call(c, to, func(p jobpb.JobsClient) (*jobpb.ConfigurationAnswer, error) {
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -17,6 +17,8 @@
 	jaybarrow.JobDirectory
 	// Commit writes to the store for an entry host that the store turns away.
 	Commit(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error)
+	// Announce takes a record that another entry host has stored.
+	Announce(record jaybarrow.Record) error
 	// Newest returns the encoded configuration if it is newer than the version, and the age of its last confirmation in ms.
 	Newest(ctx context.Context, version jaybarrow.ConfigurationVersion) ([]byte, int64, error)
 }
@@ -74,6 +76,12 @@
 	return &jobpb.CommitAnswer{Revision: int64(revision), Fault: encodeFault(err)}, nil
 }
 
+// Announce implements the service.
+func (s *Server) Announce(_ context.Context, in *jobpb.AnnounceRequest) (*jobpb.AnnounceAnswer, error) {
+	err := s.local.Announce(jaybarrow.Record{Key: jaybarrow.Key(in.Key), Value: in.Value, Revision: jaybarrow.Revision(in.Revision)})
+	return &jobpb.AnnounceAnswer{Fault: encodeFault(err)}, nil
+}
+
 // Configuration implements the service.
 func (s *Server) Configuration(ctx context.Context, in *jobpb.ConfigurationRequest) (*jobpb.ConfigurationAnswer, error) {
 	data, age, err := s.local.Newest(ctx, jaybarrow.ConfigurationVersion(in.Version))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
@@ -146,14 +147,7 @@
 	var first sync.Once
 	follow.Run(ctx, follow.Deps{Clock: s.deps.Clock, Log: s.deps.Log, Settings: s.deps.Settings.Input}, follow.Source[inputs]{
 		Name: "accepted jobs",
-		List: func(ctx context.Context) (inputs, jaybarrow.Revision, error) {
-			records, at, err := s.deps.Store.List(ctx, jaybarrow.JobInputPrefix)
-			if err != nil {
-				return inputs{}, 0, err
-			}
-			states, _, err := s.deps.Store.List(ctx, jaybarrow.JobStatePrefix)
-			return inputs{records: records, states: states}, at, err
-		},
+		List: s.listInput,
 		Changes: func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) (inputs, jaybarrow.Revision, error) {
 			records, at, err := s.deps.Store.Changes(ctx, jaybarrow.JobInputPrefix, after, wait)
 			return inputs{records: records}, at, err
@@ -171,6 +165,21 @@
 	})
 }
 
+// listInput reads the accepted jobs and the cancellations, and at first the progress of the jobs. The lists need no order among them:
+// only this term writes progress, and it begins after they are read.
+func (s *Scheduler) listInput(ctx context.Context) (inputs, jaybarrow.Revision, error) {
+	var out inputs
+	var at jaybarrow.Revision
+	var inputErr, stateErr error
+	var group conc.WaitGroup
+	group.Go(func() { out.records, at, inputErr = s.deps.Store.List(ctx, jaybarrow.JobInputPrefix) })
+	if !s.knowsJobs() {
+		group.Go(func() { out.states, _, stateErr = s.deps.Store.List(ctx, jaybarrow.JobStatePrefix) })
+	}
+	group.Wait()
+	return out, at, errors.Join(inputErr, stateErr)
+}
+
 func (s *Scheduler) applyInputs(news inputs, now time.Time) {
 	stored := make(map[jaybarrow.JobID]*workload.Record, len(news.states))
 	for _, r := range news.states {
@@ -231,6 +240,24 @@
 	touched[p] = true
 }
 
+// Announce takes a record that an entry host has just stored. It is left to the store before the stored jobs are known, since a
+// job's progress would be missed.
+func (s *Scheduler) Announce(record jaybarrow.Record) {
+	if s.knowsJobs() {
+		s.applyInputs(inputs{records: []jaybarrow.Record{record}}, s.deps.Clock.Now())
+	}
+}
+
+// knowsJobs reports whether every stored job is known.
+func (s *Scheduler) knowsJobs() bool {
+	select {
+	case <-s.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
 // JobStatus returns the stored state of a job.
 func (s *Scheduler) JobStatus(ctx context.Context, id jaybarrow.JobID) (jaybarrow.JobStatus, error) {
 	if err := s.ready(ctx); err != nil {
@@ -273,9 +300,7 @@
 // Loads returns the load of each pool; none before the stored jobs are known.
 func (s *Scheduler) Loads(now time.Time) map[jaybarrow.PoolID]workload.Load {
 	out := make(map[jaybarrow.PoolID]workload.Load)
-	select {
-	case <-s.loaded:
-	default:
+	if !s.knowsJobs() {
 		return out
 	}
 	s.pools.Each(func(id jaybarrow.PoolID, p *poolShard) {
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -45,7 +45,8 @@
 		Input:       follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, Retry: 50 * time.Millisecond},
 		// Workers renew their entries all the time; the pause gathers them into a few answers a second.
 		Register: follow.Settings{
-			Wait: 2 * time.Second, Slack: 600 * time.Millisecond, Pause: 300 * time.Millisecond, Retry: 50 * time.Millisecond,
+			// Some worker renews its entry within this time; a watch that has heard of none is silent.
+			Wait: 500 * time.Millisecond, Slack: 400 * time.Millisecond, Pause: 300 * time.Millisecond, Retry: 50 * time.Millisecond,
 		},
 	}
 }
