Let a trend double a pool's need at most

Cause: jobs that the leader hears of all at once after a silence look like a steep rise; a pool asked for 55 hosts of 48. Ruled out: a longer time to compare with, which would come too late for the rise of a usual turn.

--- a/internal/fleetplan/need.go
+++ b/internal/fleetplan/need.go
@@ -51,7 +51,8 @@
 	trendApart  = 600 * time.Millisecond
 )
 
-// expected returns the last sample and, if the need has been rising, by how much it will have grown after Lead.
+// expected returns the last sample and, if the need has been rising, by how much it will have grown after Lead; at most it doubles,
+// since jobs that are heard of all at once are no trend.
 func (n *Need) expected(now time.Time) float64 {
 	last := n.samples[len(n.samples)-1].hosts
 	recent, ok := n.mean(now.Add(-trendRecent), now)
@@ -59,7 +60,8 @@
 	if !ok || !known {
 		return last
 	}
-	return last + max(0, recent-before)*n.settings.Lead.Seconds()/trendApart.Seconds()
+	growth := (recent - before) * n.settings.Lead.Seconds() / trendApart.Seconds()
+	return last + min(max(0, growth), last)
 }
 
 // mean returns the mean of the samples after from until to; false when there are none.
