--- a/internal/command/job/accept.go
+++ b/internal/command/job/accept.go
@@ -24,11 +24,13 @@
 	Clock      jaybarrow.Clock
 	Store      jaybarrow.JobStore
 	Authorizer *Authorizer
+	Directory  jaybarrow.JobDirectory
 	Settings   Settings
 }
 
 // Settings are the times of the commands.
 type Settings struct {
+	Ask   time.Duration  // for the scheduler's answer, before the store is read
 	Read  time.Duration  // for one read
 	Write hedge.Settings // each write is made on condition that it has not been made before
 }
@@ -36,6 +38,8 @@
 // DefaultSettings returns the usual times.
 func DefaultSettings() Settings {
 	return Settings{
+		// Tens of round trips between data centres.
+		Ask: 150 * time.Millisecond,
 		// Hundreds of the store's usual answers, and less than callers wait.
 		Read: time.Second,
 		// Twenty of the store's usual answers. A second call meets a new connection where the first one was silent.
--- a/internal/command/job/cancel.go
+++ b/internal/command/job/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/jaybarrow/jaybarrow"
 )
@@ -19,20 +20,43 @@
 // NewCancel returns a CancelHandler.
 func NewCancel(d Deps) *CancelHandler { return &CancelHandler{deps: d} }
 
-// Handle returns the job's id once the cancellation is stored; KindNotFound when there is no such job.
+// Handle returns the job's id once the cancellation is stored; KindNotFound when the team has no such job.
 func (h *CancelHandler) Handle(ctx context.Context, in Cancel) (jaybarrow.JobID, error) {
-	if _, err := h.deps.Authorizer.Team(in.Queue, in.Key); err != nil {
+	team, err := h.deps.Authorizer.Team(in.Queue, in.Key)
+	if err != nil {
 		return "", err
 	}
-	limited, cancel := context.WithTimeout(ctx, h.deps.Settings.Read)
-	defer cancel()
-	accepted, err := h.deps.Store.Get(limited, jaybarrow.JobAcceptedKey(in.ID))
+	owner, err := h.owner(ctx, in.ID)
 	if err != nil {
 		return "", err
 	}
+	if owner != team {
+		return "", jaybarrow.Errorf(jaybarrow.KindNotFound, "no job %s", in.ID)
+	}
 	key := jaybarrow.JobCancelledKey(in.ID)
 	return in.ID, writeOnce(ctx, h.deps, jaybarrow.Commit{
-		Expect: []jaybarrow.Expectation{{Key: key}, {Key: accepted.Key, Revision: accepted.Revision}},
-		Puts:   []jaybarrow.Put{{Key: key, Value: []byte("{}")}},
+		Expect: []jaybarrow.Expectation{{Key: key}}, Puts: []jaybarrow.Put{{Key: key, Value: []byte("{}")}},
 	})
 }
+
+// owner returns the team of an accepted job, from the scheduler if it knows the job and else from the store; KindNotFound when
+// there is no such job. Accepted jobs stay, so the answer holds when the cancellation is written.
+func (h *CancelHandler) owner(ctx context.Context, id jaybarrow.JobID) (jaybarrow.TeamID, error) {
+	asked, cancel := context.WithTimeout(ctx, h.deps.Settings.Ask)
+	status, err := h.deps.Directory.JobStatus(asked, id)
+	cancel()
+	if err == nil && status.Known {
+		return status.Team, nil
+	}
+	limited, cancel := context.WithTimeout(ctx, h.deps.Settings.Read)
+	defer cancel()
+	record, err := h.deps.Store.Get(limited, jaybarrow.JobAcceptedKey(id))
+	if err != nil {
+		return "", err
+	}
+	var job jaybarrow.Job
+	if err := json.Unmarshal(record.Value, &job); err != nil {
+		return "", jaybarrow.Errorf(jaybarrow.KindInternal, "read job %s: %w", id, err)
+	}
+	return job.Team, nil
+}
--- a/internal/jobhost/directory.go
+++ b/internal/jobhost/directory.go
@@ -63,7 +63,11 @@
 }
 
 func (l local) Commit(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
-	return l.host.deps.Platform.Store.Commit(ctx, changes)
+	revision, err := l.host.deps.Platform.Store.Commit(ctx, changes)
+	if err == nil {
+		l.host.announcer.announce(changes, revision)
+	}
+	return revision, err
 }
 
 func (l local) Announce(record jaybarrow.Record) error {
@@ -92,28 +96,6 @@
 	return jaybarrow.Errorf(jaybarrow.KindPeerLost, "this entry host does not lead")
 }
 
-// relay is a store that lets the leader write when the platform turns this entry host away.
-type relay struct {
-	jaybarrow.JobStore
-	host *Host
-}
-
-// Commit writes directly, and through the leader when the store certainly did nothing.
-func (r relay) Commit(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
-	revision, err := r.JobStore.Commit(ctx, changes)
-	if err == nil {
-		r.host.announcer.announce(changes, revision)
-	}
-	if err == nil || jaybarrow.IsKind(err, jaybarrow.KindConflict) || jaybarrow.AsError(err).Effect != jaybarrow.EffectNotRun {
-		return revision, err
-	}
-	holder, lost := r.host.holder()
-	if lost != nil {
-		return revision, err
-	}
-	return r.host.client.Commit(ctx, holder, changes)
-}
-
 // askPeers asks the leader for the configuration while the store does not confirm it here.
 func (h *Host) askPeers(ctx context.Context) {
 	log := logging.For(h.deps.Log, "operators")
