Clear up doubtful starts with a report at once; let the process that started last lead

Cause: a start without an answer waited for the worker's next report, up to 1 s, and after its stop for another one, since a run that never began has no end that would bring it. In a rolling restart the lead went to hosts that were about to be restarted themselves. Ruled out: stopping without a report first, which throws work away when only the answer was lost. Change: a report that does not wait is asked for beside the waiting order, after a start without an answer and after the stop of such a run. The wait before a campaign grows with the age of the process.

--- a/agents.go
+++ b/agents.go
@@ -115,6 +115,8 @@
 	Stop(ctx context.Context, worker Worker, task TaskRef, run RunNumber, fence FenceToken) error
 	// Hold waits up to order.Wait for an end and returns the worker's report.
 	Hold(ctx context.Context, worker Worker, order HoldOrder) (HoldReport, error)
+	// Look is Hold for an order that does not wait, beside one that does.
+	Look(ctx context.Context, worker Worker, order HoldOrder) (HoldReport, error)
 	// Pace lets a run work at the share from soon after the answer.
 	Pace(ctx context.Context, worker Worker, task TaskRef, run RunNumber, share Percent, fence FenceToken) error
 	// Forget closes the connections to a worker that has gone.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -39,9 +39,12 @@
 	// Handicap is the wait of an entry host with one core before a campaign; one with less waits longer in proportion, so that
 	// the scheduler runs where there is processor time for it.
 	Handicap time.Duration
-	Capacity float64       // cores of this entry host
-	Rest     time.Duration // after giving the lead away
-	Follow   follow.Settings
+	Capacity float64 // cores of this entry host
+	// Seniority is the wait before a campaign of a process that has run for Settled; a younger one waits less in proportion. A
+	// rolling restart takes each process once, so the one that started last leads the longest.
+	Seniority, Settled time.Duration
+	Rest               time.Duration // after giving the lead away
+	Follow             follow.Settings
 }
 
 // DefaultSettings returns the usual times.
@@ -56,6 +59,8 @@
 		Jitter: 15 * time.Millisecond,
 		// Hosts of 0.2 and 0.4 cores are then a few round trips to the store apart.
 		Handicap: 20 * time.Millisecond, Capacity: 1,
+		// More than the handicaps of two usual hosts are apart; a rolling restart of a dozen hosts takes half a minute.
+		Seniority: 60 * time.Millisecond, Settled: 30 * time.Second,
 		Rest:   3 * time.Second,
 		Follow: follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, Retry: 100 * time.Millisecond},
 	}
@@ -93,6 +98,7 @@
 	group   conc.WaitGroup
 	cancel  context.CancelFunc
 	changed *notify.Notifier
+	started time.Time
 
 	lock  sync.Mutex
 	known bool // whether the record was read
@@ -103,7 +109,7 @@
 // New returns a Leader that campaigns until it is closed.
 func New(d Deps) *Leader {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Leader{deps: d, cancel: cancel, changed: notify.New()}
+	l := &Leader{deps: d, cancel: cancel, changed: notify.New(), started: d.Clock.Now()}
 	l.group.Go(func() {
 		follow.Run(ctx, follow.Deps{Clock: d.Clock, Log: d.Log, Settings: d.Settings.Follow}, follow.Source[[]jaybarrow.Record]{
 			Name: "leader",
@@ -203,9 +209,11 @@
 	l.release(holder.Lease)
 }
 
-// handicap returns how long this entry host leaves the lead to larger ones.
+// handicap returns how long this entry host leaves the lead to larger ones, and to those that started later.
 func (l *Leader) handicap() time.Duration {
-	return time.Duration(float64(l.deps.Settings.Handicap) / max(minCapacity, l.deps.Settings.Capacity))
+	s := l.deps.Settings
+	age := min(1, float64(l.deps.Clock.Now().Sub(l.started))/float64(s.Settled))
+	return time.Duration(float64(s.Handicap)/max(minCapacity, s.Capacity) + float64(s.Seniority)*age)
 }
 
 // minCapacity is the least number of cores that the handicap tells apart.
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -85,6 +85,27 @@
 	return err
 }
 
+// look asks a worker for a report at once. A missing one says nothing: the waiting order tells whether the worker is lost.
+func (p *poolShard) look(ctx context.Context, id jaybarrow.WorkerID) {
+	p.lock.Lock()
+	sent := p.deps.Clock.Now()
+	worker, order, ok := p.work.LookOrder(id)
+	p.lock.Unlock()
+	if !ok {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, p.deps.Settings.Start)
+	defer cancel()
+	report, err := p.deps.Agents.Look(limited, worker, order)
+	p.log.Debug().Str("worker", string(id)).Err(err).Msg("look")
+	if err != nil {
+		return
+	}
+	p.lock.Lock()
+	p.work.Held(id, report, sent, p.deps.Clock.Now())
+	p.lock.Unlock()
+}
+
 // awaitStored waits until the ends that the worker listed are stored, since it would only list them again.
 func (p *poolShard) awaitStored(ctx context.Context, id jaybarrow.WorkerID) {
 	limit := p.deps.Clock.After(p.deps.Settings.Stored)
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -176,8 +176,11 @@
 		return
 	}
 	p.lock.Lock()
-	p.work.Started(s, outcome, p.deps.Clock.Now())
+	doubtful := p.work.Started(s, outcome, p.deps.Clock.Now())
 	p.lock.Unlock()
+	if doubtful {
+		p.look(ctx, s.Worker.ID)
+	}
 	p.signal()
 }
 
@@ -188,8 +191,12 @@
 	p.log.Info().Str("task", s.Task.String()).Int64("run", int64(s.Run)).Str("worker", string(s.Worker.ID)).
 		Err(err).Msg("stop")
 	p.lock.Lock()
-	p.work.Stopped(s, err == nil, p.deps.Clock.Now())
+	doubtful := p.work.Stopped(s, err == nil, p.deps.Clock.Now())
 	p.lock.Unlock()
+	if doubtful {
+		p.look(ctx, s.Worker.ID)
+		p.signal()
+	}
 }
 
 func (p *poolShard) pace(ctx context.Context, s workload.PaceRun) {
--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -97,6 +97,18 @@
 	return order
 }
 
+// look asks for a report at once; the worker has nothing to tell.
+func (b *bench) look(id jaybarrow.WorkerID) {
+	b.Helper()
+	_, order, ok := b.pool.LookOrder(id)
+	assert.Assert(b, ok)
+	assert.Equal(b, order.Expires, jaybarrow.WorkerClock(0))
+	b.wait(time.Millisecond)
+	sent := b.now
+	b.wait(time.Millisecond)
+	b.pool.Held(id, jaybarrow.HoldReport{Clock: b.clocks[id]}, sent, b.now)
+}
+
 // silent gives a hold order that stays without an answer.
 func (b *bench) silent(id jaybarrow.WorkerID) jaybarrow.HoldOrder {
 	b.Helper()
--- a/internal/workload/pool_test.go
+++ b/internal/workload/pool_test.go
@@ -111,6 +111,28 @@
 	assert.Equal(t, len(b.plan().Starts), 1)
 }
 
+// Guards against a task that waits for a report which nothing brings: neither a start without an answer nor the stop of a run that
+// never began has an end.
+func TestDoubtfulRunsAreLookedAt(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1")
+	b.add("j", tasks(1, 1000))
+	lost := b.plan().Starts
+	assert.Assert(t, b.pool.Started(lost[0], jaybarrow.StartUnknown, b.now))
+	b.look("w1")
+	stops := b.plan().Stops
+	assert.Equal(t, len(stops), 1)
+	assert.Assert(t, b.pool.Stopped(stops[0], true, b.now))
+	b.look("w1")
+	again := b.plan().Starts
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, !b.pool.Started(again[0], jaybarrow.StartDone, b.now))
+	b.pool.Cancel("j", b.now)
+	stops = b.plan().Stops
+	assert.Equal(t, len(stops), 1)
+	assert.Assert(t, !b.pool.Stopped(stops[0], true, b.now), "the end of a run that began is reported anyway")
+}
+
 // Guards against work that is thrown away because only the answer to its start was lost.
 func TestAStartWithoutAnswerIsAdoptedWhenItRuns(t *testing.T) {
 	b := newBench(t)
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -165,15 +165,15 @@
 	}
 }
 
-// Started takes a worker's answer to a start into account.
-func (p *Pool) Started(s StartRun, outcome jaybarrow.StartOutcome, now time.Time) {
+// Started takes a worker's answer to a start into account. It reports whether only a report can tell what became of the run.
+func (p *Pool) Started(s StartRun, outcome jaybarrow.StartOutcome, now time.Time) bool {
 	w := p.workers[s.Worker.ID]
 	if w == nil {
-		return
+		return false
 	}
 	r := w.runs[runKey{s.Task, s.Run}]
 	if r == nil || r.phase != runSent {
-		return
+		return false
 	}
 	r.since = now
 	p.observer.Answered(outcome)
@@ -181,13 +181,15 @@
 	case jaybarrow.StartDone:
 		r.phase, r.moved = runRunning, now
 	case jaybarrow.StartUnknown:
-		r.phase = runUncertain
+		r.phase, r.doubtful = runUncertain, true
+		return true
 	case jaybarrow.StartOld:
 		// A stop or an end of this run is known there; the next report tells which.
 		p.stop(r, now)
 	default:
 		p.refused(r, outcome, now)
 	}
+	return false
 }
 
 // refusalRest is how long a worker that refuses without having done anything receives no new task; its own reports come as often.
@@ -217,13 +219,27 @@
 	r.phase, r.since, r.stopSent, r.stopped = runStopping, now, time.Time{}, time.Time{}
 }
 
-// Stopped takes the answer to a stop into account.
-func (p *Pool) Stopped(s StopRun, answered bool, now time.Time) {
+// Stopped takes the answer to a stop into account. It reports whether only a report can tell that the run is not there: one that
+// never began has no end that a waiting order would bring.
+func (p *Pool) Stopped(s StopRun, answered bool, now time.Time) bool {
 	w := p.workers[s.Worker.ID]
 	if w == nil || !answered {
-		return
+		return false
+	}
+	r := w.runs[runKey{s.Task, s.Run}]
+	if r == nil || r.phase != runStopping {
+		return false
 	}
-	if r := w.runs[runKey{s.Task, s.Run}]; r != nil && r.phase == runStopping {
-		r.stopped = now
+	r.stopped = now
+	return r.doubtful
+}
+
+// LookOrder returns an order whose report comes at once, beside the one that waits; false when the worker is not reached. It leaves
+// the lease alone.
+func (p *Pool) LookOrder(id jaybarrow.WorkerID) (jaybarrow.Worker, jaybarrow.HoldOrder, bool) {
+	w := p.workers[id]
+	if w == nil || !w.reached || w.gone {
+		return jaybarrow.Worker{}, jaybarrow.HoldOrder{}, false
 	}
+	return w.entry, jaybarrow.HoldOrder{Fence: p.fence, Acknowledged: w.stored}, true
 }
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -51,6 +51,7 @@
 	bornMs    int64 // the worker's life when the run was assigned
 	phase     phase
 	inherited bool      // assigned by a previous scheduler
+	doubtful  bool      // its start had no answer
 	since     time.Time // when the phase began
 	stopSent  time.Time
 	stopped   time.Time // when a stop was answered; zero: not yet
