Try: tell slow workers by the run times of their tasks

Cause: tasks on workers that have turned slow make their jobs late. Change, as a try: the median over three jobs or more of run time to expected run time tells a slow worker; it rests, and tasks that would end sooner elsewhere move there once. Expected times are estimates corrected by what the queue's tasks took.

--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -25,6 +25,7 @@
 	clocks   map[jaybarrow.WorkerID]jaybarrow.WorkerClock
 	ends     map[jaybarrow.WorkerID]jaybarrow.EndNumber
 	finished map[jaybarrow.JobID]jaybarrow.JobState
+	stopped  []workload.StopRun // every stop that was decided
 }
 
 func newBench(t *testing.T) *bench {
@@ -129,6 +130,7 @@
 	b.Helper()
 	b.wait(b.settings.Gather)
 	out := b.pool.Plan(b.now, true)
+	b.stopped = append(b.stopped, out.Stops...)
 	b.pool.Written(out)
 	var sendable []workload.StartRun
 	for _, s := range out.Starts {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -60,7 +60,8 @@
 	failures int
 	saved    jaybarrow.Checkpoint
 	current  *run
-	avoid    jaybarrow.WorkerID // where the last run failed or stood still
+	avoid    jaybarrow.WorkerID // where the last run failed, stood still or was slow
+	moved    bool               // whether it was taken from a slow worker
 }
 
 func newJob(spec *jaybarrow.Job, policy Policy) *job {
