Revert the try to tell slow workers by the run times of their tasks

Ruled out: a higher bound, since the estimates of whole queues are off by as much as hosts are slow.

--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -25,7 +25,6 @@
 	clocks   map[jaybarrow.WorkerID]jaybarrow.WorkerClock
 	ends     map[jaybarrow.WorkerID]jaybarrow.EndNumber
 	finished map[jaybarrow.JobID]jaybarrow.JobState
-	stopped  []workload.StopRun // every stop that was decided
 }
 
 func newBench(t *testing.T) *bench {
@@ -130,7 +129,6 @@
 	b.Helper()
 	b.wait(b.settings.Gather)
 	out := b.pool.Plan(b.now, true)
-	b.stopped = append(b.stopped, out.Stops...)
 	b.pool.Written(out)
 	var sendable []workload.StartRun
 	for _, s := range out.Starts {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -60,8 +60,7 @@
 	failures int
 	saved    jaybarrow.Checkpoint
 	current  *run
-	avoid    jaybarrow.WorkerID // where the last run failed, stood still or was slow
-	moved    bool               // whether it was taken from a slow worker
+	avoid    jaybarrow.WorkerID // where the last run failed or stood still
 }
 
 func newJob(spec *jaybarrow.Job, policy Policy) *job {
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -61,7 +61,6 @@
 	p.prune(now)
 	p.stopEnded(now)
 	p.stopStalled(now)
-	p.leaveSlow(now)
 	p.leaveDraining(now)
 	p.evacuate(now)
 	var out Round
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -46,7 +46,6 @@
 	changed  map[*job]bool // changed; the write may wait
 	since    time.Time     // when the first change that is not written was made
 	arrivals arrivals
-	ratios   map[jaybarrow.QueueID]float64 // mean of run time to estimate
 	orphans  []StopRun
 }
 
@@ -72,7 +71,6 @@
 		settings: d.Settings, id: d.ID, fence: d.Fence, teams: d.Teams, observer: d.Observer, policies: d.Policies,
 		jobs: make(map[jaybarrow.JobID]*job), ended: make(map[jaybarrow.JobID]endedJob),
 		workers: make(map[jaybarrow.WorkerID]*worker), urgent: make(map[*job]bool), changed: make(map[*job]bool),
-		ratios: make(map[jaybarrow.QueueID]float64),
 	}
 }
 
@@ -133,7 +131,7 @@
 			w.lapses = now.Add(time.Duration(float64(p.settings.Lease)/(1-clockSlowdown)) + lapseMargin)
 		}
 		r := p.attach(t, w, s.Run, now)
-		r.bornMs, r.phase, r.inherited, r.resumed = s.BornMs, runUncertain, true, true
+		r.bornMs, r.phase, r.inherited = s.BornMs, runUncertain, true
 		p.teams.Use(j.spec.Team, r.charged)
 	})
 }
@@ -144,8 +142,7 @@
 	demand := t.step.spec.Demand
 	r := &run{
 		task: t, number: number, worker: w, bornMs: w.bornMs, phase: runPlanned, since: now, moved: now, demand: demand, charged: demand,
-		resumed: t.saved != "",
-		pace:    fullPace,
+		pace: fullPace,
 	}
 	if t.step.spec.Background {
 		r.demand.CPU = 0
@@ -218,7 +215,6 @@
 	switch kind {
 	case jaybarrow.EndDone:
 		w.faults = 0
-		p.learn(r, now)
 	case jaybarrow.EndFailed:
 		// A task that failed elsewhere too says nothing about this worker.
 		if r.task.failures == 0 {
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -123,7 +123,12 @@
 	if away >= max(1, s.spec.MayMiss) {
 		return false
 	}
-	return p.roomElsewhere(r.task, r.worker, now)
+	for _, w := range p.workers {
+		if w != r.worker && w.usable(now, p.settings.Suspect) && p.allowed(r.task, w) {
+			return true
+		}
+	}
+	return false
 }
 
 // atWork reports whether a lasting task has started up on a worker that reports.
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -22,18 +22,11 @@
 	stored  jaybarrow.EndNumber // ends up to it are stored too
 	// refusing is until when the worker receives no new tasks, after it refused one without reason.
 	refusing time.Time
-	faults   int        // runs that failed or stood still since the last success
-	ratios   []jobRatio // of the last jobs that had runs here
+	faults   int // runs that failed or stood still since the last success
 	reserved bool
 	due      bool // its host is still to be maintained in a wave
 }
 
-// jobRatio is the least run time to expected run time of a job's runs on a worker.
-type jobRatio struct {
-	job   *job
-	ratio float64
-}
-
 type runKey struct {
 	task jaybarrow.TaskRef
 	run  jaybarrow.RunNumber
@@ -59,7 +52,6 @@
 	phase     phase
 	inherited bool      // assigned by a previous scheduler
 	doubtful  bool      // its start had no answer
-	resumed   bool      // it began from a checkpoint, or under a previous scheduler
 	since     time.Time // when the phase began
 	stopSent  time.Time
 	stopped   time.Time // when a stop was answered; zero: not yet
