Write progress on condition of each record's own revision, and large rounds by several commits at once

Cause: a pool's writes formed one chain over a sequence record, 29 jobs a commit. Ruled out: several chains for a pool, which would cost a call for each chain in every small round. Change: each commit expects the revisions of the records that it replaces, so commits of a round are independent of one another and go out together; 15 records fit a commit. Records of a predecessor are known from the list at takeover. The sequence records are gone.

--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -38,7 +38,7 @@
 		deps: d, id: id, ctx: s.ctx, log: d.Log.With().Str("pool", string(id)).Logger(),
 		writer: &writer{
 			clock: d.Clock, log: d.Log, store: d.Store, settings: d.Settings, leader: d.Term.Revision,
-			key: jaybarrow.JobSequenceKey(id),
+			revisions: make(map[jaybarrow.JobID]jaybarrow.Revision),
 		},
 		wake: make(chan struct{}, 1), started: make(chan struct{}), written: notify.New(),
 		work: workload.New(workload.Deps{
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -181,7 +181,7 @@
 }
 
 func (s *Scheduler) applyInputs(news inputs, now time.Time) {
-	stored := make(map[jaybarrow.JobID]*workload.Record, len(news.states))
+	stored := make(map[jaybarrow.JobID]storedRecord, len(news.states))
 	for _, r := range news.states {
 		id, ok := jaybarrow.CutJobState(r.Key)
 		if !ok || r.Deleted {
@@ -192,7 +192,7 @@
 			s.deps.Log.Error().Err(err).Str("job", string(id)).Msg("the stored progress of a job cannot be read")
 			continue
 		}
-		stored[id] = &record
+		stored[id] = storedRecord{&record, r.Revision}
 	}
 	touched := make(map[*poolShard]bool)
 	for _, r := range news.records {
@@ -210,7 +210,13 @@
 	}
 }
 
-func (s *Scheduler) addJob(id jaybarrow.JobID, r jaybarrow.Record, stored *workload.Record, now time.Time, touched map[*poolShard]bool) {
+// storedRecord is a job's progress as it is stored; nil: none is.
+type storedRecord struct {
+	record   *workload.Record
+	revision jaybarrow.Revision
+}
+
+func (s *Scheduler) addJob(id jaybarrow.JobID, r jaybarrow.Record, stored storedRecord, now time.Time, touched map[*poolShard]bool) {
 	if _, known := s.places.Get(id); known {
 		return
 	}
@@ -220,8 +226,11 @@
 		return
 	}
 	p := s.pool(spec.Pool)
+	if stored.record != nil {
+		p.writer.know(id, stored.revision)
+	}
 	p.lock.Lock()
-	p.work.AddJob(spec, stored, now)
+	p.work.AddJob(spec, stored.record, now)
 	p.lock.Unlock()
 	s.places.Set(id, spec.Pool)
 	touched[p] = true
--- a/internal/scheduler/writer.go
+++ b/internal/scheduler/writer.go
@@ -1,73 +1,77 @@
 package scheduler
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
+	"slices"
+	"sync"
 
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/hedge"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
-// writer writes one pool's records in an order that a lost or late write cannot break: each write also replaces the pool's
-// sequence record and expects the one before, and the leader's record must be the own one.
+// writer writes one pool's records so that a lost or late write cannot undo a newer one: each write expects the revisions of the
+// records that it replaces, and the leader's record must be the own one.
 type writer struct {
 	clock    jaybarrow.Clock
 	log      zerolog.Logger
 	store    jaybarrow.JobStore
 	settings Settings
 	leader   jaybarrow.Revision
-	key      jaybarrow.Key
-	previous jaybarrow.Revision // of the sequence record; 0: there is none
-	number   int64
-}
 
-// sequence is the value of a sequence record.
-type sequence struct {
-	Leader jaybarrow.Revision `json:"leader"`
-	Number int64              `json:"number"`
+	lock      sync.Mutex // guards revisions
+	revisions map[jaybarrow.JobID]jaybarrow.Revision
 }
 
 // errDeposed means that the leader's record is not the own one any more.
 var errDeposed = errors.New("another scheduler leads")
 
-// entriesBesideRecords are the two conditions and the sequence record of each write.
-const entriesBesideRecords = 3
+// recordsInCommit is how many records one commit writes: each is an entry and a condition, beside the leader's record.
+const recordsInCommit = (jaybarrow.MaxCommitEntries - 1) / 2
+
+// know notes the revision of a record that a previous scheduler wrote.
+func (w *writer) know(id jaybarrow.JobID, revision jaybarrow.Revision) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.revisions[id] = revision
+}
 
-// write stores the records, whatever it takes, until ctx ends or another scheduler leads.
+// write stores the records, whatever it takes, until ctx ends or another scheduler leads. A large round is written by several
+// commits at once, so that a slow store takes it in the time of one.
 func (w *writer) write(ctx context.Context, records []workload.Stored) error {
-	const most = jaybarrow.MaxCommitEntries - entriesBesideRecords
-	for len(records) > 0 {
-		n := min(most, len(records))
-		puts := make([]jaybarrow.Put, 0, n+1)
-		for _, r := range records[:n] {
-			value, err := r.Record.Encode()
-			if err != nil {
-				return err
+	var group conc.WaitGroup
+	var lock sync.Mutex
+	var failed error
+	for batch := range slices.Chunk(records, recordsInCommit) {
+		group.Go(func() {
+			if err := w.writeBatch(ctx, batch); err != nil {
+				lock.Lock()
+				defer lock.Unlock()
+				failed = errors.Join(failed, err)
 			}
-			puts = append(puts, jaybarrow.Put{Key: jaybarrow.JobStateKey(r.Job), Value: value})
-		}
-		if err := w.commit(ctx, puts); err != nil {
-			return err
-		}
-		records = records[n:]
+		})
 	}
-	return nil
+	group.Wait()
+	return failed
 }
 
-// commit repeats one write until it has certainly taken effect.
-func (w *writer) commit(ctx context.Context, puts []jaybarrow.Put) error {
-	w.number++
-	value, err := json.Marshal(sequence{Leader: w.leader, Number: w.number})
-	if err != nil {
-		return err
+// writeBatch repeats one commit until it has certainly taken effect.
+func (w *writer) writeBatch(ctx context.Context, records []workload.Stored) error {
+	puts := make([]jaybarrow.Put, len(records))
+	for i, r := range records {
+		value, err := r.Record.Encode()
+		if err != nil {
+			return err
+		}
+		puts[i] = jaybarrow.Put{Key: jaybarrow.JobStateKey(r.Job), Value: value}
 	}
-	puts = append(puts, jaybarrow.Put{Key: w.key, Value: value})
 	for failures := 0; ; failures++ {
-		err := w.try(ctx, puts)
+		err := w.try(ctx, records, puts)
 		if err == nil || errors.Is(err, errDeposed) || ctx.Err() != nil {
 			return err
 		}
@@ -75,7 +79,7 @@
 			continue
 		}
 		if failures == 0 {
-			w.log.Warn().Err(err).Str("key", string(w.key)).Int("records", len(puts)-1).Msg("write failed; trying again")
+			w.log.Warn().Err(err).Int("records", len(puts)).Str("first", string(puts[0].Key)).Msg("write failed; trying again")
 		}
 		select {
 		case <-ctx.Done():
@@ -86,54 +90,56 @@
 }
 
 // try makes one attempt; an error other than errDeposed means that it must be repeated.
-func (w *writer) try(ctx context.Context, puts []jaybarrow.Put) error {
-	changes := jaybarrow.Commit{
-		Expect: []jaybarrow.Expectation{
-			{Key: jaybarrow.JobLeaderKey, Revision: w.leader}, {Key: w.key, Revision: w.previous},
-		},
-		Puts: puts,
-	}
+func (w *writer) try(ctx context.Context, records []workload.Stored, puts []jaybarrow.Put) error {
+	changes := jaybarrow.Commit{Expect: w.expectations(records), Puts: puts}
 	revision, err := hedge.Do(ctx, w.clock, w.settings.Commit, func(ctx context.Context) (jaybarrow.Revision, error) {
 		return w.store.Commit(ctx, changes)
 	}, func(err error) bool { return jaybarrow.IsKind(err, jaybarrow.KindConflict) })
-	if err == nil {
-		w.previous = revision
+	var conflict *jaybarrow.ConflictError
+	switch {
+	case err == nil:
+		for _, r := range records {
+			w.know(r.Job, revision)
+		}
 		return nil
+	case errors.As(err, &conflict):
+		return w.resolve(records, puts, conflict)
 	}
-	var conflict *jaybarrow.ConflictError
-	if !errors.As(err, &conflict) {
-		return err
+	return err
+}
+
+func (w *writer) expectations(records []workload.Stored) []jaybarrow.Expectation {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	out := []jaybarrow.Expectation{{Key: jaybarrow.JobLeaderKey, Revision: w.leader}}
+	for _, r := range records {
+		out = append(out, jaybarrow.Expectation{Key: jaybarrow.JobStateKey(r.Job), Revision: w.revisions[r.Job]})
 	}
-	return w.resolve(conflict)
+	return out
 }
 
-// errRepeat means that the sequence record was another one than expected.
-var errRepeat = errors.New("the sequence record has changed")
+// errRepeat means that records had other revisions than expected.
+var errRepeat = errors.New("records have changed")
 
-// resolve finds out from the current records whether an earlier attempt took effect.
-func (w *writer) resolve(conflict *jaybarrow.ConflictError) error {
-	found := jaybarrow.Revision(0)
-	leads := false
+// resolve finds out from the current records whether an earlier attempt took effect. Nobody else writes the records while the
+// leader's record is the own one, so equal values are the own ones.
+func (w *writer) resolve(records []workload.Stored, puts []jaybarrow.Put, conflict *jaybarrow.ConflictError) error {
+	current := make(map[jaybarrow.Key]jaybarrow.Record, len(conflict.Current))
 	for _, r := range conflict.Current {
-		switch r.Key {
-		case jaybarrow.JobLeaderKey:
-			leads = r.Revision == w.leader
-		case w.key:
-			found = r.Revision
-			var s sequence
-			if err := json.Unmarshal(r.Value, &s); err != nil {
-				w.log.Error().Err(err).Str("key", string(w.key)).Msg("the sequence record cannot be read")
-				continue
-			}
-			if s.Leader == w.leader && s.Number == w.number {
-				w.previous = r.Revision
-				return nil
-			}
-		}
+		current[r.Key] = r
 	}
-	if !leads {
+	if current[jaybarrow.JobLeaderKey].Revision != w.leader {
 		return errDeposed
 	}
-	w.previous = found
+	written := true
+	for i, r := range records {
+		found := current[puts[i].Key]
+		written = written && bytes.Equal(found.Value, puts[i].Value)
+		w.know(r.Job, found.Revision)
+	}
+	if written {
+		return nil
+	}
+	w.log.Warn().Int("records", len(puts)).Str("first", string(puts[0].Key)).Msg("records have changed; writing again")
 	return errRepeat
 }
--- a/keys.go
+++ b/keys.go
@@ -58,8 +58,6 @@
 	JobStatePrefix Key = "jaybarrow-jobs/state/"
 	// JobLeaderKey names the scheduler; its revision is the scheduler's fence.
 	JobLeaderKey Key = "jaybarrow-jobs/leader"
-	// JobSequencePrefix holds the number of the last write for each pool.
-	JobSequencePrefix Key = "jaybarrow-jobs/sequence/"
 	// JobWavePrefix holds the progress of maintenance waves.
 	JobWavePrefix Key = "jaybarrow-jobs/wave/"
 
@@ -76,9 +74,6 @@
 // JobStateKey returns the key of a job's progress.
 func JobStateKey(id JobID) Key { return JobStatePrefix + Key(id) }
 
-// JobSequenceKey returns the key of the number of the last write for a pool.
-func JobSequenceKey(pool PoolID) Key { return JobSequencePrefix + Key(pool) }
-
 // CutJobAccepted returns the job whose acceptance the key holds.
 func CutJobAccepted(key Key) (JobID, bool) {
 	id, ok := strings.CutPrefix(string(key), string(jobAcceptedPrefix))
