Remove the records of ended jobs after their time

Ruled out: a lease for each job, which costs a call each and ends while the store is away. Change: 150 s after its end, a quarter more than callers may ask, a job's records are removed ten jobs to a commit, on condition that the leader still leads; a removal that fails is tried again. The id of a removed job may be used again.

--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -21,6 +21,7 @@
 	ctx     context.Context
 	log     zerolog.Logger
 	writer  *writer
+	forget  func(jaybarrow.JobID) // tells that a job's records are removed
 	group   conc.WaitGroup
 	wake    chan struct{}
 	started chan struct{} // closed when the stored jobs are known
@@ -40,7 +41,8 @@
 			clock: d.Clock, log: d.Log, store: d.Store, settings: d.Settings, leader: d.Term.Revision,
 			revisions: make(map[jaybarrow.JobID]jaybarrow.Revision),
 		},
-		wake: make(chan struct{}, 1), started: make(chan struct{}), written: notify.New(),
+		forget: s.places.Delete,
+		wake:   make(chan struct{}, 1), started: make(chan struct{}), written: notify.New(),
 		work: workload.New(workload.Deps{
 			Settings: d.Settings.Workload, ID: id, Fence: d.Term.Fence, Teams: s.teams, Observer: d.Observer, Policies: s.policy,
 		}),
@@ -144,9 +146,28 @@
 	for _, s := range starts {
 		p.group.Go(func() { p.start(ctx, s) })
 	}
+	if len(out.Expired) > 0 {
+		p.group.Go(func() { p.remove(ctx, out.Expired) })
+	}
 	return nil
 }
 
+// remove removes the records of jobs that ended long ago.
+func (p *poolShard) remove(ctx context.Context, ids []jaybarrow.JobID) {
+	err := p.writer.remove(ctx, ids)
+	if err != nil && ctx.Err() == nil {
+		p.log.Warn().Err(err).Int("jobs", len(ids)).Msg("records of ended jobs cannot be removed yet")
+	}
+	if err == nil {
+		for _, id := range ids {
+			p.forget(id)
+		}
+	}
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.work.Removed(ids, err == nil)
+}
+
 // sendable returns the starts that may still be sent, with their leases.
 func (p *poolShard) sendable(starts []workload.StartRun) []workload.StartRun {
 	if !p.deps.Term.Valid() {
--- a/internal/scheduler/writer.go
+++ b/internal/scheduler/writer.go
@@ -118,6 +118,25 @@
 	return out
 }
 
+// remove removes all records of ended jobs; an attempt that failed may be repeated.
+func (w *writer) remove(ctx context.Context, ids []jaybarrow.JobID) error {
+	changes := jaybarrow.Commit{Expect: []jaybarrow.Expectation{{Key: jaybarrow.JobLeaderKey, Revision: w.leader}}}
+	for _, id := range ids {
+		changes.Removes = append(changes.Removes, jaybarrow.JobAcceptedKey(id), jaybarrow.JobCancelledKey(id), jaybarrow.JobStateKey(id))
+	}
+	limited, cancel := context.WithTimeout(ctx, w.settings.Commit.Limit)
+	defer cancel()
+	if _, err := w.store.Commit(limited, changes); err != nil {
+		return err
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for _, id := range ids {
+		delete(w.revisions, id)
+	}
+	return nil
+}
+
 // errRepeat means that records had other revisions than expected.
 var errRepeat = errors.New("records have changed")
 
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -42,6 +42,7 @@
 	Stops   []StopRun
 	Paces   []PaceRun
 	Asks    []AskAdvice
+	Expired []jaybarrow.JobID // ended so long ago that their records may be removed
 	noted   map[jaybarrow.WorkerID]notedEnds
 }
 
@@ -52,18 +53,18 @@
 
 // Empty reports whether there is nothing to do.
 func (r Round) Empty() bool {
-	return len(r.Records)+len(r.Starts)+len(r.Stops)+len(r.Paces)+len(r.Asks) == 0 && len(r.noted) == 0
+	return len(r.Records)+len(r.Starts)+len(r.Stops)+len(r.Paces)+len(r.Asks)+len(r.Expired) == 0 && len(r.noted) == 0
 }
 
 // Plan decides what to do now. With starting false no task is started.
 func (p *Pool) Plan(now time.Time, starting bool) Round {
 	p.lapse(now)
-	p.prune(now)
 	p.stopEnded(now)
 	p.stopStalled(now)
 	p.leaveDraining(now)
 	p.evacuate(now)
 	var out Round
+	out.Expired = p.expire(now)
 	if starting {
 		p.place(now)
 		out.Asks = p.ask(now)
@@ -90,11 +91,33 @@
 	}
 }
 
-// prune forgets jobs that ended long ago.
-func (p *Pool) prune(now time.Time) {
+// expireAtOnce is how many ended jobs a plan lets go at most, so that their removal is one commit.
+const expireAtOnce = 10
+
+// expire returns jobs that ended long ago and whose records are not being removed yet.
+func (p *Pool) expire(now time.Time) []jaybarrow.JobID {
+	var out []jaybarrow.JobID
 	for id, e := range p.ended {
-		if now.Sub(e.at) > p.settings.Keep {
+		if len(out) == expireAtOnce {
+			break
+		}
+		if !e.removing && now.Sub(e.at) > p.settings.Keep {
+			e.removing = true
+			p.ended[id] = e
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Removed takes the outcome of the removal of expired jobs' records into account; one that failed is tried again.
+func (p *Pool) Removed(ids []jaybarrow.JobID, done bool) {
+	for _, id := range ids {
+		if done {
 			delete(p.ended, id)
+		} else if e, ok := p.ended[id]; ok {
+			e.removing = false
+			p.ended[id] = e
 		}
 	}
 }
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -50,9 +50,10 @@
 }
 
 type endedJob struct {
-	state jaybarrow.JobState
-	team  jaybarrow.TeamID
-	at    time.Time
+	state    jaybarrow.JobState
+	team     jaybarrow.TeamID
+	at       time.Time
+	removing bool // its records are being removed
 }
 
 // Deps are what a Pool depends on.
--- a/internal/workload/pool_test.go
+++ b/internal/workload/pool_test.go
@@ -288,6 +288,24 @@
 	assert.Equal(t, last, jaybarrow.Percent(0))
 }
 
+// Guards against ended jobs whose records stay after a removal that failed.
+func TestEndedJobsExpire(t *testing.T) {
+	b := newBench(t)
+	b.add("j", tasks(1, 1000))
+	b.pool.Cancel("j", b.now)
+	b.plan()
+	assert.Equal(t, len(b.plan().Expired), 0)
+	b.wait(b.settings.Keep)
+	expired := b.plan().Expired
+	assert.DeepEqual(t, expired, []jaybarrow.JobID{"j"})
+	assert.Equal(t, len(b.plan().Expired), 0, "the removal is under way")
+	b.pool.Removed(expired, false)
+	assert.DeepEqual(t, b.plan().Expired, expired)
+	b.pool.Removed(expired, true)
+	assert.Equal(t, len(b.plan().Expired), 0)
+	assert.Assert(t, !b.pool.Status("j").Known)
+}
+
 // Guards against a count of waiting jobs that leaves some out or keeps those that have begun.
 func TestWaitingCountsJobsWithoutAStart(t *testing.T) {
 	b := newBench(t)
--- a/internal/workload/settings.go
+++ b/internal/workload/settings.go
@@ -18,7 +18,7 @@
 	Stall time.Duration
 	// Gather is how long ends are gathered into one write. No start or answer waits for it.
 	Gather time.Duration
-	// Keep is how long an ended job is remembered.
+	// Keep is how long an ended job is remembered and its records are kept.
 	Keep time.Duration
 }
 
@@ -38,7 +38,8 @@
 		Stall: 1200 * time.Millisecond,
 		// A tenth of the time that a quick job can wait; at a burst a worker lists an end about as often.
 		Gather: 20 * time.Millisecond,
-		Keep:   150 * time.Second,
+		// A quarter more than callers may ask for the state of an ended job.
+		Keep: 150 * time.Second,
 	}
 }
 
