--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,61 +17,10 @@
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
-// manualClock moves only when the test advances it.
-type manualClock struct {
-	lock    sync.Mutex
-	now     time.Time
-	waiting []wait
-	arrived *sync.Cond
-}
-
-type wait struct {
-	until time.Time
-	done  chan time.Time
-}
-
-func newManualClock() *manualClock {
-	c := &manualClock{now: time.UnixMilli(1_800_000_000_000)}
-	c.arrived = sync.NewCond(&c.lock)
-	return c
-}
-
-func (c *manualClock) Now() time.Time {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	return c.now
-}
-
-func (c *manualClock) After(d time.Duration) <-chan time.Time {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	w := wait{until: c.now.Add(d), done: make(chan time.Time, 1)}
-	c.waiting = append(c.waiting, w)
-	c.arrived.Broadcast()
-	return w.done
-}
-
-// advance moves the clock once n goroutines wait for it.
-func (c *manualClock) advance(n int, d time.Duration) {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	for len(c.waiting) < n {
-		c.arrived.Wait()
-	}
-	c.now = c.now.Add(d)
-	c.waiting = slices.DeleteFunc(c.waiting, func(w wait) bool {
-		if w.until.After(c.now) {
-			return false
-		}
-		w.done <- c.now
-		return true
-	})
-}
-
 // fleet notes the first order for each host.
 type fleet struct {
-	clock  *manualClock
 	hosts  []jaybarrow.FleetHost
+	silent atomic.Pointer[chan struct{}] // until it is closed the list gets no answer; nil: it is answered
 	lock   sync.Mutex
 	orders map[jaybarrow.HostID]order
 }
@@ -80,13 +31,18 @@
 	to jaybarrow.PoolID
 }
 
-func (f *fleet) Hosts(context.Context) ([]jaybarrow.FleetHost, error) { return f.hosts, nil }
+func (f *fleet) Hosts(context.Context) ([]jaybarrow.FleetHost, error) {
+	if over := f.silent.Load(); over != nil {
+		<-*over
+	}
+	return f.hosts, nil
+}
 
 func (f *fleet) note(host jaybarrow.HostID, to jaybarrow.PoolID) (jaybarrow.FleetOrderOutcome, error) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if _, ordered := f.orders[host]; !ordered {
-		f.orders[host] = order{at: f.clock.Now(), to: to}
+		f.orders[host] = order{at: time.Now(), to: to}
 	}
 	return jaybarrow.FleetOrderDone, nil
 }
@@ -130,6 +86,12 @@
 	return &pools{loads: loads, reserved: make(map[jaybarrow.WorkerID]bool)}
 }
 
+func (p *pools) set(pool jaybarrow.PoolID, l workload.Load) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.loads[pool] = l
+}
+
 func (p *pools) Loads(time.Time) map[jaybarrow.PoolID]workload.Load {
 	p.lock.Lock()
 	defer p.lock.Unlock()
@@ -179,36 +141,29 @@
 // keeper is a Keeper under test with its surroundings.
 type keeper struct {
 	*fleetkeeper.Keeper
-	clock    *manualClock
-	began    time.Time
-	fleet    *fleet
-	settings fleetkeeper.Settings
+	began time.Time
+	fleet *fleet
 }
 
 // newKeeper returns a keeper of hosts in the pools; a pool named reserve is the spare one.
-func newKeeper(settings fleetkeeper.Settings, clock *manualClock, hosts []jaybarrow.FleetHost, p *pools, asked waves) *keeper {
+func newKeeper(settings fleetkeeper.Settings, hosts []jaybarrow.FleetHost, p *pools, asked waves) *keeper {
 	configuration := &jaybarrow.Configuration{Version: 1, Pools: []jaybarrow.JobPool{{ID: "reserve", Spare: true}}}
 	for id := range p.loads {
 		configuration.Pools = append(configuration.Pools, jaybarrow.JobPool{ID: id})
 	}
-	known := catalog.New(clock.Now())
+	known := catalog.New(time.Now())
 	known.Apply(configuration)
-	f := &fleet{clock: clock, orders: make(map[jaybarrow.HostID]order), hosts: hosts}
-	return &keeper{clock: clock, began: clock.Now(), fleet: f, settings: settings, Keeper: fleetkeeper.New(fleetkeeper.Deps{
-		Clock: clock, Log: zerolog.Nop(), Fleet: f, Store: emptyStore{}, Catalog: known, Settings: settings, Pools: p, Waves: asked,
+	f := &fleet{orders: make(map[jaybarrow.HostID]order), hosts: hosts}
+	return &keeper{began: time.Now(), fleet: f, Keeper: fleetkeeper.New(fleetkeeper.Deps{
+		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Fleet: f, Store: emptyStore{}, Catalog: known, Settings: settings, Pools: p, Waves: asked,
 		Term: leader.Term{Fence: 1, Valid: func() bool { return true }, Resign: func(string) {}},
 	})}
 }
 
-// loops is how many goroutines of a Keeper wait for the clock.
-const loops = 2
-
-// run lets the time pass, one decision after the other.
-func (k *keeper) run(d time.Duration) {
-	for range int(d/k.settings.Interval) + 1 {
-		k.clock.advance(loops, k.settings.Interval)
-	}
-	k.clock.advance(loops, 0)
+// run lets the time of the test's bubble pass.
+func run(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
 }
 
 // hostIn returns a host that is up, with a worker of its own.
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -44,10 +44,8 @@
 // Settings are the times of a Keeper.
 type Settings struct {
 	Plan fleetplan.Settings
-	// Interval is the time between two decisions.
+	// Interval is the time between two decisions. Each reads the platform's list of hosts before it.
 	Interval time.Duration
-	// List is how often the platform's list of hosts is read.
-	List time.Duration
 	// Call bounds one call to the platform.
 	Call time.Duration
 	// Quiet is how far apart two leaders' orders for one host must be.
@@ -63,9 +61,9 @@
 	return Settings{
 		Plan: fleetplan.DefaultSettings(),
 		// A twentieth of the time that a move takes, and well below the platform's rate of calls.
-		Interval: 100 * time.Millisecond, List: 250 * time.Millisecond,
+		Interval: 100 * time.Millisecond,
 		// Hundreds of the platform's usual answers.
-		Call:  3 * time.Second,
+		Call:  time.Second,
 		Quiet: 3 * time.Second, Move: 1500 * time.Millisecond,
 		// Three times the largest step of a clock that the platform team names.
 		Skew: 6 * time.Second,
@@ -97,7 +95,6 @@
 func New(d Deps) *Keeper {
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{deps: d, cancel: cancel, state: newState()}
-	k.group.Go(func() { k.follow(ctx) })
 	k.group.Go(func() { k.run(ctx) })
 	return k
 }
@@ -113,11 +110,12 @@
 	quiet := k.deps.Clock.Now().Add(k.deps.Settings.Quiet)
 	for k.sleep(ctx, k.deps.Settings.Interval) {
 		k.loadWaves(ctx)
-		now := k.deps.Clock.Now()
-		k.observe(now)
-		if !k.deps.Term.Valid() || !k.state.usable() {
+		k.observe(k.deps.Clock.Now())
+		// An order goes out right after an answer of the platform: one that a cut holds up could arrive after a successor's.
+		if !k.list(ctx) || !k.deps.Term.Valid() {
 			continue
 		}
+		now := k.deps.Clock.Now()
 		view := k.view(now, now.Before(quiet))
 		if now.Before(quiet) {
 			// The previous leader may have begun maintenance that the list does not show yet; a wave's limit would be exceeded.
@@ -142,14 +140,8 @@
 	}
 }
 
-// follow reads the list of hosts again and again.
-func (k *Keeper) follow(ctx context.Context) {
-	for k.list(ctx); k.sleep(ctx, k.deps.Settings.List); {
-		k.list(ctx)
-	}
-}
-
-func (k *Keeper) list(ctx context.Context) {
+// list reads the list of hosts; it reports whether that was possible.
+func (k *Keeper) list(ctx context.Context) bool {
 	limited, cancel := context.WithTimeout(ctx, k.deps.Settings.Call)
 	defer cancel()
 	asked := k.deps.Clock.Now()
@@ -163,6 +155,7 @@
 	case k.state.replace(hosts, asked, k.deps.Clock.Now()):
 		k.deps.Log.Info().Int("hosts", len(hosts)).Msg("the list of hosts can be read")
 	}
+	return err == nil && ctx.Err() == nil
 }
 
 // release lets workers receive tasks again that are reserved for no order and no wave any more.
@@ -244,9 +237,5 @@
 	if outcome == jaybarrow.FleetOrderFenced {
 		k.deps.Term.Resign("the platform has seen a higher fence")
 	}
-	if outcome == "" && jaybarrow.AsError(err).Effect != jaybarrow.EffectNotRun {
-		// The platform may not answer the next orders either, and each would keep a host from its work.
-		k.state.lose()
-	}
 	k.state.answered(host.ID, outcome, err != nil && jaybarrow.AsError(err).Effect == jaybarrow.EffectNotRun, k.deps.Clock.Now())
 }
--- a/internal/fleetkeeper/keeper_test.go
+++ b/internal/fleetkeeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -14,48 +15,71 @@
 // Guards against two leaders that order one host shortly after one another, and against a takeover during which no host moves at
 // all: only hosts that the previous leader may have ordered lately must wait.
 func TestAfterATakeoverOnlyHostsThatMayHaveBeenOrderedWait(t *testing.T) {
-	clock := newManualClock()
-	worker := func(id jaybarrow.HostID, age time.Duration) workload.WorkerLoad {
-		return workload.WorkerLoad{ID: workerOf(id), Usable: true, BornMs: clock.Now().Add(-age).UnixMilli()}
-	}
-	settings := fleetkeeper.DefaultSettings()
-	settings.Plan.Keep = 0
-	k := newKeeper(
-		settings, clock,
-		[]jaybarrow.FleetHost{hostIn("batch", "old"), hostIn("batch", "young"), hostIn("rest", "due"), hostIn("reserve", "spare")},
-		newPools(map[jaybarrow.PoolID]workload.Load{
-			"desk":  {Waiting: jaybarrow.Resources{CPU: 2700}},
-			"batch": {Workers: []workload.WorkerLoad{worker("old", time.Hour), worker("young", time.Second)}},
-			"rest":  {Workers: []workload.WorkerLoad{worker("due", time.Hour)}, Used: jaybarrow.Resources{CPU: 900}},
-		}),
-		waves{{Wave: jaybarrow.Wave{ID: 1, Hosts: []jaybarrow.HostID{"due"}, AtOnce: 1, Within: time.Second}, Since: clock.Now()}},
-	)
-	k.run(2 * settings.Quiet)
-	k.Close()
-	at := func(id jaybarrow.HostID) time.Duration {
-		o, ok := k.fleet.firstOrder(id)
-		assert.Assert(t, ok, "no order for %s", id)
-		return o.at.Sub(k.began)
-	}
-	assert.Assert(t, at("old") < settings.Quiet-settings.Move, "the old host waited %v", at("old"))
-	assert.Assert(t, at("young") >= settings.Quiet-settings.Move, "the young host was ordered after %v", at("young"))
-	assert.Assert(t, at("spare") >= settings.Quiet-settings.Move, "the spare host was ordered after %v", at("spare"))
-	assert.Assert(t, at("due") >= settings.Quiet, "maintenance began after %v", at("due"))
+	synctest.Test(t, func(t *testing.T) {
+		worker := func(id jaybarrow.HostID, age time.Duration) workload.WorkerLoad {
+			return workload.WorkerLoad{ID: workerOf(id), Usable: true, BornMs: time.Now().Add(-age).UnixMilli()}
+		}
+		settings := fleetkeeper.DefaultSettings()
+		settings.Plan.Keep = 0
+		k := newKeeper(
+			settings,
+			[]jaybarrow.FleetHost{hostIn("batch", "old"), hostIn("batch", "young"), hostIn("rest", "due"), hostIn("reserve", "spare")},
+			newPools(map[jaybarrow.PoolID]workload.Load{
+				"desk":  {Waiting: jaybarrow.Resources{CPU: 2700}},
+				"batch": {Workers: []workload.WorkerLoad{worker("old", time.Hour), worker("young", time.Second)}},
+				"rest":  {Workers: []workload.WorkerLoad{worker("due", time.Hour)}, Used: jaybarrow.Resources{CPU: 900}},
+			}),
+			waves{{Wave: jaybarrow.Wave{ID: 1, Hosts: []jaybarrow.HostID{"due"}, AtOnce: 1, Within: time.Second}, Since: time.Now()}},
+		)
+		run(2 * settings.Quiet)
+		k.Close()
+		at := func(id jaybarrow.HostID) time.Duration {
+			o, ok := k.fleet.firstOrder(id)
+			assert.Assert(t, ok, "no order for %s", id)
+			return o.at.Sub(k.began)
+		}
+		assert.Assert(t, at("old") < settings.Quiet-settings.Move, "the old host waited %v", at("old"))
+		assert.Assert(t, at("young") >= settings.Quiet-settings.Move, "the young host was ordered after %v", at("young"))
+		assert.Assert(t, at("spare") >= settings.Quiet-settings.Move, "the spare host was ordered after %v", at("spare"))
+		assert.Assert(t, at("due") >= settings.Quiet, "maintenance began after %v", at("due"))
+	})
+}
+
+// Guards against an order that a cut holds up until a successor has given its own: nothing is sent unless the platform has just
+// answered.
+func TestNoOrderWithoutAnAnswerJustBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPools(map[jaybarrow.PoolID]workload.Load{"desk": {}})
+		settings := fleetkeeper.DefaultSettings()
+		k := newKeeper(settings, []jaybarrow.FleetHost{hostIn("reserve", "a"), hostIn("reserve", "b")}, p, nil)
+		run(2 * settings.Quiet)
+		over := make(chan struct{})
+		k.fleet.silent.Store(&over)
+		p.set("desk", workload.Load{Waiting: jaybarrow.Resources{CPU: 1800}})
+		run(settings.Quiet)
+		assert.Equal(t, k.fleet.movedTo("desk"), 0)
+		k.fleet.silent.Store(nil)
+		close(over)
+		run(2 * settings.Interval)
+		k.Close()
+		assert.Equal(t, k.fleet.movedTo("desk"), 2)
+	})
 }
 
 // Guards against idle hosts that stay in their pools because the spare pool has no host at the moment.
 func TestIdleHostsGoBackToAnEmptySparePool(t *testing.T) {
-	clock := newManualClock()
-	var hosts []jaybarrow.FleetHost
-	var load workload.Load
-	for _, id := range []jaybarrow.HostID{"a", "b", "c", "d"} {
-		hosts = append(hosts, hostIn("desk", id))
-		load.Workers = append(load.Workers, workload.WorkerLoad{ID: workerOf(id), Usable: true, BornMs: clock.Now().Add(-time.Hour).UnixMilli()})
-	}
-	settings := fleetkeeper.DefaultSettings()
-	settings.Plan.Keep = 1
-	k := newKeeper(settings, clock, hosts, newPools(map[jaybarrow.PoolID]workload.Load{"desk": load}), nil)
-	k.run(settings.Quiet + 2*settings.Plan.IdleReturn)
-	k.Close()
-	assert.Equal(t, k.fleet.movedTo("reserve"), len(hosts)-settings.Plan.Keep)
+	synctest.Test(t, func(t *testing.T) {
+		var hosts []jaybarrow.FleetHost
+		var load workload.Load
+		for _, id := range []jaybarrow.HostID{"a", "b", "c", "d"} {
+			hosts = append(hosts, hostIn("desk", id))
+			load.Workers = append(load.Workers, workload.WorkerLoad{ID: workerOf(id), Usable: true, BornMs: time.Now().Add(-time.Hour).UnixMilli()})
+		}
+		settings := fleetkeeper.DefaultSettings()
+		settings.Plan.Keep = 1
+		k := newKeeper(settings, hosts, newPools(map[jaybarrow.PoolID]workload.Load{"desk": load}), nil)
+		run(settings.Quiet + 2*settings.Plan.IdleReturn)
+		k.Close()
+		assert.Equal(t, k.fleet.movedTo("reserve"), len(hosts)-settings.Plan.Keep)
+	})
 }
--- a/internal/fleetkeeper/state.go
+++ b/internal/fleetkeeper/state.go
@@ -81,13 +81,6 @@
 	return !before
 }
 
-// usable reports whether the hosts are known and the platform answers.
-func (s *state) usable() bool {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	return s.listed && !s.lost
-}
-
 // unknownFor is how long an order without an answer may still be carried out.
 const unknownFor = 4 * time.Second
 
