--- a/cmd/jaybarrow/check.go
+++ b/cmd/jaybarrow/check.go
@@ -7,26 +7,41 @@
 	"io"
 
 	"github.com/jaybarrow/jaybarrow/internal/settings"
+	"github.com/jaybarrow/jaybarrow/platform"
 )
 
 func runCheck(_ context.Context, args []string, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet("check", flag.ContinueOnError)
 	flags.SetOutput(stderr)
-	file := flags.String("settings", "", "settings file")
+	own := flags.String("settings", "", "settings file of `serve`")
+	joined := flags.String("platform", "", "settings file of the users' platform, for `join`")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
-	if *file == "" || flags.NArg() > 0 {
-		fmt.Fprintln(stderr, "usage: jaybarrow check -settings FILE")
+	if *own == "" && *joined == "" || flags.NArg() > 0 {
+		fmt.Fprintln(stderr, "usage: jaybarrow check [-settings FILE] [-platform FILE]")
 		return exitUsage
 	}
-	_, faults := settings.Check(*file)
+	code := exitOK
+	if *own != "" {
+		_, faults := settings.Check(*own)
+		code = max(code, reportFaults(stdout, stderr, *own, faults))
+	}
+	if *joined != "" {
+		_, faults := platform.ReadSettings(*joined)
+		code = max(code, reportFaults(stdout, stderr, *joined, faults))
+	}
+	return code
+}
+
+// reportFaults prints every fault of a file and returns the exit code.
+func reportFaults[T any](stdout, stderr io.Writer, file string, faults []T) int {
 	for _, f := range faults {
 		fmt.Fprintln(stderr, f)
 	}
 	if len(faults) > 0 {
 		return exitUsage
 	}
-	fmt.Fprintln(stdout, *file, "has no faults")
+	fmt.Fprintln(stdout, file, "has no faults")
 	return exitOK
 }
--- a/cmd/jaybarrow/main_test.go
+++ b/cmd/jaybarrow/main_test.go
@@ -24,6 +24,25 @@
 storeAddress = 127.0.0.1:2379
 `
 
+const bootSettings = `
+node = "front-1"
+ip = "127.0.0.1"
+zone = "north"
+port_range = [7000, 7015]
+control_mode = "rpc"
+[listen]
+front = "127.0.0.1:8340"
+ready = "127.0.0.1:8343"
+[platform]
+address = "127.0.0.1:8344"
+form = "kv"
+[cloud]
+address = "127.0.0.1:8345"
+[bounds]
+config_ms = 2000
+hold_max_ms = 10000
+`
+
 // Guards against wrong exit codes, results on stderr and messages on stdout.
 func TestExitCodes(t *testing.T) {
 	t.Setenv(keyVariable, "")
@@ -33,6 +52,9 @@
 	good, bad := filepath.Join(t.TempDir(), "good.ini"), filepath.Join(t.TempDir(), "bad.ini")
 	assert.NilError(t, os.WriteFile(good, []byte(goodSettings), 0o600))
 	assert.NilError(t, os.WriteFile(bad, []byte("[entry]\nid = /\n"), 0o600))
+	boot, badBoot := filepath.Join(t.TempDir(), "boot.toml"), filepath.Join(t.TempDir(), "bad.toml")
+	assert.NilError(t, os.WriteFile(boot, []byte(bootSettings), 0o600))
+	assert.NilError(t, os.WriteFile(badBoot, []byte(strings.NewReplacer("rpc", "heartbeat", "127.0.0.1:8340", "nowhere").Replace(bootSettings)), 0o600))
 	operator := " -key " + demo.OperatorKey + " -entry " + string(d.Callers)
 	caller := " -key " + demo.TrailKey + " -entry " + string(d.Callers)
 
@@ -49,6 +71,9 @@
 		{"check a good file", "check -settings " + good, exitOK, "no faults", ""},
 		{"check a bad file", "check -settings " + bad, exitUsage, "", "section [entry], key \"id\", value \"/\""},
 		{"check a missing file", "check -settings " + good + ".not", exitUsage, "", "readable"},
+		{"check a platform file", "check -platform " + boot, exitOK, "no faults", ""},
+		{"check a bad platform file", "check -platform " + badBoot, exitUsage, "", "control_mode = \"heartbeat\": want rpc"},
+		{"check both", "check -settings " + good + " -platform " + badBoot, exitUsage, "no faults", "listen.front"},
 		{"command without verb", "team", exitUsage, "", "usage: jaybarrow team delete TEAM"},
 		{"unknown verb", "team paint", exitUsage, "", "usage"},
 		{"unknown flag", "team list -colour red", exitUsage, "", "colour"},
