--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -30,56 +29,6 @@
 	return h.Entry == other.Entry && h.Address == other.Address
 }
 
-// Settings are the times of an election.
-type Settings struct {
-	Lease  time.Duration // time to live of the leader's record
-	Renew  time.Duration
-	Call   time.Duration // for one call to the store
-	Jitter time.Duration // largest random wait before a campaign
-	// Handicap is the wait of an entry host with one core before a campaign; one with less waits longer in proportion, so that
-	// the scheduler runs where there is processor time for it.
-	Handicap time.Duration
-	Capacity float64 // cores of this entry host
-	// Seniority is the wait before a campaign of a process that has run for Settled; a younger one waits less in proportion. A
-	// rolling restart takes each process once, so the one that started last leads the longest.
-	Seniority, Settled time.Duration
-	Rest               time.Duration // after giving the lead away
-	Follow             follow.Settings
-}
-
-// DefaultSettings returns the usual times.
-func DefaultSettings() Settings {
-	return Settings{
-		// The shortest lease that the store grants: it bears two lost renewals, and a successor waits for no longer.
-		Lease: time.Second,
-		Renew: 250 * time.Millisecond,
-		// A hundred times the store's usual answer.
-		Call: 600 * time.Millisecond,
-		// A few round trips to the store, so that most candidates see the first one's write before they try.
-		Jitter: 15 * time.Millisecond,
-		// Hosts of 0.2 and 0.4 cores are then a few round trips to the store apart.
-		Handicap: 20 * time.Millisecond, Capacity: 1,
-		// More than the handicaps of two usual hosts are apart; a rolling restart of a dozen hosts takes half a minute.
-		Seniority: 60 * time.Millisecond, Settled: 30 * time.Second,
-		Rest:   3 * time.Second,
-		Follow: follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, Retry: 100 * time.Millisecond},
-	}
-}
-
-// expiryMargin is how long before the end of its lease a leader takes it as ended.
-const expiryMargin = 100 * time.Millisecond
-
-// Term is one time in the lead.
-type Term struct {
-	Fence jaybarrow.FenceToken
-	// Revision of the leader's record; writes are made on condition that it still holds.
-	Revision jaybarrow.Revision
-	// Valid reports whether the lease certainly holds.
-	Valid func() bool
-	// Resign gives the lead away, for the reason.
-	Resign func(reason string)
-}
-
 // Deps are what a Leader depends on.
 type Deps struct {
 	Clock     jaybarrow.Clock
@@ -281,110 +230,6 @@
 	return r.Revision, nil
 }
 
-// serve leads until ctx ends, the lease is lost or the term resigns.
-func (l *Leader) serve(outer context.Context, lease jaybarrow.LeaseID, revision jaybarrow.Revision, begun time.Duration) {
-	d := l.deps
-	ctx, cancel := context.WithCancel(outer)
-	defer cancel()
-	var valid atomic.Int64 // the lease holds until then, by boottime
-	var over atomic.Bool
-	valid.Store(int64(begun + d.Settings.Lease - expiryMargin))
-	resigned := make(chan string, 1)
-	term := Term{
-		Fence: jaybarrow.FenceToken(revision), Revision: revision,
-		Valid: func() bool {
-			now, err := boottime.Now()
-			return err == nil && int64(now) < valid.Load() && !over.Load()
-		},
-		Resign: func(reason string) {
-			select {
-			case resigned <- reason:
-			default:
-			}
-			cancel()
-		},
-	}
-	d.Log.Info().Int64("fence", int64(term.Fence)).Msg("leading")
-	var group conc.WaitGroup
-	group.Go(func() {
-		l.renew(ctx, cancel, lease, &valid)
-		// The successor need not wait until the last orders of this term are answered: their fence is old.
-		over.Store(true)
-		l.release(lease)
-	})
-	d.Lead(ctx, term)
-	cancel()
-	group.Wait()
-	select {
-	case reason := <-resigned:
-		d.Log.Info().Int64("fence", int64(term.Fence)).Str("reason", reason).Msg("gave the lead away")
-		l.sleep(outer, d.Settings.Rest)
-	default:
-		d.Log.Info().Int64("fence", int64(term.Fence)).Msg("no longer leading")
-	}
-}
-
-// release ends the lease, so that a successor need not wait for it.
-func (l *Leader) release(lease jaybarrow.LeaseID) {
-	_, err := call(context.Background(), l.deps.Settings.Call, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, l.deps.Store.RevokeLease(ctx, lease)
-	})
-	if err != nil && !jaybarrow.IsKind(err, jaybarrow.KindNotFound) {
-		l.deps.Log.Info().Err(err).Msg("cannot end the leader's lease; it runs out by itself")
-	}
-}
-
-// renew keeps the lease alive; it cancels the term when the lease has ended. A renewal does not wait for the answer to the one
-// before, so that a slow store does not cost the lead.
-func (l *Leader) renew(ctx context.Context, lost context.CancelFunc, lease jaybarrow.LeaseID, valid *atomic.Int64) {
-	var group conc.WaitGroup
-	defer group.Wait()
-	var failures atomic.Int64
-	for {
-		l.sleep(ctx, l.deps.Settings.Renew)
-		if ctx.Err() != nil {
-			return
-		}
-		group.Go(func() {
-			if !l.renewOnce(ctx, lease, valid, &failures) {
-				lost()
-			}
-		})
-	}
-}
-
-// renewOnce sends one renewal; it reports false when the lease has ended.
-func (l *Leader) renewOnce(ctx context.Context, lease jaybarrow.LeaseID, valid, failures *atomic.Int64) bool {
-	d := l.deps
-	sent, err := boottime.Now()
-	if err == nil {
-		_, err = call(ctx, d.Settings.Lease, func(ctx context.Context) (struct{}, error) {
-			return struct{}{}, d.Store.KeepAlive(ctx, lease)
-		})
-	}
-	switch {
-	case err == nil:
-		raise(valid, int64(sent+d.Settings.Lease-expiryMargin))
-		if n := failures.Swap(0); n > 0 {
-			d.Log.Info().Int64("failures", n).Msg("lease renewed again")
-		}
-	case jaybarrow.IsKind(err, jaybarrow.KindNotFound):
-		d.Log.Warn().Msg("lease has ended")
-		return false
-	case ctx.Err() == nil:
-		if failures.Add(1) == 1 {
-			d.Log.Warn().Err(err).Msg("cannot renew the lease")
-		}
-	}
-	return true
-}
-
-// raise sets v to the value unless it is higher already.
-func raise(v *atomic.Int64, to int64) {
-	for old := v.Load(); old < to && !v.CompareAndSwap(old, to); old = v.Load() {
-	}
-}
-
 func call[T any](ctx context.Context, limit time.Duration, f func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
