Look ahead by the age of the trend too

Cause: the trend of a need compares means that lie 0.6 s apart, so a look ahead by the time of a move alone is half a second short.

--- a/internal/fleetplan/need.go
+++ b/internal/fleetplan/need.go
@@ -60,7 +60,9 @@
 	if !ok || !known {
 		return last
 	}
-	growth := (recent - before) * n.settings.Lead.Seconds() / trendApart.Seconds()
+	// The trend is that of the time between the compared ones, so what it has grown since is missing too.
+	ahead := n.settings.Lead + trendApart
+	growth := (recent - before) * ahead.Seconds() / trendApart.Seconds()
 	return last + min(max(0, growth), last)
 }
 
