Serve urgent queues first, and teams within their share before those beyond it

Change: among jobs in time, more urgent queues come first, then teams whose dominant part of the pool is within their share among the teams that want something, then the earlier target. Ruled out: shares before targets met at all: a job that is late whatever is done would take room from one in time. Stopping less urgent work for more urgent work is not built.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -25,7 +25,7 @@
 	queues        map[jaybarrow.QueueID]*jaybarrow.JobQueue
 	byHost        map[string][]*jaybarrow.JobQueue // longest prefix first
 	teams         map[jaybarrow.KeyHash]jaybarrow.TeamID
-	limits        map[jaybarrow.TeamID]jaybarrow.Resources
+	terms         map[jaybarrow.TeamID]jaybarrow.JobTeam
 	pools         map[jaybarrow.PoolID]jaybarrow.JobPool
 }
 
@@ -113,8 +113,17 @@
 	if i == nil {
 		return jaybarrow.Resources{}, false
 	}
-	l, ok := i.limits[team]
-	return l, ok
+	t, ok := i.terms[team]
+	return t.Limit, ok
+}
+
+// Share returns the team's relative part of a full pool; 0 when the team is not configured.
+func (c *Catalog) Share(team jaybarrow.TeamID) jaybarrow.Share {
+	i := c.current.Load()
+	if i == nil {
+		return 0
+	}
+	return i.terms[team].Share
 }
 
 // Pool returns a pool by its id.
@@ -131,7 +140,7 @@
 	i := &index{
 		configuration: c, queues: make(map[jaybarrow.QueueID]*jaybarrow.JobQueue, len(c.Queues)),
 		byHost: make(map[string][]*jaybarrow.JobQueue), teams: make(map[jaybarrow.KeyHash]jaybarrow.TeamID),
-		limits: make(map[jaybarrow.TeamID]jaybarrow.Resources), pools: make(map[jaybarrow.PoolID]jaybarrow.JobPool),
+		terms: make(map[jaybarrow.TeamID]jaybarrow.JobTeam), pools: make(map[jaybarrow.PoolID]jaybarrow.JobPool),
 	}
 	for n := range c.Queues {
 		q := &c.Queues[n]
@@ -142,7 +151,7 @@
 		slices.SortFunc(queues, func(a, b *jaybarrow.JobQueue) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for _, t := range c.Teams {
-		i.limits[t.ID] = t.Limit
+		i.terms[t.ID] = t
 		for _, k := range t.Keys {
 			i.teams[k] = t.ID
 		}
--- a/internal/scheduler/teams.go
+++ b/internal/scheduler/teams.go
@@ -9,12 +9,16 @@
 type teams struct {
 	used  *shard.Map[jaybarrow.TeamID, jaybarrow.Resources]
 	limit func(jaybarrow.TeamID) (jaybarrow.Resources, bool)
+	share func(jaybarrow.TeamID) jaybarrow.Share
 }
 
-func newTeams(limit func(jaybarrow.TeamID) (jaybarrow.Resources, bool)) *teams {
-	return &teams{used: shard.New[jaybarrow.TeamID, jaybarrow.Resources](), limit: limit}
+func newTeams(limit func(jaybarrow.TeamID) (jaybarrow.Resources, bool), share func(jaybarrow.TeamID) jaybarrow.Share) *teams {
+	return &teams{used: shard.New[jaybarrow.TeamID, jaybarrow.Resources](), limit: limit, share: share}
 }
 
+// Share returns the team's relative part of a full pool.
+func (t *teams) Share(team jaybarrow.TeamID) jaybarrow.Share { return t.share(team) }
+
 // TryUse charges the resources unless the team's limit forbids it; work without a team has no limit.
 func (t *teams) TryUse(team jaybarrow.TeamID, r jaybarrow.Resources) bool {
 	limit, limited := t.limit(team)
--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -18,8 +18,10 @@
 	pool     *workload.Pool
 	settings workload.Settings
 	limit    jaybarrow.Resources
+	shares   map[jaybarrow.TeamID]jaybarrow.Share
 	used     jaybarrow.Resources
 	attempts int
+	urgency  map[jaybarrow.QueueID]int // priority of queues; 0 is the most urgent
 	advice   *jaybarrow.AdviceTerms
 	now      time.Time
 	clocks   map[jaybarrow.WorkerID]jaybarrow.WorkerClock
@@ -35,13 +37,15 @@
 	}
 	b.pool = workload.New(workload.Deps{
 		Settings: b.settings, ID: "desk", Fence: ownFence, Teams: b, Observer: b,
-		Policies: func(jaybarrow.QueueID) (workload.Policy, bool) {
-			return workload.Policy{MaxAttempts: b.attempts, Stretch: 2, Target: time.Second, Advice: b.advice}, true
+		Policies: func(id jaybarrow.QueueID) (workload.Policy, bool) {
+			return workload.Policy{Priority: b.urgency[id], MaxAttempts: b.attempts, Stretch: 2, Target: time.Second, Advice: b.advice}, true
 		},
 	})
 	return b
 }
 
+func (b *bench) Share(team jaybarrow.TeamID) jaybarrow.Share { return b.shares[team] }
+
 func (b *bench) TryUse(_ jaybarrow.TeamID, r jaybarrow.Resources) bool {
 	if !b.used.Plus(r).FitsLimit(b.limit) {
 		return false
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -49,7 +49,8 @@
 	return demand.FitsIn(largest)
 }
 
-// order returns the jobs with tasks to start: by priority, then those that can still meet their target, then by it.
+// order returns the jobs with tasks to start: first those that can still meet their target, of these those of more urgent queues,
+// then those of teams within their share, then by target.
 func (p *Pool) order(now time.Time) []*job {
 	var waiting []*job
 	for _, j := range p.jobs {
@@ -57,9 +58,12 @@
 			waiting = append(waiting, j)
 		}
 	}
+	beyond := p.beyondShare(waiting)
 	slices.SortFunc(waiting, func(a, b *job) int {
 		return cmp.Or(
 			cmp.Compare(a.rank(now), b.rank(now)),
+			cmp.Compare(a.policy.Priority, b.policy.Priority),
+			cmp.Compare(beyond[a.spec.Team], beyond[b.spec.Team]),
 			a.due.Compare(b.due),
 			cmp.Compare(a.spec.ID, b.spec.ID),
 		)
--- a/internal/workload/place_test.go
+++ b/internal/workload/place_test.go
@@ -1,6 +1,7 @@
 package workload_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,74 @@
 	"github.com/jaybarrow/jaybarrow"
 )
 
+// Guards against urgent queues that wait behind others, and against late jobs that are served before those in time.
+func TestUrgentQueuesComeFirstAmongJobsInTime(t *testing.T) {
+	cases := []struct {
+		name  string
+		late  bool // whether the urgent job cannot be in time any more
+		first jaybarrow.JobID
+	}{
+		{"in time", false, "urgent"},
+		{"late", true, "usual"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.urgency = map[jaybarrow.QueueID]int{"match": 1, "phone": 0}
+			urgent := &jaybarrow.Job{
+				ID: "urgent", Queue: "phone", Pool: "desk", Team: "trail", Steps: []jaybarrow.Step{tasks(1, 8000)}, AcceptedMs: b.now.UnixMilli(),
+			}
+			if c.late {
+				urgent.AcceptedMs -= time.Hour.Milliseconds()
+			}
+			b.add("usual", tasks(1, 8000))
+			b.wait(time.Millisecond)
+			b.pool.AddJob(urgent, nil, b.now)
+			b.worker("w1")
+			starts := b.start(jaybarrow.StartDone)
+			assert.Equal(t, len(starts), 1)
+			assert.Equal(t, starts[0].Task.Job, c.first)
+		})
+	}
+}
+
+// Guards against a team that fills a pool with jobs that came first, beyond its share, while another waits.
+func TestTeamsWithinTheirShareComeFirst(t *testing.T) {
+	cases := []struct {
+		name   string
+		shares map[jaybarrow.TeamID]jaybarrow.Share
+		first  jaybarrow.TeamID // of the job that gets the room that becomes free
+	}{
+		{"equal shares", map[jaybarrow.TeamID]jaybarrow.Share{"trail": 1, "club": 1}, "club"},
+		{"the first team owns nearly all", map[jaybarrow.TeamID]jaybarrow.Share{"trail": 99, "club": 1}, "trail"},
+		{"no shares", nil, "trail"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.shares = c.shares
+			b.worker("w1")
+			for n := range 5 {
+				b.add(jaybarrow.JobID(fmt.Sprint("trail-", n)), tasks(1, 3000))
+			}
+			// More than half of the pool stays with the first team; its next job came before the other team's.
+			starts := b.start(jaybarrow.StartDone)
+			assert.Equal(t, len(starts), 3)
+			b.pool.AddJob(&jaybarrow.Job{
+				ID: "club-0", Queue: "match", Pool: "desk", Team: "club", Steps: []jaybarrow.Step{tasks(1, 3000)}, AcceptedMs: b.now.UnixMilli(),
+			}, nil, b.now)
+			b.report("w1", running(starts[1:], "w1", 10), b.end(starts[0], jaybarrow.EndDone))
+			next := b.start(jaybarrow.StartDone)
+			assert.Equal(t, len(next), 1)
+			want := jaybarrow.JobID("trail-3")
+			if c.first == "club" {
+				want = "club-0"
+			}
+			assert.Equal(t, next[0].Task.Job, want)
+		})
+	}
+}
+
 // Guards against a team above its limit, and against a limit that is lost when tasks end.
 func TestATeamStaysWithinItsLimit(t *testing.T) {
 	b := newBench(t)
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -6,8 +6,10 @@
 	"github.com/jaybarrow/jaybarrow"
 )
 
-// Teams holds what each team has running in all pools.
+// Teams holds what each team has running in all pools, and what it may have.
 type Teams interface {
+	// Share returns the team's relative part of a full pool; 0: it has none.
+	Share(team jaybarrow.TeamID) jaybarrow.Share
 	// TryUse charges the resources to the team unless that would exceed its limit.
 	TryUse(team jaybarrow.TeamID, r jaybarrow.Resources) bool
 	// Use charges the resources whatever the limit says, for tasks that run already.
