Count idle workers as silent only when their report is overdue; look at tasks that stand still sooner

Cause: an idle worker reports each 2 s but counted as silent 1.5 s after a report, so a quarter of the time it took no task and its host did not count as serving. Change: a worker is silent 0.5 s after its report was due; busy ones report each 0.5 s; a task may stand still for 0.7 s. Ruled out: shorter waits of idle workers, which cost a call each.

--- a/internal/workload/load_test.go
+++ b/internal/workload/load_test.go
@@ -36,3 +36,18 @@
 	assert.Equal(t, load.Waiting.CPU, jaybarrow.Millicores(0))
 	assert.Equal(t, load.Late.CPU, jaybarrow.Millicores(2000))
 }
+
+// Guards against idle workers that count as silent while their report is not due yet, and against tasks for those that are silent.
+func TestWorkersAreSilentOnlyWhenTheirReportIsOverdue(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1")
+	_, order, ok := b.pool.HoldOrder("w1", true, b.now)
+	assert.Assert(t, ok)
+	b.wait(order.Wait)
+	usable := func() bool { return b.pool.Load(b.now).Workers[0].Usable }
+	assert.Assert(t, usable(), "the report of an idle worker is not due before %v", order.Wait)
+	b.wait(b.settings.Suspect + time.Millisecond)
+	assert.Assert(t, !usable())
+	b.add("j", tasks(1, 1000))
+	assert.Equal(t, len(b.plan().Starts), 0)
+}
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -62,6 +62,7 @@
 	if !w.reached || w.failing > 0 {
 		o.Wait = 0
 	}
+	w.wait = o.Wait
 	// An order to a worker that does not answer may still arrive and extend the lease; then its tasks would never count as ended.
 	if extend && w.reached && w.failing == 0 {
 		o.Expires = w.expiry(now, p.settings.Lease)
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -135,5 +135,5 @@
 func (t *task) atWork(now time.Time, suspect time.Duration) bool {
 	r := t.current
 	return r != nil && r.phase == runRunning && r.progress >= fullPace && r.worker.failing == 0 && !r.worker.gone &&
-		now.Sub(r.worker.seen) <= suspect
+		r.worker.heard(now, suspect)
 }
--- a/internal/workload/settings.go
+++ b/internal/workload/settings.go
@@ -10,7 +10,7 @@
 	Renew time.Duration
 	// Idle is how long a report may be waited for while nothing runs.
 	Idle time.Duration
-	// Suspect is how long after its last report a worker receives no new task.
+	// Suspect is how long after a report was due its worker receives no new task.
 	Suspect time.Duration
 	// StopRetry is when an unanswered stop is sent again.
 	StopRetry time.Duration
@@ -27,15 +27,16 @@
 	return Settings{
 		// Five times the time to live of the scheduler's own lease, so that a successor reaches every worker before it lapses.
 		Lease: 5 * time.Second,
-		Renew: time.Second,
+		// Below the patience with a task that stands still, so that a report tells of it in time.
+		Renew: 500 * time.Millisecond,
 		// The longest wait that workers grant.
 		Idle: 2 * time.Second,
-		// A report is due each Renew; half as much again covers a slow answer.
-		Suspect: 1500 * time.Millisecond,
+		// Above the time that a report may take beyond its wait.
+		Suspect: 500 * time.Millisecond,
 		// Above the time that a stop's answer is waited for.
 		StopRetry: 300 * time.Millisecond,
-		// Ten times the progress step of the shortest usual task, and above the time that a start takes.
-		Stall: 1200 * time.Millisecond,
+		// Tens of progress steps of a usual task on a host six times slower, and above the time that a start takes.
+		Stall: 700 * time.Millisecond,
 		// A tenth of the time that a quick job can wait; at a burst a worker lists an end about as often.
 		Gather: 20 * time.Millisecond,
 		// A quarter more than callers may ask for the state of an ended job.
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -13,6 +13,7 @@
 	reached bool // a report under the own fence has arrived
 	failing int  // reports that failed in a row
 	seen    time.Time
+	wait    time.Duration         // how long the order under way lets the worker wait with its report
 	clock   jaybarrow.WorkerClock // at seen or a little earlier
 	bornMs  int64
 	lapses  time.Time // when the lease has ended for certain if the worker is not reached again
@@ -72,7 +73,12 @@
 // usable reports whether the worker may receive new tasks.
 func (w *worker) usable(now time.Time, suspect time.Duration) bool {
 	return w.reached && !w.gone && !w.reserved && w.failing == 0 && w.entry.State == jaybarrow.WorkerReady &&
-		now.Sub(w.seen) <= suspect && !now.Before(w.refusing)
+		w.heard(now, suspect) && !now.Before(w.refusing)
+}
+
+// heard reports whether the worker's last report is as recent as it can be, but for a while.
+func (w *worker) heard(now time.Time, while time.Duration) bool {
+	return now.Sub(w.seen) <= w.wait+while
 }
 
 func (w *worker) free() jaybarrow.Resources { return w.entry.Capacity.Minus(w.used) }
