Refuse writes untried while the store takes none

Change: once writes have failed for 0.3 s, directly and through the leader, one in 0.2 s is tried and the others are answered with 503, which is true since they were not tried, and with when to come back. Ruled out: holding calls until the store is back.

--- a/internal/jobhost/relay.go
+++ b/internal/jobhost/relay.go
@@ -21,12 +21,24 @@
 // have the same effect however often they are carried out.
 type relay struct {
 	jaybarrow.JobStore
-	host *Host
-	path *storePath
+	host    *Host
+	path    *storePath
+	breaker *breaker
 }
 
-// Commit writes directly, and through the leader where that fails or is likely to.
+// Commit writes directly, and through the leader where that fails or is likely to. While no write gets through, most are refused
+// untried, with the effect notRun.
 func (r relay) Commit(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
+	if !r.breaker.admit(r.host.deps.Clock.Now()) {
+		return 0, jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "the store takes no writes").WithEffect(jaybarrow.EffectNotRun)
+	}
+	revision, err := r.write(ctx, changes)
+	r.breaker.note(r.host.deps.Clock.Now(), err == nil || jaybarrow.IsKind(err, jaybarrow.KindConflict))
+	return revision, err
+}
+
+// write tries one way and then the other.
+func (r relay) write(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
 	if !r.path.suspect(r.host.deps.Clock.Now()) {
 		revision, err := r.direct(ctx, changes)
 		if err == nil || jaybarrow.IsKind(err, jaybarrow.KindConflict) || jaybarrow.AsError(err).Effect != jaybarrow.EffectNotRun {
