Fetch hosts with the label that work needs; end a term whose loops end by a fault

Change: a pool's need is also kept by label; hosts with it are fetched first and stay while it is needed. A loop that ends before its term makes the leader resign, and the fault then ends the process. Ruled out: weights for labels in placement; hosts with a rare label still take work that does not need it.

--- a/agents.go
+++ b/agents.go
@@ -163,6 +163,7 @@
 	State      FleetHostState
 	DataCentre DataCentreID
 	Rack       RackID
+	Labels     []Label
 	Capacity   Resources
 	Worker     WorkerID // empty while it has none
 }
--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -86,6 +86,14 @@
 	return &pools{loads: loads, reserved: make(map[jaybarrow.WorkerID]bool)}
 }
 
+// pools returns the pools; a nil set has none, and asking it for loads is a fault.
+func (p *pools) pools() map[jaybarrow.PoolID]workload.Load {
+	if p == nil {
+		return nil
+	}
+	return p.loads
+}
+
 func (p *pools) set(pool jaybarrow.PoolID, l workload.Load) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
@@ -141,22 +149,24 @@
 // keeper is a Keeper under test with its surroundings.
 type keeper struct {
 	*fleetkeeper.Keeper
-	began time.Time
-	fleet *fleet
+	began    time.Time
+	fleet    *fleet
+	resigned *atomic.Bool
 }
 
 // newKeeper returns a keeper of hosts in the pools; a pool named reserve is the spare one.
 func newKeeper(settings fleetkeeper.Settings, hosts []jaybarrow.FleetHost, p *pools, asked waves) *keeper {
 	configuration := &jaybarrow.Configuration{Version: 1, Pools: []jaybarrow.JobPool{{ID: "reserve", Spare: true}}}
-	for id := range p.loads {
+	for id := range p.pools() {
 		configuration.Pools = append(configuration.Pools, jaybarrow.JobPool{ID: id})
 	}
 	known := catalog.New(time.Now())
 	known.Apply(configuration)
 	f := &fleet{orders: make(map[jaybarrow.HostID]order), hosts: hosts}
-	return &keeper{began: time.Now(), fleet: f, Keeper: fleetkeeper.New(fleetkeeper.Deps{
+	resigned := new(atomic.Bool)
+	return &keeper{began: time.Now(), fleet: f, resigned: resigned, Keeper: fleetkeeper.New(fleetkeeper.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Fleet: f, Store: emptyStore{}, Catalog: known, Settings: settings, Pools: p, Waves: asked,
-		Term: leader.Term{Fence: 1, Valid: func() bool { return true }, Resign: func(string) {}},
+		Term: leader.Term{Fence: 1, Valid: func() bool { return true }, Resign: func(string) { resigned.Store(true) }},
 	})}
 }
 
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -107,6 +107,12 @@
 
 // run decides again and again.
 func (k *Keeper) run(ctx context.Context) {
+	defer func() {
+		// Only a fault ends the loop before the term. Without it the term must end too; closing it then reports the fault.
+		if ctx.Err() == nil {
+			k.deps.Term.Resign("the decisions on hosts have ended")
+		}
+	}()
 	quiet := k.deps.Clock.Now().Add(k.deps.Settings.Quiet)
 	for k.sleep(ctx, k.deps.Settings.Interval) {
 		k.loadWaves(ctx)
--- a/internal/fleetkeeper/keeper_test.go
+++ b/internal/fleetkeeper/keeper_test.go
@@ -83,3 +83,15 @@
 		assert.Equal(t, k.fleet.movedTo("reserve"), len(hosts)-settings.Plan.Keep)
 	})
 }
+
+// Guards against a leader whose decisions on hosts have ended by a fault while it goes on leading.
+func TestAFaultOfTheLoopEndsTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := fleetkeeper.DefaultSettings()
+		k := newKeeper(settings, nil, nil, nil)
+		run(settings.Interval)
+		assert.Assert(t, k.resigned.Load())
+		defer func() { assert.Assert(t, recover() != nil, "the fault is not reported") }()
+		k.Close()
+	})
+}
--- a/internal/fleetkeeper/view.go
+++ b/internal/fleetkeeper/view.go
@@ -30,10 +30,33 @@
 	size := k.size(id)
 	plan := k.deps.Settings.Plan
 	all := l.Used.Plus(l.Waiting)
-	hosts := func(r jaybarrow.Resources) float64 {
-		return max(part(r.CPU, size.CPU), part(r.Memory, size.Memory), part(r.Accelerators, size.Accelerators))
+	return max(hosts(all, size)+plan.Late*hosts(l.Late, size), hosts(l.Lasting.Plus(l.Offered), size)) / plan.Fill
+}
+
+// labelNeeds returns how many hosts of the pool's usual size the work needs that only hosts with a label may run.
+func (k *Keeper) labelNeeds(id jaybarrow.PoolID, work map[jaybarrow.Label]jaybarrow.Resources) map[jaybarrow.Label]float64 {
+	size := k.size(id)
+	out := make(map[jaybarrow.Label]float64, len(work))
+	for label, r := range work {
+		out[label] = hosts(r, size) / k.deps.Settings.Plan.Fill
 	}
-	return max(hosts(all)+plan.Late*hosts(l.Late), hosts(l.Lasting.Plus(l.Offered))) / plan.Fill
+	return out
+}
+
+// labelsOf counts the hosts by label.
+func labelsOf(all []jaybarrow.FleetHost) map[jaybarrow.Label]int {
+	out := make(map[jaybarrow.Label]int)
+	for _, h := range all {
+		for _, label := range h.Labels {
+			out[label]++
+		}
+	}
+	return out
+}
+
+// hosts returns how many hosts of a size the resources fill.
+func hosts(r, size jaybarrow.Resources) float64 {
+	return max(part(r.CPU, size.CPU), part(r.Memory, size.Memory), part(r.Accelerators, size.Accelerators))
 }
 
 func part[T ~int | ~int64](used, capacity T) float64 {
@@ -70,16 +93,16 @@
 	k.state.lock.Lock()
 	defer k.state.lock.Unlock()
 	var out fleetplan.State
-	joining := make(map[jaybarrow.PoolID]int)
+	joining := make(map[jaybarrow.PoolID][]jaybarrow.FleetHost)
 	known := make(map[jaybarrow.PoolID]bool)
 	for _, h := range k.state.hosts {
 		w, reports := workers[h.Worker]
 		o := k.state.orders[h.ID]
 		known[h.Pool] = true
 		if o != nil && o.to != "" {
-			joining[o.to]++
+			joining[o.to] = append(joining[o.to], h)
 		} else if o == nil && (h.State == jaybarrow.FleetHostMoving || h.State == jaybarrow.FleetHostUp && !reports) && !k.spare(h.Pool) {
-			joining[h.Pool]++
+			joining[h.Pool] = append(joining[h.Pool], h)
 		}
 		out.Hosts = append(out.Hosts, fleetplan.Host{
 			FleetHost: h, Known: reports, Usable: w.Usable, Reserved: w.Reserved, Ordered: o != nil, Runs: w.Runs, Lasting: w.Lasting,
@@ -96,7 +119,8 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(known)) {
-		p := fleetplan.Pool{ID: id, Spare: k.spare(id), Joining: joining[id]}
+		p := fleetplan.Pool{ID: id, Spare: k.spare(id), Joining: len(joining[id])}
+		p.Labels, p.LabelsJoining = k.labelNeeds(id, loads[id].Labels), labelsOf(joining[id])
 		if n := k.state.needs[id]; n != nil {
 			n.Fill(&p, now)
 		}
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -75,6 +76,9 @@
 	Recent  float64 // the largest Need of the last while
 	Joining int     // hosts on their way to it
 	Steady  float64 // the largest Need since IdleReturn ago; +Inf: not known for that long
+	// Labels is the part of Need that only hosts with a label meet, and LabelsJoining the hosts with it on their way.
+	Labels        map[jaybarrow.Label]float64
+	LabelsJoining map[jaybarrow.Label]int
 }
 
 // Wave is a wave that has not ended.
@@ -117,14 +121,15 @@
 	d := decision{
 		settings: s, state: in, taken: make(map[jaybarrow.HostID]bool),
 		pools: make(map[jaybarrow.PoolID]Pool, len(in.Pools)), serves: make(map[jaybarrow.PoolID]int, len(in.Pools)),
-		holders: make(map[jaybarrow.PoolID]int, len(in.Pools)),
+		holders: make(map[jaybarrow.PoolID]int, len(in.Pools)), arriving: make(map[jaybarrow.PoolID]int, len(in.Pools)),
+		labelled: make(map[poolLabel]int),
 	}
 	for _, p := range in.Pools {
 		d.pools[p.ID] = p
 	}
 	for _, h := range in.Hosts {
 		if h.serving() {
-			d.serves[h.Pool]++
+			d.serve(h, 1)
 		}
 		if h.Lasting > 0 {
 			d.holders[h.Pool]++
@@ -135,6 +140,12 @@
 	return d.orders
 }
 
+// poolLabel is a label of hosts in a pool.
+type poolLabel struct {
+	pool  jaybarrow.PoolID
+	label jaybarrow.Label
+}
+
 type decision struct {
 	settings Settings
 	state    State
@@ -142,15 +153,25 @@
 	pools    map[jaybarrow.PoolID]Pool
 	serves   map[jaybarrow.PoolID]int // hosts that take tasks
 	holders  map[jaybarrow.PoolID]int // hosts with lasting tasks
+	arriving map[jaybarrow.PoolID]int // hosts that were just ordered there
+	labelled map[poolLabel]int        // hosts that take tasks, by label
 	orders   Orders
 }
 
 func (d *decision) spare(id jaybarrow.PoolID) bool { return d.pools[id].Spare }
 
+// serve counts a host that takes tasks in or out.
+func (d *decision) serve(h Host, n int) {
+	d.serves[h.Pool] += n
+	for _, label := range h.Labels {
+		d.labelled[poolLabel{h.Pool, label}] += n
+	}
+}
+
 // take marks a host as spoken for.
 func (d *decision) take(h Host) {
 	if !d.taken[h.ID] && h.serving() {
-		d.serves[h.Pool]--
+		d.serve(h, -1)
 	}
 	d.taken[h.ID] = true
 }
@@ -215,24 +236,49 @@
 	short := slices.Clone(d.state.Pools)
 	slices.SortStableFunc(short, func(a, b Pool) int { return cmp.Compare(d.lack(b), d.lack(a)) })
 	for _, p := range short {
-		if p.Spare {
-			continue
+		for _, label := range slices.Sorted(maps.Keys(p.Labels)) {
+			d.fetch(p.ID, label, d.lackOf(p, label))
 		}
-		for range d.lack(p) {
-			h, ok := d.lender(p.ID)
-			if !ok {
-				return
-			}
-			d.move(h, p.ID, "work waits")
+	}
+	for _, p := range short {
+		if !p.Spare {
+			d.fetch(p.ID, "", d.lack(p))
 		}
 	}
 	d.giveBack()
 }
 
+// fetch moves up to n idle hosts with the label to a pool; the empty label is that of every host.
+func (d *decision) fetch(to jaybarrow.PoolID, label jaybarrow.Label, n int) {
+	for range n {
+		h, ok := d.lender(to, label)
+		if !ok {
+			return
+		}
+		d.move(h, to, "work waits")
+		d.arriving[to]++
+	}
+}
+
+// lackOf returns how many hosts with the label a pool is short of.
+func (d *decision) lackOf(p Pool, label jaybarrow.Label) int {
+	return int(math.Ceil(p.Labels[label])) - d.labelled[poolLabel{p.ID, label}] - p.LabelsJoining[label]
+}
+
+// bound reports whether the host's pool needs it for one of its labels.
+func (d *decision) bound(h Host) bool {
+	for _, label := range h.Labels {
+		if need := d.pools[h.Pool].Labels[label]; need > 0 && float64(d.labelled[poolLabel{h.Pool, label}]-1) < need {
+			return true
+		}
+	}
+	return false
+}
+
 // lack returns how many hosts a pool is short of. Lasting tasks are spread: a host that is emptied of them needs another one in
 // its place, even where the rest has room.
 func (d *decision) lack(p Pool) int {
-	return max(int(math.Ceil(p.Need)), d.holders[p.ID]) - d.serves[p.ID] - p.Joining
+	return max(int(math.Ceil(p.Need)), d.holders[p.ID]) - d.serves[p.ID] - p.Joining - d.arriving[p.ID]
 }
 
 func (d *decision) move(h Host, to jaybarrow.PoolID, reason string) {
@@ -241,11 +287,11 @@
 }
 
 // lender returns the idle host that its pool misses least: one of the pool with the most beyond its need, else a spare one. Both
-// arrive as soon, but the first costs something where it is.
-func (d *decision) lender(to jaybarrow.PoolID) (Host, bool) {
+// arrive as soon, but the first costs something where it is. It must have the label, unless that is empty.
+func (d *decision) lender(to jaybarrow.PoolID, label jaybarrow.Label) (Host, bool) {
 	best, most := Host{}, math.Inf(-1)
 	for _, h := range d.state.Hosts {
-		if h.Pool == to || d.taken[h.ID] {
+		if h.Pool == to || d.taken[h.ID] || label != "" && !slices.Contains(h.Labels, label) || d.bound(h) {
 			continue
 		}
 		spare := d.spare(h.Pool)
@@ -280,7 +326,7 @@
 	}
 	for _, h := range d.state.Hosts {
 		p, known := d.pools[h.Pool]
-		if !known || p.Spare || d.taken[h.ID] || !h.idle(false) {
+		if !known || p.Spare || d.taken[h.ID] || !h.idle(false) || d.bound(h) {
 			continue
 		}
 		if float64(d.serves[p.ID]-d.settings.Keep)-p.Steady >= 1 {
--- a/internal/fleetplan/plan_test.go
+++ b/internal/fleetplan/plan_test.go
@@ -26,6 +26,14 @@
 	return out
 }
 
+// labelled gives all but the first of the hosts a label.
+func labelled(in []fleetplan.Host, label jaybarrow.Label) []fleetplan.Host {
+	for i := range in[1:] {
+		in[i+1].Labels = []jaybarrow.Label{label}
+	}
+	return in
+}
+
 func busy(in []fleetplan.Host) []fleetplan.Host {
 	for i := range in {
 		in[i].Runs = 1
@@ -49,6 +57,10 @@
 	}
 	calm := need(0)
 	calm.Steady = 0
+	fast := need(1)
+	fast.Labels = map[jaybarrow.Label]float64{"fast": 0.5}
+	calmFast := calm
+	calmFast.Labels = map[jaybarrow.Label]float64{"fast": 2.5}
 	joining := need(6)
 	joining.Joining = 2
 	cases := []struct {
@@ -63,6 +75,9 @@
 		{"busy hosts stay", fleetplan.State{Hosts: append(busy(hosts("desk", 4)), busy(hosts("batch", 8))...), Pools: pools(need(6), need(0))}, nil, ""},
 		{"needed hosts stay", fleetplan.State{Hosts: append(busy(hosts("desk", 4)), hosts("batch", 4)...), Pools: pools(need(6), need(3))}, nil, ""},
 		{"hosts that are emptied of lasting tasks are replaced", fleetplan.State{Hosts: append(emptied, hosts("spare", 3)...), Pools: pools(need(1), need(0))}, map[jaybarrow.PoolID]int{"desk": 2}, "spare"},
+		{"hosts with the label that work needs", fleetplan.State{Hosts: append(append(hosts("desk", 4), hosts("batch", 2)...), labelled(hosts("spare", 3), "fast")[1:]...), Pools: pools(fast, need(0))}, map[jaybarrow.PoolID]int{"desk": 1}, "spare"},
+		{"none without the label", fleetplan.State{Hosts: append(hosts("desk", 4), hosts("spare", 3)...), Pools: pools(fast, need(0))}, nil, ""},
+		{"hosts whose label is needed stay", fleetplan.State{Hosts: append(labelled(hosts("desk", 6), "fast"), hosts("spare", 1)...), Pools: pools(calmFast, need(0))}, map[jaybarrow.PoolID]int{"spare": 3}, "desk"},
 		{"long idle hosts go back", fleetplan.State{Hosts: append(hosts("desk", 6), hosts("spare", 1)...), Pools: pools(calm, need(0))}, map[jaybarrow.PoolID]int{"spare": 4}, "desk"},
 	}
 	for _, c := range cases {
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -115,7 +115,8 @@
 	h.waves.operators = d.Platform.Operators
 	h.announcer = &announcer{host: h, log: logging.For(d.Log, "peer")}
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
-	commands := command.Deps{Clock: d.Clock, Store: relay{JobStore: d.Platform.Store, host: h, path: new(storePath), breaker: new(breaker)}, Authorizer: h.Authorizer,
+	commands := command.Deps{
+		Clock: d.Clock, Store: relay{JobStore: d.Platform.Store, host: h, path: new(storePath), breaker: new(breaker)}, Authorizer: h.Authorizer,
 		Directory: directory{h}, Settings: d.Settings.Command,
 	}
 	h.Accept, h.Cancel = command.NewAccept(commands), command.NewCancel(commands)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -127,6 +127,13 @@
 }
 
 func (l *Leader) campaign(ctx context.Context) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			// The group would keep the fault to itself until it is closed; the process must end and start again.
+			l.deps.Log.Error().Interface("fault", fault).Msg("a term ended by a fault")
+			go panic(fault)
+		}
+	}()
 	for ctx.Err() == nil {
 		changed := l.Changed()
 		if !l.vacant() {
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -87,6 +87,12 @@
 
 // run plans whenever something has changed.
 func (p *poolShard) run(ctx context.Context) {
+	defer func() {
+		// Only a fault ends the loop before the term. Without it the term must end too; closing it then reports the fault.
+		if ctx.Err() == nil {
+			p.deps.Term.Resign("the plans of a pool have ended")
+		}
+	}()
 	select {
 	case <-ctx.Done():
 		return
--- a/internal/workload/load_test.go
+++ b/internal/workload/load_test.go
@@ -51,3 +51,17 @@
 	b.add("j", tasks(1, 1000))
 	assert.Equal(t, len(b.plan().Starts), 0)
 }
+
+// Guards against work that waits for a host with a label which nobody asks for.
+func TestLoadTellsWhatOnlyWorkersWithALabelMayRun(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1", "fast")
+	step := tasks(2, 6000)
+	step.Requires = "fast"
+	b.add("a", step)
+	assert.Equal(t, b.pool.Load(b.now).Labels["fast"].CPU, jaybarrow.Millicores(12_000))
+	assert.Equal(t, len(b.start(jaybarrow.StartDone)), 1)
+	load := b.pool.Load(b.now)
+	assert.Equal(t, load.Labels["fast"].CPU, jaybarrow.Millicores(12_000), "one task runs and one waits")
+	assert.Equal(t, len(load.Labels), 1)
+}
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -19,16 +19,17 @@
 // Load is what a pool's workers do and what waits for them.
 type Load struct {
 	Workers []WorkerLoad
-	Used    jaybarrow.Resources // by runs that count as used capacity
-	Lasting jaybarrow.Resources // by those of lasting tasks
-	Waiting jaybarrow.Resources // by tasks that could start now, of jobs that can still meet their target
-	Late    jaybarrow.Resources // by those of jobs that cannot
-	Offered jaybarrow.Resources // what runs on average while jobs arrive as they did lately
+	Used    jaybarrow.Resources                     // by runs that count as used capacity
+	Lasting jaybarrow.Resources                     // by those of lasting tasks
+	Waiting jaybarrow.Resources                     // by tasks that could start now, of jobs that can still meet their target
+	Late    jaybarrow.Resources                     // by those of jobs that cannot
+	Offered jaybarrow.Resources                     // what runs on average while jobs arrive as they did lately
+	Labels  map[jaybarrow.Label]jaybarrow.Resources // of what runs and waits, that which only workers with a label may run
 }
 
 // Load returns the pool's load.
 func (p *Pool) Load(now time.Time) Load {
-	var out Load
+	out := Load{Labels: make(map[jaybarrow.Label]jaybarrow.Resources)}
 	for _, w := range p.workers {
 		if w.gone {
 			continue
@@ -42,6 +43,9 @@
 				l.Lasting++
 				out.Lasting = out.Lasting.Plus(r.demand)
 			}
+			if label := r.task.step.spec.Requires; label != "" {
+				out.Labels[label] = out.Labels[label].Plus(r.demand)
+			}
 		}
 		out.Workers = append(out.Workers, l)
 		out.Used = out.Used.Plus(w.used)
@@ -56,6 +60,9 @@
 				continue
 			}
 			demand := s.spec.Demand.Times(s.idle)
+			if label := s.spec.Requires; label != "" {
+				out.Labels[label] = out.Labels[label].Plus(demand)
+			}
 			if j.rank(now) == rankLate {
 				out.Late = out.Late.Plus(demand)
 			} else {
