Send starts that were held back while the lead was in doubt

Ruled out: the leader not hearing of the job (`job begins` is logged), the team's limit, and the writes. Change: unsent starts are a reason to look. The test fails without it.

--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -221,13 +221,14 @@
 	}
 }
 
-// gathered reports whether changes have waited long enough for their write, or ends can be acknowledged without one.
+// gathered reports whether changes have waited long enough for their write, or ends can be acknowledged or starts sent without one: a
+// start is held back while the lead is in doubt.
 func (p *Pool) gathered(now time.Time) bool {
 	if len(p.changed) > 0 {
 		return now.Sub(p.since) >= p.settings.Gather
 	}
 	for _, w := range p.workers {
-		if w.noted > w.stored {
+		if w.noted > w.stored || w.planned() {
 			return true
 		}
 	}
--- a/internal/workload/pool_test.go
+++ b/internal/workload/pool_test.go
@@ -133,6 +133,20 @@
 	assert.Assert(t, !b.pool.Stopped(stops[0], true, b.now), "the end of a run that began is reported anyway")
 }
 
+// Guards against a task that is assigned but never started, because the lead was in doubt at the moment of its start and nothing else
+// happened in its pool afterwards.
+func TestAStartThatWasHeldBackIsSentLater(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1")
+	b.add("j", tasks(1, 1000))
+	b.wait(b.settings.Gather)
+	heldBack := b.pool.Plan(b.now, true)
+	assert.Equal(t, len(heldBack.Starts), 1)
+	b.pool.Written(heldBack)
+	assert.Equal(t, len(b.plan().Starts), 1)
+	assert.Equal(t, len(b.plan().Starts), 0)
+}
+
 // Guards against work that is thrown away because only the answer to its start was lost.
 func TestAStartWithoutAnswerIsAdoptedWhenItRuns(t *testing.T) {
 	b := newBench(t)
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -81,6 +81,16 @@
 	return now.Sub(w.seen) <= w.wait+while
 }
 
+// planned reports whether a run is assigned to the worker that has not been sent.
+func (w *worker) planned() bool {
+	for _, r := range w.runs {
+		if r.phase == runPlanned {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *worker) free() jaybarrow.Resources { return w.entry.Capacity.Minus(w.used) }
 
 // expiry returns the end of a lease that begins now, in the worker's clock.
