Log repeated failures of followed sources, list sizes and faults of the scheduler

Cause: the logs could not tell apart the three hypotheses of the incident: only the first failure of a followed source was logged, a list left no measured size, and a panic of the scheduler's readers left no line. No change of the logic.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -48,7 +48,8 @@
 type follower[T any] struct {
 	Deps
 	source   Source[T]
-	failures int
+	failures int       // since the last success
+	lostAt   time.Time // time of the first of them
 }
 
 // list reads the complete list; it reports false after an error.
@@ -88,7 +89,8 @@
 
 func (f *follower[T]) recordSuccess() {
 	if f.failures > 0 {
-		f.Log.Info().Str("source", f.source.Name).Int("failures", f.failures).Msg("dependency regained")
+		f.Log.Info().Str("source", f.source.Name).Int("failures", f.failures).
+			Int64("lostForMs", f.Clock.Now().Sub(f.lostAt).Milliseconds()).Msg("dependency regained")
 	}
 	f.failures = 0
 }
@@ -98,8 +100,13 @@
 		return
 	}
 	f.failures++
-	if f.failures == 1 {
+	switch {
+	case f.failures == 1:
+		f.lostAt = f.Clock.Now()
 		f.Log.Warn().Str("source", f.source.Name).Err(err).Msg("dependency lost")
+	case f.failures&(f.failures-1) == 0: // bounds the volume: each line stands for twice as many failures as the one before
+		f.Log.Warn().Str("source", f.source.Name).Err(err).Int("failures", f.failures).
+			Int64("lostForMs", f.Clock.Now().Sub(f.lostAt).Milliseconds()).Msg("dependency still lost")
 	}
 	delay := f.Settings.RetryDelay << min(f.failures-1, 2)
 	f.sleep(ctx, delay/2+rand.N(delay/2+1))
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -23,6 +23,7 @@
 // followInput loads the stored jobs and then follows newly accepted jobs and cancellations.
 func (s *Scheduler) followInput(ctx context.Context) {
 	var first sync.Once
+	startedAt := s.deps.Clock.Now()
 	follow.Run(ctx, follow.Deps{Clock: s.deps.Clock, Log: s.deps.Log, Settings: s.deps.Settings.Input}, follow.Source[inputs]{
 		Name: "accepted jobs",
 		List: s.listInput,
@@ -36,13 +37,24 @@
 				first.Do(func() {
 					s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) { p.startPlanning() })
 					close(s.loaded)
-					s.deps.Log.Info().Int("records", len(in.records)).Msg("took over the stored jobs")
+					s.deps.Log.Info().Int("records", len(in.records)).Int("bytes", totalSize(in.records)).
+						Int("progressRecords", len(in.progress)).Int("progressBytes", totalSize(in.progress)).
+						Int64("tookMs", s.deps.Clock.Now().Sub(startedAt).Milliseconds()).Msg("took over the stored jobs")
 				})
 			}
 		},
 	})
 }
 
+// totalSize returns the size of the records' values in bytes.
+func totalSize(records []jaybarrow.Record) int {
+	n := 0
+	for _, r := range records {
+		n += len(r.Value)
+	}
+	return n
+}
+
 // listInput reads the accepted jobs and cancellations and, until the jobs are loaded, also their progress. The two lists may be
 // read concurrently, because only this term writes progress and it starts to write after both are read.
 func (s *Scheduler) listInput(ctx context.Context) (inputs, jaybarrow.Revision, error) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -52,8 +52,12 @@
 		workerPools: shard.New[jaybarrow.WorkerID, jaybarrow.PoolID](), loaded: make(chan struct{}),
 	}
 	registered := make(chan struct{})
-	s.group.Go(func() { s.followRegister(ctx, registered) })
 	s.group.Go(func() {
+		defer s.logFault("register")
+		s.followRegister(ctx, registered)
+	})
+	s.group.Go(func() {
+		defer s.logFault("accepted jobs")
 		select {
 		case <-ctx.Done():
 			return
@@ -64,6 +68,14 @@
 	return s
 }
 
+// logFault logs a panic of the goroutine that follows a source; the run group holds the panic back until Close.
+func (s *Scheduler) logFault(source string) {
+	if fault := recover(); fault != nil {
+		s.deps.Log.Error().Str("source", source).Interface("fault", fault).Msg("a part of the scheduler ended by a fault")
+		panic(fault)
+	}
+}
+
 // Close stops sending orders and waits for the shards; running tasks continue until the leases of their workers end.
 func (s *Scheduler) Close() {
 	s.cancel()
