Give each page of a list a time limit of its own

Cause: one limit of 2.6 s covered all pages of the accepted jobs, and a failure discarded the pages already read. 2.7 MB of records and the other calls of a new leader do not fit through a link of 10 Mbit/s in that time, so the leader tried for ever while it renewed its lease. Change: sources list page by page (jaybarrow.Page); the follower reads only a failed page again, and a call that exceeds its limit goes on beside the next one. Holds for accepted jobs, progress, the register, the operators' entries and the leader's record.

--- a/fleetconfig.go
+++ b/fleetconfig.go
@@ -89,8 +89,9 @@
 type JobStore interface {
 	// Get returns the record, or a KindNotFound error.
 	Get(ctx context.Context, key Key) (Record, error)
-	// List returns the records below the prefix, and the revision before the first of them was read.
-	List(ctx context.Context, prefix Key) ([]Record, Revision, error)
+	// ListPage returns the records below the prefix that follow the key after, as many as the store puts into one answer; the list
+	// begins with an empty key.
+	ListPage(ctx context.Context, prefix, after Key) (Page[Record], error)
 	// Commit applies the changes. It returns KindConflict when a condition does not hold, with a *ConflictError as the cause,
 	// KindNotFound when the lease does not exist, KindQueueFull when the store rejected the changes for overload, and
 	// KindStoreUnavailable when it did not answer. With effect notRun the store did nothing; otherwise the changes may have
--- a/following.go
+++ b/following.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+// Page is a part of a list, in the order of its keys. The pages of a list are no snapshot: changes after the revision of the first page
+// may or may not be in the later ones.
+type Page[T any] struct {
+	Items    []T
+	Revision Revision // of the store when the page was read
+	Next     Key      // the next page follows this key; empty on the last page
+}
+
 // WorkerChange is one change of the register.
 type WorkerChange struct {
 	ID     WorkerID
@@ -13,8 +21,8 @@
 
 // Register is the list in which workers register themselves.
 type Register interface {
-	// Workers returns all usable entries and the revision to follow changes from.
-	Workers(ctx context.Context) ([]WorkerChange, Revision, error)
+	// Workers returns a page of the entries that follow the key after, which is empty at the beginning of the list.
+	Workers(ctx context.Context, after Key) (Page[WorkerChange], error)
 	// WorkerChanges waits up to wait for changes after the revision, with the errors of JobStore.Changes.
 	WorkerChanges(ctx context.Context, after Revision, wait time.Duration) ([]WorkerChange, Revision, error)
 }
@@ -36,8 +44,9 @@
 
 // Operators reads the configurations and waves that operators write, and reports the state of waves to them.
 type Operators interface {
-	// List returns the newest configuration and all waves, and the revision to follow changes from.
-	List(ctx context.Context) (OperatorInput, Revision, error)
+	// List returns a page of the newest configuration and all waves, with one item for its entries; after is empty at the beginning of
+	// the list.
+	List(ctx context.Context, after Key) (Page[OperatorInput], error)
 	// Changes waits up to wait for changes after the revision, with the errors of JobStore.Changes.
 	Changes(ctx context.Context, after Revision, wait time.Duration) (OperatorInput, Revision, error)
 	// ReportWave reports the state of a wave to operators.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -2,21 +2,25 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/hedge"
 )
 
-// Source is a source of records to follow; T holds a complete list or a set of changes.
+// Source is a source of items to follow.
 type Source[T any] struct {
-	Name    string
-	List    func(ctx context.Context) (T, jaybarrow.Revision, error)
-	Changes func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) (T, jaybarrow.Revision, error)
+	Name string
+	// List returns a page of the complete list; the key after is empty for the first page.
+	List func(ctx context.Context, after jaybarrow.Key) (jaybarrow.Page[T], error)
+	// Changes waits up to wait for changes after the revision, with the errors of jaybarrow.JobStore.Changes.
+	Changes func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) ([]T, jaybarrow.Revision, error)
 	// Apply applies changes to the copy, or replaces it when complete is true; it is called for answers without changes too.
-	Apply func(update T, complete bool, received time.Time)
+	Apply func(items []T, complete bool, received time.Time)
 }
 
 // Settings holds the timing of a follower.
@@ -27,6 +31,10 @@
 	RetryDelay time.Duration // after an error; doubles up to four times the value, and is shortened at random by up to half
 }
 
+// maxPageCalls is how many calls for one page may overlap. A call that exceeds its time limit goes on beside the next one, so that a
+// large page arrives over a slow link although a silent connection is given up soon.
+const maxPageCalls = 3
+
 // Deps holds the dependencies of a follower.
 type Deps struct {
 	Clock    jaybarrow.Clock
@@ -36,15 +44,26 @@
 
 // Run follows the source until ctx ends; it blocks until then.
 func Run[T any](ctx context.Context, d Deps, s Source[T]) {
-	f := follower[T]{Deps: d, source: s}
+	f := &follower[T]{Deps: d, source: s}
 	for ctx.Err() == nil {
-		after, ok := f.list(ctx)
+		items, after, ok := f.list(ctx)
+		if ok {
+			s.Apply(items, true, f.Clock.Now())
+		}
 		for ok {
 			after, ok = f.changes(ctx, after)
 		}
 	}
 }
 
+// List returns the complete list of the source, which needs no Changes and no Apply. It blocks until the list is read, and reports false
+// when ctx ended before.
+func List[T any](ctx context.Context, d Deps, s Source[T]) ([]T, bool) {
+	f := &follower[T]{Deps: d, source: s}
+	items, _, ok := f.list(ctx)
+	return items, ok
+}
+
 type follower[T any] struct {
 	Deps
 	source   Source[T]
@@ -52,25 +71,48 @@
 	lostAt   time.Time // time of the first of them
 }
 
-// list reads the complete list; it reports false after an error.
-func (f *follower[T]) list(ctx context.Context) (jaybarrow.Revision, bool) {
-	call, cancel := context.WithTimeout(ctx, f.Settings.Wait+f.Settings.Slack)
-	defer cancel()
-	update, revision, err := f.source.List(call)
-	if err != nil {
-		f.backOff(ctx, err)
-		return 0, false
+// callLimit is the time limit of a call.
+func (f *follower[T]) callLimit() time.Duration { return f.Settings.Wait + f.Settings.Slack }
+
+// list reads the complete list and returns the revision to follow changes from; it reports false when ctx has ended. Each page has a
+// time limit of its own, and only a page that fails is read again.
+func (f *follower[T]) list(ctx context.Context) ([]T, jaybarrow.Revision, bool) {
+	var items []T
+	var start jaybarrow.Revision
+	var after jaybarrow.Key
+	for pages := 0; ctx.Err() == nil; {
+		page, err := f.page(ctx, after)
+		if err != nil {
+			f.backOff(ctx, fmt.Errorf("page %d after %d items: %w", pages+1, len(items), err))
+			continue
+		}
+		f.recordSuccess()
+		if pages == 0 {
+			start = page.Revision
+		}
+		pages++
+		items = append(items, page.Items...)
+		if page.Next == "" {
+			return items, start, true
+		}
+		after = page.Next
 	}
-	f.recordSuccess()
-	f.source.Apply(update, true, f.Clock.Now())
-	return revision, true
+	return nil, 0, false
+}
+
+// page reads the page that follows the key after.
+func (f *follower[T]) page(ctx context.Context, after jaybarrow.Key) (jaybarrow.Page[T], error) {
+	calls := hedge.Settings{Delay: f.callLimit(), MaxCalls: maxPageCalls, Timeout: maxPageCalls * f.callLimit()}
+	return hedge.Do(ctx, f.Clock, calls, func(ctx context.Context) (jaybarrow.Page[T], error) {
+		return f.source.List(ctx, after)
+	}, func(error) bool { return true })
 }
 
 // changes waits for the next changes; it reports false when the source must be listed again.
 func (f *follower[T]) changes(ctx context.Context, after jaybarrow.Revision) (jaybarrow.Revision, bool) {
-	call, cancel := context.WithTimeout(ctx, f.Settings.Wait+f.Settings.Slack)
+	call, cancel := context.WithTimeout(ctx, f.callLimit())
 	defer cancel()
-	update, revision, err := f.source.Changes(call, after, f.Settings.Wait)
+	items, revision, err := f.source.Changes(call, after, f.Settings.Wait)
 	switch {
 	case ctx.Err() != nil:
 		return 0, false
@@ -82,7 +124,7 @@
 		return after, ctx.Err() == nil
 	}
 	f.recordSuccess()
-	f.source.Apply(update, false, f.Clock.Now())
+	f.source.Apply(items, false, f.Clock.Now())
 	f.sleep(ctx, f.Settings.Pause)
 	return max(after, revision), true
 }
--- a/internal/jobhost/countedstore.go
+++ b/internal/jobhost/countedstore.go
@@ -28,11 +28,11 @@
 	return r, err
 }
 
-// List lists records and counts the outcome.
-func (s countedStore) List(ctx context.Context, prefix jaybarrow.Key) ([]jaybarrow.Record, jaybarrow.Revision, error) {
-	records, at, err := s.JobStore.List(ctx, prefix)
+// ListPage lists a page of records and counts the outcome.
+func (s countedStore) ListPage(ctx context.Context, prefix, after jaybarrow.Key) (jaybarrow.Page[jaybarrow.Record], error) {
+	page, err := s.JobStore.ListPage(ctx, prefix, after)
 	s.count("list", err)
-	return records, at, err
+	return page, err
 }
 
 // Commit writes the changes and counts the outcome.
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -185,10 +185,16 @@
 func (h *Host) followOperators(ctx context.Context) {
 	log := logging.For(h.deps.Log, "operators")
 	follow.Run(ctx, follow.Deps{Clock: h.deps.Clock, Log: log, Settings: h.deps.Settings.Operators}, follow.Source[jaybarrow.OperatorInput]{
-		Name: "operators", List: h.deps.Platform.Operators.List, Changes: h.deps.Platform.Operators.Changes,
-		Apply: func(update jaybarrow.OperatorInput, _ bool, received time.Time) {
-			h.applyConfiguration(log, update.Configuration)
-			h.waves.add(update.Waves, received)
+		Name: "operators", List: h.deps.Platform.Operators.List,
+		Changes: func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) ([]jaybarrow.OperatorInput, jaybarrow.Revision, error) {
+			update, at, err := h.deps.Platform.Operators.Changes(ctx, after, wait)
+			return []jaybarrow.OperatorInput{update}, at, err
+		},
+		Apply: func(updates []jaybarrow.OperatorInput, _ bool, received time.Time) {
+			for _, u := range updates {
+				h.applyConfiguration(log, u.Configuration)
+				h.waves.add(u.Waves, received)
+			}
 			h.catalog.Confirm(received)
 		},
 	})
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -61,10 +61,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Leader{deps: d, cancel: cancel, changed: notify.New(), started: d.Clock.Now()}
 	l.group.Go(func() {
-		follow.Run(ctx, follow.Deps{Clock: d.Clock, Log: d.Log, Settings: d.Settings.Follow}, follow.Source[[]jaybarrow.Record]{
+		follow.Run(ctx, follow.Deps{Clock: d.Clock, Log: d.Log, Settings: d.Settings.Follow}, follow.Source[jaybarrow.Record]{
 			Name: "leader",
-			List: func(ctx context.Context) ([]jaybarrow.Record, jaybarrow.Revision, error) {
-				return d.Store.List(ctx, jaybarrow.JobLeaderKey)
+			List: func(ctx context.Context, after jaybarrow.Key) (jaybarrow.Page[jaybarrow.Record], error) {
+				return d.Store.ListPage(ctx, jaybarrow.JobLeaderKey, after)
 			},
 			Changes: func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) ([]jaybarrow.Record, jaybarrow.Revision, error) {
 				return d.Store.Changes(ctx, jaybarrow.JobLeaderKey, after, wait)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -49,13 +49,14 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *store) List(context.Context, jaybarrow.Key) ([]jaybarrow.Record, jaybarrow.Revision, error) {
+func (s *store) ListPage(context.Context, jaybarrow.Key, jaybarrow.Key) (jaybarrow.Page[jaybarrow.Record], error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if s.record.Deleted {
-		return nil, s.revision, nil
+	page := jaybarrow.Page[jaybarrow.Record]{Revision: s.revision}
+	if !s.record.Deleted {
+		page.Items = []jaybarrow.Record{s.record}
 	}
-	return []jaybarrow.Record{s.record}, s.revision, nil
+	return page, nil
 }
 
 func (s *store) Changes(ctx context.Context, _ jaybarrow.Key, after jaybarrow.Revision, wait time.Duration) ([]jaybarrow.Record, jaybarrow.Revision, error) {
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -14,36 +12,48 @@
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
-// inputs are the records of accepted jobs and cancellations.
-type inputs struct {
-	records  []jaybarrow.Record
-	progress []jaybarrow.Record // stored progress of the jobs; read only with lists before the jobs are loaded
-}
-
 // followInput loads the stored jobs and then follows newly accepted jobs and cancellations.
 func (s *Scheduler) followInput(ctx context.Context) {
-	var first sync.Once
+	deps := follow.Deps{Clock: s.deps.Clock, Log: s.deps.Log, Settings: s.deps.Settings.Input}
 	startedAt := s.deps.Clock.Now()
-	follow.Run(ctx, follow.Deps{Clock: s.deps.Clock, Log: s.deps.Log, Settings: s.deps.Settings.Input}, follow.Source[inputs]{
-		Name: "accepted jobs",
-		List: s.listInput,
-		Changes: func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) (inputs, jaybarrow.Revision, error) {
-			records, at, err := s.deps.Store.Changes(ctx, jaybarrow.JobInputPrefix, after, wait)
-			return inputs{records: records}, at, err
+	var progress []jaybarrow.Record
+	var complete bool
+	var reading conc.WaitGroup
+	// The two lists may be read concurrently, because only this term writes progress and it starts to write after both are read.
+	reading.Go(func() {
+		progress, complete = follow.List(ctx, deps, follow.Source[jaybarrow.Record]{Name: "progress of jobs", List: s.listBelow(jaybarrow.JobStatePrefix)})
+	})
+	follow.Run(ctx, deps, follow.Source[jaybarrow.Record]{
+		Name: "accepted jobs", List: s.listBelow(jaybarrow.JobInputPrefix),
+		Changes: func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) ([]jaybarrow.Record, jaybarrow.Revision, error) {
+			return s.deps.Store.Changes(ctx, jaybarrow.JobInputPrefix, after, wait)
 		},
-		Apply: func(in inputs, isList bool, now time.Time) {
-			s.applyInputs(in, now)
-			if isList {
-				first.Do(func() {
-					s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) { p.startPlanning() })
-					close(s.loaded)
-					s.deps.Log.Info().Int("records", len(in.records)).Int("bytes", totalSize(in.records)).
-						Int("progressRecords", len(in.progress)).Int("progressBytes", totalSize(in.progress)).
-						Int64("tookMs", s.deps.Clock.Now().Sub(startedAt).Milliseconds()).Msg("took over the stored jobs")
-				})
+		Apply: func(records []jaybarrow.Record, _ bool, now time.Time) {
+			if s.jobsAreLoaded() {
+				s.applyInputs(records, nil, now)
+				return
 			}
+			// The first records are a complete list.
+			if reading.Wait(); !complete {
+				return
+			}
+			s.applyInputs(records, progress, s.deps.Clock.Now())
+			s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) { p.startPlanning() })
+			close(s.loaded)
+			s.deps.Log.Info().Int("records", len(records)).Int("bytes", totalSize(records)).Int("progressRecords", len(progress)).
+				Int("progressBytes", totalSize(progress)).Int64("tookMs", s.deps.Clock.Now().Sub(startedAt).Milliseconds()).
+				Msg("took over the stored jobs")
+			progress = nil
 		},
 	})
+	reading.Wait()
+}
+
+// listBelow returns a function that lists the records below the prefix.
+func (s *Scheduler) listBelow(prefix jaybarrow.Key) func(context.Context, jaybarrow.Key) (jaybarrow.Page[jaybarrow.Record], error) {
+	return func(ctx context.Context, after jaybarrow.Key) (jaybarrow.Page[jaybarrow.Record], error) {
+		return s.deps.Store.ListPage(ctx, prefix, after)
+	}
 }
 
 // totalSize returns the size of the records' values in bytes.
@@ -55,25 +65,10 @@
 	return n
 }
 
-// listInput reads the accepted jobs and cancellations and, until the jobs are loaded, also their progress. The two lists may be
-// read concurrently, because only this term writes progress and it starts to write after both are read.
-func (s *Scheduler) listInput(ctx context.Context) (inputs, jaybarrow.Revision, error) {
-	var out inputs
-	var at jaybarrow.Revision
-	var inputErr, progressErr error
-	var group conc.WaitGroup
-	group.Go(func() { out.records, at, inputErr = s.deps.Store.List(ctx, jaybarrow.JobInputPrefix) })
-	if !s.jobsAreLoaded() {
-		group.Go(func() { out.progress, _, progressErr = s.deps.Store.List(ctx, jaybarrow.JobStatePrefix) })
-	}
-	group.Wait()
-	return out, at, errors.Join(inputErr, progressErr)
-}
-
-// applyInputs adds the accepted jobs and then applies the cancellations, and wakes the pools concerned.
-func (s *Scheduler) applyInputs(in inputs, now time.Time) {
-	stored := make(map[jaybarrow.JobID]storedRecord, len(in.progress))
-	for _, r := range in.progress {
+// applyInputs adds the accepted jobs with their stored progress and then applies the cancellations, and wakes the pools concerned.
+func (s *Scheduler) applyInputs(records, progress []jaybarrow.Record, now time.Time) {
+	stored := make(map[jaybarrow.JobID]storedRecord, len(progress))
+	for _, r := range progress {
 		id, ok := jaybarrow.ParseJobStateKey(r.Key)
 		if !ok || r.Deleted {
 			continue
@@ -86,12 +81,12 @@
 		stored[id] = storedRecord{&record, r.Revision}
 	}
 	changedPools := make(map[*poolShard]bool)
-	for _, r := range in.records {
+	for _, r := range records {
 		if id, ok := jaybarrow.ParseJobAcceptedKey(r.Key); ok && !r.Deleted {
 			s.addJob(id, r, stored[id], now, changedPools)
 		}
 	}
-	for _, r := range in.records {
+	for _, r := range records {
 		if id, ok := jaybarrow.ParseJobCancelledKey(r.Key); ok && !r.Deleted {
 			s.cancelJob(id, now, changedPools)
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -87,7 +87,7 @@
 func (s *Scheduler) followRegister(ctx context.Context, registered chan struct{}) {
 	var first sync.Once
 	follow.Run(ctx, follow.Deps{Clock: s.deps.Clock, Log: s.deps.Log, Settings: s.deps.Settings.Register},
-		follow.Source[[]jaybarrow.WorkerChange]{
+		follow.Source[jaybarrow.WorkerChange]{
 			Name: "register", List: s.deps.Register.Workers, Changes: s.deps.Register.WorkerChanges,
 			Apply: func(changes []jaybarrow.WorkerChange, isList bool, now time.Time) {
 				s.applyWorkers(changes, isList, now)
@@ -152,7 +152,7 @@
 // are loaded it does nothing, because the job would be added without its stored progress; the store delivers the record later.
 func (s *Scheduler) Announce(record jaybarrow.Record) {
 	if s.jobsAreLoaded() {
-		s.applyInputs(inputs{records: []jaybarrow.Record{record}}, s.deps.Clock.Now())
+		s.applyInputs([]jaybarrow.Record{record}, nil, s.deps.Clock.Now())
 	}
 }
 
