End the term of a leader that cannot read the stored jobs

Cause: the lease is renewed by a loop of its own, so an entry host whose lists get no answer kept the lead for ever. Slow progress does not end a term. Result: TestALeaderThatCannotReadTheStoredJobsGivesUpTheLead fails after 60 s without the change (job 2 is not completed), passes with it.

--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -51,8 +51,39 @@
 
 // listBelow returns a function that lists the records below the prefix.
 func (s *Scheduler) listBelow(prefix jaybarrow.Key) func(context.Context, jaybarrow.Key) (jaybarrow.Page[jaybarrow.Record], error) {
-	return func(ctx context.Context, after jaybarrow.Key) (jaybarrow.Page[jaybarrow.Record], error) {
+	return countingPages(s, func(ctx context.Context, after jaybarrow.Key) (jaybarrow.Page[jaybarrow.Record], error) {
 		return s.deps.Store.ListPage(ctx, prefix, after)
+	})
+}
+
+// countingPages returns list with a signal to watchTakeover after each page.
+func countingPages[T any](s *Scheduler, list func(context.Context, jaybarrow.Key) (jaybarrow.Page[T], error)) func(context.Context, jaybarrow.Key) (jaybarrow.Page[T], error) {
+	return func(ctx context.Context, after jaybarrow.Key) (jaybarrow.Page[T], error) {
+		page, err := list(ctx, after)
+		if err == nil {
+			select {
+			case s.pageRead <- struct{}{}:
+			default:
+			}
+		}
+		return page, err
+	}
+}
+
+// watchTakeover resigns when no page arrives for TakeoverStallLimit before the stored jobs are loaded. Renewing the lease is no proof
+// that this entry host can schedule; another one may be able to read the store.
+func (s *Scheduler) watchTakeover(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.loaded:
+			return
+		case <-s.pageRead:
+		case <-s.deps.Clock.After(s.deps.Settings.TakeoverStallLimit):
+			s.deps.Term.Resign("the stored jobs cannot be read")
+			return
+		}
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,6 +41,7 @@
 	jobPools    *shard.Map[jaybarrow.JobID, jaybarrow.PoolID]    // pool of each known job
 	workerPools *shard.Map[jaybarrow.WorkerID, jaybarrow.PoolID] // pool of each registered worker
 	loaded      chan struct{}                                    // closed once every stored job is loaded
+	pageRead    chan struct{}                                    // has a value when a page of the register or of the stored jobs was read
 }
 
 // New returns a running Scheduler. It reads the register of workers first and then the stored jobs; it plans once both are loaded.
@@ -50,12 +51,14 @@
 		deps: d, teams: newTeams(d.Catalog.Limit, d.Catalog.Share), ctx: ctx, cancel: cancel,
 		pools: shard.New[jaybarrow.PoolID, *poolShard](), jobPools: shard.New[jaybarrow.JobID, jaybarrow.PoolID](),
 		workerPools: shard.New[jaybarrow.WorkerID, jaybarrow.PoolID](), loaded: make(chan struct{}),
+		pageRead: make(chan struct{}, 1),
 	}
 	registered := make(chan struct{})
 	s.group.Go(func() {
 		defer s.logFault("register")
 		s.followRegister(ctx, registered)
 	})
+	s.group.Go(func() { s.watchTakeover(ctx) })
 	s.group.Go(func() {
 		defer s.logFault("accepted jobs")
 		select {
@@ -88,7 +91,7 @@
 	var first sync.Once
 	follow.Run(ctx, follow.Deps{Clock: s.deps.Clock, Log: s.deps.Log, Settings: s.deps.Settings.Register},
 		follow.Source[jaybarrow.WorkerChange]{
-			Name: "register", List: s.deps.Register.Workers, Changes: s.deps.Register.WorkerChanges,
+			Name: "register", List: countingPages(s, s.deps.Register.Workers), Changes: s.deps.Register.WorkerChanges,
 			Apply: func(changes []jaybarrow.WorkerChange, isList bool, now time.Time) {
 				s.applyWorkers(changes, isList, now)
 				first.Do(func() { close(registered) })
@@ -156,6 +159,9 @@
 	}
 }
 
+// Loaded returns a channel that is closed once every stored job is loaded.
+func (s *Scheduler) Loaded() <-chan struct{} { return s.loaded }
+
 // jobsAreLoaded reports whether every stored job is loaded.
 func (s *Scheduler) jobsAreLoaded() bool {
 	select {
