Keep hosts once the stored jobs are loaded

Cause: during a takeover the fleet keeper listed all hosts of the fleet ten times a second over the link that the stored jobs come through. Change: the keeper of a term starts when the stored jobs are loaded; before, it had no loads to decide on.

--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -162,7 +162,8 @@
 // Leading reports whether this entry host leads, and so schedules jobs.
 func (h *Host) Leading() bool { return h.activeScheduler.Load() != nil }
 
-// lead runs the scheduler and the fleet keeper until ctx ends with the term.
+// lead runs the scheduler until ctx ends with the term, and the fleet keeper from when the stored jobs are loaded: before, the keeper has
+// nothing to decide on, and its reads of the list of hosts would slow the takeover down.
 func (h *Host) lead(ctx context.Context, term leader.Term) {
 	log := logging.For(h.deps.Log, "scheduler")
 	h.deps.Metrics.Count("leader.terms")
@@ -170,14 +171,19 @@
 		Clock: h.deps.Clock, Log: log, Store: h.deps.Platform.Store, Register: h.deps.Platform.Register,
 		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: observer{log, h.deps.Metrics}, Term: term, Settings: h.deps.Settings.Scheduler,
 	})
-	keeper := fleetkeeper.New(fleetkeeper.Deps{
-		Clock: h.deps.Clock, Log: logging.For(h.deps.Log, "fleet"), Fleet: h.deps.Platform.Fleet, Store: h.deps.Platform.Store,
-		Pools: s, Waves: &h.waves, Catalog: h.catalog, Term: term, Settings: h.deps.Settings.Fleet,
-	})
 	h.activeScheduler.Store(s)
-	<-ctx.Done()
-	h.activeScheduler.Store(nil)
-	keeper.Close()
+	select {
+	case <-ctx.Done():
+		h.activeScheduler.Store(nil)
+	case <-s.Loaded():
+		keeper := fleetkeeper.New(fleetkeeper.Deps{
+			Clock: h.deps.Clock, Log: logging.For(h.deps.Log, "fleet"), Fleet: h.deps.Platform.Fleet, Store: h.deps.Platform.Store,
+			Pools: s, Waves: &h.waves, Catalog: h.catalog, Term: term, Settings: h.deps.Settings.Fleet,
+		})
+		<-ctx.Done()
+		h.activeScheduler.Store(nil)
+		keeper.Close()
+	}
 	s.Close()
 }
 
