Prefer an entry host with a fast link as leader

Cause: a new leader reads all stored jobs and sends all orders over its link; candidates were ordered by cores and uptime alone, by less than the 0.3 s by which hosts that start together differ.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -98,7 +98,7 @@
 	settings := jobhost.DefaultSettings()
 	settings.MaxConfigurationAge = time.Duration(configurationAgeFraction * float64(s.Bounds.ConfigurationDelay+s.Bounds.OutageDelay))
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.MaxWorkerLease)
-	settings.Leader.Capacity = s.Capacity
+	settings.Leader.Capacity, settings.Leader.Link = s.Capacity, s.Link
 	settings.Fleet.TakeoverDelay, settings.Fleet.MinOrderDuration = s.Bounds.HostOrderLease, s.Bounds.MinHostOrderTime
 	settings.Fleet.Plan.Lookahead = s.Bounds.HostMoveTime + settings.Fleet.Interval
 	host := jobhost.New(jobhost.Deps{
--- a/ids.go
+++ b/ids.go
@@ -62,6 +62,9 @@
 // Megabytes counts memory in units of 10^6 bytes.
 type Megabytes int
 
+// MegabitsPerSecond is the speed of a network link in 10^6 bits per second.
+type MegabitsPerSecond float64
+
 // Accelerators counts accelerator devices.
 type Accelerators int
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -170,17 +170,12 @@
 	l.revokeLease(holder.Lease)
 }
 
-// campaignDelay returns the delay before a campaign; it is shorter for an entry host with more cores and for a process that started
-// later.
+// campaignDelay returns the delay before a campaign; it is shorter for an entry host with more cores or a faster link, and for a process
+// that started later.
 func (l *Leader) campaignDelay() time.Duration {
-	s := l.deps.Settings
-	age := min(1, float64(l.deps.Clock.Now().Sub(l.started))/float64(s.LongUptime))
-	return time.Duration(float64(s.CapacityDelay)/max(minCapacity, s.Capacity) + float64(s.UptimeDelay)*age)
+	return l.deps.Settings.campaignDelay(l.deps.Clock.Now().Sub(l.started))
 }
 
-// minCapacity is the number of cores below which the delay does not grow any further.
-const minCapacity = 0.1
-
 func (l *Leader) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/leader/settings.go
+++ b/internal/leader/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/follow"
 )
 
@@ -16,6 +17,10 @@
 	// scheduler tends to run where it has the most processor time.
 	CapacityDelay time.Duration
 	Capacity      float64 // cores of this entry host
+	// LinkDelay is the delay before a campaign of an entry host with a link of 1 Mbit/s; it is divided by the speed of the link, since a
+	// new leader reads all stored jobs through it.
+	LinkDelay time.Duration
+	Link      jaybarrow.MegabitsPerSecond // speed of the link of this entry host; without a delay when it is 0
 	// UptimeDelay is the delay before a campaign of a process that has run for LongUptime; a younger one waits proportionally less.
 	// A rolling restart restarts each process once, so the process that started last can lead the longest.
 	UptimeDelay, LongUptime time.Duration
@@ -35,9 +40,26 @@
 		Jitter: 15 * time.Millisecond,
 		// The delays of hosts with 0.2 and 0.4 cores then differ by a few round trips to the store.
 		CapacityDelay: 20 * time.Millisecond, Capacity: 1,
+		// At 10 Mbit/s 0.4 s, which is more than two hosts that start together differ by and a fraction of what a takeover takes then.
+		LinkDelay: 4 * time.Second,
 		// More than the capacity delays of two usual hosts differ by; a rolling restart of a dozen hosts takes half a minute.
 		UptimeDelay: 60 * time.Millisecond, LongUptime: 30 * time.Second,
 		ResignPause: 3 * time.Second,
 		Follow:      follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, RetryDelay: 100 * time.Millisecond},
 	}
 }
+
+const (
+	// minCapacity and minLink are the cores and the speed below which the delay does not grow any further.
+	minCapacity                             = 0.1
+	minLink     jaybarrow.MegabitsPerSecond = 5
+)
+
+// campaignDelay returns the delay before a campaign of a process that has run for uptime.
+func (s Settings) campaignDelay(uptime time.Duration) time.Duration {
+	delay := float64(s.CapacityDelay)/max(minCapacity, s.Capacity) + float64(s.UptimeDelay)*min(1, float64(uptime)/float64(s.LongUptime))
+	if s.Link > 0 {
+		delay += float64(s.LinkDelay) / float64(max(minLink, s.Link))
+	}
+	return time.Duration(delay)
+}
