Hand the lead over to a host that is much better suited

Cause: whoever is elected leads for as long as it lives, also when the better suited hosts were only restarting; at 10 Mbit/s the orders of the grown deployments fill the link, so that holds and renewals of the lease are late. Change: an entry host whose delay before a campaign is at most half of the leader's, and 0.2 s shorter, asks the leader to resign, by a record under a lease of 1 s; it asks again after 10 s. Where hosts are equal nothing is written.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -22,6 +22,8 @@
 	Address jaybarrow.Address  `json:"address"` // of its peer server
 	Change  jaybarrow.ChangeID `json:"change"`  // identifies a write whose answer was lost
 	Lease   jaybarrow.LeaseID  `json:"lease"`   // lease of the record
+	// HandicapMs is the delay before a campaign that follows from the host's size; a lower one is better suited for the lead.
+	HandicapMs int64 `json:"handicapMs,omitempty"`
 }
 
 // Replaces reports whether h has the entry id and address of other. Two processes cannot listen at one address, so the process of
@@ -54,11 +56,13 @@
 	known   bool // whether the record has been read
 	held    bool // whether an entry host leads
 	current Holder
+	resign  func(reason string) // ends the running term; nil without one
 }
 
 // New returns a Leader that campaigns until it is closed.
 func New(d Deps) *Leader {
 	ctx, cancel := context.WithCancel(context.Background())
+	d.Self.HandicapMs = d.Settings.campaignDelay(0).Milliseconds()
 	l := &Leader{deps: d, cancel: cancel, changed: notify.New(), started: d.Clock.Now()}
 	l.group.Go(func() {
 		follow.Run(ctx, follow.Deps{Clock: d.Clock, Log: d.Log, Settings: d.Settings.Follow}, follow.Source[jaybarrow.Record]{
@@ -100,6 +104,9 @@
 		l.held = false
 	}
 	for _, r := range records {
+		if r.Key == jaybarrow.JobChallengeKey && !r.Deleted && l.resign != nil {
+			l.answerChallenge(r.Value)
+		}
 		if r.Key != jaybarrow.JobLeaderKey {
 			continue
 		}
@@ -143,10 +150,7 @@
 		changed := l.Changed()
 		if !l.vacant() {
 			l.revokeAbandonedLease()
-			select {
-			case <-ctx.Done():
-			case <-changed:
-			}
+			l.awaitVacancy(ctx, changed)
 			continue
 		}
 		l.sleep(ctx, l.campaignDelay()+rand.N(l.deps.Settings.Jitter+1))
--- a/internal/leader/settings.go
+++ b/internal/leader/settings.go
@@ -25,7 +25,10 @@
 	// A rolling restart restarts each process once, so the process that started last can lead the longest.
 	UptimeDelay, LongUptime time.Duration
 	ResignPause             time.Duration // before the next campaign after a resignation
-	Follow                  follow.Settings
+	// ChallengeDelay is how long an entry host waits before it asks a less suited leader to resign, and ChallengeInterval how long before
+	// it asks again.
+	ChallengeDelay, ChallengeInterval time.Duration
+	Follow                            follow.Settings
 }
 
 // DefaultSettings returns the default settings.
@@ -45,7 +48,9 @@
 		// More than the capacity delays of two usual hosts differ by; a rolling restart of a dozen hosts takes half a minute.
 		UptimeDelay: 60 * time.Millisecond, LongUptime: 30 * time.Second,
 		ResignPause: 3 * time.Second,
-		Follow:      follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, RetryDelay: 100 * time.Millisecond},
+		// A few round trips to the store; an interval that keeps the lead stable when the challenger cannot take it.
+		ChallengeDelay: 200 * time.Millisecond, ChallengeInterval: 10 * time.Second,
+		Follow: follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, RetryDelay: 100 * time.Millisecond},
 	}
 }
 
--- a/internal/leader/settings_test.go
+++ b/internal/leader/settings_test.go
@@ -25,3 +25,23 @@
 	assert.Equal(t, delay(0.4, 0, 0), delay(0.4, jaybarrow.MegabitsPerSecond(math.Inf(1)), 0), "a link of unknown speed causes no delay")
 	assert.Assert(t, delay(0.4, 0.001, time.Hour) < time.Second, "the delay is bounded")
 }
+
+// Guards against a lead that changes between hosts of about the same size, each change of which interrupts scheduling.
+func TestOnlyAMuchLessSuitedLeaderIsOutranked(t *testing.T) {
+	for name, c := range map[string]struct {
+		holderMs, challengerMs int64
+		want                   bool
+	}{
+		"slow link":            {504, 45, true},
+		"same size":            {504, 504, false},
+		"better suited":        {45, 504, false},
+		"small difference":     {150, 45, false},
+		"small ratio":          {1000, 700, false},
+		"older build":          {0, 45, false},
+		"both without a delay": {0, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, Holder{HandicapMs: c.holderMs}.outrankedBy(c.challengerMs), c.want)
+		})
+	}
+}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -50,6 +50,8 @@
 		},
 	}
 	d.Log.Info().Int64("fence", int64(term.Fence)).Msg("leading")
+	l.setResign(term.Resign)
+	defer l.setResign(nil)
 	var group conc.WaitGroup
 	group.Go(func() {
 		l.renewLease(ctx, cancel, lease, &validUntil)
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -48,7 +48,7 @@
 		CommitRetryDelay: 30 * time.Millisecond,
 		// Two calls for a page.
 		TakeoverStallLimit: 6 * time.Second,
-		Input:            follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, RetryDelay: 50 * time.Millisecond},
+		Input:              follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, RetryDelay: 50 * time.Millisecond},
 		// Workers renew their entries continually; the pause batches the changes into a few calls a second.
 		Register: follow.Settings{
 			// Some worker renews its entry within this time, so a watch that delivers no change for longer has failed.
