Count only reporting workers as a pool's capacity for shares

Cause: the share of a team was taken of the capacity of every entry of the register, also of one that no worker answers for. Change: workers that report and are not gone count. Result: TestOnlyWorkersThatReportCountForShares got the team over its share before the change, passes with it.

--- a/internal/workload/load_test.go
+++ b/internal/workload/load_test.go
@@ -67,3 +67,36 @@
 	assert.Equal(t, load.Labels["fast"].CPU, jaybarrow.Millicores(12_000), "one task runs and one waits")
 	assert.Equal(t, len(load.Labels), 1)
 }
+
+// Guards against an entry that no worker answers for and that changes which teams are above their share: its capacity is no capacity
+// of the pool. The team of a has 4 of 5 parts of the only worker and a share of a half.
+func TestOnlyWorkersThatReportCountForShares(t *testing.T) {
+	firstTeam := func(odd *jaybarrow.Worker) jaybarrow.TeamID {
+		h := newHarness(t)
+		h.shares = map[jaybarrow.TeamID]jaybarrow.Share{"rich": 1, "poor": 1}
+		h.addWorker("w1")
+		add := func(id jaybarrow.JobID, team jaybarrow.TeamID, n int) {
+			h.pool.AddJob(&jaybarrow.Job{ID: id, Queue: "match", Pool: "desk", Team: team, Spec: "s", Steps: []jaybarrow.Step{tasks(n, 2000)}, AcceptedMs: h.now.UnixMilli()}, nil, h.now)
+		}
+		add("a", "rich", 4)
+		assert.Equal(t, len(h.planAndStart(jaybarrow.StartDone)), 4)
+		if odd != nil {
+			h.pool.SetWorker(*odd, h.now)
+		}
+		add("b", "rich", 1)
+		h.advance(time.Millisecond)
+		add("c", "poor", 1)
+		starts := h.planAndStart(jaybarrow.StartDone)
+		assert.Equal(t, len(starts), 1)
+		if starts[0].Task.Job == "b" {
+			return "rich"
+		}
+		return "poor"
+	}
+	entry := jaybarrow.Worker{ID: "odd", Pool: "desk", Address: "192.0.2.9:80", State: jaybarrow.WorkerReady}
+	assert.Equal(t, firstTeam(nil), jaybarrow.TeamID("poor"))
+	entry.Capacity = jaybarrow.Resources{CPU: 1_000_000_000, Memory: 1_000_000_000}
+	assert.Equal(t, firstTeam(&entry), jaybarrow.TeamID("poor"), "beside the largest accepted capacity")
+	entry.Capacity = jaybarrow.Resources{CPU: 1<<63 - 1, Memory: 1<<63 - 1}
+	assert.Equal(t, firstTeam(&entry), jaybarrow.TeamID("poor"), "beside a capacity whose sum overflows")
+}
--- a/internal/workload/share.go
+++ b/internal/workload/share.go
@@ -16,7 +16,9 @@
 	}
 	var capacity jaybarrow.Resources
 	for _, w := range p.workers {
-		capacity = capacity.Plus(w.entry.Capacity)
+		if w.reported && !w.gone {
+			capacity = capacity.Plus(w.entry.Capacity)
+		}
 		for _, r := range w.runs {
 			if !r.task.step.spec.Lasting {
 				team := r.task.step.job.spec.Team
