Refuse jobs whose numbers overflow sums and times

Cause: a job with 2^63-1 as a demand, an estimate or an interval was accepted; sums over waiting tasks and times then overflow. Change: named limits on demands and times; such a job is refused with KindBadRequest and nothing is stored.

--- a/internal/command/job/validate.go
+++ b/internal/command/job/validate.go
@@ -12,6 +12,15 @@
 	idDigits     = 16      // hexadecimal
 )
 
+// The largest numbers of a job. The demands of all waiting tasks are added up, and times are added to the current time.
+const (
+	maxCPU          = 1_000_000_000               // thousandths of a core, of one task
+	maxMemory       = 1_000_000_000               // MB, of one task
+	maxAccelerators = 1_000_000                   // of one task
+	maxTimeMs       = 10 * 365 * 24 * 3600 * 1000 // of an estimate, a latency or an interval
+	maxStartMs      = 253_402_300_799_999         // Unix ms; the end of the year 9999
+)
+
 // validateJob returns KindBadRequest for a job that is malformed or exceeds a limit.
 func validateJob(in Accept) error {
 	switch {
@@ -24,8 +33,11 @@
 	}
 	runs := 1
 	if r := in.Recurrence; r != nil {
-		if r.Runs < 1 || r.IntervalMs < 0 {
-			return jaybarrow.Errorf(jaybarrow.KindBadRequest, "%d runs every %d ms: want at least 1 run and no negative interval", r.Runs, r.IntervalMs)
+		if r.Runs < 1 || r.IntervalMs < 0 || r.IntervalMs > maxTimeMs {
+			return jaybarrow.Errorf(jaybarrow.KindBadRequest, "%d runs every %d ms: want at least 1 run and an interval of 0 to %d ms", r.Runs, r.IntervalMs, int64(maxTimeMs))
+		}
+		if r.StartMs < 0 || r.StartMs > maxStartMs {
+			return jaybarrow.Errorf(jaybarrow.KindBadRequest, "start at %d ms: want 0 to %d", r.StartMs, int64(maxStartMs))
 		}
 		runs = min(r.Runs, maxTasks+1)
 	}
@@ -50,6 +62,9 @@
 	if d.CPU < 0 || d.Memory < 0 || d.Accelerators < 0 || s.EstimateMs < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 || s.LatencyMs < 0 {
 		return jaybarrow.Errorf(jaybarrow.KindBadRequest, "step %d: a value is negative", i)
 	}
+	if d.CPU > maxCPU || d.Memory > maxMemory || d.Accelerators > maxAccelerators || s.EstimateMs > maxTimeMs || s.LatencyMs > maxTimeMs {
+		return jaybarrow.Errorf(jaybarrow.KindBadRequest, "step %d: a value is too large", i)
+	}
 	for _, predecessor := range s.After {
 		if predecessor < 0 || int(predecessor) >= i {
 			return jaybarrow.Errorf(jaybarrow.KindBadRequest, "step %d: after %d: want an earlier step", i, predecessor)
