Decode the leader's record into a new holder

Cause: decoding into the last holder kept fields that the new record lacks, and a record that cannot be decoded could change some of them. Change: a fresh value for each record. Found by reading while odd entries were examined. Result: the tests of the package pass; no test of its own, only the system's own hosts write the record.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -114,10 +114,13 @@
 		if r.Deleted {
 			continue
 		}
-		if err := json.Unmarshal(r.Value, &l.current); err != nil {
+		var holder Holder // a new one, since decoding keeps the fields that the record lacks
+		if err := json.Unmarshal(r.Value, &holder); err != nil {
 			l.deps.Log.Error().Err(err).Msg("cannot decode the leader's record; it counts as vacant")
 			l.held = false
+			continue
 		}
+		l.current = holder
 	}
 	differs := !l.known || held != l.held || before != l.current
 	l.known = true
