Bound the start orders that wait for an answer by the speed of the link

What callers saw: on trials in which hosts with links of 10 Mbit/s led, 1,445 starts went out in the 1.3 s after a takeover, the lease ended, and the next leader began again. Cause: all planned starts were sent at once; on a slow link they wait in front of reports, renewals of the lease and stops. Change: a start takes one of a number of slots, 8 for each Mbit/s; the others stay planned and are part of the next round.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -34,6 +34,11 @@
 	drainDelay = 2500 * time.Millisecond
 	// closeTimeout bounds how long the last responses may take after drainDelay.
 	closeTimeout = 2 * time.Second
+	// startsPerMegabit is the number of concurrent start orders for each Mbit/s of the host's link. Orders of 1.5 KB then wait a tenth of
+	// a second for the link. The other two bound the number of concurrent start orders.
+	startsPerMegabit    = 8
+	minConcurrentStarts = 40
+	maxConcurrentStarts = 4000
 	// configurationAgeFraction is the fraction of the platform's limit on the age of the configuration above which requests are
 	// refused with KindStaleConfiguration.
 	configurationAgeFraction = 0.7
@@ -99,6 +104,9 @@
 	settings.MaxConfigurationAge = time.Duration(configurationAgeFraction * float64(s.Bounds.ConfigurationDelay+s.Bounds.OutageDelay))
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.MaxWorkerLease)
 	settings.Leader.Capacity, settings.Leader.Link = s.Capacity, s.Link
+	if s.Link > 0 {
+		settings.Scheduler.MaxConcurrentStarts = max(minConcurrentStarts, int(min(startsPerMegabit*s.Link, maxConcurrentStarts)))
+	}
 	settings.Fleet.TakeoverDelay, settings.Fleet.MinOrderDuration = s.Bounds.HostOrderLease, s.Bounds.MinHostOrderTime
 	settings.Fleet.Plan.Lookahead = s.Bounds.HostMoveTime + settings.Fleet.Interval
 	host := jobhost.New(jobhost.Deps{
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -23,6 +23,7 @@
 	log        zerolog.Logger
 	writer     *writer
 	forgetJob  func(jaybarrow.JobID) // called when a job's records have been removed
+	startSlots chan struct{}         // of the scheduler
 	group      conc.WaitGroup
 	wake       chan struct{}    // has a value when the planning loop must plan again
 	jobsLoaded chan struct{}    // closed once the stored jobs are loaded
@@ -43,8 +44,8 @@
 			clock: d.Clock, log: d.Log, store: d.Store, settings: d.Settings, leaderRevision: d.Term.Revision,
 			revisions: make(map[jaybarrow.JobID]jaybarrow.Revision),
 		},
-		forgetJob: s.jobPools.Delete,
-		wake:      make(chan struct{}, 1), jobsLoaded: make(chan struct{}), written: notify.New(),
+		forgetJob: s.jobPools.Delete, startSlots: s.startSlots,
+		wake: make(chan struct{}, 1), jobsLoaded: make(chan struct{}), written: notify.New(),
 		state: workload.New(workload.Deps{
 			Settings: d.Settings.Workload, ID: id, Fence: d.Term.Fence, Teams: s.teams, Observer: d.Observer, Policies: s.policy,
 		}),
@@ -181,25 +182,36 @@
 	p.state.HandleRemoval(ids, err == nil)
 }
 
-// sendableStarts returns the starts that may still be sent, with the lease of each filled in. The lock is held.
+// sendableStarts returns the starts that may still be sent, with the lease of each filled in and a start slot taken for it. Starts beyond
+// the free slots stay planned and are part of the next round. The lock is held.
 func (p *poolShard) sendableStarts(starts []workload.StartRun) []workload.StartRun {
 	if !p.deps.Term.Valid() {
 		return nil
 	}
 	var out []workload.StartRun
 	for _, s := range starts {
-		if ready, ok := p.state.MarkSent(s, p.deps.Clock.Now()); ok {
-			out = append(out, ready)
+		select {
+		case p.startSlots <- struct{}{}:
+		default:
+			return out
+		}
+		ready, ok := p.state.MarkSent(s, p.deps.Clock.Now())
+		if !ok {
+			<-p.startSlots
+			continue
 		}
+		out = append(out, ready)
 	}
 	return out
 }
 
-// startRun sends a start order and records its outcome. It polls the worker when the order was not answered.
+// startRun sends a start order, for which a start slot is taken, and records its outcome. It polls the worker when the order was not
+// answered.
 func (p *poolShard) startRun(ctx context.Context, s workload.StartRun) {
 	limited, cancel := context.WithTimeout(ctx, p.deps.Settings.StartTimeout)
 	defer cancel()
 	outcome, err := p.deps.Agents.Start(limited, s.Worker, s.Order)
+	<-p.startSlots
 	line := p.log.Info()
 	if outcome != jaybarrow.StartDone {
 		line = p.log.Warn().Err(err)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,6 +41,7 @@
 	jobPools    *shard.Map[jaybarrow.JobID, jaybarrow.PoolID]    // pool of each known job
 	workerPools *shard.Map[jaybarrow.WorkerID, jaybarrow.PoolID] // pool of each registered worker
 	loaded      chan struct{}                                    // closed once every stored job is loaded
+	startSlots  chan struct{}                                    // has a value for each start order that waits for an answer
 	pageRead    chan struct{}                                    // has a value when a page of the register or of the stored jobs was read
 }
 
@@ -51,7 +52,7 @@
 		deps: d, teams: newTeams(d.Catalog.Limit, d.Catalog.Share), ctx: ctx, cancel: cancel,
 		pools: shard.New[jaybarrow.PoolID, *poolShard](), jobPools: shard.New[jaybarrow.JobID, jaybarrow.PoolID](),
 		workerPools: shard.New[jaybarrow.WorkerID, jaybarrow.PoolID](), loaded: make(chan struct{}),
-		pageRead: make(chan struct{}, 1),
+		pageRead: make(chan struct{}, 1), startSlots: make(chan struct{}, d.Settings.MaxConcurrentStarts),
 	}
 	registered := make(chan struct{})
 	s.group.Go(func() {
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -16,6 +16,9 @@
 	// StartTimeout bounds a start order and a poll. StopTimeout bounds a stop order and a throttle order. HoldSlack is how much longer
 	// than the wait of a hold order its answer may take.
 	StartTimeout, StopTimeout, HoldSlack time.Duration
+	// MaxConcurrentStarts bounds the start orders that wait for an answer. More than the link carries within StartTimeout would delay the
+	// reports of the workers and the renewals of the leader's lease.
+	MaxConcurrentStarts int
 	// AdviceTimeout bounds a call to the adviser, whose answer takes longer with each worker and with each call queued before it.
 	AdviceTimeout time.Duration
 	// HoldRetryDelay is the delay after a failed hold order; it doubles twice with further failures.
@@ -40,9 +43,10 @@
 		MaxPlanInterval: 100 * time.Millisecond,
 		// Tens of round trips between data centres, and longer than the pause of a host that has exhausted its CPU quota.
 		StartTimeout: 250 * time.Millisecond, StopTimeout: 250 * time.Millisecond, HoldSlack: 400 * time.Millisecond,
-		AdviceTimeout:  2 * time.Second,
-		HoldRetryDelay: 150 * time.Millisecond,
-		MaxStoreWait:   200 * time.Millisecond,
+		MaxConcurrentStarts: 1000,
+		AdviceTimeout:       2 * time.Second,
+		HoldRetryDelay:      150 * time.Millisecond,
+		MaxStoreWait:        200 * time.Millisecond,
 		// The hedging delay is ten times the store's usual response time; a slow store still responds within the timeout.
 		Commit:           hedge.Settings{Delay: 80 * time.Millisecond, MaxCalls: 3, Timeout: 1500 * time.Millisecond},
 		CommitRetryDelay: 30 * time.Millisecond,
