Show in the metrics whether the leader has loaded the stored jobs

Cause: the metrics said that a host leads, not that it can schedule, so the incident could not be seen from outside.

--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -112,6 +112,12 @@
 		}
 		return 0
 	})
+	d.Metrics.Gauge("leader.scheduling", func() int64 {
+		if s := h.activeScheduler.Load(); s != nil && s.JobsAreLoaded() {
+			return 1
+		}
+		return 0
+	})
 	h.waves.operators = d.Platform.Operators
 	h.announcer = &announcer{host: h, log: logging.For(d.Log, "peer")}
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
@@ -167,6 +173,7 @@
 func (h *Host) lead(ctx context.Context, term leader.Term) {
 	log := logging.For(h.deps.Log, "scheduler")
 	h.deps.Metrics.Count("leader.terms")
+	startedAt := h.deps.Clock.Now()
 	s := scheduler.New(scheduler.Deps{
 		Clock: h.deps.Clock, Log: log, Store: h.deps.Platform.Store, Register: h.deps.Platform.Register,
 		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: observer{log, h.deps.Metrics}, Term: term, Settings: h.deps.Settings.Scheduler,
@@ -176,6 +183,7 @@
 	case <-ctx.Done():
 		h.activeScheduler.Store(nil)
 	case <-s.Loaded():
+		h.deps.Metrics.Record("leader.takeover", h.deps.Clock.Now().Sub(startedAt))
 		keeper := fleetkeeper.New(fleetkeeper.Deps{
 			Clock: h.deps.Clock, Log: logging.For(h.deps.Log, "fleet"), Fleet: h.deps.Platform.Fleet, Store: h.deps.Platform.Store,
 			Pools: s, Waves: &h.waves, Catalog: h.catalog, Term: term, Settings: h.deps.Settings.Fleet,
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -29,7 +29,7 @@
 			return s.deps.Store.Changes(ctx, jaybarrow.JobInputPrefix, after, wait)
 		},
 		Apply: func(records []jaybarrow.Record, _ bool, now time.Time) {
-			if s.jobsAreLoaded() {
+			if s.JobsAreLoaded() {
 				s.applyInputs(records, nil, now)
 				return
 			}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -155,7 +155,7 @@
 // Announce applies a record that an entry host has just stored, before the watch on the store delivers it. Before the stored jobs
 // are loaded it does nothing, because the job would be added without its stored progress; the store delivers the record later.
 func (s *Scheduler) Announce(record jaybarrow.Record) {
-	if s.jobsAreLoaded() {
+	if s.JobsAreLoaded() {
 		s.applyInputs([]jaybarrow.Record{record}, nil, s.deps.Clock.Now())
 	}
 }
@@ -163,8 +163,8 @@
 // Loaded returns a channel that is closed once every stored job is loaded.
 func (s *Scheduler) Loaded() <-chan struct{} { return s.loaded }
 
-// jobsAreLoaded reports whether every stored job is loaded.
-func (s *Scheduler) jobsAreLoaded() bool {
+// JobsAreLoaded reports whether every stored job is loaded.
+func (s *Scheduler) JobsAreLoaded() bool {
 	select {
 	case <-s.loaded:
 		return true
@@ -216,7 +216,7 @@
 // Loads returns the load of each pool; it is empty before the stored jobs are loaded.
 func (s *Scheduler) Loads(now time.Time) map[jaybarrow.PoolID]workload.Load {
 	out := make(map[jaybarrow.PoolID]workload.Load)
-	if !s.jobsAreLoaded() {
+	if !s.JobsAreLoaded() {
 		return out
 	}
 	s.pools.Each(func(id jaybarrow.PoolID, p *poolShard) {
