--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -112,6 +112,12 @@
 		}
 		return 0
 	})
+	d.Metrics.Gauge("leader.scheduling", func() int64 {
+		if s := h.activeScheduler.Load(); s != nil && s.JobsAreLoaded() {
+			return 1
+		}
+		return 0
+	})
 	h.waves.operators = d.Platform.Operators
 	h.announcer = &announcer{host: h, log: logging.For(d.Log, "peer")}
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
@@ -162,22 +168,30 @@
 // Leading reports whether this entry host leads, and so schedules jobs.
 func (h *Host) Leading() bool { return h.activeScheduler.Load() != nil }
 
-// lead runs the scheduler and the fleet keeper until ctx ends with the term.
+// lead runs the scheduler until ctx ends with the term, and the fleet keeper from when the stored jobs are loaded: before, the keeper has
+// nothing to decide on, and its reads of the list of hosts would slow the takeover down.
 func (h *Host) lead(ctx context.Context, term leader.Term) {
 	log := logging.For(h.deps.Log, "scheduler")
 	h.deps.Metrics.Count("leader.terms")
+	startedAt := h.deps.Clock.Now()
 	s := scheduler.New(scheduler.Deps{
 		Clock: h.deps.Clock, Log: log, Store: h.deps.Platform.Store, Register: h.deps.Platform.Register,
 		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: observer{log, h.deps.Metrics}, Term: term, Settings: h.deps.Settings.Scheduler,
 	})
-	keeper := fleetkeeper.New(fleetkeeper.Deps{
-		Clock: h.deps.Clock, Log: logging.For(h.deps.Log, "fleet"), Fleet: h.deps.Platform.Fleet, Store: h.deps.Platform.Store,
-		Pools: s, Waves: &h.waves, Catalog: h.catalog, Term: term, Settings: h.deps.Settings.Fleet,
-	})
 	h.activeScheduler.Store(s)
-	<-ctx.Done()
-	h.activeScheduler.Store(nil)
-	keeper.Close()
+	select {
+	case <-ctx.Done():
+		h.activeScheduler.Store(nil)
+	case <-s.Loaded():
+		h.deps.Metrics.Record("leader.takeover", h.deps.Clock.Now().Sub(startedAt))
+		keeper := fleetkeeper.New(fleetkeeper.Deps{
+			Clock: h.deps.Clock, Log: logging.For(h.deps.Log, "fleet"), Fleet: h.deps.Platform.Fleet, Store: h.deps.Platform.Store,
+			Pools: s, Waves: &h.waves, Catalog: h.catalog, Term: term, Settings: h.deps.Settings.Fleet,
+		})
+		<-ctx.Done()
+		h.activeScheduler.Store(nil)
+		keeper.Close()
+	}
 	s.Close()
 }
 
@@ -185,10 +199,16 @@
 func (h *Host) followOperators(ctx context.Context) {
 	log := logging.For(h.deps.Log, "operators")
 	follow.Run(ctx, follow.Deps{Clock: h.deps.Clock, Log: log, Settings: h.deps.Settings.Operators}, follow.Source[jaybarrow.OperatorInput]{
-		Name: "operators", List: h.deps.Platform.Operators.List, Changes: h.deps.Platform.Operators.Changes,
-		Apply: func(update jaybarrow.OperatorInput, _ bool, received time.Time) {
-			h.applyConfiguration(log, update.Configuration)
-			h.waves.add(update.Waves, received)
+		Name: "operators", List: h.deps.Platform.Operators.List,
+		Changes: func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) ([]jaybarrow.OperatorInput, jaybarrow.Revision, error) {
+			update, at, err := h.deps.Platform.Operators.Changes(ctx, after, wait)
+			return []jaybarrow.OperatorInput{update}, at, err
+		},
+		Apply: func(updates []jaybarrow.OperatorInput, _ bool, received time.Time) {
+			for _, u := range updates {
+				h.applyConfiguration(log, u.Configuration)
+				h.waves.add(u.Waves, received)
+			}
 			h.catalog.Confirm(received)
 		},
 	})
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -22,6 +22,8 @@
 	Address jaybarrow.Address  `json:"address"` // of its peer server
 	Change  jaybarrow.ChangeID `json:"change"`  // identifies a write whose answer was lost
 	Lease   jaybarrow.LeaseID  `json:"lease"`   // lease of the record
+	// HandicapMs is the delay before a campaign that follows from the host's size; a lower one is better suited for the lead.
+	HandicapMs int64 `json:"handicapMs,omitempty"`
 }
 
 // Replaces reports whether h has the entry id and address of other. Two processes cannot listen at one address, so the process of
@@ -54,17 +56,19 @@
 	known   bool // whether the record has been read
 	held    bool // whether an entry host leads
 	current Holder
+	resign  func(reason string) // ends the running term; nil without one
 }
 
 // New returns a Leader that campaigns until it is closed.
 func New(d Deps) *Leader {
 	ctx, cancel := context.WithCancel(context.Background())
+	d.Self.HandicapMs = d.Settings.campaignDelay(0).Milliseconds()
 	l := &Leader{deps: d, cancel: cancel, changed: notify.New(), started: d.Clock.Now()}
 	l.group.Go(func() {
-		follow.Run(ctx, follow.Deps{Clock: d.Clock, Log: d.Log, Settings: d.Settings.Follow}, follow.Source[[]jaybarrow.Record]{
+		follow.Run(ctx, follow.Deps{Clock: d.Clock, Log: d.Log, Settings: d.Settings.Follow}, follow.Source[jaybarrow.Record]{
 			Name: "leader",
-			List: func(ctx context.Context) ([]jaybarrow.Record, jaybarrow.Revision, error) {
-				return d.Store.List(ctx, jaybarrow.JobLeaderKey)
+			List: func(ctx context.Context, after jaybarrow.Key) (jaybarrow.Page[jaybarrow.Record], error) {
+				return d.Store.ListPage(ctx, jaybarrow.JobLeaderKey, after)
 			},
 			Changes: func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) ([]jaybarrow.Record, jaybarrow.Revision, error) {
 				return d.Store.Changes(ctx, jaybarrow.JobLeaderKey, after, wait)
@@ -100,6 +104,9 @@
 		l.held = false
 	}
 	for _, r := range records {
+		if r.Key == jaybarrow.JobChallengeKey && !r.Deleted && l.resign != nil {
+			l.answerChallenge(r.Value)
+		}
 		if r.Key != jaybarrow.JobLeaderKey {
 			continue
 		}
@@ -107,10 +114,13 @@
 		if r.Deleted {
 			continue
 		}
-		if err := json.Unmarshal(r.Value, &l.current); err != nil {
+		var holder Holder // a new one, since decoding keeps the fields that the record lacks
+		if err := json.Unmarshal(r.Value, &holder); err != nil {
 			l.deps.Log.Error().Err(err).Msg("cannot decode the leader's record; it counts as vacant")
 			l.held = false
+			continue
 		}
+		l.current = holder
 	}
 	differs := !l.known || held != l.held || before != l.current
 	l.known = true
@@ -143,10 +153,7 @@
 		changed := l.Changed()
 		if !l.vacant() {
 			l.revokeAbandonedLease()
-			select {
-			case <-ctx.Done():
-			case <-changed:
-			}
+			l.awaitVacancy(ctx, changed)
 			continue
 		}
 		l.sleep(ctx, l.campaignDelay()+rand.N(l.deps.Settings.Jitter+1))
@@ -170,17 +177,12 @@
 	l.revokeLease(holder.Lease)
 }
 
-// campaignDelay returns the delay before a campaign; it is shorter for an entry host with more cores and for a process that started
-// later.
+// campaignDelay returns the delay before a campaign; it is shorter for an entry host with more cores or a faster link, and for a process
+// that started later.
 func (l *Leader) campaignDelay() time.Duration {
-	s := l.deps.Settings
-	age := min(1, float64(l.deps.Clock.Now().Sub(l.started))/float64(s.LongUptime))
-	return time.Duration(float64(s.CapacityDelay)/max(minCapacity, s.Capacity) + float64(s.UptimeDelay)*age)
+	return l.deps.Settings.campaignDelay(l.deps.Clock.Now().Sub(l.started))
 }
 
-// minCapacity is the number of cores below which the delay does not grow any further.
-const minCapacity = 0.1
-
 func (l *Leader) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,6 +41,8 @@
 	jobPools    *shard.Map[jaybarrow.JobID, jaybarrow.PoolID]    // pool of each known job
 	workerPools *shard.Map[jaybarrow.WorkerID, jaybarrow.PoolID] // pool of each registered worker
 	loaded      chan struct{}                                    // closed once every stored job is loaded
+	startSlots  chan struct{}                                    // has a value for each start order that waits for an answer
+	pageRead    chan struct{}                                    // has a value when a page of the register or of the stored jobs was read
 }
 
 // New returns a running Scheduler. It reads the register of workers first and then the stored jobs; it plans once both are loaded.
@@ -50,10 +52,16 @@
 		deps: d, teams: newTeams(d.Catalog.Limit, d.Catalog.Share), ctx: ctx, cancel: cancel,
 		pools: shard.New[jaybarrow.PoolID, *poolShard](), jobPools: shard.New[jaybarrow.JobID, jaybarrow.PoolID](),
 		workerPools: shard.New[jaybarrow.WorkerID, jaybarrow.PoolID](), loaded: make(chan struct{}),
+		pageRead: make(chan struct{}, 1), startSlots: make(chan struct{}, d.Settings.MaxConcurrentStarts),
 	}
 	registered := make(chan struct{})
-	s.group.Go(func() { s.followRegister(ctx, registered) })
 	s.group.Go(func() {
+		defer s.logFault("register")
+		s.followRegister(ctx, registered)
+	})
+	s.group.Go(func() { s.watchTakeover(ctx) })
+	s.group.Go(func() {
+		defer s.logFault("accepted jobs")
 		select {
 		case <-ctx.Done():
 			return
@@ -64,6 +72,14 @@
 	return s
 }
 
+// logFault logs a panic of the goroutine that follows a source; the run group holds the panic back until Close.
+func (s *Scheduler) logFault(source string) {
+	if fault := recover(); fault != nil {
+		s.deps.Log.Error().Str("source", source).Interface("fault", fault).Msg("a part of the scheduler ended by a fault")
+		panic(fault)
+	}
+}
+
 // Close stops sending orders and waits for the shards; running tasks continue until the leases of their workers end.
 func (s *Scheduler) Close() {
 	s.cancel()
@@ -75,8 +91,8 @@
 func (s *Scheduler) followRegister(ctx context.Context, registered chan struct{}) {
 	var first sync.Once
 	follow.Run(ctx, follow.Deps{Clock: s.deps.Clock, Log: s.deps.Log, Settings: s.deps.Settings.Register},
-		follow.Source[[]jaybarrow.WorkerChange]{
-			Name: "register", List: s.deps.Register.Workers, Changes: s.deps.Register.WorkerChanges,
+		follow.Source[jaybarrow.WorkerChange]{
+			Name: "register", List: countingPages(s, s.deps.Register.Workers), Changes: s.deps.Register.WorkerChanges,
 			Apply: func(changes []jaybarrow.WorkerChange, isList bool, now time.Time) {
 				s.applyWorkers(changes, isList, now)
 				first.Do(func() { close(registered) })
@@ -139,13 +155,16 @@
 // Announce applies a record that an entry host has just stored, before the watch on the store delivers it. Before the stored jobs
 // are loaded it does nothing, because the job would be added without its stored progress; the store delivers the record later.
 func (s *Scheduler) Announce(record jaybarrow.Record) {
-	if s.jobsAreLoaded() {
-		s.applyInputs(inputs{records: []jaybarrow.Record{record}}, s.deps.Clock.Now())
+	if s.JobsAreLoaded() {
+		s.applyInputs([]jaybarrow.Record{record}, nil, s.deps.Clock.Now())
 	}
 }
 
-// jobsAreLoaded reports whether every stored job is loaded.
-func (s *Scheduler) jobsAreLoaded() bool {
+// Loaded returns a channel that is closed once every stored job is loaded.
+func (s *Scheduler) Loaded() <-chan struct{} { return s.loaded }
+
+// JobsAreLoaded reports whether every stored job is loaded.
+func (s *Scheduler) JobsAreLoaded() bool {
 	select {
 	case <-s.loaded:
 		return true
@@ -197,7 +216,7 @@
 // Loads returns the load of each pool; it is empty before the stored jobs are loaded.
 func (s *Scheduler) Loads(now time.Time) map[jaybarrow.PoolID]workload.Load {
 	out := make(map[jaybarrow.PoolID]workload.Load)
-	if !s.jobsAreLoaded() {
+	if !s.JobsAreLoaded() {
 		return out
 	}
 	s.pools.Each(func(id jaybarrow.PoolID, p *poolShard) {
