Record requests before their ids are claimed, so that a cancellation finds them

Callers saw: a cancellation answered notFound while its request was taken, and the request run to its end (TestWaveOfCancellations, two of 40 requests). Cause: a request was known to the router only from its first attempt, and to a scheduler only once it was queued. A cancellation that arrived during the claim of its id, between two attempts, while no owner was known, or before the forwarded request did, found nothing. Change: internal/inflight holds each request from before the claim until its answer, and takes over the router's check for duplicates. A cancellation ends the request's context there and waits for a claim under way; the router checks the context before each attempt and passes it on to a scheduler elsewhere until the request is answered, whose answer says whether it ran. A request that loses its id to another entry host does not absorb the cancellation; it is passed on. Cancellations from peers look there too.

--- a/internal/command/request/cancel.go
+++ b/internal/command/request/cancel.go
@@ -23,7 +23,7 @@
 	return &CancelHandler{keys: keys, runner: runner}
 }
 
-// Handle cancels the request; it returns KindNotFound when the team has no queued or running request with the id.
+// Handle cancels the request; it returns KindNotFound when the team has no request with the id in progress, queued or running.
 func (h *CancelHandler) Handle(ctx context.Context, in Cancel) (jaybarrow.RequestID, error) {
 	team, err := h.keys.Team(in.Key)
 	if err != nil {
--- a/internal/command/request/submit.go
+++ b/internal/command/request/submit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/inflight"
 )
 
 // Submit requests that a request be run and its result returned.
@@ -44,6 +45,7 @@
 	Clock         jaybarrow.Clock
 	Authenticator *Authenticator
 	Queues        Queues
+	InFlight      *inflight.Requests // requests that were admitted and not answered
 	Claim         Claim
 	Runner        jaybarrow.Runner
 	NewID         func() jaybarrow.RequestID
@@ -66,23 +68,29 @@
 	if err != nil {
 		return out, err
 	}
-	if idGiven && !in.Idempotent {
-		out.Body, err = h.runOnce(ctx, request)
-	} else {
-		out.Body, err = h.deps.Runner.Run(ctx, request)
-	}
+	out.Body, err = h.run(ctx, request, idGiven && !in.Idempotent)
 	return out, err
 }
 
-// runOnce claims the id of a non-idempotent request and runs the request.
-func (h *SubmitHandler) runOnce(ctx context.Context, request jaybarrow.Request) ([]byte, error) {
-	release, err := h.deps.Claim(ctx, request.Team, request.ID)
+// run runs the request, whose id it claims first if claimed is set. The request is recorded before that, so that a cancellation
+// that arrives at any time from then on ends it.
+func (h *SubmitHandler) run(ctx context.Context, request jaybarrow.Request, claimed bool) ([]byte, error) {
+	ctx, begun, err := h.deps.InFlight.Begin(ctx, request.Team, request.ID)
 	if err != nil {
 		return nil, err
 	}
+	defer begun.End()
+	release := func(context.Context) {}
+	if claimed {
+		// A write that is broken off may still make the claim, so a cancellation takes effect after it.
+		if release, err = h.deps.Claim(context.WithoutCancel(ctx), request.Team, request.ID); err != nil {
+			return nil, err
+		}
+	}
+	begun.HoldID()
 	body, err := h.deps.Runner.Run(ctx, request)
 	if err != nil && jaybarrow.AsError(err).Effect == jaybarrow.EffectNotRun {
-		release(ctx)
+		release(context.WithoutCancel(ctx))
 	}
 	return body, err
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -19,7 +19,7 @@
 	}
 	e.http = httpapi.New(logging.For(e.deps.Log, "http"), e.deps.Callers, httpSettings, httpapi.Handlers{
 		Submit: request.NewSubmit(request.SubmitDeps{
-			Clock: e.deps.Clock, Authenticator: keys, Queues: queueView{e}, Claim: e.claim, Runner: e.router, NewID: identity.NewRequestID,
+			Clock: e.deps.Clock, Authenticator: keys, Queues: queueView{e}, InFlight: e.inFlight, Claim: e.claim, Runner: e.router, NewID: identity.NewRequestID,
 		}),
 		Cancel:   request.NewCancel(keys, e.router),
 		Commands: e.commands(),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/health"
 	"github.com/jaybarrow/jaybarrow/internal/httpapi"
 	"github.com/jaybarrow/jaybarrow/internal/identity"
+	"github.com/jaybarrow/jaybarrow/internal/inflight"
 	"github.com/jaybarrow/jaybarrow/internal/journal"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
 	"github.com/jaybarrow/jaybarrow/internal/maintenance"
@@ -63,6 +64,7 @@
 	health      *health.Guard
 	roster      *roster.Roster
 	scheduler   *pool.Scheduler
+	inFlight    *inflight.Requests
 	members     *member.Members
 	peers       *peer.Client
 	gossip      *peer.Gossip
@@ -170,9 +172,11 @@
 		Clock: d.Clock, Log: logging.For(d.Log, "peer"), Client: e.peers, Members: e.members, Interval: e.times.HeartbeatInterval,
 		Self: e.self, Seeds: e.seeds, OnNewerRecord: e.catchUp,
 	})
-	e.peerServer = peer.NewServer(d.Clock, logging.For(d.Log, "peer"), d.Peers, e.scheduler, e.directory, e.gossip)
+	e.inFlight = inflight.New()
+	local := route.NewLocal(e.scheduler, e.inFlight)
+	e.peerServer = peer.NewServer(d.Clock, logging.For(d.Log, "peer"), d.Peers, local, e.directory, e.gossip)
 	e.router = route.New(route.Deps{
-		Clock: d.Clock, Self: own.ID, DataCentre: own.DataCentre, Local: e.scheduler, Peers: e.peers, Members: e.members,
+		Clock: d.Clock, Self: own.ID, DataCentre: own.DataCentre, Local: local, Peers: e.peers, Members: e.members,
 		Ready: e.acceptsRequests, DataCentres: e.roster.DataCentres, LocalLoad: e.scheduler.Load, Journal: e.journal,
 	})
 	e.spillover = route.NewSpillover(e.router, e.scheduler)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -77,7 +77,7 @@
 	return &peerpb.SubmitAnswer{Id: m.Id, Body: body, Fault: encodeFault(err)}, nil
 }
 
-// Cancel cancels a request that is queued or running on the local schedulers.
+// Cancel cancels a request that is in progress, queued or running on this entry host.
 func (s *Server) Cancel(ctx context.Context, m *peerpb.CancelRequest) (*peerpb.CancelAnswer, error) {
 	known, err := s.local.Cancel(ctx, jaybarrow.TeamID(m.Team), jaybarrow.RequestID(m.Id))
 	return &peerpb.CancelAnswer{Known: known, Fault: encodeFault(err)}, nil
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/member"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
@@ -26,7 +28,7 @@
 	Clock      jaybarrow.Clock
 	Self       jaybarrow.EntryID
 	DataCentre jaybarrow.DataCentreID
-	Local      jaybarrow.Runner
+	Local      jaybarrow.Runner // the requests in progress and the schedulers of this entry host
 	Peers      Forwarder
 	Members    *member.Members
 	// Ready reports whether the local schedulers accept requests. They still do while this entry host leaves without a successor.
@@ -40,16 +42,8 @@
 
 // Router runs each request on the scheduler that owns its pool, here or at a peer.
 type Router struct {
-	deps         Deps
-	pending      *shard.Map[ownerPool, *pending]
-	destinations *shard.Map[requestKey, jaybarrow.Address] // of requests in progress; empty for the local scheduler or none yet
-}
-
-// requestKey is "team/request": callers choose request ids, so two teams may choose the same one.
-type requestKey string
-
-func keyOf(team jaybarrow.TeamID, id jaybarrow.RequestID) requestKey {
-	return requestKey(string(team) + "/" + string(id))
+	deps    Deps
+	pending *shard.Map[ownerPool, *pending]
 }
 
 // ownerPool is "entry host/pool".
@@ -63,11 +57,7 @@
 
 // New returns a Router.
 func New(deps Deps) *Router {
-	return &Router{
-		deps:         deps,
-		pending:      shard.New[ownerPool, *pending](),
-		destinations: shard.New[requestKey, jaybarrow.Address](),
-	}
+	return &Router{deps: deps, pending: shard.New[ownerPool, *pending]()}
 }
 
 // maxFailedAttempts limits the failed attempts of one request; more owners in a row are not expected to fail.
@@ -84,16 +74,15 @@
 const retryDelay = 150 * time.Millisecond
 
 // Run runs the request on the owner of its pool. After a hand-over, a planned stop or the loss of the owner it makes another
-// attempt when the last one certainly did not run the request or the request is idempotent.
+// attempt when the last one certainly did not run the request or the request is idempotent. When ctx ends, the request is
+// cancelled: it has no further attempt, and the current one ends at its scheduler.
 func (r *Router) Run(ctx context.Context, request jaybarrow.Request) ([]byte, error) {
-	key := keyOf(request.Team, request.ID)
-	if !r.reserve(key) {
-		return nil, jaybarrow.Errorf(jaybarrow.KindDuplicateRequest, "request %s is already in progress", request.ID)
-	}
-	defer r.destinations.Delete(key)
 	effect := jaybarrow.EffectNotRun
 	history := &attemptHistory{triedOwners: make(map[jaybarrow.EntryID]bool)}
 	for {
+		if ctx.Err() != nil {
+			return nil, jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled before it was queued").WithEffect(effect)
+		}
 		body, err := r.attempt(ctx, request, history)
 		if err == nil {
 			return body, nil
@@ -111,7 +100,6 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled between attempts").WithEffect(effect)
 		case <-r.deps.Clock.After(retryDelay):
 		}
 	}
@@ -141,16 +129,6 @@
 	return a.failed >= maxFailedAttempts || a.handOvers >= maxHandOvers || (!a.ownerlessSince.IsZero() && now.Sub(a.ownerlessSince) > maxOwnerWait)
 }
 
-// reserve records the request as in progress; it reports false when a request with this key already is.
-func (r *Router) reserve(key requestKey) bool {
-	reserved := false
-	r.destinations.Update(key, func(old jaybarrow.Address, present bool) (jaybarrow.Address, bool) {
-		reserved = !present
-		return old, true
-	})
-	return reserved
-}
-
 // mayRetry reports whether the request may have another attempt after the error.
 func mayRetry(request jaybarrow.Request, e *jaybarrow.Error) bool {
 	switch e.Kind {
@@ -179,16 +157,44 @@
 	option := options[Choose(options)]
 	history.triedOwners[option.Owner], history.ownerlessSince = true, time.Time{}
 	if option.Owner == r.deps.Self {
-		r.destinations.Set(keyOf(request.Team, request.ID), "")
 		return r.deps.Local.Run(ctx, request)
 	}
 	state, ok := r.deps.Members.Get(option.Owner)
 	if !ok {
 		return nil, jaybarrow.Errorf(jaybarrow.KindHandOver, "entry host %s is no longer known", option.Owner)
 	}
-	r.destinations.Set(keyOf(request.Team, request.ID), state.PeerAddress)
 	r.forwardedCounter(state, request.Pool).Add(1)
-	return r.deps.Peers.Submit(ctx, state.PeerAddress, request)
+	return r.forward(ctx, state.PeerAddress, request)
+}
+
+// forward runs the request at the peer. The call does not end with ctx, because only its answer says whether the request ran;
+// instead, the peer is told of the cancellation.
+func (r *Router) forward(ctx context.Context, to jaybarrow.Address, request jaybarrow.Request) ([]byte, error) {
+	unanswered, answered := context.WithCancel(context.WithoutCancel(ctx))
+	var cancellation conc.WaitGroup
+	cancellation.Go(func() { r.forwardCancellation(ctx, unanswered, to, request) })
+	body, err := r.deps.Peers.Submit(unanswered, to, request)
+	answered()
+	cancellation.Wait()
+	return body, err
+}
+
+// forwardCancellation cancels the request at the peer after ctx has ended, until the request is answered. It repeats the call
+// because the first one may arrive before the request does.
+func (r *Router) forwardCancellation(ctx, unanswered context.Context, to jaybarrow.Address, request jaybarrow.Request) {
+	select {
+	case <-unanswered.Done():
+		return
+	case <-ctx.Done():
+	}
+	for unanswered.Err() == nil {
+		// The answer to the request tells how the cancellation ended.
+		_, _ = r.deps.Peers.Cancel(unanswered, to, request.Team, request.ID)
+		select {
+		case <-unanswered.Done():
+		case <-r.deps.Clock.After(retryDelay):
+		}
+	}
 }
 
 // options lists the data centres that can run the pool's work, with their owners and loads. Entry hosts that leave are owners
@@ -236,12 +242,9 @@
 	return &p.forwarded
 }
 
-// Cancel ends the request where this entry host sent it; a request that arrived at another entry host is looked up at every live
-// one.
+// Cancel ends the request if it is in progress, queued or running on this entry host, and looks it up at every other live one
+// if not.
 func (r *Router) Cancel(ctx context.Context, team jaybarrow.TeamID, id jaybarrow.RequestID) (bool, error) {
-	if address, ok := r.destinations.Get(keyOf(team, id)); ok && address != "" {
-		return r.deps.Peers.Cancel(ctx, address, team, id)
-	}
 	if known, err := r.deps.Local.Cancel(ctx, team, id); known || err != nil {
 		return known, err
 	}
--- a/scheduling.go
+++ b/scheduling.go
@@ -25,7 +25,7 @@
 type Runner interface {
 	// Run returns the whole answer, or an Error whose effect is certain when it says notRun.
 	Run(ctx context.Context, request Request) ([]byte, error)
-	// Cancel ends a queued or running request; it reports whether the request was known.
+	// Cancel ends a request that is in progress, queued or running; it reports whether there was one.
 	Cancel(ctx context.Context, team TeamID, request RequestID) (bool, error)
 }
 
--- a/test/e2e/request_faults_test.go
+++ b/test/e2e/request_faults_test.go
@@ -182,10 +182,27 @@
 
 // Guards against cancelled requests that keep their slots or permits, whichever entry host receives the cancellation.
 func TestWaveOfCancellations(t *testing.T) {
+	t.Parallel()
+	cancelWaves(t, newCluster(t, quickPlan(2, 1, 2, 16)), 3)
+}
+
+// Guards against cancellations that are lost while the ids of their requests are claimed: the store answers so slowly that the
+// claims take longer than the start of the other requests.
+func TestWaveOfCancellationsDuringClaims(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, quickPlan(2, 1, 2, 16))
+	for _, p := range c.storeProxies {
+		assert.NilError(t, p.Set(faultproxy.Faults{Down: faultproxy.DirectionFaults{DelayMs: 200}}))
+	}
+	cancelWaves(t, c, 1)
+}
+
+// cancelWaves sends waves of requests, cancels each wave while its first requests run, and asserts that every request is answered
+// as cancelled and its slots are free again.
+func cancelWaves(t *testing.T, c *cluster, waves int) {
+	t.Helper()
 	h := &history{}
-	for wave := range 3 {
+	for wave := range waves {
 		var calls []call
 		for i := range 40 {
 			calls = append(calls, call{team: "trail", queue: "match", id: jaybarrow.RequestID(fmt.Sprintf("c-%d-%d", wave, i)), nonIdempotent: i%2 == 0, run: waitTimeout, within: 2 * waitTimeout})
