Accept no cancellation of a request that a scheduler has answered

Callers saw: nothing yet; found while every way of a cancellation was followed. A request that is handed back at the moment of its cancellation would run elsewhere although its cancellation was accepted. Cause: the scheduler reported a cancellation as taken while the answer handOver was on its way; the router saw only that answer. Change: a waiter orders its cancellation and its answer under one lock. After the answer a cancellation is not taken, so that it is looked up at the entry host that has the request; before it, an answer that says notRun becomes cancelled, for every kind of refusal.

--- a/internal/pool/fakes_test.go
+++ b/internal/pool/fakes_test.go
@@ -171,7 +171,8 @@
 // recorder is an Observer, Meter and Journal that keeps one line for each call.
 type recorder struct {
 	sync.Mutex
-	lines []string
+	lines  []string
+	onNote func(line string) // optional; called with each line of the Journal
 }
 
 func (r *recorder) add(format string, args ...any) {
@@ -192,6 +193,9 @@
 
 func (r *recorder) Note(subject jaybarrow.Subject, decision, _ string) {
 	r.add("%s %s", decision, subject.ID)
+	if r.onNote != nil {
+		r.onNote(fmt.Sprintf("%s %s", decision, subject.ID))
+	}
 }
 
 func (r *recorder) Started(team jaybarrow.TeamID, _ jaybarrow.Class, _ time.Duration) {
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer w.cancel()
+	defer w.stop()
 	defer s.requests.Delete(w.key())
 	select {
 	case r := <-w.result:
@@ -94,12 +94,12 @@
 	p := s.pool(request.Pool)
 	w := newWaiter(ctx, request, p)
 	if !s.register(w) {
-		w.cancel()
+		w.stop()
 		return nil, jaybarrow.Errorf(jaybarrow.KindDuplicateRequest, "request %s is already in progress", request.ID)
 	}
 	if err := s.enqueue(p, w); err != nil {
 		s.requests.Delete(w.key())
-		w.cancel()
+		w.stop()
 		s.deps.Journal.Note(w.subject(), "refused", err.Error())
 		return nil, err
 	}
@@ -155,20 +155,22 @@
 	return item, s.deps.Estimates.Quantile(r.Team, r.Queue, r.Declared, s.deps.AdmissionQuantile)
 }
 
-// Cancel ends a queued or running request of the team; it reports whether the request was known.
+// Cancel ends a queued or running request of the team; it reports whether there was one that had not been answered.
 func (s *Scheduler) Cancel(_ context.Context, team jaybarrow.TeamID, id jaybarrow.RequestID) (bool, error) {
 	w, ok := s.requests.Get(keyOf(team, id))
 	if !ok {
 		return false, nil
 	}
-	s.withdraw(w)
-	return true, nil
+	return s.withdraw(w), nil
 }
 
-// withdraw answers a queued request with KindCancelled, or cancels its running task. It cancels the context first, so that a
-// request that returns to the queue at the same time either sees the cancellation or is found in the queue.
-func (s *Scheduler) withdraw(w *waiter) {
-	w.cancel()
+// withdraw answers a queued request with KindCancelled, or cancels its running task; it reports false when the request has been
+// answered. It cancels the context first, so that a request that returns to the queue at the same time either sees the
+// cancellation or is found in the queue.
+func (s *Scheduler) withdraw(w *waiter) bool {
+	if !w.cancel() {
+		return false
+	}
 	p := w.pool
 	p.Lock()
 	waiting := p.queued[w.itemID()] == w
@@ -180,6 +182,7 @@
 	if waiting {
 		s.refuse(w, jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled while waiting"))
 	}
+	return true
 }
 
 // refuse answers the request with the error; it has no further attempt.
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -134,18 +134,15 @@
 	s.answerFailure(w, failure, refusal)
 }
 
-// answerFailure answers a request that is not retried. When the last attempt did not run, the answer is KindCancelled after a
-// cancellation, and the refusal while the scheduler stops.
+// answerFailure answers a request that is not retried. When the last attempt did not run, the answer is the refusal while the
+// scheduler stops.
 func (s *Scheduler) answerFailure(w *waiter, failure *jaybarrow.Error, refusal jaybarrow.ErrorKind) {
-	switch {
-	case failure.Effect == jaybarrow.EffectNotRun && w.ctx.Err() != nil:
-		s.refuse(w, jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled before a worker took the task"))
-	case failure.Effect == jaybarrow.EffectNotRun && refusal != "":
+	if failure.Effect == jaybarrow.EffectNotRun && refusal != "" {
 		s.refuse(w, jaybarrow.Errorf(refusal, "run the request before the scheduler stops: %w", failure))
-	default:
-		s.deps.Journal.Note(w.subject(), "failed", failure.Error())
-		w.finish(nil, failure)
+		return
 	}
+	s.deps.Journal.Note(w.subject(), "failed", failure.Error())
+	w.finish(nil, failure)
 }
 
 // mayRetry reports whether the request may have another attempt, and charges the retry budget unless the last attempt did
