Check the key of a request again before each start of a task

Callers saw: a task of a withdrawn key that started 7 s or more after the withdrawal (TestWithdrawnKeyStopsWorking, case pausedEntryHost). Cause: the key was checked only when the request was taken. A request that was checked before its entry host was paused started after the pause, as did one whose start was refused as late and retried, and one that had waited in a queue. Change: a request carries the hash of its key, also when it is forwarded, and the scheduler checks it right before each start, by the same rule of freshness; the window for the start counts from before the check, so a start that is sent after a pause is late at the worker.

--- a/internal/command/request/authenticate.go
+++ b/internal/command/request/authenticate.go
@@ -28,16 +28,38 @@
 // Team returns the team of the key, KindBadKey for a key that is unknown or withdrawn, or KindStaleConfiguration when the local
 // records are too old to decide.
 func (a *Authenticator) Team(key string) (jaybarrow.TeamID, error) {
-	access, ok := a.find(HashKey(key))
-	if ok && access.Withdrawn {
-		return "", jaybarrow.Errorf(jaybarrow.KindBadKey, "the key is withdrawn")
-	}
-	if !a.fresh() {
-		return "", jaybarrow.Errorf(jaybarrow.KindStaleConfiguration,
-			"this entry host is cut off and cannot know whether the key was withdrawn")
+	access, ok, err := a.lookUp(HashKey(key))
+	if err != nil {
+		return "", err
 	}
 	if !ok {
 		return "", jaybarrow.Errorf(jaybarrow.KindBadKey, "the key is unknown")
 	}
 	return access.Team, nil
 }
+
+// Check checks the key of an admitted request again; it returns KindBadKey when the key was withdrawn since, or
+// KindStaleConfiguration when the local records are too old to decide. A key that is unknown here passes: the entry host that
+// admitted the request knew it, so it is newer than the local records and was not withdrawn before them.
+func (a *Authenticator) Check(hash jaybarrow.KeyHash) error {
+	if hash == "" {
+		return nil
+	}
+	_, _, err := a.lookUp(hash)
+	return err
+}
+
+// lookUp returns the key's record and whether there is one. Whether the records are recent enough is asked first, so that a
+// pause of the process after the answer leaves a record that the answer covers.
+func (a *Authenticator) lookUp(hash jaybarrow.KeyHash) (jaybarrow.AccessKey, bool, error) {
+	fresh := a.fresh()
+	access, ok := a.find(hash)
+	if ok && access.Withdrawn {
+		return access, ok, jaybarrow.Errorf(jaybarrow.KindBadKey, "the key is withdrawn")
+	}
+	if !fresh {
+		return access, ok, jaybarrow.Errorf(jaybarrow.KindStaleConfiguration,
+			"this entry host is cut off and cannot know whether the key was withdrawn")
+	}
+	return access, ok, nil
+}
--- a/internal/command/request/submit.go
+++ b/internal/command/request/submit.go
@@ -135,6 +135,9 @@
 		ID: in.ID, Team: team, Queue: queue.ID, Pool: queue.Pool, Class: queue.Class, Demand: in.Demand,
 		Declared: in.Declared, Arrived: now, Target: now.Add(queue.Target()), Idempotent: in.Idempotent, Body: in.Body,
 	}
+	if in.Key != "" {
+		request.KeyHash = HashKey(in.Key)
+	}
 	switch {
 	case in.AnswerWithin > 0:
 		request.Deadline = now.Add(in.AnswerWithin)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -12,16 +12,15 @@
 
 // startCallers starts the HTTP front end for callers and operators.
 func (e *Entry) startCallers() {
-	keys := request.NewAuthenticator(e.directory.AccessKeys.Get, e.fresh)
 	httpSettings := httpapi.Settings{
 		MaxBody: e.deps.Settings.Queues.MaxBodyBytes, OperatorKeyHash: e.deps.Settings.Entry.OperatorKeyHash,
 		Ready: e.ready, ShuttingDown: e.leaving.Load,
 	}
 	e.http = httpapi.New(logging.For(e.deps.Log, "http"), e.deps.Callers, httpSettings, httpapi.Handlers{
 		Submit: request.NewSubmit(request.SubmitDeps{
-			Clock: e.deps.Clock, Authenticator: keys, Queues: queueView{e}, InFlight: e.inFlight, Claim: e.claim, Runner: e.router, NewID: identity.NewRequestID,
+			Clock: e.deps.Clock, Authenticator: e.keys, Queues: queueView{e}, InFlight: e.inFlight, Claim: e.claim, Runner: e.router, NewID: identity.NewRequestID,
 		}),
-		Cancel:   request.NewCancel(keys, e.router),
+		Cancel:   request.NewCancel(e.keys, e.router),
 		Commands: e.commands(),
 		Queries:  e.queries(),
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/claim"
+	"github.com/jaybarrow/jaybarrow/internal/command/request"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
 	"github.com/jaybarrow/jaybarrow/internal/estimate"
 	"github.com/jaybarrow/jaybarrow/internal/etcd"
@@ -63,6 +64,7 @@
 	workers     *task.Client
 	health      *health.Guard
 	roster      *roster.Roster
+	keys        *request.Authenticator
 	scheduler   *pool.Scheduler
 	inFlight    *inflight.Requests
 	members     *member.Members
@@ -131,6 +133,7 @@
 	e.health = health.NewGuard(d.Clock, e.workers,
 		health.New(health.Deps{Settings: health.DefaultSettings(), Journal: e.journal, Random: rand.Float64}), quickFailureLimit)
 	e.roster = roster.New(e.directory, e.conditions, e.health, d.Settings.Entry.DataCentre)
+	e.keys = request.NewAuthenticator(e.directory.AccessKeys.Get, e.fresh)
 	e.scheduler = pool.New(pool.Deps{
 		Clock: d.Clock, Log: logging.For(d.Log, "pool"), Hosts: e.roster, Workers: e.health, Permits: e.permits,
 		Signals: healthSignals{e}, NewPool: func() *schedule.Pool {
@@ -141,7 +144,7 @@
 			return schedule.New(limits, fairshare.New(), twochoices.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 		},
 		NewTaskID: identity.NewTaskIDs().New, Entry: d.Settings.Entry.ID, Incarnation: e.presence.Incarnation,
-		StartWindow: e.times.Permit.StartWindow, Estimates: estimate.New(maxRunTimeHistories), Meter: e.meter, Journal: e.journal,
+		StartWindow: e.times.Permit.StartWindow, CheckKey: e.keys.Check, Estimates: estimate.New(maxRunTimeHistories), Meter: e.meter, Journal: e.journal,
 	})
 }
 
--- a/internal/peer/encoding.go
+++ b/internal/peer/encoding.go
@@ -17,7 +17,7 @@
 		Id: string(r.ID), Team: string(r.Team), Queue: string(r.Queue), Pool: string(r.Pool), Class: string(r.Class),
 		Slots: int64(r.Demand.Slots), MemoryMb: int64(r.Demand.Memory), Accelerators: int64(r.Demand.Accelerators),
 		DeclaredMs: r.Declared.Milliseconds(), WaitedMs: now.Sub(r.Arrived).Milliseconds(),
-		TargetInMs: r.Target.Sub(now).Milliseconds(), Idempotent: r.Idempotent, Body: r.Body,
+		TargetInMs: r.Target.Sub(now).Milliseconds(), Idempotent: r.Idempotent, Body: r.Body, KeyHash: string(r.KeyHash),
 	}
 	if !r.Deadline.IsZero() {
 		// 0 means that there is no deadline, so a deadline that has passed is sent as 1 ms.
@@ -36,7 +36,7 @@
 			Accelerators: jaybarrow.Accelerators(m.Accelerators),
 		},
 		Declared: milliseconds(m.DeclaredMs), Arrived: now.Add(-milliseconds(m.WaitedMs)),
-		Target: now.Add(milliseconds(m.TargetInMs)), Idempotent: m.Idempotent, Body: m.Body,
+		Target: now.Add(milliseconds(m.TargetInMs)), Idempotent: m.Idempotent, Body: m.Body, KeyHash: jaybarrow.KeyHash(m.KeyHash),
 	}
 	if m.DeadlineInMs != 0 {
 		r.Deadline = now.Add(milliseconds(m.DeadlineInMs))
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -176,3 +176,34 @@
 	assert.Equal(t, reached, jaybarrow.Revision(9))
 	assert.Equal(t, records[0].Revision, jaybarrow.Revision(3))
 }
+
+// capturingRunner keeps the last request.
+type capturingRunner struct {
+	echoRunner
+	last chan jaybarrow.Request
+}
+
+func (c capturingRunner) Run(_ context.Context, r jaybarrow.Request) ([]byte, error) {
+	c.last <- r
+	return nil, nil
+}
+
+// Guards against a forwarded request that loses what its scheduler decides by, such as the key that it checks before the start.
+func TestForwardedRequestIsWhole(t *testing.T) {
+	last := make(chan jaybarrow.Request, 1)
+	n := startNode(t, "a", "dc", capturingRunner{last: last}, listen(t), nil)
+	sent := jaybarrow.Request{
+		ID: "r1", Team: "trail", KeyHash: "hash", Queue: "match", Pool: "desk", Class: jaybarrow.ClassQuick,
+		Demand: jaybarrow.Demand{Slots: 2, Memory: 3, Accelerators: 4}, Declared: time.Second, Arrived: time.Now(),
+		Target: time.Now().Add(time.Minute), Deadline: time.Now().Add(time.Hour), Idempotent: true, Body: []byte("body"),
+	}
+	_, err := n.client.Submit(context.Background(), n.self.PeerAddress, sent)
+	assert.NilError(t, err)
+	received := <-last
+	const tolerance = time.Second // of the clocks, and the time in transit
+	for _, times := range [][2]time.Time{{sent.Arrived, received.Arrived}, {sent.Target, received.Target}, {sent.Deadline, received.Deadline}} {
+		assert.Check(t, times[1].Sub(times[0]).Abs() < tolerance, "%v", times)
+	}
+	received.Arrived, received.Target, received.Deadline = sent.Arrived, sent.Target, sent.Deadline
+	assert.DeepEqual(t, received, sent)
+}
--- a/internal/pool/deps.go
+++ b/internal/pool/deps.go
@@ -56,6 +56,8 @@
 	// Incarnation returns the incarnation of this process; 0 before it is registered.
 	Incarnation func() jaybarrow.Incarnation
 	StartWindow time.Duration // a task must start at the worker within this time after the attempt begins
+	// CheckKey returns an error when no task may start for a request with the key, which is empty for a request without one.
+	CheckKey func(jaybarrow.KeyHash) error
 
 	Observer  Observer          // optional
 	Signals   Signals           // optional
--- a/internal/pool/fakes_test.go
+++ b/internal/pool/fakes_test.go
@@ -245,6 +245,7 @@
 			return jaybarrow.TaskID(fmt.Sprint(id, "-", f.ids.Add(1)))
 		},
 		Incarnation: func() jaybarrow.Incarnation { return 1 }, StartWindow: 2 * time.Second,
+		CheckKey: func(jaybarrow.KeyHash) error { return nil },
 		Observer: f.recorder, Meter: f.recorder, Journal: f.recorder,
 	})
 	return f
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -7,7 +7,8 @@
 	"github.com/jaybarrow/jaybarrow"
 )
 
-// runTask runs one attempt, then answers the request or returns it to the queue. It blocks until the end of the task is known.
+// runTask runs one attempt, then answers the request or returns it to the queue. It blocks until the end of the task is known. The
+// request's key is checked after startedAt, so that a task whose process was paused after the check is a late start.
 func (s *Scheduler) runTask(p *poolRuntime, start taskStart) {
 	w := start.waiter
 	startedAt := s.deps.Clock.Now()
@@ -22,6 +23,11 @@
 		s.refuse(w, jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled before the start"))
 		return
 	}
+	if err := s.deps.CheckKey(w.request.KeyHash); err != nil {
+		s.releaseAttempt(p, start, 0, false)
+		s.refuse(w, jaybarrow.AsError(err))
+		return
+	}
 	task := s.newTask(startedAt, start)
 	s.recordStart(w, start, startedAt)
 	body, err := s.deps.Workers.Run(w.ctx, host, task)
--- a/scheduling.go
+++ b/scheduling.go
@@ -9,6 +9,7 @@
 type Request struct {
 	ID         RequestID
 	Team       TeamID
+	KeyHash    KeyHash // of the caller's key; empty for a request without a key on an open queue
 	Queue      QueueID
 	Pool       PoolID
 	Class      Class
