Count the ages in a heartbeat from when the peer sent it

Callers saw: nothing yet; found while the causes of a key that works too long were followed. A heartbeat that waited in the receive buffer during a pause, or on a silent connection, would confirm the configuration from before it, and a withdrawn key be accepted. Cause: the ages in a received heartbeat counted from its receipt. Change: each answer gives a lower bound for the sender's clock (its sequence) in local time; later heartbeats of the same process count from that bound, never later than their receipt. Before the first answer of a process the time of receipt still counts.

--- a/internal/member/state.go
+++ b/internal/member/state.go
@@ -14,7 +14,7 @@
 	PeerAddress       jaybarrow.Address // the address used to call it
 	AdvertisedAddress jaybarrow.Address // the address it sends; the settings may override it
 	Incarnation       jaybarrow.Incarnation
-	Sequence          int64 // increases with each heartbeat of the incarnation
+	Sequence          int64 // milliseconds by its own clock since its process started; increases with each heartbeat
 	Ready             bool  // registered and has a configuration
 	Leaving           bool
 	Applied           jaybarrow.Revision // all changes up to it are applied
--- a/internal/peer/encoding.go
+++ b/internal/peer/encoding.go
@@ -87,9 +87,8 @@
 	return s.PeerAddress
 }
 
-// decodeState converts the ages in the message to local times counted back from reference. For an answer, reference is the time
-// just before the call, so that no age comes out too small. For a received heartbeat it is the time of receipt, so ages come out
-// too small by the network delay.
+// decodeState converts the ages in the message to local times counted back from reference, at which the message had not yet been
+// sent.
 func decodeState(reference time.Time, m *peerpb.MemberState) member.State {
 	s := member.State{
 		ID: jaybarrow.EntryID(m.Id), DataCentre: jaybarrow.DataCentreID(m.DataCentre),
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -47,6 +47,7 @@
 	deps        GossipDeps
 	round       int
 	sentStates  *shard.Map[jaybarrow.EntryID, *sentStates]
+	sendTimes   sendTimes
 	needsResend atomic.Bool // a received brief state has details that are not known here
 	group       conc.WaitGroup
 	stop        chan struct{}
@@ -55,7 +56,7 @@
 
 // NewGossip returns a running Gossip; Close stops it.
 func NewGossip(deps GossipDeps) *Gossip {
-	g := &Gossip{deps: deps, sentStates: shard.New[jaybarrow.EntryID, *sentStates](), stop: make(chan struct{})}
+	g := &Gossip{deps: deps, sentStates: shard.New[jaybarrow.EntryID, *sentStates](), sendTimes: newSendTimes(), stop: make(chan struct{})}
 	g.group.Go(func() {
 		for {
 			g.sendNext()
@@ -90,6 +91,7 @@
 	round := g.round
 	g.round++
 	g.deps.Members.Expire(g.deps.Clock.Now())
+	g.sendTimes.keep(func(id jaybarrow.EntryID) bool { _, known := g.deps.Members.Get(id); return known })
 	if localPeers := g.localPeers(); len(localPeers) > 0 {
 		s := localPeers[round%len(localPeers)]
 		g.group.Go(func() { g.sendHeartbeat(context.Background(), s) })
@@ -166,12 +168,15 @@
 		g.deps.Log.Debug().Err(err).Str("peer", string(to.ID)).Msg("cannot exchange heartbeats with the peer; sending it complete states next time")
 		return
 	}
+	// The peer sent its answer after this entry host sent the heartbeat, so no age comes out too small.
+	g.sendTimes.observe(answer.GetSelf(), sentAt)
 	g.applyHeartbeat(sentAt, answer)
 }
 
-// answerHeartbeat applies a peer's heartbeat and returns the one that answers it.
+// answerHeartbeat applies a peer's heartbeat and returns the one that answers it. The heartbeat may have waited for long in the
+// receive buffer while this process was paused, or on a silent connection, so its ages count from when the peer sent it.
 func (g *Gossip) answerHeartbeat(m *peerpb.Heartbeat) *peerpb.Heartbeat {
-	g.applyHeartbeat(g.deps.Clock.Now(), m)
+	g.applyHeartbeat(g.sendTimes.sentAt(m.GetSelf(), g.deps.Clock.Now()), m)
 	return g.newHeartbeat(jaybarrow.EntryID(m.GetSelf().GetId()))
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -65,7 +65,7 @@
 		Interval: 50 * time.Millisecond,
 		Self: func() member.State {
 			s := n.self
-			s.ReportedAt, s.ConfirmedAt, s.Sequence = time.Now(), time.Now(), time.Since(started).Microseconds()
+			s.ReportedAt, s.ConfirmedAt, s.Sequence = time.Now(), time.Now(), time.Since(started).Milliseconds()
 			return s
 		},
 		Seeds:         func() []peer.Seed { return seeds },
