Refuse a request in time when the process is paused before its timer is set

Callers saw: a request refused long after its deadline. TestEffectOfEarlierAttempts, case lost_deadline, got no answer beside load. Cause: the timer for the next decision is set by the time read before the decision; a pause in between makes it late by its length. Evidence: TestPauseBeforeTheTimerIsSet failed: no answer. Change: after the timer is set the clock is read again, and a time that has passed counts as the timer.

--- a/internal/pool/fakes_test.go
+++ b/internal/pool/fakes_test.go
@@ -22,8 +22,9 @@
 // clock is a manual clock.
 type clock struct {
 	sync.Mutex
-	now    time.Time
-	timers map[chan time.Time]time.Time
+	now     time.Time
+	timers  map[chan time.Time]time.Time
+	onAfter func() // optional; called before a timer is set
 }
 
 func newClock() *clock {
@@ -37,6 +38,9 @@
 }
 
 func (c *clock) After(d time.Duration) <-chan time.Time {
+	if c.onAfter != nil {
+		c.onAfter()
+	}
 	c.Lock()
 	defer c.Unlock()
 	timer := make(chan time.Time, 1)
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -124,7 +124,14 @@
 	if !ok {
 		return nil
 	}
-	return s.deps.Clock.After(next.Sub(now))
+	timer := s.deps.Clock.After(next.Sub(now))
+	if reached := s.deps.Clock.Now(); !reached.Before(next) {
+		// The timer is late by the time that passed since now, which is long when the process was paused.
+		fired := make(chan time.Time, 1)
+		fired <- reached
+		return fired
+	}
+	return timer
 }
 
 // decide makes all decisions that are due; the caller holds the pool's lock and calls execute after releasing it.
