Let only a new watch confirm the configuration after a pause

An entry host that is cut off from the store while it is paused would count as fresh for 5 s after it wakes, and accept a key that was withdrawn meanwhile. Cause: an event of the watch confirms the copy from the start of the wait for it. After a pause only the first buffered event has a long wait; the next ones were sent as early, and confirmed the copy from after the pause. Evidence: TestBufferedEventsConfirmNothing failed: confirmed 1.5 s ago, after a pause of 8 s and without contact since. Change: two events further apart than WatchTimeout end the watch; the next one starts from the revision of the copy. Result: the tests of the package pass twice, with the race detector.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -106,6 +106,9 @@
 	}
 }
 
+// errSilentWatch reports a watch that delivered no event within its timeout.
+var errSilentWatch = errors.New("the watch delivered no event within its timeout")
+
 // errStaleList reports a list from a revision before that of the copy, as after a fail-over to a replica that lags behind.
 var errStaleList = errors.New("the store returned a list from an older revision than the copy")
 
@@ -190,7 +193,7 @@
 		case err := <-watchErr:
 			return err
 		case <-f.deps.Clock.After(f.deps.Settings.WatchTimeout):
-			return errors.New("the watch delivered no event within its timeout")
+			return errSilentWatch
 		}
 	}
 }
@@ -201,11 +204,17 @@
 	waitStart time.Time
 }
 
-// readEvents sends the events of the watch until it fails or done is closed.
+// readEvents sends the events of the watch until it fails, two events are more than WatchTimeout apart, or done is closed. After
+// such a gap the process was paused or the watch silent: further events may have been sent long before they are read, so
+// only a new watch confirms the copy.
 func (f *Follower) readEvents(watch jaybarrow.Watch, events chan<- timedEvent, watchErr chan<- error, done <-chan struct{}) {
+	waitStart := f.deps.Clock.Now()
 	for {
-		waitStart := f.deps.Clock.Now()
 		event, err := watch.Next()
+		received := f.deps.Clock.Now()
+		if err == nil && received.Sub(waitStart) > f.deps.Settings.WatchTimeout {
+			err = errSilentWatch
+		}
 		if err != nil {
 			watchErr <- err
 			return
@@ -215,6 +224,7 @@
 		case <-done:
 			return
 		}
+		waitStart = received
 	}
 }
 
