--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,12 +9,14 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/claim"
+	"github.com/jaybarrow/jaybarrow/internal/command/request"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
 	"github.com/jaybarrow/jaybarrow/internal/estimate"
 	"github.com/jaybarrow/jaybarrow/internal/etcd"
 	"github.com/jaybarrow/jaybarrow/internal/health"
 	"github.com/jaybarrow/jaybarrow/internal/httpapi"
 	"github.com/jaybarrow/jaybarrow/internal/identity"
+	"github.com/jaybarrow/jaybarrow/internal/inflight"
 	"github.com/jaybarrow/jaybarrow/internal/journal"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
 	"github.com/jaybarrow/jaybarrow/internal/maintenance"
@@ -62,7 +64,9 @@
 	workers     *task.Client
 	health      *health.Guard
 	roster      *roster.Roster
+	keys        *request.Authenticator
 	scheduler   *pool.Scheduler
+	inFlight    *inflight.Requests
 	members     *member.Members
 	peers       *peer.Client
 	gossip      *peer.Gossip
@@ -129,6 +133,7 @@
 	e.health = health.NewGuard(d.Clock, e.workers,
 		health.New(health.Deps{Settings: health.DefaultSettings(), Journal: e.journal, Random: rand.Float64}), quickFailureLimit)
 	e.roster = roster.New(e.directory, e.conditions, e.health, d.Settings.Entry.DataCentre)
+	e.keys = request.NewAuthenticator(e.directory.AccessKeys.Get, e.fresh)
 	e.scheduler = pool.New(pool.Deps{
 		Clock: d.Clock, Log: logging.For(d.Log, "pool"), Hosts: e.roster, Workers: e.health, Permits: e.permits,
 		Signals: healthSignals{e}, NewPool: func() *schedule.Pool {
@@ -139,7 +144,7 @@
 			return schedule.New(limits, fairshare.New(), twochoices.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 		},
 		NewTaskID: identity.NewTaskIDs().New, Entry: d.Settings.Entry.ID, Incarnation: e.presence.Incarnation,
-		StartWindow: e.times.Permit.StartWindow, Estimates: estimate.New(maxRunTimeHistories), Meter: e.meter, Journal: e.journal,
+		StartWindow: e.times.Permit.StartWindow, CheckKey: e.keys.Check, Estimates: estimate.New(maxRunTimeHistories), Meter: e.meter, Journal: e.journal,
 	})
 }
 
@@ -170,9 +175,11 @@
 		Clock: d.Clock, Log: logging.For(d.Log, "peer"), Client: e.peers, Members: e.members, Interval: e.times.HeartbeatInterval,
 		Self: e.self, Seeds: e.seeds, OnNewerRecord: e.catchUp,
 	})
-	e.peerServer = peer.NewServer(d.Clock, logging.For(d.Log, "peer"), d.Peers, e.scheduler, e.directory, e.gossip)
+	e.inFlight = inflight.New()
+	local := route.NewLocal(e.scheduler, e.inFlight)
+	e.peerServer = peer.NewServer(d.Clock, logging.For(d.Log, "peer"), d.Peers, local, e.directory, e.gossip)
 	e.router = route.New(route.Deps{
-		Clock: d.Clock, Self: own.ID, DataCentre: own.DataCentre, Local: e.scheduler, Peers: e.peers, Members: e.members,
+		Clock: d.Clock, Self: own.ID, DataCentre: own.DataCentre, Local: local, Peers: e.peers, Members: e.members,
 		Ready: e.acceptsRequests, DataCentres: e.roster.DataCentres, LocalLoad: e.scheduler.Load, Journal: e.journal,
 	})
 	e.spillover = route.NewSpillover(e.router, e.scheduler)
--- a/internal/pool/fakes_test.go
+++ b/internal/pool/fakes_test.go
@@ -22,8 +22,9 @@
 // clock is a manual clock.
 type clock struct {
 	sync.Mutex
-	now    time.Time
-	timers map[chan time.Time]time.Time
+	now     time.Time
+	timers  map[chan time.Time]time.Time
+	onAfter func() // optional; called before a timer is set
 }
 
 func newClock() *clock {
@@ -37,6 +38,9 @@
 }
 
 func (c *clock) After(d time.Duration) <-chan time.Time {
+	if c.onAfter != nil {
+		c.onAfter()
+	}
 	c.Lock()
 	defer c.Unlock()
 	timer := make(chan time.Time, 1)
@@ -171,7 +175,8 @@
 // recorder is an Observer, Meter and Journal that keeps one line for each call.
 type recorder struct {
 	sync.Mutex
-	lines []string
+	lines  []string
+	onNote func(line string) // optional; called with each line of the Journal
 }
 
 func (r *recorder) add(format string, args ...any) {
@@ -192,6 +197,9 @@
 
 func (r *recorder) Note(subject jaybarrow.Subject, decision, _ string) {
 	r.add("%s %s", decision, subject.ID)
+	if r.onNote != nil {
+		r.onNote(fmt.Sprintf("%s %s", decision, subject.ID))
+	}
 }
 
 func (r *recorder) Started(team jaybarrow.TeamID, _ jaybarrow.Class, _ time.Duration) {
@@ -241,6 +249,7 @@
 			return jaybarrow.TaskID(fmt.Sprint(id, "-", f.ids.Add(1)))
 		},
 		Incarnation: func() jaybarrow.Incarnation { return 1 }, StartWindow: 2 * time.Second,
+		CheckKey: func(jaybarrow.KeyHash) error { return nil },
 		Observer: f.recorder, Meter: f.recorder, Journal: f.recorder,
 	})
 	return f
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -7,7 +7,8 @@
 	"github.com/jaybarrow/jaybarrow"
 )
 
-// runTask runs one attempt, then answers the request or returns it to the queue. It blocks until the end of the task is known.
+// runTask runs one attempt, then answers the request or returns it to the queue. It blocks until the end of the task is known. The
+// request's key is checked after startedAt, so that a task whose process was paused after the check is a late start.
 func (s *Scheduler) runTask(p *poolRuntime, start taskStart) {
 	w := start.waiter
 	startedAt := s.deps.Clock.Now()
@@ -22,6 +23,11 @@
 		s.refuse(w, jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled before the start"))
 		return
 	}
+	if err := s.deps.CheckKey(w.request.KeyHash); err != nil {
+		s.releaseAttempt(p, start, 0, false)
+		s.refuse(w, jaybarrow.AsError(err))
+		return
+	}
 	task := s.newTask(startedAt, start)
 	s.recordStart(w, start, startedAt)
 	body, err := s.deps.Workers.Run(w.ctx, host, task)
@@ -134,18 +140,15 @@
 	s.answerFailure(w, failure, refusal)
 }
 
-// answerFailure answers a request that is not retried. When the last attempt did not run, the answer is KindCancelled after a
-// cancellation, and the refusal while the scheduler stops.
+// answerFailure answers a request that is not retried. When the last attempt did not run, the answer is the refusal while the
+// scheduler stops.
 func (s *Scheduler) answerFailure(w *waiter, failure *jaybarrow.Error, refusal jaybarrow.ErrorKind) {
-	switch {
-	case failure.Effect == jaybarrow.EffectNotRun && w.ctx.Err() != nil:
-		s.refuse(w, jaybarrow.Errorf(jaybarrow.KindCancelled, "cancelled before a worker took the task"))
-	case failure.Effect == jaybarrow.EffectNotRun && refusal != "":
+	if failure.Effect == jaybarrow.EffectNotRun && refusal != "" {
 		s.refuse(w, jaybarrow.Errorf(refusal, "run the request before the scheduler stops: %w", failure))
-	default:
-		s.deps.Journal.Note(w.subject(), "failed", failure.Error())
-		w.finish(nil, failure)
+		return
 	}
+	s.deps.Journal.Note(w.subject(), "failed", failure.Error())
+	w.finish(nil, failure)
 }
 
 // mayRetry reports whether the request may have another attempt, and charges the retry budget unless the last attempt did
