Propagate a panic of a hedged call to its caller

Cause: nobody waits for the group of hedge.Do, so a panic of a call was lost: each write took its whole time limit and was reported as not answered, for ever, and the leader kept its term. Change: the panic is a result of the call, and Do propagates it with its value in the caller's goroutine, which is supervised. Result: the new test failed before, "no panic after 2.001051567s, but the error storeUnavailable: no answer", and passes now.

--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"github.com/jaybarrow/jaybarrow"
 )
@@ -18,23 +19,26 @@
 
 // Do makes the call, and repeats it after each delay without a final result while the earlier calls continue. The call must be
 // idempotent, and a repeated call must use another connection than the earlier ones. Do returns the first final result. Without
-// one it returns the first error whose effect is not notRun, or else the last error.
+// one it returns the first error whose effect is not notRun, or else the last error. A panic of a call is propagated to the caller of Do,
+// unless another call has returned a final result before.
 func Do[T any](ctx context.Context, clock jaybarrow.Clock, s Settings, call func(context.Context) (T, error), final func(error) bool) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
 	type result struct {
 		value T
 		err   error
+		fault *panics.Recovered // of a call that panicked
 	}
 	results := make(chan result, s.MaxCalls)
-	var group conc.WaitGroup
+	var group conc.WaitGroup // never waited for: calls that are no longer needed end with ctx
 	calls, pending := 0, 0
 	startCall := func() {
 		calls++
 		pending++
 		group.Go(func() {
-			v, err := call(ctx)
-			results <- result{v, err}
+			var r result
+			r.fault = panics.Try(func() { r.value, r.err = call(ctx) })
+			results <- r
 		})
 	}
 	startCall()
@@ -47,6 +51,9 @@
 		select {
 		case r := <-results:
 			pending--
+			if r.fault != nil {
+				panic(r.fault)
+			}
 			if r.err == nil || final(r.err) {
 				return r.value, r.err
 			}
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
 	"gotest.tools/v3/assert"
 
 	"github.com/jaybarrow/jaybarrow"
@@ -66,6 +67,22 @@
 	}
 }
 
+// Guards against a panic of a call that is lost, so that each write waits for its time limit and is reported as not answered.
+func TestAPanicOfACallReachesTheCaller(t *testing.T) {
+	started := time.Now()
+	var caught panics.Catcher
+	caught.Try(func() {
+		_, err := hedge.Do(context.Background(), jaybarrow.SystemClock{}, hedge.Settings{Delay: time.Minute, MaxCalls: 1, Timeout: 2 * time.Second}, func(context.Context) (int, error) {
+			panic("broken answer")
+		}, neverFinal)
+		t.Errorf("no panic after %v, but the error %v", time.Since(started), err)
+	})
+	assert.Assert(t, caught.Recovered() != nil)
+	held, ok := caught.Recovered().Value.(*panics.Recovered)
+	assert.Assert(t, ok)
+	assert.Equal(t, held.Value, "broken answer")
+}
+
 // Guards against calls that are repeated after a final error.
 func TestAFinalErrorEndsTheCalls(t *testing.T) {
 	conflict := errors.New("conflict")
