End the term when any part of a pool's scheduling fails

Cause: the run group of a pool held the panic of a hold loop, a start, stop or throttle order, an advice or a removal back until the end of the term, so that a worker's lease was no longer renewed while the leader went on. A panic under the lock of the pool left it locked: the term was resigned, but the scheduler could never be closed, so the process neither crashed nor campaigned again. Change: every part of a pool runs in a rungroup that logs the fault with its stack and resigns the term at once; the campaign then crashes the process as before. Calls of the pool's state release the lock after a panic and mark the state as unusable. Result: before, three of the four cases of the new test failed, "the term goes on without a part of the pool" (commit, start, hold), and the case with the lock held (observer) never ended, as each loop waited for the lock; all four pass, also with the race detector.

--- /dev/null
+++ b/internal/scheduler/faults_test.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/panics"
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/catalog"
+	"github.com/jaybarrow/jaybarrow/internal/leader"
+)
+
+const faultJob = jaybarrow.JobID("00000000000000fa")
+
+// platformWithFault is a platform with one accepted job and one worker, of which one call panics.
+type platformWithFault struct {
+	jaybarrow.JobStore
+	faulty string
+}
+
+func (f platformWithFault) call(name string) {
+	if f.faulty == name {
+		panic("fault of " + name)
+	}
+}
+
+func (f platformWithFault) List(_ context.Context, prefix jaybarrow.Key) ([]jaybarrow.Record, jaybarrow.Revision, error) {
+	if prefix != jaybarrow.JobInputPrefix {
+		return nil, 1, nil
+	}
+	value, err := json.Marshal(jaybarrow.Job{
+		ID: faultJob, Queue: "match", Pool: "desk", Spec: "1s", AcceptedMs: time.Now().UnixMilli(),
+		Steps: []jaybarrow.Step{{Tasks: 1, Demand: jaybarrow.Resources{CPU: 100}, EstimateMs: 1000}},
+	})
+	return []jaybarrow.Record{{Key: jaybarrow.JobAcceptedKey(faultJob), Value: value, Revision: 1}}, 1, err
+}
+
+func (f platformWithFault) Changes(ctx context.Context, _ jaybarrow.Key, after jaybarrow.Revision, wait time.Duration) ([]jaybarrow.Record, jaybarrow.Revision, error) {
+	return nil, after, pause(ctx, wait)
+}
+
+func (f platformWithFault) Commit(context.Context, jaybarrow.Commit) (jaybarrow.Revision, error) {
+	f.call("commit")
+	return 2, nil
+}
+
+func (f platformWithFault) Workers(context.Context) ([]jaybarrow.WorkerChange, jaybarrow.Revision, error) {
+	w := &jaybarrow.Worker{ID: "w1", Pool: "desk", State: jaybarrow.WorkerReady, Capacity: jaybarrow.Resources{CPU: 1000}}
+	return []jaybarrow.WorkerChange{{ID: w.ID, Worker: w}}, 1, nil
+}
+
+func (f platformWithFault) WorkerChanges(ctx context.Context, after jaybarrow.Revision, wait time.Duration) ([]jaybarrow.WorkerChange, jaybarrow.Revision, error) {
+	return nil, after, pause(ctx, wait)
+}
+
+func (f platformWithFault) Start(context.Context, jaybarrow.Worker, jaybarrow.StartOrder) (jaybarrow.StartOutcome, error) {
+	f.call("start")
+	return jaybarrow.StartDone, nil
+}
+
+func (f platformWithFault) Stop(context.Context, jaybarrow.Worker, jaybarrow.TaskRef, jaybarrow.RunNumber, jaybarrow.FenceToken) error {
+	return nil
+}
+
+func (f platformWithFault) Hold(ctx context.Context, _ jaybarrow.Worker, order jaybarrow.HoldOrder) (jaybarrow.HoldReport, error) {
+	f.call("hold")
+	return jaybarrow.HoldReport{}, pause(ctx, max(order.Wait, time.Millisecond))
+}
+
+func (f platformWithFault) Poll(context.Context, jaybarrow.Worker, jaybarrow.HoldOrder) (jaybarrow.HoldReport, error) {
+	return jaybarrow.HoldReport{}, nil
+}
+
+func (f platformWithFault) Throttle(context.Context, jaybarrow.Worker, jaybarrow.TaskRef, jaybarrow.RunNumber, jaybarrow.Percent, jaybarrow.FenceToken) error {
+	return nil
+}
+
+func (f platformWithFault) Disconnect(jaybarrow.Worker) {}
+
+func (f platformWithFault) JobStarted(*jaybarrow.Job, time.Duration) {}
+
+// StartAnswered is called while the lock of the pool is held.
+func (f platformWithFault) StartAnswered(jaybarrow.StartOutcome) { f.call("observer") }
+
+func (f platformWithFault) RunEnded(jaybarrow.TaskRef, jaybarrow.RunNumber, jaybarrow.WorkerID, jaybarrow.EndKind, time.Duration) {
+}
+
+func (f platformWithFault) JobEnded(*jaybarrow.Job, jaybarrow.JobState, time.Duration, int) {}
+
+func (f platformWithFault) WorkerEjected(jaybarrow.WorkerID, string) {}
+
+// pause waits for d; it returns ctx's error when ctx ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// Guards against a leader that keeps its term after a part of a pool has panicked, and against a scheduler that can never be closed
+// because the panic has left the lock of a pool locked.
+func TestAPanicOfAPartOfAPoolEndsTheTerm(t *testing.T) {
+	for _, faulty := range []string{"commit", "start", "hold", "observer"} {
+		t.Run(faulty, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				known := catalog.New(time.Now())
+				known.Apply(&jaybarrow.Configuration{
+					Version: 1, Pools: []jaybarrow.JobPool{{ID: "desk"}},
+					Queues: []jaybarrow.JobQueue{{ID: "match", Pool: "desk", MaxAttempts: 2, Stretch: 2, Target: time.Second}},
+				})
+				f := platformWithFault{faulty: faulty}
+				var resigned atomic.Bool
+				s := New(Deps{
+					Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Store: f, Register: f, Agents: f, Catalog: known, Observer: f,
+					Term:     leader.Term{Fence: 1, Revision: 1, Valid: func() bool { return true }, Resign: func(string) { resigned.Store(true) }},
+					Settings: DefaultSettings(),
+				})
+				time.Sleep(time.Second)
+				hasResigned := resigned.Load()
+				var caught panics.Catcher
+				caught.Try(s.Close)
+				assert.Assert(t, hasResigned, "the term goes on without a part of the pool")
+				assert.Assert(t, caught.Recovered() != nil, "Close did not propagate the panic")
+			})
+		})
+	}
+}
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -18,13 +18,17 @@
 	failures := 0
 	var lastEntry jaybarrow.Worker
 	for ctx.Err() == nil {
-		p.lock.Lock()
 		sent := p.deps.Clock.Now()
-		worker, order, ok := p.state.HoldOrder(id, p.deps.Term.Valid(), sent)
-		if !ok {
-			delete(p.holdLoops, id)
+		var worker jaybarrow.Worker
+		var order jaybarrow.HoldOrder
+		var ok bool
+		if !p.locked(func() {
+			if worker, order, ok = p.state.HoldOrder(id, p.deps.Term.Valid(), sent); !ok {
+				delete(p.holdLoops, id)
+			}
+		}) {
+			return
 		}
-		p.lock.Unlock()
 		if ok {
 			lastEntry = worker
 		} else {
@@ -51,9 +55,8 @@
 
 // logLost logs a lost worker; a worker that was expected to leave is logged at a lower level.
 func (p *poolShard) logLost(id jaybarrow.WorkerID, err error) {
-	p.lock.Lock()
-	reserved := p.state.Reserved(id)
-	p.lock.Unlock()
+	var reserved bool
+	p.locked(func() { reserved = p.state.Reserved(id) })
 	if reserved {
 		p.log.Info().Str("worker", string(id)).Msg("worker left with its host")
 		return
@@ -74,23 +77,24 @@
 		return err
 	}
 	now := p.deps.Clock.Now()
-	p.lock.Lock()
-	if err != nil {
-		p.state.HandleHoldFailure(worker.ID, jaybarrow.IsKind(err, jaybarrow.KindNotFound), now)
-	} else {
-		p.state.HandleReport(worker.ID, report, sent, now)
-	}
-	p.lock.Unlock()
+	p.locked(func() {
+		if err != nil {
+			p.state.HandleHoldFailure(worker.ID, jaybarrow.IsKind(err, jaybarrow.KindNotFound), now)
+		} else {
+			p.state.HandleReport(worker.ID, report, sent, now)
+		}
+	})
 	p.signal()
 	return err
 }
 
 // pollWorker requests a report without waiting. A failure is ignored, because the hold loop detects a lost worker.
 func (p *poolShard) pollWorker(ctx context.Context, id jaybarrow.WorkerID) {
-	p.lock.Lock()
 	sent := p.deps.Clock.Now()
-	worker, order, ok := p.state.PollOrder(id)
-	p.lock.Unlock()
+	var worker jaybarrow.Worker
+	var order jaybarrow.HoldOrder
+	var ok bool
+	p.locked(func() { worker, order, ok = p.state.PollOrder(id) })
 	if !ok {
 		return
 	}
@@ -101,9 +105,7 @@
 	if err != nil {
 		return
 	}
-	p.lock.Lock()
-	p.state.HandleReport(id, report, sent, p.deps.Clock.Now())
-	p.lock.Unlock()
+	p.locked(func() { p.state.HandleReport(id, report, sent, p.deps.Clock.Now()) })
 }
 
 // awaitEndsStored waits until the ended runs that the worker reported are stored, up to MaxStoreWait. An earlier hold order could
@@ -112,10 +114,8 @@
 	limit := p.deps.Clock.After(p.deps.Settings.MaxStoreWait)
 	for {
 		written := p.written.Changed()
-		p.lock.Lock()
-		done := p.state.EndsStored(id)
-		p.lock.Unlock()
-		if done {
+		var done bool
+		if !p.locked(func() { done = p.state.EndsStored(id) }) || done {
 			return
 		}
 		select {
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/notify"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
@@ -23,22 +23,27 @@
 	log        zerolog.Logger
 	writer     *writer
 	forgetJob  func(jaybarrow.JobID) // called when a job's records have been removed
-	group      conc.WaitGroup
-	wake       chan struct{}    // has a value when the planning loop must plan again
-	jobsLoaded chan struct{}    // closed once the stored jobs are loaded
-	loadOnce   sync.Once        // closes jobsLoaded
-	written    *notify.Notifier // signalled after each write of decisions
+	group      *rungroup.Group       // a part that fails ends the term
+	wake       chan struct{}         // has a value when the planning loop must plan again
+	jobsLoaded chan struct{}         // closed once the stored jobs are loaded
+	loadOnce   sync.Once             // closes jobsLoaded
+	written    *notify.Notifier      // signalled after each write of decisions
 
 	lock      sync.Mutex // guards the fields below; never held across I/O
 	state     *workload.Pool
 	holdLoops map[jaybarrow.WorkerID]bool // workers with a running hold loop
+	failed    bool                        // whether a panic may have left state inconsistent
 }
 
+// errFailed means that the state of the pool may be inconsistent, so nothing may be decided from it.
+var errFailed = errors.New("a part of the pool has failed")
+
 // newPoolShard returns a running shard; it plans once the stored jobs are loaded.
 func newPoolShard(s *Scheduler, id jaybarrow.PoolID) *poolShard {
 	d := s.deps
+	log := d.Log.With().Str("pool", string(id)).Logger()
 	p := &poolShard{
-		deps: d, id: id, ctx: s.ctx, log: d.Log.With().Str("pool", string(id)).Logger(),
+		deps: d, id: id, ctx: s.ctx, log: log, group: rungroup.New(rungroup.EndTerm(log, d.Term.Resign)),
 		writer: &writer{
 			clock: d.Clock, log: d.Log, store: d.Store, settings: d.Settings, leaderRevision: d.Term.Revision,
 			revisions: make(map[jaybarrow.JobID]jaybarrow.Revision),
@@ -55,7 +60,7 @@
 		p.startPlanning()
 	default:
 	}
-	p.group.Go(func() { p.run(s.ctx) })
+	p.group.Keep(s.ctx, "planning", func() error { return p.run(s.ctx) })
 	return p
 }
 
@@ -78,7 +83,7 @@
 	p.state.SetWorker(entry, now)
 	if !p.holdLoops[entry.ID] {
 		p.holdLoops[entry.ID] = true
-		p.group.Go(func() { p.holdWorker(p.ctx, entry.ID) })
+		p.group.Go("reports of a worker", func() { p.holdWorker(p.ctx, entry.ID) })
 	}
 	p.signal()
 }
@@ -90,30 +95,39 @@
 	p.state.DropWorker(id)
 }
 
-// run plans after each change and at least every MaxPlanInterval until ctx ends.
-func (p *poolShard) run(ctx context.Context) {
-	defer func() {
-		// Before the end of the term only an error or a panic ends the loop. The term must not go on without it; closing
-		// the scheduler then propagates a panic.
-		if ctx.Err() == nil {
-			p.deps.Term.Resign("the planning loop of a pool has ended")
-		}
-	}()
+// locked calls f with the lock held and reports true. After a panic of an earlier f it reports false instead: the lock is free, so that
+// every part can end with the term, but the state is used no more.
+func (p *poolShard) locked(f func()) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.failed {
+		return false
+	}
+	p.failed = true
+	f()
+	p.failed = false
+	return true
+}
+
+// run plans after each change and at least every MaxPlanInterval until ctx ends. An earlier return ends the term.
+func (p *poolShard) run(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
-		return
+		return nil
 	case <-p.jobsLoaded:
 	}
 	for {
 		if err := p.planRound(ctx); err != nil {
 			if errors.Is(err, errDeposed) {
+				// Another leader is no fault of this process.
 				p.deps.Term.Resign("the store holds another leader's record")
+				<-ctx.Done()
 			}
-			return
+			return err
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-p.wake:
 		case <-p.deps.Clock.After(p.untilNextPlan()):
 		}
@@ -133,34 +147,38 @@
 // planRound plans once. It sends stops, throttle orders and adviser calls immediately, and starts only after their records are
 // stored.
 func (p *poolShard) planRound(ctx context.Context) error {
-	p.lock.Lock()
-	round := p.state.Plan(p.deps.Clock.Now(), p.deps.Term.Valid())
-	p.lock.Unlock()
+	var round workload.Round
+	if !p.locked(func() { round = p.state.Plan(p.deps.Clock.Now(), p.deps.Term.Valid()) }) {
+		return errFailed
+	}
 	if round.Empty() {
 		return nil
 	}
 	for _, s := range round.Stops {
-		p.group.Go(func() { p.stopRun(ctx, s) })
+		p.group.Go("stop order", func() { p.stopRun(ctx, s) })
 	}
 	for _, s := range round.Throttles {
-		p.group.Go(func() { p.throttleRun(ctx, s) })
+		p.group.Go("throttle order", func() { p.throttleRun(ctx, s) })
 	}
 	for _, q := range round.AdviceRequests {
-		p.group.Go(func() { p.askAdviser(ctx, q) })
+		p.group.Go("advice", func() { p.askAdviser(ctx, q) })
 	}
 	if err := p.writer.write(ctx, round.Records); err != nil {
 		return err
 	}
-	p.lock.Lock()
-	p.state.MarkWritten(round)
-	starts := p.sendableStarts(round.Starts)
-	p.lock.Unlock()
+	var starts []workload.StartRun
+	if !p.locked(func() {
+		p.state.MarkWritten(round)
+		starts = p.sendableStarts(round.Starts)
+	}) {
+		return errFailed
+	}
 	p.written.Signal()
 	for _, s := range starts {
-		p.group.Go(func() { p.startRun(ctx, s) })
+		p.group.Go("start order", func() { p.startRun(ctx, s) })
 	}
 	if len(round.Expired) > 0 {
-		p.group.Go(func() { p.removeRecords(ctx, round.Expired) })
+		p.group.Go("removal of records", func() { p.removeRecords(ctx, round.Expired) })
 	}
 	return nil
 }
@@ -176,9 +194,7 @@
 			p.forgetJob(id)
 		}
 	}
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	p.state.HandleRemoval(ids, err == nil)
+	p.locked(func() { p.state.HandleRemoval(ids, err == nil) })
 }
 
 // sendableStarts returns the starts that may still be sent, with the lease of each filled in. The lock is held.
@@ -210,9 +226,8 @@
 		p.deps.Term.Resign("a worker has seen a higher fencing token")
 		return
 	}
-	p.lock.Lock()
-	needsPoll := p.state.HandleStartOutcome(s, outcome, p.deps.Clock.Now())
-	p.lock.Unlock()
+	var needsPoll bool
+	p.locked(func() { needsPoll = p.state.HandleStartOutcome(s, outcome, p.deps.Clock.Now()) })
 	if needsPoll {
 		p.pollWorker(ctx, s.Worker.ID)
 	}
@@ -227,9 +242,8 @@
 	err := p.deps.Agents.Stop(limited, s.Worker, s.Task, s.Run, p.deps.Term.Fence)
 	p.log.Info().Str("task", s.Task.String()).Int64("run", int64(s.Run)).Str("worker", string(s.Worker.ID)).
 		Err(err).Msg("stop")
-	p.lock.Lock()
-	needsPoll := p.state.HandleStopOutcome(s, err == nil, p.deps.Clock.Now())
-	p.lock.Unlock()
+	var needsPoll bool
+	p.locked(func() { needsPoll = p.state.HandleStopOutcome(s, err == nil, p.deps.Clock.Now()) })
 	if needsPoll {
 		p.pollWorker(ctx, s.Worker.ID)
 		p.signal()
@@ -243,9 +257,7 @@
 	err := p.deps.Agents.Throttle(limited, s.Worker, s.Task, s.Run, s.Share, p.deps.Term.Fence)
 	p.log.Info().Str("task", s.Task.String()).Int64("run", int64(s.Run)).Str("worker", string(s.Worker.ID)).
 		Int("percent", int(s.Share)).Err(err).Msg("pace")
-	p.lock.Lock()
-	p.state.HandleThrottleOutcome(s, err == nil)
-	p.lock.Unlock()
+	p.locked(func() { p.state.HandleThrottleOutcome(s, err == nil) })
 }
 
 // askAdviser asks the adviser which workers may run a step; without an answer the state stays as it is.
@@ -259,8 +271,6 @@
 	if err != nil {
 		return
 	}
-	p.lock.Lock()
-	p.state.HandleAdvice(q, advice, requestedAt)
-	p.lock.Unlock()
+	p.locked(func() { p.state.HandleAdvice(q, advice, requestedAt) })
 	p.signal()
 }
