End the term when an order for a host panics

Cause: only the loop that decides on hosts resigned the term after a panic. A panic of an order was held back until the end of the term, and the host counted as ordered meanwhile. A panic under the lock of the keeper's state also kept the keeper from being closed. Change: both run in a rungroup whose handler resigns the term, so that a successor need not wait for the lease, and passes the fault on; without a handler the process crashes. The test of the loop also checks now that the fault is passed on.

--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -14,6 +14,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
 	"github.com/jaybarrow/jaybarrow/internal/fleetkeeper"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
@@ -21,6 +22,7 @@
 type fleet struct {
 	hosts      []jaybarrow.FleetHost
 	unanswered atomic.Pointer[chan struct{}] // a call for the list waits until the channel is closed; nil when it does not wait
+	faulty     atomic.Bool                   // orders panic
 	lock       sync.Mutex
 	orders     map[jaybarrow.HostID]order
 }
@@ -40,6 +42,9 @@
 
 // recordFirst records the order unless the host already has one.
 func (f *fleet) recordFirst(host jaybarrow.HostID, to jaybarrow.PoolID) (jaybarrow.FleetOrderOutcome, error) {
+	if f.faulty.Load() {
+		panic("broken order")
+	}
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if _, ordered := f.orders[host]; !ordered {
@@ -153,6 +158,7 @@
 	startedAt time.Time
 	fleet     *fleet
 	resigned  *atomic.Bool
+	faults    *atomic.Int64 // faults that were reported after the term was resigned
 }
 
 // newKeeper returns a keeper of the hosts and pools; the pool named reserve is the spare pool.
@@ -164,10 +170,15 @@
 	known := catalog.New(time.Now())
 	known.Apply(configuration)
 	f := &fleet{orders: make(map[jaybarrow.HostID]order), hosts: hosts}
-	resigned := new(atomic.Bool)
-	return &keeper{startedAt: time.Now(), fleet: f, resigned: resigned, Keeper: fleetkeeper.New(fleetkeeper.Deps{
+	resigned, faults := new(atomic.Bool), new(atomic.Int64)
+	return &keeper{startedAt: time.Now(), fleet: f, resigned: resigned, faults: faults, Keeper: fleetkeeper.New(fleetkeeper.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Fleet: f, Store: emptyStore{}, Catalog: known, Settings: settings, Pools: p, Waves: knownWaves,
 		Term: leader.Term{Fence: 1, Valid: func() bool { return true }, Resign: func(string) { resigned.Store(true) }},
+		OnFault: func(rungroup.Fault) {
+			if resigned.Load() {
+				faults.Add(1)
+			}
+		},
 	})}
 }
 
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
 	"github.com/jaybarrow/jaybarrow/internal/fleetplan"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
@@ -83,24 +83,31 @@
 	Catalog  *catalog.Catalog
 	Term     leader.Term
 	Settings Settings
+	OnFault  rungroup.Handler // called when a part fails, after the term has been resigned; nil crashes the process
 }
 
 // Keeper moves and maintains hosts during one term of the leader.
 type Keeper struct {
 	deps   Deps
 	cancel context.CancelFunc
-	group  conc.WaitGroup
+	group  *rungroup.Group
 	state  state
 }
 
 // New returns a running Keeper.
 func New(d Deps) *Keeper {
 	ctx, cancel := context.WithCancel(context.Background())
-	k := &Keeper{deps: d, cancel: cancel, state: newState()}
-	k.group.Go(func() { k.decideLoop(ctx) })
+	k := &Keeper{deps: d, cancel: cancel, group: rungroup.New(d.handleFault), state: newState()}
+	k.group.Keep(ctx, "decisions on hosts", func() error { k.decideLoop(ctx); return nil })
 	return k
 }
 
+// handleFault resigns the term, so that a successor need not wait for the end of the lease, and passes the fault on.
+func (d Deps) handleFault(f rungroup.Fault) {
+	d.Term.Resign("a part of the fleet keeper has failed: " + string(f.Part))
+	d.OnFault.Handle(f)
+}
+
 // Close stops sending orders and waits for calls in progress.
 func (k *Keeper) Close() {
 	k.cancel()
@@ -109,12 +116,6 @@
 
 // decideLoop reads the list of hosts, decides and sends orders every Interval until ctx ends.
 func (k *Keeper) decideLoop(ctx context.Context) {
-	defer func() {
-		// Before the end of the term only a panic ends the loop. The term must not go on without it; Close then propagates the panic.
-		if ctx.Err() == nil {
-			k.deps.Term.Resign("the loop that decides on hosts has ended")
-		}
-	}()
 	takeoverEnd := k.deps.Clock.Now().Add(k.deps.Settings.TakeoverDelay)
 	for k.sleep(ctx, k.deps.Settings.Interval) {
 		k.loadWaves(ctx)
@@ -209,7 +210,7 @@
 			continue
 		}
 		k.state.recordOrder(m.Host, "", m.Wave, k.deps.Clock.Now())
-		k.group.Go(func() {
+		k.group.Go("order for a host", func() {
 			k.sendOrder(ctx, m.Host, "maintain", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
 				return k.deps.Fleet.Maintain(ctx, m.Host.ID, m.Wave, k.deps.Term.Fence)
 			})
@@ -222,7 +223,7 @@
 		k.state.recordOrder(m.Host, m.To, 0, k.deps.Clock.Now())
 		k.deps.Log.Info().Str("host", string(m.Host.ID)).Str("from", string(m.Host.Pool)).Str("to", string(m.To)).
 			Str("reason", m.Reason).Msg("host moves")
-		k.group.Go(func() {
+		k.group.Go("order for a host", func() {
 			k.sendOrder(ctx, m.Host, "move", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
 				return k.deps.Fleet.Move(ctx, m.Host.ID, m.To, k.deps.Term.Fence)
 			})
--- a/internal/fleetkeeper/keeper_test.go
+++ b/internal/fleetkeeper/keeper_test.go
@@ -91,6 +91,22 @@
 		k := newKeeper(settings, nil, nil, nil)
 		advance(settings.Interval)
 		assert.Assert(t, k.resigned.Load())
+		assert.Equal(t, k.faults.Load(), int64(1))
+		defer func() { assert.Assert(t, recover() != nil, "Close did not propagate the panic") }()
+		k.Close()
+	})
+}
+
+// Guards against a leader that keeps its term after an order for a host has panicked, with the host counted as ordered for ever.
+func TestAPanicOfAnOrderEndsTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPools(map[jaybarrow.PoolID]workload.Load{"desk": {Waiting: jaybarrow.Resources{CPU: 900}}})
+		settings := fleetkeeper.DefaultSettings()
+		k := newKeeper(settings, []jaybarrow.FleetHost{hostIn("reserve", "spare")}, p, nil)
+		k.fleet.faulty.Store(true)
+		advance(2 * settings.TakeoverDelay)
+		assert.Assert(t, k.resigned.Load(), "the term goes on after the fault of an order")
+		assert.Assert(t, k.faults.Load() > 0)
 		defer func() { assert.Assert(t, recover() != nil, "Close did not propagate the panic") }()
 		k.Close()
 	})
