Report a failed background part of an entry host at once

Cause: the readers of the operators' input and of the leader's configuration, the announcements and the peer server ran in groups that held a panic back until the stop, and a peer server that had stopped left one log line. The host kept its place in the balancer and the lead. Change: jobhost and jobpeer run them in rungroups and pass faults to OnFault; without it the process crashes. An early end counts as a fault.

--- a/internal/jobhost/announcer.go
+++ b/internal/jobhost/announcer.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 const (
@@ -23,7 +23,7 @@
 type announcer struct {
 	host     *Host
 	log      zerolog.Logger
-	group    conc.WaitGroup
+	group    *rungroup.Group
 	inFlight atomic.Int32
 }
 
@@ -43,7 +43,7 @@
 			}
 			continue
 		}
-		a.group.Go(func() {
+		a.group.Go("announcement", func() {
 			defer a.inFlight.Add(-1)
 			ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 			defer cancel()
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
@@ -20,6 +19,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/leader"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
 	query "github.com/jaybarrow/jaybarrow/internal/query/job"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/scheduler"
 )
 
@@ -71,13 +71,14 @@
 	Platform Platform
 	Metrics  *jobmetrics.Metrics
 	Settings Settings
+	OnFault  rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // Host is a running entry host.
 type Host struct {
 	deps    Deps
 	cancel  context.CancelFunc
-	group   conc.WaitGroup
+	group   *rungroup.Group
 	leaving atomic.Bool
 
 	catalog         *catalog.Catalog
@@ -99,7 +100,7 @@
 // New returns a running Host; Close stops it.
 func New(d Deps) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &Host{deps: d, cancel: cancel, catalog: catalog.New(d.Clock.Now()), client: jobpeer.NewClient()}
+	h := &Host{deps: d, cancel: cancel, group: rungroup.New(d.OnFault), catalog: catalog.New(d.Clock.Now()), client: jobpeer.NewClient()}
 	h.deps.Platform.Store = countedStore{d.Platform.Store, d.Metrics}
 	d = h.deps
 	d.Metrics.Gauge("configuration.ageMs", func() int64 {
@@ -113,7 +114,7 @@
 		return 0
 	})
 	h.waves.operators = d.Platform.Operators
-	h.announcer = &announcer{host: h, log: logging.For(d.Log, "peer")}
+	h.announcer = &announcer{host: h, log: logging.For(d.Log, "peer"), group: rungroup.New(d.OnFault)}
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
 	commands := command.Deps{
 		Clock: d.Clock, Store: fallbackStore{JobStore: d.Platform.Store, host: h, health: new(storeHealth), breaker: new(breaker)}, Authorizer: h.Authorizer,
@@ -127,9 +128,9 @@
 		Self:     leader.Holder{Entry: d.Entry, Address: jaybarrow.Address(d.Peers.Addr().String())},
 		Settings: d.Settings.Leader, Lead: h.lead,
 	})
-	h.server = jobpeer.NewServer(logging.For(d.Log, "peer"), d.Peers, peerService{h})
-	h.group.Go(func() { h.followOperators(ctx) })
-	h.group.Go(func() { h.refreshFromLeader(ctx) })
+	h.server = jobpeer.NewServer(logging.For(d.Log, "peer"), d.Peers, peerService{h}, d.OnFault)
+	h.group.Keep(ctx, "operators", func() error { h.followOperators(ctx); return nil })
+	h.group.Keep(ctx, "configuration of the leader", func() error { h.refreshFromLeader(ctx); return nil })
 	return h
 }
 
@@ -173,6 +174,7 @@
 	keeper := fleetkeeper.New(fleetkeeper.Deps{
 		Clock: h.deps.Clock, Log: logging.For(h.deps.Log, "fleet"), Fleet: h.deps.Platform.Fleet, Store: h.deps.Platform.Store,
 		Pools: s, Waves: &h.waves, Catalog: h.catalog, Term: term, Settings: h.deps.Settings.Fleet,
+		OnFault: h.deps.OnFault,
 	})
 	h.activeScheduler.Store(s)
 	<-ctx.Done()
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -5,11 +5,11 @@
 	"net"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer/jobpb"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // Handler answers the calls of other entry hosts.
@@ -29,23 +29,28 @@
 	jobpb.UnimplementedJobsServer
 	handler Handler
 	grpc    *grpc.Server
-	group   conc.WaitGroup
+	cancel  context.CancelFunc
+	group   *rungroup.Group
 }
 
-// NewServer returns a Server that serves on the listener until Close.
-func NewServer(log zerolog.Logger, listener net.Listener, handler Handler) *Server {
-	s := &Server{handler: handler, grpc: grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes))}
+// NewServer returns a Server that serves on the listener until Close. A server that stops earlier is reported to onFault.
+func NewServer(log zerolog.Logger, listener net.Listener, handler Handler, onFault rungroup.Handler) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{handler: handler, cancel: cancel, group: rungroup.New(onFault), grpc: grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes))}
 	jobpb.RegisterJobsServer(s.grpc, s)
-	s.group.Go(func() {
-		if err := s.grpc.Serve(listener); err != nil {
+	s.group.Keep(ctx, "peer server", func() error {
+		err := s.grpc.Serve(listener)
+		if err != nil {
 			log.Error().Err(err).Msg("cannot accept connections of peers; the peer server has stopped")
 		}
+		return err
 	})
 	return s
 }
 
 // Close cancels open calls and stops the server.
 func (s *Server) Close() {
+	s.cancel()
 	s.grpc.Stop()
 	s.group.Wait()
 }
