Survive a lack of file descriptors, and report a listener that stops

Cause: fasthttp ends its loop at any error of accept that is not a timeout, and a lack of file descriptors is none. The listener for callers stopped for good, one log line apart, while the process kept its place in the balancer, its open connections and the lead. The front end and the metrics server use it and run in rungroups; join ends the process after a fault of any part, with a log line and the exit code for a failure. listen in package main becomes listenFor, as its name is now that of the package. Result: the real program with 100 descriptors and 200 idle connections accepted no job within 15 s after they were closed, and does now.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -20,6 +20,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/jobhost"
 	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/platform"
 )
 
@@ -66,21 +67,22 @@
 		fmt.Fprintln(stderr, "jaybarrow:", err)
 		return exitUsage
 	}
+	onFault := rungroup.EndProcess(logging.For(log, "join"), out.Close, func() { os.Exit(exitFailure) })
 	metrics := jobmetrics.New()
 	metrics.Gauge("log.dropped", out.Dropped)
 	if *port > 0 {
-		server, err := serveMetrics(net.JoinHostPort(s.IP, strconv.FormatUint(uint64(*port), 10)), metrics)
+		server, err := serveMetrics(net.JoinHostPort(s.IP, strconv.FormatUint(uint64(*port), 10)), metrics, logging.For(log, "metrics"), onFault)
 		if err != nil {
 			log.Error().Err(err).Msg("cannot serve the metrics; exiting")
 			return exitFailure
 		}
 		defer server.close()
 	}
-	return join(ctx, *file, s, log, metrics)
+	return join(ctx, *file, s, log, metrics, onFault)
 }
 
-// join runs an entry host on the platform until ctx ends.
-func join(ctx context.Context, file string, s platform.Settings, root zerolog.Logger, metrics *jobmetrics.Metrics) int {
+// join runs an entry host on the platform until ctx ends; onFault handles the failure of one of its background parts.
+func join(ctx context.Context, file string, s platform.Settings, root zerolog.Logger, metrics *jobmetrics.Metrics, onFault rungroup.Handler) int {
 	log := logging.For(root, "join")
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	debug.SetGCPercent(gcPercent)
@@ -103,12 +105,13 @@
 	settings.Fleet.Plan.Lookahead = s.Bounds.HostMoveTime + settings.Fleet.Interval
 	host := jobhost.New(jobhost.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: root, Entry: s.EntryID, Peers: listeners[0], Settings: settings, Metrics: metrics,
+		OnFault: onFault,
 		Platform: jobhost.Platform{
 			Store: store, Register: platform.NewRegister(logging.For(root, "register"), store),
 			Operators: platform.NewOperators(logging.For(root, "operators"), store), Agents: platform.NewAgents(), Fleet: fleet, Adviser: adviser,
 		},
 	})
-	front := platform.NewFront(logging.For(root, "front"), listeners[1], listeners[2], host, metrics)
+	front := platform.NewFront(logging.For(root, "front"), listeners[1], listeners[2], host, metrics, onFault)
 	log.Info().Str("entry", string(s.EntryID)).Str("callers", string(s.Callers)).Str("version", version).Msg("joined")
 	recheckOnHangup(ctx, file, log)
 	log.Info().Msg("stopping")
--- a/cmd/jaybarrow/join_test.go
+++ b/cmd/jaybarrow/join_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,8 +27,16 @@
 // runMainVariable is the environment variable that makes the test binary run main instead of the tests.
 const runMainVariable = "JAYBARROW_TEST_AS_PROGRAM"
 
+// maxFilesVariable is the environment variable that limits the file descriptors of the program.
+const maxFilesVariable = "JAYBARROW_TEST_MAX_FILES"
+
 func TestMain(m *testing.M) {
 	if os.Getenv(runMainVariable) != "" {
+		if n, err := strconv.ParseUint(os.Getenv(maxFilesVariable), 10, 32); err == nil {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 	}
 	os.Exit(m.Run())
@@ -178,3 +188,45 @@
 	assert.Equal(t, interrupted.Load(), int64(0))
 	assert.Equal(t, closedByHost.Load(), int64(callerCount), "callers that were asked to close the connection")
 }
+
+// Guards against an entry host that serves no callers any more, but stays in the load balancer, after it had no free file descriptor for
+// a moment.
+func TestAJoinedHostSurvivesALackOfFileDescriptors(t *testing.T) {
+	const maxFiles = 100
+	t.Setenv(maxFilesVariable, strconv.Itoa(maxFiles))
+	s := site.New(site.Settings{
+		Pools:   map[string]int{"desk": 1},
+		Queues:  []site.Queue{{Name: "match", Host: "desk.example", Prefix: "/match/", Pool: "desk", MaxAttempts: 3}},
+		Tenants: []site.Tenant{{Name: "trail", Keys: []string{"key-1"}}},
+	})
+	defer s.Close()
+	_, ended, address := startJoinedHost(t, s, 3)
+	awaitAcceptance := func(id string) {
+		t.Helper()
+		client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		for end := time.Now().Add(joinTimeout / 4); ; time.Sleep(20 * time.Millisecond) {
+			response, err := submitJob(client, address, id)
+			if err == nil && response.StatusCode == http.StatusOK {
+				return
+			}
+			select {
+			case err := <-ended:
+				t.Fatalf("the entry host has ended: %v", err)
+			default:
+			}
+			assert.Assert(t, time.Now().Before(end), "job %s was not accepted: %v", id, err)
+		}
+	}
+	awaitAcceptance("0000000000000001")
+	var idle []net.Conn
+	for range 2 * maxFiles {
+		c, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		idle = append(idle, c)
+	}
+	time.Sleep(time.Second)
+	for _, c := range idle {
+		assert.NilError(t, c.Close())
+	}
+	awaitAcceptance("0000000000000002")
+}
--- a/cmd/jaybarrow/metrics.go
+++ b/cmd/jaybarrow/metrics.go
@@ -1,39 +1,45 @@
 package main
 
 import (
+	"context"
 	"net"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/sourcegraph/conc"
+	"github.com/rs/zerolog"
 
+	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
+	"github.com/jaybarrow/jaybarrow/internal/listen"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // metricsServer serves the metrics of one process over HTTP.
 type metricsServer struct {
-	app   *fiber.App
-	group conc.WaitGroup
+	app    *fiber.App
+	cancel context.CancelFunc
+	group  *rungroup.Group
 }
 
-// serveMetrics starts a server of the metrics at the address and returns it.
-func serveMetrics(address string, metrics *jobmetrics.Metrics) (*metricsServer, error) {
+// serveMetrics starts a server of the metrics at the address and returns it; a server that stops before close is reported to onFault.
+func serveMetrics(address string, metrics *jobmetrics.Metrics, log zerolog.Logger, onFault rungroup.Handler) (*metricsServer, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &metricsServer{app: fiber.New()}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &metricsServer{app: fiber.New(), cancel: cancel, group: rungroup.New(onFault)}
 	s.app.Get("/metrics", func(c fiber.Ctx) error {
 		_, err := metrics.WriteTo(c.Response().BodyWriter())
 		return err
 	})
-	s.group.Go(func() {
-		// An error means that the listener was closed, which happens only when the process exits.
-		_ = s.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
+	s.group.Keep(ctx, "metrics server", func() error {
+		return s.app.Listener(listen.New(jaybarrow.SystemClock{}, log, l), fiber.ListenConfig{DisableStartupMessage: true})
 	})
 	return s, nil
 }
 
 func (s *metricsServer) close() {
+	s.cancel()
 	_ = s.app.Shutdown()
 	s.group.Wait()
 }
--- a/cmd/jaybarrow/serve.go
+++ b/cmd/jaybarrow/serve.go
@@ -48,7 +48,7 @@
 // serve runs an entry host until ctx ends or a newer process has taken its id.
 func serve(ctx context.Context, s settings.Settings, root zerolog.Logger) int {
 	log := logging.For(root, "serve")
-	callers, peers, err := listen(s.Entry)
+	callers, peers, err := listenFor(s.Entry)
 	if err != nil {
 		log.Error().Err(err).Msg("cannot listen; exiting")
 		return exitFailure
@@ -90,7 +90,7 @@
 	}()
 }
 
-func listen(s settings.Entry) (callers, peers net.Listener, err error) {
+func listenFor(s settings.Entry) (callers, peers net.Listener, err error) {
 	if callers, err = net.Listen("tcp", string(s.CallerAddress)); err != nil {
 		return nil, nil, fmt.Errorf("listen for callers: %w", err)
 	}
