--- a/cmd/jaybarrow/metrics.go
+++ b/cmd/jaybarrow/metrics.go
@@ -15,9 +15,10 @@
 
 // metricsServer serves the metrics of one process over HTTP.
 type metricsServer struct {
-	app    *fiber.App
-	cancel context.CancelFunc
-	group  *rungroup.Group
+	app      *fiber.App
+	listener net.Listener
+	cancel   context.CancelFunc
+	group    *rungroup.Group
 }
 
 // serveMetrics starts a server of the metrics at the address and returns it; a server that stops before close is reported to onFault.
@@ -27,13 +28,13 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &metricsServer{app: fiber.New(), cancel: cancel, group: rungroup.New(onFault)}
+	s := &metricsServer{app: fiber.New(), listener: listen.New(jaybarrow.SystemClock{}, log, l), cancel: cancel, group: rungroup.New(onFault)}
 	s.app.Get("/metrics", func(c fiber.Ctx) error {
 		_, err := metrics.WriteTo(c.Response().BodyWriter())
 		return err
 	})
 	s.group.Keep(ctx, "metrics server", func() error {
-		return s.app.Listener(listen.New(jaybarrow.SystemClock{}, log, l), fiber.ListenConfig{DisableStartupMessage: true})
+		return s.app.Listener(s.listener, fiber.ListenConfig{DisableStartupMessage: true})
 	})
 	return s, nil
 }
@@ -41,5 +42,6 @@
 func (s *metricsServer) close() {
 	s.cancel()
 	_ = s.app.Shutdown()
+	_ = s.listener.Close() // the shutdown does not close a listener that is not served yet
 	s.group.Wait()
 }
