End an entry host of serve when one of its parts fails

Cause: each background part of jaybarrow serve ran in a group that holds a panic back until the stop: the copy of the configuration, the platform's list of hosts, the registration, permits, heartbeats, scheduling, maintenance and moves could end without a trace, and the entry host stayed registered and ready. A listener for callers or peers that stopped left one log line. Change: the parts of internal/entry run in rungroups and pass faults to OnFault, which serve sets to log the fault and end the process; nil crashes it. The listener for callers waits out a lack of file descriptors, and a stop before it serves no longer hangs. Groups that are waited for where they start stay as they were: their panics reach a part that is reported.

--- a/cmd/jaybarrow/serve.go
+++ b/cmd/jaybarrow/serve.go
@@ -16,6 +16,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/entry"
 	"github.com/jaybarrow/jaybarrow/internal/etcd"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/settings"
 )
 
@@ -58,6 +59,7 @@
 	e := entry.New(entry.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: root, Platform: client, Settings: s,
 		Callers: callers, Peers: peers, Times: entry.DefaultTimes(),
+		OnFault: rungroup.EndProcess(log, func() {}, func() { os.Exit(exitFailure) }), // the log is not queued
 	})
 	log.Info().Str("callers", callers.Addr().String()).Str("peers", peers.Addr().String()).Msg("serving")
 	select {
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/ratelimit"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // Settings are the durations and limits of Claims.
@@ -39,6 +39,7 @@
 	Entry     jaybarrow.EntryID
 	NewChange func() jaybarrow.ChangeID
 	Settings  Settings
+	OnFault   rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // Claims makes and releases claims at a limited rate.
@@ -46,13 +47,13 @@
 	deps    Deps
 	limiter *ratelimit.Bucket
 	leases  leases
-	group   conc.WaitGroup
+	group   *rungroup.Group
 }
 
 // New returns Claims; they have no lease until the first claim.
 func New(deps Deps) *Claims {
 	return &Claims{
-		deps: deps, limiter: ratelimit.New(deps.Settings.PerSecond, deps.Settings.PerSecond),
+		deps: deps, group: rungroup.New(deps.OnFault), limiter: ratelimit.New(deps.Settings.PerSecond, deps.Settings.PerSecond),
 		leases: leases{deps: deps, granting: make(chan struct{}, 1)},
 	}
 }
@@ -149,7 +150,7 @@
 		return
 	}
 	done := make(chan struct{})
-	h.claims.group.Go(func() {
+	h.claims.group.Go("release of a claim", func() {
 		defer close(done)
 		h.delete()
 	})
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // PeerFetcher fetches from other entry hosts the records changed after a revision, and the revision up to which they are
@@ -45,13 +46,14 @@
 	Directory *Directory
 	Peers     PeerFetcher // nil when there are no peers
 	Settings  FollowerSettings
+	OnFault   rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // Follower keeps a Directory up to date from the store, and from peers while the store is unavailable.
 type Follower struct {
 	deps        FollowerDeps
 	stop        context.CancelFunc
-	group       conc.WaitGroup
+	group       *rungroup.Group
 	storeFailed chan struct{} // signals that following the store has failed
 
 	hasList       bool // whether a watch can continue from the last complete list; only followStore's goroutine uses it
@@ -64,12 +66,12 @@
 func NewFollower(deps FollowerDeps) *Follower {
 	ctx, stop := context.WithCancel(context.Background())
 	f := &Follower{
-		deps: deps, stop: stop,
+		deps: deps, stop: stop, group: rungroup.New(deps.OnFault),
 		storeFailed: make(chan struct{}, 1), ready: make(chan struct{}),
 	}
-	f.group.Go(func() { f.followStore(ctx) })
+	f.group.Keep(ctx, "follower of the store", func() error { f.followStore(ctx); return nil })
 	if deps.Peers != nil {
-		f.group.Go(func() { f.followPeers(ctx) })
+		f.group.Keep(ctx, "follower of peers", func() error { f.followPeers(ctx); return nil })
 	}
 	return f
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -24,7 +24,7 @@
 		Cancel:   request.NewCancel(keys, e.router),
 		Commands: e.commands(),
 		Queries:  e.queries(),
-	})
+	}, e.deps.OnFault)
 }
 
 func (e *Entry) claim(ctx context.Context, team jaybarrow.TeamID, id jaybarrow.RequestID) (func(context.Context), error) {
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -15,6 +15,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/mover"
 	"github.com/jaybarrow/jaybarrow/internal/permit"
 	"github.com/jaybarrow/jaybarrow/internal/presence"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/settings"
 	"github.com/jaybarrow/jaybarrow/internal/task"
 )
@@ -35,6 +36,7 @@
 	Callers  net.Listener
 	Peers    net.Listener
 	Times    Times
+	OnFault  rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // Times are the intervals of an entry host, and the settings of its parts that the settings file does not set.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,8 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/claim"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
@@ -30,6 +28,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/rendezvous"
 	"github.com/jaybarrow/jaybarrow/internal/roster"
 	"github.com/jaybarrow/jaybarrow/internal/route"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
 	"github.com/jaybarrow/jaybarrow/internal/task"
 )
@@ -49,7 +48,7 @@
 	leaving   atomic.Bool
 	// handedOver is set when a stopping entry host hands its pools over to a successor.
 	handedOver atomic.Bool
-	fetches    conc.WaitGroup
+	fetches    *rungroup.Group
 	catchingUp atomic.Bool
 
 	directory   *directory.Directory
@@ -78,7 +77,7 @@
 
 // New starts an entry host without waiting for the platform's first answer.
 func New(deps Deps) *Entry {
-	e := &Entry{deps: deps, times: deps.Times.withSettings(deps.Settings), startedAt: deps.Clock.Now(), directory: directory.New()}
+	e := &Entry{deps: deps, times: deps.Times.withSettings(deps.Settings), startedAt: deps.Clock.Now(), directory: directory.New(), fetches: rungroup.New(deps.OnFault)}
 	e.records = directory.NewWriteThrough(deps.Platform, e.directory)
 	e.journal = journal.New(deps.Clock, journalEntries)
 	e.meter = metrics.New(deps.Clock, maxTeams)
@@ -98,10 +97,10 @@
 	e.peers = peer.NewClient(d.Clock)
 	e.follower = directory.NewFollower(directory.FollowerDeps{
 		Clock: d.Clock, Log: logging.For(d.Log, "directory"), Store: d.Platform, Directory: e.directory,
-		Peers: e.changesFromPeers, Settings: e.times.Follower,
+		Peers: e.changesFromPeers, Settings: e.times.Follower, OnFault: d.OnFault,
 	})
 	e.conditions = etcd.NewConditions(etcd.ConditionsDeps{
-		Clock: d.Clock, Log: logging.For(d.Log, "platform"), Hosts: d.Platform, Interval: e.times.HostListInterval,
+		Clock: d.Clock, Log: logging.For(d.Log, "platform"), Hosts: d.Platform, Interval: e.times.HostListInterval, OnFault: d.OnFault,
 	})
 	e.presence = presence.New(presence.Deps{
 		Clock: d.Clock, Log: logging.For(d.Log, "presence"), Store: d.Platform, NewChange: identity.NewChangeID,
@@ -111,24 +110,25 @@
 			PeerAddress: jaybarrow.Address(d.Peers.Addr().String()),
 		},
 		Settings: e.times.Presence,
+		OnFault:  d.OnFault,
 	})
 	e.permits = permit.New(permit.Deps{
 		Clock: d.Clock, Log: logging.For(d.Log, "permit"), Store: d.Platform, Directory: e.directory,
 		Conditions: e.conditions, Registration: e.presence, Entry: own.ID, NewChange: identity.NewChangeID,
-		Settings: e.times.Permit,
+		Settings: e.times.Permit, OnFault: d.OnFault,
 	})
 	e.claims = claim.New(claim.Deps{
 		Clock: d.Clock, Log: logging.For(d.Log, "claim"), Store: d.Platform, Entry: own.ID,
-		NewChange: identity.NewChangeID, Settings: e.times.Claim,
+		NewChange: identity.NewChangeID, Settings: e.times.Claim, OnFault: d.OnFault,
 	})
 }
 
 func (e *Entry) startScheduler() {
 	d, queues := e.deps, e.deps.Settings.Queues
-	e.workers = task.New(d.Clock, e.times.Task)
+	e.workers = task.New(d.Clock, e.times.Task, d.OnFault)
 	e.health = health.NewGuard(d.Clock, e.workers,
-		health.New(health.Deps{Settings: health.DefaultSettings(), Journal: e.journal, Random: rand.Float64}), quickFailureLimit)
-	e.roster = roster.New(e.directory, e.conditions, e.health, d.Settings.Entry.DataCentre)
+		health.New(health.Deps{Settings: health.DefaultSettings(), Journal: e.journal, Random: rand.Float64}), quickFailureLimit, d.OnFault)
+	e.roster = roster.New(e.directory, e.conditions, e.health, d.Settings.Entry.DataCentre, d.OnFault)
 	e.scheduler = pool.New(pool.Deps{
 		Clock: d.Clock, Log: logging.For(d.Log, "pool"), Hosts: e.roster, Workers: e.health, Permits: e.permits,
 		Signals: healthSignals{e}, NewPool: func() *schedule.Pool {
@@ -140,6 +140,7 @@
 		},
 		NewTaskID: identity.NewTaskIDs().New, Entry: d.Settings.Entry.ID, Incarnation: e.presence.Incarnation,
 		StartWindow: e.times.Permit.StartWindow, Estimates: estimate.New(maxRunTimeHistories), Meter: e.meter, Journal: e.journal,
+		OnFault: d.OnFault,
 	})
 }
 
@@ -168,14 +169,14 @@
 	d, own := e.deps, e.deps.Settings.Entry
 	e.gossip = peer.NewGossip(peer.GossipDeps{
 		Clock: d.Clock, Log: logging.For(d.Log, "peer"), Client: e.peers, Members: e.members, Interval: e.times.HeartbeatInterval,
-		Self: e.self, Seeds: e.seeds, OnNewerRecord: e.catchUp,
+		Self: e.self, Seeds: e.seeds, OnNewerRecord: e.catchUp, OnFault: d.OnFault,
 	})
-	e.peerServer = peer.NewServer(d.Clock, logging.For(d.Log, "peer"), d.Peers, e.scheduler, e.directory, e.gossip)
+	e.peerServer = peer.NewServer(d.Clock, logging.For(d.Log, "peer"), d.Peers, e.scheduler, e.directory, e.gossip, d.OnFault)
 	e.router = route.New(route.Deps{
 		Clock: d.Clock, Self: own.ID, DataCentre: own.DataCentre, Local: e.scheduler, Peers: e.peers, Members: e.members,
 		Ready: e.acceptsRequests, DataCentres: e.roster.DataCentres, LocalLoad: e.scheduler.Load, Journal: e.journal,
 	})
-	e.spillover = route.NewSpillover(e.router, e.scheduler)
+	e.spillover = route.NewSpillover(e.router, e.scheduler, d.OnFault)
 }
 
 func (e *Entry) startMaintenance() {
@@ -184,11 +185,12 @@
 		Clock: d.Clock, Log: logging.For(d.Log, "maintenance"), Store: e.records, Directory: e.directory, Workers: e.workers,
 		Platform: d.Platform, Conditions: e.conditions, Journal: e.journal, NewChange: identity.NewChangeID,
 		DataCentre: own.DataCentre, Driving: e.drivesMaintenance, Settings: e.times.Maintenance,
+		OnFault: d.OnFault,
 	})
 	e.mover = mover.New(mover.Deps{
 		Clock: d.Clock, Log: logging.For(d.Log, "mover"), Directory: e.directory, Conditions: e.conditions,
 		Drains: e.maintenance, Lenders: e.roster, Journal: e.journal, DataCentre: own.DataCentre, Driving: e.drivesMaintenance,
-		Loads: e.poolLoads, Settings: e.times.Mover,
+		Loads: e.poolLoads, Settings: e.times.Mover, OnFault: d.OnFault,
 	})
 }
 
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow/internal/logging"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // AwaitReady blocks until this entry host is registered and has a configuration, or returns ctx's error.
@@ -30,8 +31,8 @@
 // permits. When ctx ends first, it returns ctx's error without waiting for running tasks, and the process must end.
 func (e *Entry) Close(ctx context.Context) error {
 	closed := make(chan error, 1)
-	var closing conc.WaitGroup
-	closing.Go(func() { closed <- e.close(ctx) })
+	closing := rungroup.New(e.deps.OnFault)
+	closing.Go("stop", func() { closed <- e.close(ctx) })
 	select {
 	case err := <-closed:
 		return err
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -138,7 +138,7 @@
 	if !e.catchingUp.CompareAndSwap(false, true) {
 		return
 	}
-	e.fetches.Go(func() {
+	e.fetches.Go("changes from a peer", func() {
 		defer e.catchingUp.Store(false)
 		<-e.deps.Clock.After(e.times.CatchUpDelay)
 		after := e.directory.Applied()
--- a/internal/etcd/conditions.go
+++ b/internal/etcd/conditions.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/notify"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // ConditionsDeps are what Conditions depends on.
@@ -18,13 +18,14 @@
 	Log      zerolog.Logger
 	Hosts    jaybarrow.HostList
 	Interval time.Duration
+	OnFault  rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // Conditions polls the platform's list of hosts and keeps the last one that was read.
 type Conditions struct {
 	deps     ConditionsDeps
 	stop     context.CancelFunc
-	group    conc.WaitGroup
+	group    *rungroup.Group
 	notifier *notify.Notifier
 
 	lock     sync.RWMutex // the list is replaced as a whole, so that readers never see a part of it
@@ -43,8 +44,8 @@
 // NewConditions returns a Conditions that has started to poll and lists no host yet.
 func NewConditions(deps ConditionsDeps) *Conditions {
 	ctx, stop := context.WithCancel(context.Background())
-	c := &Conditions{deps: deps, stop: stop, notifier: notify.New(), reported: make(map[string]reportedCondition)}
-	c.group.Go(func() { c.run(ctx) })
+	c := &Conditions{deps: deps, group: rungroup.New(deps.OnFault), stop: stop, notifier: notify.New(), reported: make(map[string]reportedCondition)}
+	c.group.Keep(ctx, "conditions of hosts", func() error { c.run(ctx); return nil })
 	return c
 }
 
--- a/internal/health/guard.go
+++ b/internal/health/guard.go
@@ -5,10 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/notify"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // Guard wraps Workers with outlier ejection: it refuses a task for an ejected host and records the outcome of each task.
@@ -18,14 +17,15 @@
 	health       *Health
 	quickFailure time.Duration
 	changes      *notify.Notifier
-	group        conc.WaitGroup
+	group        *rungroup.Group
 	stop         chan struct{}
 	once         sync.Once
 }
 
-// NewGuard returns a Guard for the workers; a failure in less than quickFailure counts as quick.
-func NewGuard(clock jaybarrow.Clock, workers jaybarrow.Workers, health *Health, quickFailure time.Duration) *Guard {
-	return &Guard{Workers: workers, clock: clock, health: health, quickFailure: quickFailure, changes: notify.New(), stop: make(chan struct{})}
+// NewGuard returns a Guard for the workers; a failure in less than quickFailure counts as quick. A failure of a background part is reported to
+// onFault.
+func NewGuard(clock jaybarrow.Clock, workers jaybarrow.Workers, health *Health, quickFailure time.Duration, onFault rungroup.Handler) *Guard {
+	return &Guard{Workers: workers, clock: clock, health: health, quickFailure: quickFailure, changes: notify.New(), stop: make(chan struct{}), group: rungroup.New(onFault)}
 }
 
 // Close stops the announcements of due trials.
@@ -77,7 +77,7 @@
 	if !ok {
 		return
 	}
-	g.group.Go(func() {
+	g.group.Go("announcement of a trial", func() {
 		select {
 		case <-g.stop:
 		case <-g.clock.After(trial.Sub(now)):
--- a/internal/httpapi/linger.go
+++ b/internal/httpapi/linger.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // lingerTimeout bounds how long the rest of a rejected body is read. Closing a connection with unread bytes resets it, and the
@@ -17,7 +17,7 @@
 // lingeringListener accepts connections that can stay open for reading after Close, until the caller has stopped sending.
 type lingeringListener struct {
 	net.Listener
-	group conc.WaitGroup
+	group *rungroup.Group
 }
 
 // Accept waits for a connection and returns it as a lingeringConn.
@@ -43,7 +43,7 @@
 	if !c.linger.Load() {
 		return c.Conn.Close()
 	}
-	c.once.Do(func() { c.listener.group.Go(c.discardAndClose) })
+	c.once.Do(func() { c.listener.group.Go("lingering connection", c.discardAndClose) })
 	return nil
 }
 
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -7,11 +7,12 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/command"
 	"github.com/jaybarrow/jaybarrow/internal/command/request"
+	"github.com/jaybarrow/jaybarrow/internal/listen"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // Settings are the settings of the front end.
@@ -37,7 +38,8 @@
 	handlers Handlers
 	log      zerolog.Logger
 	listener *lingeringListener
-	group    conc.WaitGroup
+	stop     context.CancelFunc
+	group    *rungroup.Group
 }
 
 const (
@@ -48,9 +50,13 @@
 	ReadTimeout = 30 * time.Second
 )
 
-// New starts a Server on the listener; Close stops it.
-func New(log zerolog.Logger, listener net.Listener, settings Settings, handlers Handlers) *Server {
-	s := &Server{settings: settings, handlers: handlers, log: log, listener: &lingeringListener{Listener: listener}}
+// New starts a Server on the listener; Close stops it. A server that stops earlier is reported to onFault.
+func New(log zerolog.Logger, listener net.Listener, settings Settings, handlers Handlers, onFault rungroup.Handler) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		settings: settings, handlers: handlers, log: log, stop: cancel, group: rungroup.New(onFault),
+		listener: &lingeringListener{Listener: listen.New(jaybarrow.SystemClock{}, log, listener), group: rungroup.New(onFault)},
+	}
 	s.app = fiber.New(fiber.Config{
 		BodyLimit: settings.MaxBody, ErrorHandler: s.writeError, IdleTimeout: IdleTimeout, ReadTimeout: ReadTimeout,
 	})
@@ -60,10 +66,12 @@
 	s.app.Delete("/v1/requests/:id", s.cancel)
 	s.addCommandRoutes(handlers.Commands)
 	s.addQueryRoutes(handlers.Queries)
-	s.group.Go(func() {
-		if err := s.app.Listener(s.listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+	s.group.Keep(ctx, "listener for callers", func() error {
+		err := s.app.Listener(s.listener, fiber.ListenConfig{DisableStartupMessage: true})
+		if err != nil {
 			s.log.Error().Err(err).Msg("cannot serve HTTP; the listener has stopped")
 		}
+		return err
 	})
 	return s
 }
@@ -95,7 +103,10 @@
 
 // Close stops accepting connections, waits for open requests until ctx ends, and then for lingering connections.
 func (s *Server) Close(ctx context.Context) error {
+	s.stop()
 	err := s.app.ShutdownWithContext(ctx)
+	// The shutdown does not close a listener that is not served yet; a second Close fails.
+	_ = s.listener.Close()
 	s.group.Wait()
 	s.listener.group.Wait()
 	return err
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -75,7 +75,7 @@
 	}}
 	handlers.Queries.Pools, handlers.Queries.Pool = fleetquery.NewPools(d)
 	handlers.Queries.Vars = func() []byte { return []byte("{}") }
-	s := httpapi.New(zerolog.Nop(), listener, httpapi.Settings{MaxBody: maxBody, OperatorKeyHash: operators}, handlers)
+	s := httpapi.New(zerolog.Nop(), listener, httpapi.Settings{MaxBody: maxBody, OperatorKeyHash: operators}, handlers, nil)
 	t.Cleanup(func() { assert.NilError(t, s.Close(context.Background())) })
 	return server{listener.Addr().String(), e}
 }
@@ -284,3 +284,19 @@
 	assert.NilError(t, err)
 	return strconv.Quote(strconv.Itoa(revision + 1))
 }
+
+// Guards against a stop that waits for ever when it comes before the listener has started to accept.
+func TestAServerCanBeClosedAtOnce(t *testing.T) {
+	for range 50 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		s := httpapi.New(zerolog.Nop(), listener, httpapi.Settings{}, httpapi.Handlers{}, nil)
+		closed := make(chan error, 1)
+		go func() { closed <- s.Close(t.Context()) }()
+		select {
+		case <-closed:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the server does not stop")
+		}
+	}
+}
--- a/internal/maintenance/manager.go
+++ b/internal/maintenance/manager.go
@@ -11,6 +11,7 @@
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
 	"github.com/jaybarrow/jaybarrow/internal/drain"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // Settings are the intervals and timeouts of a Manager.
@@ -48,12 +49,13 @@
 	// step is a compare-and-swap, but make redundant calls.
 	Driving  func() bool
 	Settings Settings
+	OnFault  rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // Manager begins drains on request and drives those of its data centre through their phases.
 type Manager struct {
 	deps  Deps
-	group conc.WaitGroup
+	group *rungroup.Group
 	ctx   context.Context
 	stop  context.CancelFunc
 	once  sync.Once
@@ -61,9 +63,9 @@
 
 // New returns a running Manager.
 func New(deps Deps) *Manager {
-	m := &Manager{deps: deps}
+	m := &Manager{deps: deps, group: rungroup.New(deps.OnFault)}
 	m.ctx, m.stop = context.WithCancel(context.Background())
-	m.group.Go(m.loop)
+	m.group.Keep(m.ctx, "maintenance", func() error { m.loop(); return nil })
 	return m
 }
 
--- a/internal/mover/mover.go
+++ b/internal/mover/mover.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/balance"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
 )
 
@@ -65,6 +65,7 @@
 	// Loads returns the last known load of each pool on each live entry host.
 	Loads    func() []Load
 	Settings Settings
+	OnFault  rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // Mover samples the loads, and begins moves while its entry host drives. It samples on every entry host, so that it can decide
@@ -75,7 +76,7 @@
 	missed     map[jaybarrow.PoolID]int64 // total of missed requests at the last sample
 	movesBegun []begunMove                // not yet in the local copy of the drains
 	retryAt    time.Time
-	group      conc.WaitGroup
+	group      *rungroup.Group
 	ctx        context.Context
 	stop       context.CancelFunc
 	once       sync.Once
@@ -89,14 +90,14 @@
 
 // New returns a running Mover.
 func New(deps Deps) *Mover {
-	m := &Mover{deps: deps, balancer: balance.New(deps.Settings.Balance), missed: make(map[jaybarrow.PoolID]int64)}
+	m := &Mover{deps: deps, group: rungroup.New(deps.OnFault), balancer: balance.New(deps.Settings.Balance), missed: make(map[jaybarrow.PoolID]int64)}
 	m.ctx, m.stop = context.WithCancel(context.Background())
-	m.group.Go(func() {
+	m.group.Keep(m.ctx, "mover", func() error {
 		for {
 			m.runRound()
 			select {
 			case <-m.ctx.Done():
-				return
+				return nil
 			case <-deps.Clock.After(deps.Settings.Interval):
 			}
 		}
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -14,6 +14,7 @@
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/member"
 	"github.com/jaybarrow/jaybarrow/internal/peer/peerpb"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/shard"
 )
 
@@ -37,6 +38,7 @@
 	// OnNewerRecord is called when a peer has applied a newer record than this entry host. It may start to fetch the changes and
 	// must not block.
 	OnNewerRecord func(peer member.State)
+	OnFault       rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // Gossip exchanges heartbeats. In each interval it exchanges one with the next entry host of its own data centre, round robin;
@@ -48,15 +50,15 @@
 	round       int
 	sentStates  *shard.Map[jaybarrow.EntryID, *sentStates]
 	needsResend atomic.Bool // a received brief state has details that are not known here
-	group       conc.WaitGroup
+	group       *rungroup.Group
 	stop        chan struct{}
 	once        sync.Once
 }
 
 // NewGossip returns a running Gossip; Close stops it.
 func NewGossip(deps GossipDeps) *Gossip {
-	g := &Gossip{deps: deps, sentStates: shard.New[jaybarrow.EntryID, *sentStates](), stop: make(chan struct{})}
-	g.group.Go(func() {
+	g := &Gossip{deps: deps, group: rungroup.New(deps.OnFault), sentStates: shard.New[jaybarrow.EntryID, *sentStates](), stop: make(chan struct{})}
+	g.group.Go("heartbeats", func() {
 		for {
 			g.sendNext()
 			select {
@@ -92,10 +94,10 @@
 	g.deps.Members.Expire(g.deps.Clock.Now())
 	if localPeers := g.localPeers(); len(localPeers) > 0 {
 		s := localPeers[round%len(localPeers)]
-		g.group.Go(func() { g.sendHeartbeat(context.Background(), s) })
+		g.group.Go("heartbeat", func() { g.sendHeartbeat(context.Background(), s) })
 	}
 	if s, ok := g.remoteTarget(round); ok {
-		g.group.Go(func() { g.sendHeartbeat(context.Background(), s) })
+		g.group.Go("heartbeat", func() { g.sendHeartbeat(context.Background(), s) })
 	}
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -71,7 +71,7 @@
 		Seeds:         func() []peer.Seed { return seeds },
 		OnNewerRecord: func(member.State) { n.newerRecords.Add(1) },
 	})
-	n.server = peer.NewServer(jaybarrow.SystemClock{}, zerolog.Nop(), listener, local, fixedChanges{}, n.gossip)
+	n.server = peer.NewServer(jaybarrow.SystemClock{}, zerolog.Nop(), listener, local, fixedChanges{}, n.gossip, nil)
 	t.Cleanup(func() {
 		n.gossip.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/peer/peerpb"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // ChangeSource is the local copy of the configuration, from which peers fetch changes.
@@ -35,12 +35,14 @@
 	config ChangeSource
 	gossip *Gossip
 	grpc   *grpc.Server
-	group  conc.WaitGroup
+	cancel context.CancelFunc
+	group  *rungroup.Group
 }
 
-// NewServer returns a Server that serves on the listener until Close.
-func NewServer(clock jaybarrow.Clock, log zerolog.Logger, listener net.Listener, local jaybarrow.Runner, config ChangeSource, gossip *Gossip) *Server {
-	s := &Server{clock: clock, local: local, config: config, gossip: gossip}
+// NewServer returns a Server that serves on the listener until Close. A server that stops earlier is reported to onFault.
+func NewServer(clock jaybarrow.Clock, log zerolog.Logger, listener net.Listener, local jaybarrow.Runner, config ChangeSource, gossip *Gossip, onFault rungroup.Handler) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{cancel: cancel, group: rungroup.New(onFault), clock: clock, local: local, config: config, gossip: gossip}
 	s.grpc = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.InitialWindowSize(flowControlWindowBytes), grpc.InitialConnWindowSize(flowControlWindowBytes),
@@ -48,18 +50,21 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	)
 	peerpb.RegisterPeerServer(s.grpc, s)
-	s.group.Go(func() {
-		if err := s.grpc.Serve(listener); err != nil {
+	s.group.Keep(ctx, "peer server", func() error {
+		err := s.grpc.Serve(listener)
+		if err != nil {
 			log.Error().Err(err).Msg("cannot accept connections of peers; the peer server has stopped")
 		}
+		return err
 	})
 	return s
 }
 
 // Close refuses new calls and waits for running ones; those that still run when ctx ends are cancelled.
 func (s *Server) Close(ctx context.Context) {
+	s.cancel()
 	done := make(chan struct{})
-	s.group.Go(func() {
+	s.group.Go("stop of the peer server", func() {
 		defer close(done)
 		s.grpc.GracefulStop()
 	})
--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -6,10 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/shard"
 )
 
@@ -22,7 +21,7 @@
 	writes    *writeQueue
 	available chan struct{}
 	emptied   chan struct{} // signals that a holding may have become empty
-	group     conc.WaitGroup
+	group     *rungroup.Group
 	ctx       context.Context // cancelled at Close; ends the goroutines and their calls to the store
 	cancel    context.CancelFunc
 	leaving   atomic.Bool
@@ -33,6 +32,7 @@
 func New(deps Deps) *Keeper {
 	k := &Keeper{
 		deps:      deps,
+		group:     rungroup.New(deps.OnFault),
 		taskSpan:  longestTaskSpan(deps.Settings.StartWindow),
 		holdings:  shard.New[jaybarrow.TeamID, *holding](),
 		writes:    newWriteQueue(deps.Settings.WritesPerSecond, deps.Settings.FleetWritesPerSecond),
@@ -41,8 +41,8 @@
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	k.fleet.Store(&fleetView{})
-	k.group.Go(k.watchDirectory)
-	k.group.Go(k.dispatchWrites)
+	k.group.Keep(k.ctx, "watch of allotments", func() error { k.watchDirectory(); return nil })
+	k.group.Keep(k.ctx, "writes of allotments", func() error { k.dispatchWrites(); return nil })
 	return k
 }
 
@@ -143,7 +143,7 @@
 		}
 	})
 	if created {
-		k.group.Go(func() { k.runLoop(h) })
+		k.group.Keep(k.ctx, "permits of a team", func() error { k.runLoop(h); return nil })
 	}
 	return h
 }
--- a/internal/permit/settings.go
+++ b/internal/permit/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // Settings are the intervals and rates of a Keeper.
@@ -64,6 +65,7 @@
 	Entry        jaybarrow.EntryID
 	NewChange    func() jaybarrow.ChangeID
 	Settings     Settings
+	OnFault      rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // longestTaskSpan returns how long after the decision to start it a task can still be running without a lease renewal.
--- a/internal/pool/deps.go
+++ b/internal/pool/deps.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
 )
 
@@ -65,6 +66,7 @@
 	// AdmissionQuantile is the quantile of the run time that the check of a request's deadline assumes; 0 means
 	// defaultAdmissionQuantile.
 	AdmissionQuantile float64
+	OnFault           rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // defaultAdmissionQuantile keeps slots for requests that will meet their deadlines: with the median, half of the requests that
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -51,7 +51,7 @@
 			budget: newRetryBudget(), wake: make(chan struct{}, 1),
 		}
 		p.state.SetHosts(s.deps.Hosts.PoolHosts(id))
-		s.group.Go(func() { s.loop(p) })
+		s.group.Go("scheduling of a pool", func() { s.loop(p) })
 		return p
 	})
 }
@@ -177,6 +177,6 @@
 		s.refuse(w, jaybarrow.Errorf(jaybarrow.KindQueueFull, "%s", reason))
 	}
 	for _, start := range due.starts {
-		s.group.Go(func() { s.runTask(p, start) })
+		s.group.Go("task", func() { s.runTask(p, start) })
 	}
 }
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -5,9 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
 	"github.com/jaybarrow/jaybarrow/internal/shard"
 )
@@ -19,7 +18,7 @@
 	requests     *shard.Map[requestKey, *waiter]
 	permitDemand *permitDemand
 	lifecycle    lifecycle
-	group        conc.WaitGroup
+	group        *rungroup.Group
 	stop         chan struct{}
 	once         sync.Once
 }
@@ -28,12 +27,13 @@
 func New(deps Deps) *Scheduler {
 	s := &Scheduler{
 		deps:         deps.withDefaults(),
+		group:        rungroup.New(deps.OnFault),
 		pools:        shard.New[jaybarrow.PoolID, *poolRuntime](),
 		requests:     shard.New[requestKey, *waiter](),
 		permitDemand: newPermitDemand(deps.Permits),
 		stop:         make(chan struct{}),
 	}
-	s.group.Go(func() {
+	s.group.Go("wake-ups for permits", func() {
 		for {
 			select {
 			case <-s.stop:
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // Settings are the durations of a Presence.
@@ -37,6 +37,7 @@
 	Host      jaybarrow.EntryHost // without Incarnation and Change, which Presence sets
 	NewChange func() jaybarrow.ChangeID
 	Settings  Settings
+	OnFault   rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // Presence registers this process as an entry host and renews the registration.
@@ -45,7 +46,7 @@
 	processChange jaybarrow.ChangeID // identifies the incarnation record of this process
 	ready         chan struct{}
 	fenced        chan struct{}
-	group         conc.WaitGroup
+	group         *rungroup.Group
 	ctx           context.Context
 	cancel        context.CancelFunc
 
@@ -62,9 +63,10 @@
 func New(deps Deps) *Presence {
 	p := &Presence{
 		deps: deps, processChange: deps.NewChange(), ready: make(chan struct{}), fenced: make(chan struct{}),
+		group: rungroup.New(deps.OnFault),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.group.Go(p.run)
+	p.group.Go("registration", p.run)
 	return p
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -4,11 +4,10 @@
 	"slices"
 	"sync"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/directory"
 	"github.com/jaybarrow/jaybarrow/internal/notify"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
 )
 
@@ -30,7 +29,7 @@
 	health     Health
 	dataCentre jaybarrow.DataCentreID
 	changes    *notify.Notifier
-	group      conc.WaitGroup
+	group      *rungroup.Group
 	stop       chan struct{}
 	once       sync.Once
 
@@ -39,13 +38,13 @@
 	busyPools   []jaybarrow.PoolID // pools with waiting work of their own, sorted; they lend no hosts
 }
 
-// New returns a running Roster of the hosts in the data centre.
-func New(d *directory.Directory, conditions jaybarrow.HostConditions, health Health, dataCentre jaybarrow.DataCentreID) *Roster {
+// New returns a running Roster of the hosts in the data centre. A failure of its background part is reported to onFault.
+func New(d *directory.Directory, conditions jaybarrow.HostConditions, health Health, dataCentre jaybarrow.DataCentreID, onFault rungroup.Handler) *Roster {
 	r := &Roster{
 		directory: d, conditions: conditions, health: health, dataCentre: dataCentre,
-		changes: notify.New(), stop: make(chan struct{}),
+		changes: notify.New(), stop: make(chan struct{}), group: rungroup.New(onFault),
 	}
-	r.group.Go(func() {
+	r.group.Go("roster", func() {
 		for {
 			hostsChanged, drainsChanged, conditionsChanged, healthChanged := d.Hosts.Changed(), d.Drains.Changed(), conditions.Changed(), health.Changed()
 			poolsChanged := d.Pools.Changed()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -90,7 +90,7 @@
 				drains := jaybarrow.PoolDrains{Pool: "spare", Drains: map[jaybarrow.HostID]jaybarrow.Drain{c.draining: {Host: c.draining}}}
 				put(t, d, jaybarrow.DrainKey("spare"), drains)
 			}
-			r := roster.New(d, c.conditions, c.ejected, "north")
+			r := roster.New(d, c.conditions, c.ejected, "north", nil)
 			defer r.Close()
 			r.SetBusyPools(c.busy)
 			borrowed := map[jaybarrow.HostID]bool{}
@@ -107,7 +107,7 @@
 
 // Guards against a scheduler that continues to borrow hosts because the lender's waiting work was not announced to it.
 func TestBusyLenderIsAnnounced(t *testing.T) {
-	r := roster.New(directory.New(), conditions{}, ejected{}, "north")
+	r := roster.New(directory.New(), conditions{}, ejected{}, "north", nil)
 	defer r.Close()
 	<-time.After(10 * time.Millisecond) // wait for the announcement that New makes
 	changed := r.Changed()
--- a/internal/route/spillover.go
+++ b/internal/route/spillover.go
@@ -4,9 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
 )
 
@@ -28,15 +27,15 @@
 type Spillover struct {
 	router  *Router
 	backlog Backlog
-	group   conc.WaitGroup
+	group   *rungroup.Group
 	stop    chan struct{}
 	once    sync.Once
 }
 
-// NewSpillover returns a running Spillover.
-func NewSpillover(router *Router, backlog Backlog) *Spillover {
-	s := &Spillover{router: router, backlog: backlog, stop: make(chan struct{})}
-	s.group.Go(func() {
+// NewSpillover returns a running Spillover. A failure of its background part is reported to onFault.
+func NewSpillover(router *Router, backlog Backlog, onFault rungroup.Handler) *Spillover {
+	s := &Spillover{group: rungroup.New(onFault), router: router, backlog: backlog, stop: make(chan struct{})}
+	s.group.Go("spillover", func() {
 		for {
 			select {
 			case <-s.stop:
--- a/internal/route/spillover_test.go
+++ b/internal/route/spillover_test.go
@@ -55,7 +55,7 @@
 		DataCentres: func(jaybarrow.PoolID) []jaybarrow.DataCentreID { return []jaybarrow.DataCentreID{"dc1", "dc2"} },
 		LocalLoad:   func(jaybarrow.PoolID) (schedule.Load, bool) { return schedule.Load{Waiting: 1}, true },
 	})
-	s := route.NewSpillover(r, local)
+	s := route.NewSpillover(r, local, nil)
 	defer s.Close()
 	freed := time.AfterFunc(300*time.Millisecond, func() {
 		remote.Sequence, remote.ReportedAt = 2, time.Now()
--- a/internal/task/client.go
+++ b/internal/task/client.go
@@ -4,10 +4,10 @@
 	"net"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/shard"
 )
 
@@ -65,7 +65,7 @@
 	settings Settings
 	workers  *shard.Map[jaybarrow.Address, *worker]
 	attempts *shard.Map[jaybarrow.TaskID, *attempt]
-	group    conc.WaitGroup
+	group    *rungroup.Group
 }
 
 // worker is the client's state for one worker: its connections and the last reading of its clock.
@@ -75,10 +75,11 @@
 	clock   clockReading
 }
 
-// New returns a Client without connections.
-func New(clock jaybarrow.Clock, settings Settings) *Client {
+// New returns a Client without connections. A failure of a background part is reported to onFault.
+func New(clock jaybarrow.Clock, settings Settings, onFault rungroup.Handler) *Client {
 	return &Client{
 		clock:    clock,
+		group:    rungroup.New(onFault),
 		settings: settings.withDefaults(),
 		workers:  shard.New[jaybarrow.Address, *worker](),
 		attempts: shard.New[jaybarrow.TaskID, *attempt](),
--- a/internal/task/harness_test.go
+++ b/internal/task/harness_test.go
@@ -50,7 +50,7 @@
 func newFixture(t *testing.T, settings task.Settings, connections int) *fixture {
 	f := &fixture{T: t, host: jaybarrow.Host{ID: "host-1"}}
 	f.start("127.0.0.1:0", connections)
-	f.client = task.New(jaybarrow.SystemClock{}, settings)
+	f.client = task.New(jaybarrow.SystemClock{}, settings, nil)
 	t.Cleanup(func() {
 		f.client.Close()
 		f.server.Close()
--- a/internal/task/run.go
+++ b/internal/task/run.go
@@ -49,8 +49,8 @@
 		client: c, attempt: a, answers: make(chan exchangeResult, 1), renewals: make(chan renewalResult),
 		renewNow: make(chan struct{}, 1), stop: make(chan struct{}), exchangePending: true,
 	}
-	c.group.Go(r.exchange)
-	c.group.Go(r.renewLoop)
+	c.group.Go("exchange with a worker", r.exchange)
+	c.group.Go("renewals of a task", r.renewLoop)
 	res := r.supervise(ctx)
 	r.shutdown()
 	if res.err == nil || jaybarrow.AsError(res.err).Effect != jaybarrow.EffectMayHaveRun {
