Give each page of the list of hosts a time limit of its own

Cause: one limit of 1 s covered all pages of the platform's list of hosts. 930 hosts are 5 pages; a platform that takes 60 times its usual 4 ms needs 1.2 s for them, so the list could never be read, and the leader moved and maintained no host, after one log line. Change: jaybarrow.Fleet lists hosts page by page, and the keeper allows CallTimeout for each page. Result: TestALargeListOfHostsIsReadFromASlowPlatform failed with one limit for all pages, "no host was moved" within 16 s, and passes.

--- a/agents.go
+++ b/agents.go
@@ -181,11 +181,15 @@
 	FleetOrderInvalid FleetOrderOutcome = "invalid"
 )
 
+// PageToken names a page of a list of hosts.
+type PageToken string
+
 // Fleet lists the hosts of the fleet and sends the platform orders for them. An order ends all runs on the host immediately.
 // A KindStoreUnavailable error means that the order may have been carried out, KindQueueFull that it was not.
 type Fleet interface {
-	// Hosts returns every host.
-	Hosts(ctx context.Context) ([]FleetHost, error)
+	// Hosts returns a page of the list of hosts and the token of the page that follows, which is empty after the last page. The first
+	// page has an empty token.
+	Hosts(ctx context.Context, page PageToken) (hosts []FleetHost, next PageToken, err error)
 	// Move takes a host to another pool.
 	Move(ctx context.Context, host HostID, pool PoolID, fence FenceToken) (FleetOrderOutcome, error)
 	// Maintain starts the maintenance of a host as part of a wave.
--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing/synctest"
@@ -22,6 +23,7 @@
 type fleet struct {
 	hosts      []jaybarrow.FleetHost
 	unanswered atomic.Pointer[chan struct{}] // a call for the list waits until the channel is closed; nil when it does not wait
+	answerTime atomic.Int64                  // of a call for a page of hosts, in ns
 	faulty     atomic.Bool                   // orders panic
 	lock       sync.Mutex
 	orders     map[jaybarrow.HostID]order
@@ -33,13 +35,26 @@
 	to jaybarrow.PoolID
 }
 
-func (f *fleet) Hosts(context.Context) ([]jaybarrow.FleetHost, error) {
+// Hosts returns a page of at most pageSize hosts after answerTime, or ctx's error.
+func (f *fleet) Hosts(ctx context.Context, page jaybarrow.PageToken) ([]jaybarrow.FleetHost, jaybarrow.PageToken, error) {
 	if answered := f.unanswered.Load(); answered != nil {
 		<-*answered
 	}
-	return f.hosts, nil
+	select {
+	case <-ctx.Done():
+		return nil, "", ctx.Err()
+	case <-time.After(time.Duration(f.answerTime.Load())):
+	}
+	first, _ := strconv.Atoi(string(page))
+	if end := first + pageSize; end < len(f.hosts) {
+		return f.hosts[first:end], jaybarrow.PageToken(strconv.Itoa(end)), nil
+	}
+	return f.hosts[first:], "", nil
 }
 
+// pageSize is the number of hosts that the platform puts into a page.
+const pageSize = 200
+
 // recordFirst records the order unless the host already has one.
 func (f *fleet) recordFirst(host jaybarrow.HostID, to jaybarrow.PoolID) (jaybarrow.FleetOrderOutcome, error) {
 	if f.faulty.Load() {
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -47,7 +48,7 @@
 	Plan fleetplan.Settings
 	// Interval is the time between two decisions. Each decision is preceded by a call for the platform's list of hosts.
 	Interval time.Duration
-	// CallTimeout is the timeout of one call to the platform or the store.
+	// CallTimeout is the timeout of one call to the platform or the store; a call for hosts reads one page.
 	CallTimeout time.Duration
 	// TakeoverDelay is the least time between orders of two leaders for one host.
 	TakeoverDelay time.Duration
@@ -152,10 +153,8 @@
 
 // refreshHosts reads the platform's list of hosts; it reports whether that succeeded.
 func (k *Keeper) refreshHosts(ctx context.Context) bool {
-	limited, cancel := context.WithTimeout(ctx, k.deps.Settings.CallTimeout)
-	defer cancel()
 	requestedAt := k.deps.Clock.Now()
-	hosts, err := k.deps.Fleet.Hosts(limited)
+	hosts, err := k.listHosts(ctx)
 	switch {
 	case ctx.Err() != nil:
 	case err != nil:
@@ -168,6 +167,26 @@
 	return err == nil && ctx.Err() == nil
 }
 
+// listHosts reads every page of the platform's list of hosts. Each page has a time limit of its own, so that a slow platform does not
+// keep a large fleet from being read.
+func (k *Keeper) listHosts(ctx context.Context) ([]jaybarrow.FleetHost, error) {
+	var all []jaybarrow.FleetHost
+	var page jaybarrow.PageToken
+	for {
+		limited, cancel := context.WithTimeout(ctx, k.deps.Settings.CallTimeout)
+		hosts, next, err := k.deps.Fleet.Hosts(limited, page)
+		cancel()
+		if err != nil {
+			return nil, fmt.Errorf("read the page after %d hosts: %w", len(all), err)
+		}
+		all = append(all, hosts...)
+		if next == "" {
+			return all, nil
+		}
+		page = next
+	}
+}
+
 // releaseReservations ends the reservations of workers that no order and no pending maintenance needs any more.
 func (k *Keeper) releaseReservations(view fleetplan.State) {
 	for _, h := range view.Hosts {
--- a/internal/fleetkeeper/keeper_test.go
+++ b/internal/fleetkeeper/keeper_test.go
@@ -1,6 +1,7 @@
 package fleetkeeper_test
 
 import (
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,3 +112,20 @@
 		k.Close()
 	})
 }
+
+// Guards against a list of hosts that can never be read, so that no host is moved or maintained, because one time limit covers all of its
+// pages: 930 hosts on 5 pages, from a platform that takes 60 times its usual 4 ms for each.
+func TestALargeListOfHostsIsReadFromASlowPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := make([]jaybarrow.FleetHost, 930)
+		for i := range hosts {
+			hosts[i] = hostIn("reserve", jaybarrow.HostID("h"+strconv.Itoa(i)))
+		}
+		settings := fleetkeeper.DefaultSettings()
+		k := newKeeper(settings, hosts, newPools(map[jaybarrow.PoolID]workload.Load{"desk": {Waiting: jaybarrow.Resources{CPU: 900}}}), nil)
+		k.fleet.answerTime.Store(int64(240 * time.Millisecond))
+		advance(2*settings.TakeoverDelay + 10*time.Second)
+		k.Close()
+		assert.Assert(t, k.fleet.movedTo("desk") > 0, "no host was moved")
+	})
+}
