--- a/internal/peer/age_test.go
+++ b/internal/peer/age_test.go
@@ -42,7 +42,7 @@
 		},
 		Seeds: func() []peer.Seed { return seeds }, OnNewerRecord: func(member.State) {},
 	})
-	server := peer.NewServer(clock, zerolog.Nop(), listen(t), echoRunner{}, fixedChanges{}, gossip)
+	server := peer.NewServer(clock, zerolog.Nop(), listen(t), echoRunner{}, fixedChanges{}, gossip, nil)
 	defer client.Close()
 	defer server.Close(context.Background())
 	defer gossip.Close()
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -147,9 +147,7 @@
 	if stored.record != nil {
 		p.writer.setRevision(id, stored.revision)
 	}
-	p.lock.Lock()
-	p.state.AddJob(spec, stored.record, now)
-	p.lock.Unlock()
+	p.locked(func() { p.state.AddJob(spec, stored.record, now) })
 	s.jobPools.Set(id, spec.Pool)
 	changedPools[p] = true
 }
@@ -162,8 +160,6 @@
 		return
 	}
 	p := s.pool(poolID)
-	p.lock.Lock()
-	p.state.Cancel(id, now)
-	p.lock.Unlock()
+	p.locked(func() { p.state.Cancel(id, now) })
 	changedPools[p] = true
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
 	"github.com/jaybarrow/jaybarrow/internal/follow"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/shard"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
@@ -36,7 +36,7 @@
 	teams       *teams
 	cancel      context.CancelFunc
 	ctx         context.Context
-	group       conc.WaitGroup
+	group       *rungroup.Group // a part that fails ends the term
 	pools       *shard.Map[jaybarrow.PoolID, *poolShard]
 	jobPools    *shard.Map[jaybarrow.JobID, jaybarrow.PoolID]    // pool of each known job
 	workerPools *shard.Map[jaybarrow.WorkerID, jaybarrow.PoolID] // pool of each registered worker
@@ -49,37 +49,28 @@
 func New(d Deps) *Scheduler {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Scheduler{
-		deps: d, teams: newTeams(d.Catalog.Limit, d.Catalog.Share), ctx: ctx, cancel: cancel,
+		deps: d, group: rungroup.New(rungroup.EndTerm(d.Log, d.Term.Resign)), teams: newTeams(d.Catalog.Limit, d.Catalog.Share), ctx: ctx, cancel: cancel,
 		pools: shard.New[jaybarrow.PoolID, *poolShard](), jobPools: shard.New[jaybarrow.JobID, jaybarrow.PoolID](),
 		workerPools: shard.New[jaybarrow.WorkerID, jaybarrow.PoolID](), loaded: make(chan struct{}),
 		pageRead: make(chan struct{}, 1), startSlots: make(chan struct{}, d.Settings.MaxConcurrentStarts),
 	}
 	registered := make(chan struct{})
-	s.group.Go(func() {
-		defer s.logFault("register")
+	s.group.Keep(ctx, "register", func() error {
 		s.followRegister(ctx, registered)
+		return nil
 	})
-	s.group.Go(func() { s.watchTakeover(ctx) })
-	s.group.Go(func() {
-		defer s.logFault("accepted jobs")
+	s.group.Go("takeover", func() { s.watchTakeover(ctx) })
+	s.group.Keep(ctx, "accepted jobs", func() error {
 		select {
 		case <-ctx.Done():
-			return
 		case <-registered:
+			s.followInput(ctx)
 		}
-		s.followInput(ctx)
+		return nil
 	})
 	return s
 }
 
-// logFault logs a panic of the goroutine that follows a source; the run group holds the panic back until Close.
-func (s *Scheduler) logFault(source string) {
-	if fault := recover(); fault != nil {
-		s.deps.Log.Error().Str("source", source).Interface("fault", fault).Msg("a part of the scheduler ended by a fault")
-		panic(fault)
-	}
-}
-
 // Close stops sending orders and waits for the shards; running tasks continue until the leases of their workers end.
 func (s *Scheduler) Close() {
 	s.cancel()
