Let a slow page arrive during a takeover, and count the age of a list from its request

Cause, found by the review: a takeover ended after 6 s without a page, but the calls that overlap for a page may take 7.8 s; a refused call discarded the page under way; and a list confirmed the configuration as of its last page. Change: the limit of a takeover follows from that of a page; an error of a read is final only when no other call for the page is under way; the follower passes on when the first page was requested.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,8 +19,9 @@
 	List func(ctx context.Context, after jaybarrow.Key) (jaybarrow.Page[T], error)
 	// Changes waits up to wait for changes after the revision, with the errors of jaybarrow.JobStore.Changes.
 	Changes func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) ([]T, jaybarrow.Revision, error)
-	// Apply applies changes to the copy, or replaces it when complete is true; it is called for answers without changes too.
-	Apply func(items []T, complete bool, received time.Time)
+	// Apply applies changes to the copy, or replaces it when complete is true; it is called for answers without changes too. asOf is
+	// when changes were received, or when the first page of a list was requested.
+	Apply func(items []T, complete bool, asOf time.Time)
 }
 
 // Settings holds the timing of a follower.
@@ -32,9 +33,15 @@
 }
 
 // maxPageCalls is how many calls for one page may overlap. A call that exceeds its time limit goes on beside the next one, so that a
-// large page arrives over a slow link although a silent connection is given up soon.
+// large page arrives over a slow link although a silent connection is replaced after one time limit.
 const maxPageCalls = 3
 
+// callLimit is the time limit of a call.
+func (s Settings) callLimit() time.Duration { return s.Wait + s.Slack }
+
+// PageLimit returns the time after which the overlapping calls for one page have all failed.
+func (s Settings) PageLimit() time.Duration { return maxPageCalls * s.callLimit() }
+
 // Deps holds the dependencies of a follower.
 type Deps struct {
 	Clock    jaybarrow.Clock
@@ -46,9 +53,9 @@
 func Run[T any](ctx context.Context, d Deps, s Source[T]) {
 	f := &follower[T]{Deps: d, source: s}
 	for ctx.Err() == nil {
-		items, after, ok := f.list(ctx)
+		items, after, requestedAt, ok := f.list(ctx)
 		if ok {
-			s.Apply(items, true, f.Clock.Now())
+			s.Apply(items, true, requestedAt)
 		}
 		for ok {
 			after, ok = f.changes(ctx, after)
@@ -60,7 +67,7 @@
 // when ctx ended before.
 func List[T any](ctx context.Context, d Deps, s Source[T]) ([]T, bool) {
 	f := &follower[T]{Deps: d, source: s}
-	items, _, ok := f.list(ctx)
+	items, _, _, ok := f.list(ctx)
 	return items, ok
 }
 
@@ -71,16 +78,12 @@
 	lostAt   time.Time // time of the first of them
 }
 
-// callLimit is the time limit of a call.
-func (f *follower[T]) callLimit() time.Duration { return f.Settings.Wait + f.Settings.Slack }
-
-// list reads the complete list and returns the revision to follow changes from; it reports false when ctx has ended. Each page has a
-// time limit of its own, and only a page that fails is read again.
-func (f *follower[T]) list(ctx context.Context) ([]T, jaybarrow.Revision, bool) {
-	var items []T
-	var start jaybarrow.Revision
+// list reads the complete list and returns the revision to follow changes from and when the first page was requested; it reports false
+// when ctx has ended. Each page has a time limit of its own, and only a page that fails is read again.
+func (f *follower[T]) list(ctx context.Context) (items []T, start jaybarrow.Revision, requestedAt time.Time, ok bool) {
 	var after jaybarrow.Key
 	for pages := 0; ctx.Err() == nil; {
+		calledAt := f.Clock.Now()
 		page, err := f.page(ctx, after)
 		if err != nil {
 			f.backOff(ctx, fmt.Errorf("page %d after %d items: %w", pages+1, len(items), err))
@@ -88,29 +91,34 @@
 		}
 		f.recordSuccess()
 		if pages == 0 {
-			start = page.Revision
+			start, requestedAt = page.Revision, calledAt
 		}
 		pages++
 		items = append(items, page.Items...)
 		if page.Next == "" {
-			return items, start, true
+			return items, start, requestedAt, true
 		}
 		after = page.Next
 	}
-	return nil, 0, false
+	return nil, 0, time.Time{}, false
 }
 
 // page reads the page that follows the key after.
 func (f *follower[T]) page(ctx context.Context, after jaybarrow.Key) (jaybarrow.Page[T], error) {
-	calls := hedge.Settings{Delay: f.callLimit(), MaxCalls: maxPageCalls, Timeout: maxPageCalls * f.callLimit()}
+	calls := hedge.Settings{Delay: f.Settings.callLimit(), MaxCalls: maxPageCalls, Timeout: f.Settings.PageLimit()}
 	return hedge.Do(ctx, f.Clock, calls, func(ctx context.Context) (jaybarrow.Page[T], error) {
-		return f.source.List(ctx, after)
-	}, func(error) bool { return true })
+		page, err := f.source.List(ctx, after)
+		if err != nil {
+			// A read has no effect, so without another call under way the error is final.
+			return page, jaybarrow.AsError(err).WithEffect(jaybarrow.EffectNotRun)
+		}
+		return page, nil
+	}, func(error) bool { return false })
 }
 
 // changes waits for the next changes; it reports false when the source must be listed again.
 func (f *follower[T]) changes(ctx context.Context, after jaybarrow.Revision) (jaybarrow.Revision, bool) {
-	call, cancel := context.WithTimeout(ctx, f.callLimit())
+	call, cancel := context.WithTimeout(ctx, f.Settings.callLimit())
 	defer cancel()
 	items, revision, err := f.source.Changes(call, after, f.Settings.Wait)
 	switch {
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -70,9 +70,10 @@
 	}
 }
 
-// watchTakeover resigns when no page arrives for TakeoverStallLimit before the stored jobs are loaded. Renewing the lease is no proof
-// that this entry host can schedule; another one may be able to read the store.
+// watchTakeover resigns when all overlapping calls for a page fail before the stored jobs are loaded. The lease may be renewed although
+// lists fail, and another entry host may be able to read the store.
 func (s *Scheduler) watchTakeover(ctx context.Context) {
+	stallLimit := s.deps.Settings.Input.PageLimit() + s.deps.Settings.TakeoverSlack
 	for {
 		select {
 		case <-ctx.Done():
@@ -80,7 +81,7 @@
 		case <-s.loaded:
 			return
 		case <-s.pageRead:
-		case <-s.deps.Clock.After(s.deps.Settings.TakeoverStallLimit):
+		case <-s.deps.Clock.After(stallLimit):
 			s.deps.Term.Resign("the stored jobs cannot be read")
 			return
 		}
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -29,8 +29,8 @@
 	// doubles up to three times.
 	Commit           hedge.Settings
 	CommitRetryDelay time.Duration
-	// TakeoverStallLimit is how long a takeover may read nothing before the term ends.
-	TakeoverStallLimit time.Duration
+	// TakeoverSlack is how much longer than the overlapping calls for one page a takeover may read nothing before the term ends.
+	TakeoverSlack time.Duration
 	// Input and Register configure the followers of accepted jobs and of the register of workers.
 	Input, Register follow.Settings
 }
@@ -50,9 +50,8 @@
 		// The hedging delay is ten times the store's usual response time; a slow store still responds within the timeout.
 		Commit:           hedge.Settings{Delay: 80 * time.Millisecond, MaxCalls: 3, Timeout: 1500 * time.Millisecond},
 		CommitRetryDelay: 30 * time.Millisecond,
-		// Two calls for a page.
-		TakeoverStallLimit: 6 * time.Second,
-		Input:              follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, RetryDelay: 50 * time.Millisecond},
+		TakeoverSlack:    time.Second,
+		Input:            follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, RetryDelay: 50 * time.Millisecond},
 		// Workers renew their entries continually; the pause batches the changes into a few calls a second.
 		Register: follow.Settings{
 			// Some worker renews its entry within this time, so a watch that delivers no change for longer has failed.
