Back off challenges of a host that resigned its own term

Change: the time of the next challenge outlives changes of holder, and its pause doubles with each term that the host resigned, up to ten minutes. The record and the functions are named after the campaign delay that they compare.

--- a/internal/leader/challenge.go
+++ b/internal/leader/challenge.go
@@ -9,47 +9,56 @@
 	"github.com/jaybarrow/jaybarrow"
 )
 
-// A takeover interrupts scheduling for some hundred milliseconds, so a leader resigns only to an entry host whose handicap is lower by
-// at least minHandicapDifference and minHandicapFactor.
+// A takeover interrupts scheduling for some hundred milliseconds, so a leader resigns only to an entry host whose campaign delay is
+// shorter by at least minDelayDifference and minDelayFactor.
 const (
-	minHandicapDifference = 200 * time.Millisecond
-	minHandicapFactor     = 2
+	minDelayDifference = 200 * time.Millisecond
+	minDelayFactor     = 2
 )
 
 // challengeRecord is the content of the record in which an entry host asks the leader to resign.
 type challengeRecord struct {
-	Entry      jaybarrow.EntryID `json:"entry"`
-	HandicapMs int64             `json:"handicapMs"`
+	Entry           jaybarrow.EntryID `json:"entry"`
+	CampaignDelayMs int64             `json:"campaignDelayMs"`
 }
 
-// outrankedBy reports whether a holder should resign to an entry host with the handicap in milliseconds.
-func (h Holder) outrankedBy(handicapMs int64) bool {
-	return h.HandicapMs >= minHandicapFactor*handicapMs && h.HandicapMs-handicapMs >= minHandicapDifference.Milliseconds()
+// yieldsTo reports whether a holder should resign to an entry host with the campaign delay in milliseconds.
+func (h Holder) yieldsTo(campaignDelayMs int64) bool {
+	return h.CampaignDelayMs >= minDelayFactor*campaignDelayMs &&
+		h.CampaignDelayMs-campaignDelayMs >= minDelayDifference.Milliseconds()
 }
 
-// awaitVacancy waits until the holder changes or ctx ends, and meanwhile challenges a holder that is less suited for the lead.
+// awaitVacancy waits until the holder changes or ctx ends, and meanwhile challenges a holder that should yield to this entry host.
 func (l *Leader) awaitVacancy(ctx context.Context, changed <-chan struct{}) {
-	var due <-chan time.Time
-	if holder, held := l.Holder(); held && holder.outrankedBy(l.deps.Self.HandicapMs) {
-		due = l.deps.Clock.After(l.deps.Settings.ChallengeDelay + rand.N(l.deps.Settings.ChallengeDelay+1))
-	}
 	for {
+		var due <-chan time.Time
+		if holder, held := l.Holder(); held && holder.yieldsTo(l.deps.Self.CampaignDelayMs) {
+			delay := l.deps.Settings.ChallengeDelay + rand.N(l.deps.Settings.ChallengeDelay+1)
+			due = l.deps.Clock.After(max(delay, l.nextChallenge.Sub(l.deps.Clock.Now())))
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 			return
 		case <-due:
+			l.nextChallenge = l.deps.Clock.Now().Add(l.challengePause)
 			l.challenge(ctx)
-			due = l.deps.Clock.After(l.deps.Settings.ChallengeInterval)
 		}
 	}
 }
 
+// backOffChallenges delays the next challenge after a term that this entry host resigned. A host that can write to the store may still be
+// unable to schedule, and must not take the lead again and again from one that can.
+func (l *Leader) backOffChallenges() {
+	l.challengePause = min(2*l.challengePause, l.deps.Settings.MaxChallengeInterval)
+	l.nextChallenge = l.deps.Clock.Now().Add(l.challengePause)
+}
+
 // challenge asks the leader to resign. A challenge that is lost or that another entry host has made already is of no consequence.
 func (l *Leader) challenge(ctx context.Context) {
 	d := l.deps
-	value, err := json.Marshal(challengeRecord{Entry: d.Self.Entry, HandicapMs: d.Self.HandicapMs})
+	value, err := json.Marshal(challengeRecord{Entry: d.Self.Entry, CampaignDelayMs: d.Self.CampaignDelayMs})
 	if err != nil {
 		d.Log.Error().Err(err).Msg("cannot encode a challenge; the leader stays")
 		return
@@ -64,18 +73,22 @@
 			Puts:   []jaybarrow.Put{{Key: jaybarrow.JobChallengeKey, Value: value, Lease: lease}},
 		})
 	})
-	d.Log.Info().Err(err).Int64("handicapMs", d.Self.HandicapMs).Msg("asks the leader to resign")
+	if err != nil {
+		d.Log.Info().Err(err).Msg("cannot challenge the leader; trying again later")
+		return
+	}
+	d.Log.Info().Int64("campaignDelayMs", d.Self.CampaignDelayMs).Msg("asks the leader to resign")
 }
 
-// answerChallenge ends the running term if the challenger is better suited for the lead. The lock is held.
+// answerChallenge ends the running term if the challenger takes over much faster. The lock is held.
 func (l *Leader) answerChallenge(value []byte) {
 	var c challengeRecord
 	if err := json.Unmarshal(value, &c); err != nil {
 		l.deps.Log.Error().Err(err).Msg("cannot decode a challenge; the lead is kept")
 		return
 	}
-	if l.deps.Self.outrankedBy(c.HandicapMs) {
-		l.resign("entry host " + string(c.Entry) + " is better suited for the lead")
+	if l.deps.Self.yieldsTo(c.CampaignDelayMs) {
+		l.resign("entry host " + string(c.Entry) + " has a faster link or more cores")
 	}
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -22,8 +22,9 @@
 	Address jaybarrow.Address  `json:"address"` // of its peer server
 	Change  jaybarrow.ChangeID `json:"change"`  // identifies a write whose answer was lost
 	Lease   jaybarrow.LeaseID  `json:"lease"`   // lease of the record
-	// HandicapMs is the delay before a campaign that follows from the host's size; a lower one is better suited for the lead.
-	HandicapMs int64 `json:"handicapMs,omitempty"`
+	// CampaignDelayMs is the delay before a campaign that follows from the host's cores and link; a host with a shorter one takes over
+	// faster.
+	CampaignDelayMs int64 `json:"campaignDelayMs,omitempty"`
 }
 
 // Replaces reports whether h has the entry id and address of other. Two processes cannot listen at one address, so the process of
@@ -57,13 +58,19 @@
 	held    bool // whether an entry host leads
 	current Holder
 	resign  func(reason string) // ends the running term; nil without one
+
+	// These are used by the campaign only.
+	nextChallenge  time.Time     // before it no leader is challenged
+	challengePause time.Duration // after a challenge; doubles with each term that this entry host resigned
 }
 
 // New returns a Leader that campaigns until it is closed.
 func New(d Deps) *Leader {
 	ctx, cancel := context.WithCancel(context.Background())
-	d.Self.HandicapMs = d.Settings.campaignDelay(0).Milliseconds()
-	l := &Leader{deps: d, cancel: cancel, changed: notify.New(), started: d.Clock.Now()}
+	d.Self.CampaignDelayMs = d.Settings.campaignDelay(0).Milliseconds()
+	l := &Leader{
+		deps: d, cancel: cancel, changed: notify.New(), started: d.Clock.Now(), challengePause: d.Settings.ChallengeInterval,
+	}
 	l.group.Go(func() {
 		follow.Run(ctx, follow.Deps{Clock: d.Clock, Log: d.Log, Settings: d.Settings.Follow}, follow.Source[jaybarrow.Record]{
 			Name: "leader",
--- a/internal/leader/settings.go
+++ b/internal/leader/settings.go
@@ -25,10 +25,10 @@
 	// A rolling restart restarts each process once, so the process that started last can lead the longest.
 	UptimeDelay, LongUptime time.Duration
 	ResignPause             time.Duration // before the next campaign after a resignation
-	// ChallengeDelay is how long an entry host waits before it asks a less suited leader to resign, and ChallengeInterval how long before
-	// it asks again.
-	ChallengeDelay, ChallengeInterval time.Duration
-	Follow                            follow.Settings
+	// ChallengeDelay is how long an entry host waits before it challenges a leader, and ChallengeInterval the time between two challenges,
+	// which doubles up to MaxChallengeInterval with each term that the entry host resigned itself.
+	ChallengeDelay, ChallengeInterval, MaxChallengeInterval time.Duration
+	Follow                                                  follow.Settings
 }
 
 // DefaultSettings returns the default settings.
@@ -43,13 +43,12 @@
 		Jitter: 15 * time.Millisecond,
 		// The delays of hosts with 0.2 and 0.4 cores then differ by a few round trips to the store.
 		CapacityDelay: 20 * time.Millisecond, Capacity: 1,
-		// At 10 Mbit/s 0.4 s, which is more than two hosts that start together differ by and a fraction of what a takeover takes then.
+		// At 10 Mbit/s 0.4 s; hosts that start together do so within 0.3 s.
 		LinkDelay: 4 * time.Second,
 		// More than the capacity delays of two usual hosts differ by; a rolling restart of a dozen hosts takes half a minute.
 		UptimeDelay: 60 * time.Millisecond, LongUptime: 30 * time.Second,
-		ResignPause: 3 * time.Second,
-		// A few round trips to the store; an interval that keeps the lead stable when the challenger cannot take it.
-		ChallengeDelay: 200 * time.Millisecond, ChallengeInterval: 10 * time.Second,
+		ResignPause:    3 * time.Second,
+		ChallengeDelay: 200 * time.Millisecond, ChallengeInterval: 10 * time.Second, MaxChallengeInterval: 10 * time.Minute,
 		Follow: follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, RetryDelay: 100 * time.Millisecond},
 	}
 }
--- a/internal/leader/settings_test.go
+++ b/internal/leader/settings_test.go
@@ -27,21 +27,21 @@
 }
 
 // Guards against a lead that changes between hosts of about the same size, each change of which interrupts scheduling.
-func TestOnlyAMuchLessSuitedLeaderIsOutranked(t *testing.T) {
+func TestALeaderYieldsOnlyToAMuchFasterHost(t *testing.T) {
 	for name, c := range map[string]struct {
 		holderMs, challengerMs int64
 		want                   bool
 	}{
 		"slow link":            {504, 45, true},
 		"same size":            {504, 504, false},
-		"better suited":        {45, 504, false},
+		"faster":               {45, 504, false},
 		"small difference":     {150, 45, false},
 		"small ratio":          {1000, 700, false},
 		"older build":          {0, 45, false},
 		"both without a delay": {0, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, Holder{HandicapMs: c.holderMs}.outrankedBy(c.challengerMs), c.want)
+			assert.Equal(t, Holder{CampaignDelayMs: c.holderMs}.yieldsTo(c.challengerMs), c.want)
 		})
 	}
 }
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -66,9 +66,11 @@
 	select {
 	case reason := <-resigned:
 		d.Log.Info().Int64("fence", int64(term.Fence)).Str("reason", reason).Msg("gave the lead away")
+		l.backOffChallenges()
 		l.sleep(parent, d.Settings.ResignPause)
 	default:
 		d.Log.Info().Int64("fence", int64(term.Fence)).Msg("no longer leading")
+		l.challengePause = d.Settings.ChallengeInterval
 	}
 }
 
--- a/keys.go
+++ b/keys.go
@@ -58,7 +58,7 @@
 	JobStatePrefix Key = "jaybarrow-jobs/state/"
 	// JobLeaderKey is the key of the record that names the leading scheduler; its revision is that scheduler's fencing token.
 	JobLeaderKey Key = "jaybarrow-jobs/leader"
-	// JobChallengeKey is the key of the record in which an entry host asks a less suited leader to resign. Those who follow the leader's
+	// JobChallengeKey is the key of the record in which an entry host asks a leader with a slower link or fewer cores to resign. Those who follow the leader's
 	// record receive it too, since JobLeaderKey is its prefix.
 	JobChallengeKey = JobLeaderKey + "/challenge"
 	// JobWavePrefix holds the progress of maintenance waves.
