--- a/cmd/jaybarrow/serve.go
+++ b/cmd/jaybarrow/serve.go
@@ -16,6 +16,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/entry"
 	"github.com/jaybarrow/jaybarrow/internal/etcd"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/settings"
 )
 
@@ -48,7 +49,7 @@
 // serve runs an entry host until ctx ends or a newer process has taken its id.
 func serve(ctx context.Context, s settings.Settings, root zerolog.Logger) int {
 	log := logging.For(root, "serve")
-	callers, peers, err := listen(s.Entry)
+	callers, peers, err := listenFor(s.Entry)
 	if err != nil {
 		log.Error().Err(err).Msg("cannot listen; exiting")
 		return exitFailure
@@ -58,6 +59,7 @@
 	e := entry.New(entry.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: root, Platform: client, Settings: s,
 		Callers: callers, Peers: peers, Times: entry.DefaultTimes(),
+		OnFault: rungroup.EndProcess(log, func() {}, func() { os.Exit(exitFailure) }), // the log is not queued
 	})
 	log.Info().Str("callers", callers.Addr().String()).Str("peers", peers.Addr().String()).Msg("serving")
 	select {
@@ -90,7 +92,7 @@
 	}()
 }
 
-func listen(s settings.Entry) (callers, peers net.Listener, err error) {
+func listenFor(s settings.Entry) (callers, peers net.Listener, err error) {
 	if callers, err = net.Listen("tcp", string(s.CallerAddress)); err != nil {
 		return nil, nil, fmt.Errorf("listen for callers: %w", err)
 	}
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
 // PeerFetcher fetches from other entry hosts the records changed after a revision, and the revision up to which they are
@@ -45,13 +46,14 @@
 	Directory *Directory
 	Peers     PeerFetcher // nil when there are no peers
 	Settings  FollowerSettings
+	OnFault   rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // Follower keeps a Directory up to date from the store, and from peers while the store is unavailable.
 type Follower struct {
 	deps        FollowerDeps
 	stop        context.CancelFunc
-	group       conc.WaitGroup
+	group       *rungroup.Group
 	storeFailed chan struct{} // signals that following the store has failed
 
 	hasList       bool // whether a watch can continue from the last complete list; only followStore's goroutine uses it
@@ -64,12 +66,12 @@
 func NewFollower(deps FollowerDeps) *Follower {
 	ctx, stop := context.WithCancel(context.Background())
 	f := &Follower{
-		deps: deps, stop: stop,
+		deps: deps, stop: stop, group: rungroup.New(deps.OnFault),
 		storeFailed: make(chan struct{}, 1), ready: make(chan struct{}),
 	}
-	f.group.Go(func() { f.followStore(ctx) })
+	f.group.Keep(ctx, "follower of the store", func() error { f.followStore(ctx); return nil })
 	if deps.Peers != nil {
-		f.group.Go(func() { f.followPeers(ctx) })
+		f.group.Keep(ctx, "follower of peers", func() error { f.followPeers(ctx); return nil })
 	}
 	return f
 }
@@ -106,6 +108,9 @@
 	}
 }
 
+// errSilentWatch reports a watch that delivered no event within its timeout.
+var errSilentWatch = errors.New("the watch delivered no event within its timeout")
+
 // errStaleList reports a list from a revision before that of the copy, as after a fail-over to a replica that lags behind.
 var errStaleList = errors.New("the store returned a list from an older revision than the copy")
 
@@ -190,7 +195,7 @@
 		case err := <-watchErr:
 			return err
 		case <-f.deps.Clock.After(f.deps.Settings.WatchTimeout):
-			return errors.New("the watch delivered no event within its timeout")
+			return errSilentWatch
 		}
 	}
 }
@@ -201,11 +206,17 @@
 	waitStart time.Time
 }
 
-// readEvents sends the events of the watch until it fails or done is closed.
+// readEvents sends the events of the watch until it fails, two events are more than WatchTimeout apart, or done is closed. After
+// such a gap the process was paused or the watch silent: further events may have been sent long before they are read, so
+// only a new watch confirms the copy.
 func (f *Follower) readEvents(watch jaybarrow.Watch, events chan<- timedEvent, watchErr chan<- error, done <-chan struct{}) {
+	waitStart := f.deps.Clock.Now()
 	for {
-		waitStart := f.deps.Clock.Now()
 		event, err := watch.Next()
+		received := f.deps.Clock.Now()
+		if err == nil && received.Sub(waitStart) > f.deps.Settings.WatchTimeout {
+			err = errSilentWatch
+		}
 		if err != nil {
 			watchErr <- err
 			return
@@ -215,6 +226,7 @@
 		case <-done:
 			return
 		}
+		waitStart = received
 	}
 }
 
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
 	"github.com/jaybarrow/jaybarrow/internal/fleetplan"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
@@ -47,7 +48,7 @@
 	Plan fleetplan.Settings
 	// Interval is the time between two decisions. Each decision is preceded by a call for the platform's list of hosts.
 	Interval time.Duration
-	// CallTimeout is the timeout of one call to the platform or the store.
+	// CallTimeout is the timeout of one call to the platform or the store; a call for hosts reads one page.
 	CallTimeout time.Duration
 	// TakeoverDelay is the least time between orders of two leaders for one host.
 	TakeoverDelay time.Duration
@@ -83,24 +84,31 @@
 	Catalog  *catalog.Catalog
 	Term     leader.Term
 	Settings Settings
+	OnFault  rungroup.Handler // called when a part fails, after the term has been resigned; nil crashes the process
 }
 
 // Keeper moves and maintains hosts during one term of the leader.
 type Keeper struct {
 	deps   Deps
 	cancel context.CancelFunc
-	group  conc.WaitGroup
+	group  *rungroup.Group
 	state  state
 }
 
 // New returns a running Keeper.
 func New(d Deps) *Keeper {
 	ctx, cancel := context.WithCancel(context.Background())
-	k := &Keeper{deps: d, cancel: cancel, state: newState()}
-	k.group.Go(func() { k.decideLoop(ctx) })
+	k := &Keeper{deps: d, cancel: cancel, group: rungroup.New(d.handleFault), state: newState()}
+	k.group.Keep(ctx, "decisions on hosts", func() error { k.decideLoop(ctx); return nil })
 	return k
 }
 
+// handleFault resigns the term, so that a successor need not wait for the end of the lease, and passes the fault on.
+func (d Deps) handleFault(f rungroup.Fault) {
+	d.Term.Resign("a part of the fleet keeper has failed: " + string(f.Part))
+	d.OnFault.Handle(f)
+}
+
 // Close stops sending orders and waits for calls in progress.
 func (k *Keeper) Close() {
 	k.cancel()
@@ -109,12 +117,6 @@
 
 // decideLoop reads the list of hosts, decides and sends orders every Interval until ctx ends.
 func (k *Keeper) decideLoop(ctx context.Context) {
-	defer func() {
-		// Before the end of the term only a panic ends the loop. The term must not go on without it; Close then propagates the panic.
-		if ctx.Err() == nil {
-			k.deps.Term.Resign("the loop that decides on hosts has ended")
-		}
-	}()
 	takeoverEnd := k.deps.Clock.Now().Add(k.deps.Settings.TakeoverDelay)
 	for k.sleep(ctx, k.deps.Settings.Interval) {
 		k.loadWaves(ctx)
@@ -151,10 +153,8 @@
 
 // refreshHosts reads the platform's list of hosts; it reports whether that succeeded.
 func (k *Keeper) refreshHosts(ctx context.Context) bool {
-	limited, cancel := context.WithTimeout(ctx, k.deps.Settings.CallTimeout)
-	defer cancel()
 	requestedAt := k.deps.Clock.Now()
-	hosts, err := k.deps.Fleet.Hosts(limited)
+	hosts, err := k.listHosts(ctx)
 	switch {
 	case ctx.Err() != nil:
 	case err != nil:
@@ -167,6 +167,26 @@
 	return err == nil && ctx.Err() == nil
 }
 
+// listHosts reads every page of the platform's list of hosts. Each page has a time limit of its own, so that a slow platform does not
+// keep a large fleet from being read.
+func (k *Keeper) listHosts(ctx context.Context) ([]jaybarrow.FleetHost, error) {
+	var all []jaybarrow.FleetHost
+	var page jaybarrow.PageToken
+	for {
+		limited, cancel := context.WithTimeout(ctx, k.deps.Settings.CallTimeout)
+		hosts, next, err := k.deps.Fleet.Hosts(limited, page)
+		cancel()
+		if err != nil {
+			return nil, fmt.Errorf("read the page after %d hosts: %w", len(all), err)
+		}
+		all = append(all, hosts...)
+		if next == "" {
+			return all, nil
+		}
+		page = next
+	}
+}
+
 // releaseReservations ends the reservations of workers that no order and no pending maintenance needs any more.
 func (k *Keeper) releaseReservations(view fleetplan.State) {
 	for _, h := range view.Hosts {
@@ -209,7 +229,7 @@
 			continue
 		}
 		k.state.recordOrder(m.Host, "", m.Wave, k.deps.Clock.Now())
-		k.group.Go(func() {
+		k.group.Go("order for a host", func() {
 			k.sendOrder(ctx, m.Host, "maintain", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
 				return k.deps.Fleet.Maintain(ctx, m.Host.ID, m.Wave, k.deps.Term.Fence)
 			})
@@ -222,7 +242,7 @@
 		k.state.recordOrder(m.Host, m.To, 0, k.deps.Clock.Now())
 		k.deps.Log.Info().Str("host", string(m.Host.ID)).Str("from", string(m.Host.Pool)).Str("to", string(m.To)).
 			Str("reason", m.Reason).Msg("host moves")
-		k.group.Go(func() {
+		k.group.Go("order for a host", func() {
 			k.sendOrder(ctx, m.Host, "move", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
 				return k.deps.Fleet.Move(ctx, m.Host.ID, m.To, k.deps.Term.Fence)
 			})
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -14,6 +14,7 @@
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/member"
 	"github.com/jaybarrow/jaybarrow/internal/peer/peerpb"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/shard"
 )
 
@@ -37,6 +38,7 @@
 	// OnNewerRecord is called when a peer has applied a newer record than this entry host. It may start to fetch the changes and
 	// must not block.
 	OnNewerRecord func(peer member.State)
+	OnFault       rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // Gossip exchanges heartbeats. In each interval it exchanges one with the next entry host of its own data centre, round robin;
@@ -47,16 +49,20 @@
 	deps        GossipDeps
 	round       int
 	sentStates  *shard.Map[jaybarrow.EntryID, *sentStates]
+	sendTimes   sendTimes
 	needsResend atomic.Bool // a received brief state has details that are not known here
-	group       conc.WaitGroup
+	group       *rungroup.Group
 	stop        chan struct{}
 	once        sync.Once
 }
 
 // NewGossip returns a running Gossip; Close stops it.
 func NewGossip(deps GossipDeps) *Gossip {
-	g := &Gossip{deps: deps, sentStates: shard.New[jaybarrow.EntryID, *sentStates](), stop: make(chan struct{})}
-	g.group.Go(func() {
+	g := &Gossip{
+		deps: deps, group: rungroup.New(deps.OnFault), sentStates: shard.New[jaybarrow.EntryID, *sentStates](), sendTimes: newSendTimes(),
+		stop: make(chan struct{}),
+	}
+	g.group.Go("heartbeats", func() {
 		for {
 			g.sendNext()
 			select {
@@ -90,12 +96,13 @@
 	round := g.round
 	g.round++
 	g.deps.Members.Expire(g.deps.Clock.Now())
+	g.sendTimes.keep(func(id jaybarrow.EntryID) bool { _, known := g.deps.Members.Get(id); return known })
 	if localPeers := g.localPeers(); len(localPeers) > 0 {
 		s := localPeers[round%len(localPeers)]
-		g.group.Go(func() { g.sendHeartbeat(context.Background(), s) })
+		g.group.Go("heartbeat", func() { g.sendHeartbeat(context.Background(), s) })
 	}
 	if s, ok := g.remoteTarget(round); ok {
-		g.group.Go(func() { g.sendHeartbeat(context.Background(), s) })
+		g.group.Go("heartbeat", func() { g.sendHeartbeat(context.Background(), s) })
 	}
 }
 
@@ -166,12 +173,15 @@
 		g.deps.Log.Debug().Err(err).Str("peer", string(to.ID)).Msg("cannot exchange heartbeats with the peer; sending it complete states next time")
 		return
 	}
+	// The peer sent its answer after this entry host sent the heartbeat, so no age comes out too small.
+	g.sendTimes.observe(answer.GetSelf(), sentAt)
 	g.applyHeartbeat(sentAt, answer)
 }
 
-// answerHeartbeat applies a peer's heartbeat and returns the one that answers it.
+// answerHeartbeat applies a peer's heartbeat and returns the one that answers it. The heartbeat may have waited for long in the
+// receive buffer while this process was paused, or on a silent connection, so its ages count from when the peer sent it.
 func (g *Gossip) answerHeartbeat(m *peerpb.Heartbeat) *peerpb.Heartbeat {
-	g.applyHeartbeat(g.deps.Clock.Now(), m)
+	g.applyHeartbeat(g.sendTimes.sentAt(m.GetSelf(), g.deps.Clock.Now()), m)
 	return g.newHeartbeat(jaybarrow.EntryID(m.GetSelf().GetId()))
 }
 
--- a/internal/pool/deps.go
+++ b/internal/pool/deps.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/schedule"
 )
 
@@ -56,6 +57,8 @@
 	// Incarnation returns the incarnation of this process; 0 before it is registered.
 	Incarnation func() jaybarrow.Incarnation
 	StartWindow time.Duration // a task must start at the worker within this time after the attempt begins
+	// CheckKey returns an error when no task may start for a request with the key, which is empty for a request without one.
+	CheckKey func(jaybarrow.KeyHash) error
 
 	Observer  Observer          // optional
 	Signals   Signals           // optional
@@ -65,6 +68,7 @@
 	// AdmissionQuantile is the quantile of the run time that the check of a request's deadline assumes; 0 means
 	// defaultAdmissionQuantile.
 	AdmissionQuantile float64
+	OnFault           rungroup.Handler // called when a background part fails; nil crashes the process
 }
 
 // defaultAdmissionQuantile keeps slots for requests that will meet their deadlines: with the median, half of the requests that
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -51,7 +51,7 @@
 			budget: newRetryBudget(), wake: make(chan struct{}, 1),
 		}
 		p.state.SetHosts(s.deps.Hosts.PoolHosts(id))
-		s.group.Go(func() { s.loop(p) })
+		s.group.Go("scheduling of a pool", func() { s.loop(p) })
 		return p
 	})
 }
@@ -124,7 +124,14 @@
 	if !ok {
 		return nil
 	}
-	return s.deps.Clock.After(next.Sub(now))
+	timer := s.deps.Clock.After(next.Sub(now))
+	if reached := s.deps.Clock.Now(); !reached.Before(next) {
+		// The timer is late by the time that passed since now, which is long when the process was paused.
+		fired := make(chan time.Time, 1)
+		fired <- reached
+		return fired
+	}
+	return timer
 }
 
 // decide makes all decisions that are due; the caller holds the pool's lock and calls execute after releasing it.
@@ -177,6 +184,6 @@
 		s.refuse(w, jaybarrow.Errorf(jaybarrow.KindQueueFull, "%s", reason))
 	}
 	for _, start := range due.starts {
-		s.group.Go(func() { s.runTask(p, start) })
+		s.group.Go("task", func() { s.runTask(p, start) })
 	}
 }
