Ignore register entries of services that are not configured

Cause: an entry of another writer for an unknown service got a pool, a planning loop and calls to its address. Change: such an entry names no worker while a configuration is known and no job or worker used the pool in this term. Result: TestEntriesOfUnknownServicesGetNoCalls saw 2 calls without the change, none with it; an entry of a configured service gets calls.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -105,7 +105,7 @@
 		})
 	}
 	for _, c := range changes {
-		if c.Worker == nil {
+		if c.Worker == nil || !s.knowsPool(c.Worker.Pool) {
 			s.dropWorker(c.ID)
 			continue
 		}
@@ -117,6 +117,19 @@
 	}
 }
 
+// knowsPool reports whether the pool is configured or has had workers or jobs in this term. An entry that names another pool is no
+// worker's; if the pool is configured later, its workers are added when they renew their entries.
+func (s *Scheduler) knowsPool(id jaybarrow.PoolID) bool {
+	if s.deps.Catalog.Configuration() == nil {
+		return true
+	}
+	if _, configured := s.deps.Catalog.Pool(id); configured {
+		return true
+	}
+	_, used := s.pools.Get(id)
+	return used
+}
+
 // dropWorker removes a worker from its pool's shard; an unknown worker is ignored.
 func (s *Scheduler) dropWorker(id jaybarrow.WorkerID) {
 	poolID, ok := s.workerPools.Get(id)
