List a source again when its changes do not arrive in time

Cause, found by the review: changes are requested again from the same revision after a failure; when too many have gathered for the time limit of a call, they never arrive until the store has dropped them. Change: after three calls in a row that exceed their limit the source is listed again, page by page.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -36,6 +36,10 @@
 // large page arrives over a slow link although a silent connection is replaced after one time limit.
 const maxPageCalls = 3
 
+// maxChangesTimeouts is how many calls for changes in a row may exceed their time limit before the source is listed again. The changes
+// since a revision may be too many for one answer; the pages of a list are not.
+const maxChangesTimeouts = 3
+
 // callLimit is the time limit of a call.
 func (s Settings) callLimit() time.Duration { return s.Wait + s.Slack }
 
@@ -74,6 +78,7 @@
 type follower[T any] struct {
 	Deps
 	source   Source[T]
+	timeouts int       // calls for changes in a row that exceeded their time limit
 	failures int       // since the last success
 	lostAt   time.Time // time of the first of them
 }
@@ -121,6 +126,11 @@
 	call, cancel := context.WithTimeout(ctx, f.Settings.callLimit())
 	defer cancel()
 	items, revision, err := f.source.Changes(call, after, f.Settings.Wait)
+	if call.Err() != nil {
+		f.timeouts++
+	} else {
+		f.timeouts = 0
+	}
 	switch {
 	case ctx.Err() != nil:
 		return 0, false
@@ -129,6 +139,11 @@
 		return 0, false
 	case err != nil:
 		f.backOff(ctx, err)
+		if f.timeouts >= maxChangesTimeouts {
+			f.timeouts = 0
+			f.Log.Info().Str("source", f.source.Name).Int64("after", int64(after)).Msg("the changes do not arrive in time; listing the source again")
+			return 0, false
+		}
 		return after, ctx.Err() == nil
 	}
 	f.recordSuccess()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -218,3 +218,31 @@
 		return nil
 	}
 }
+
+// Guards against a source that is never followed again, because the changes since the last revision do not fit into the time limit of a
+// call.
+func TestChangesThatDoNotArriveInTimeAreReplacedByAList(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	s := &source{fault: func(context.Context, int, int) error { return nil }}
+	lists, calls := 0, 0
+	follow.Run(ctx, deps(100*time.Millisecond), follow.Source[int]{
+		Name: "numbers", List: s.list,
+		Changes: func(ctx context.Context, after jaybarrow.Revision, _ time.Duration) ([]int, jaybarrow.Revision, error) {
+			if ctx.Err() == nil {
+				calls++
+			}
+			<-ctx.Done()
+			return nil, after, jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "no answer: %w", ctx.Err())
+		},
+		Apply: func(_ []int, complete bool, _ time.Time) {
+			assert.Check(t, complete)
+			if lists++; lists == 2 {
+				cancel()
+			}
+		},
+	})
+	assert.Equal(t, lists, 2)
+	assert.Equal(t, calls, 3)
+}
