Let a plan visit only what has changed

Cause: each plan walked all workers, runs and jobs of its pool several times, and each report of a worker woke a plan, so that the cost of a run grew with the fleet. Change: the pool keeps indexes of waiting jobs, planned and stopping runs, ended jobs and unstored ends; lease ends, stalls, evacuations and throttles are checked at most every 50 ms or when a worker's state changes; a report that changes nothing wakes no plan; a demand for which no worker has room refuses all larger ones; ended jobs expire from a list ordered by time.

--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -77,14 +77,17 @@
 		return err
 	}
 	now := p.deps.Clock.Now()
+	changed := true
 	p.locked(func() {
 		if err != nil {
 			p.state.HandleHoldFailure(worker.ID, jaybarrow.IsKind(err, jaybarrow.KindNotFound), now)
 		} else {
-			p.state.HandleReport(worker.ID, report, sent, now)
+			changed = p.state.HandleReport(worker.ID, report, sent, now)
 		}
 	})
-	p.signal()
+	if changed {
+		p.signal()
+	}
 	return err
 }
 
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -238,12 +238,17 @@
 		p.deps.Term.Resign("a worker has seen a higher fencing token")
 		return
 	}
-	var needsPoll bool
-	p.locked(func() { needsPoll = p.state.HandleStartOutcome(s, outcome, p.deps.Clock.Now()) })
+	var needsPoll, unsent bool
+	p.locked(func() {
+		needsPoll = p.state.HandleStartOutcome(s, outcome, p.deps.Clock.Now())
+		unsent = p.state.HasUnsentRuns()
+	})
 	if needsPoll {
 		p.pollWorker(ctx, s.Worker.ID)
 	}
-	p.signal()
+	if unsent || outcome != jaybarrow.StartDone {
+		p.signal()
+	}
 }
 
 // stopRun sends a stop order and records its outcome. It polls the worker after an answered stop of a run whose start was not
--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -24,10 +24,10 @@
 	adviceRetry = time.Second
 )
 
-// requestAdvice returns the requests for waiting steps without a usable ticket, in the order of their jobs.
-func (p *Pool) requestAdvice(now time.Time) []AdviceRequest {
+// requestAdvice returns the requests for steps of the waiting jobs without a usable ticket, in the order of their jobs.
+func (p *Pool) requestAdvice(waiting []*job, now time.Time) []AdviceRequest {
 	var out []AdviceRequest
-	for _, j := range p.waitingJobs(now) {
+	for _, j := range waiting {
 		if j.policy.Advice == nil {
 			continue
 		}
@@ -83,6 +83,7 @@
 	if j == nil {
 		return
 	}
+	p.placementsDue = true
 	s := j.step(q.Step.Occurrence, q.Step.Step)
 	if s.advice == nil {
 		s.advice = make(map[jaybarrow.WorkerID]ticket)
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
@@ -31,6 +32,7 @@
 	targetTime   time.Time     // when the job should be completed to meet the queue's target
 	work         float64       // estimated core-seconds of the whole job
 	criticalPath time.Duration // estimated run time of the longest chain of steps that are not done
+	order        placementOrder
 }
 
 type step struct {
@@ -109,6 +111,11 @@
 	return j.steps[int(k)*len(j.spec.Steps)+int(i)]
 }
 
+// hasUnassigned reports whether a task of the job is neither done nor assigned.
+func (j *job) hasUnassigned() bool {
+	return j.tasksLeft > 0 && slices.ContainsFunc(j.steps, func(s *step) bool { return s.unassigned > 0 })
+}
+
 // ready reports whether the step's tasks may start now.
 func (s *step) ready(now time.Time) bool {
 	if now.Before(s.notBefore) {
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -8,28 +8,47 @@
 	"github.com/jaybarrow/jaybarrow"
 )
 
-// placeWaiting assigns waiting tasks to workers, in the order of their jobs.
-func (p *Pool) placeWaiting(now time.Time) {
+// placeWaiting assigns tasks of the waiting jobs to workers, in the order of the jobs.
+func (p *Pool) placeWaiting(waiting []*job, now time.Time) {
+	if len(waiting) == 0 {
+		return
+	}
 	candidates := make([]*worker, 0, len(p.workers))
-	for _, w := range p.workers {
+	for _, w := range p.sortedWorkers() {
 		if w.usable(now, p.settings.ReportGrace) {
 			candidates = append(candidates, w)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *worker) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
 	if len(candidates) == 0 {
 		return
 	}
-	largest := largestFree(candidates)
-	for _, j := range p.waitingJobs(now) {
+	room := room{largest: largestFree(candidates)}
+	for _, j := range waiting {
 		for _, s := range j.steps {
-			if s.unassigned > 0 && s.mayFit(largest) && s.ready(now) {
-				p.placeStep(s, candidates, now)
+			if s.unassigned > 0 && room.mayFit(s.demand()) && s.ready(now) {
+				p.placeStep(s, candidates, &room, now)
 			}
 		}
 	}
 }
 
+// room is what is known about the free capacity of a pool's workers during one placement. Under overload most waiting steps are refused
+// by it, without a look at each worker.
+type room struct {
+	largest jaybarrow.Resources   // the largest free amount of each resource on any worker
+	tooMuch []jaybarrow.Resources // demands for which no worker has room
+}
+
+// mayFit reports whether a worker may have room for the demand.
+func (r *room) mayFit(demand jaybarrow.Resources) bool {
+	return demand.FitsIn(r.largest) && !slices.ContainsFunc(r.tooMuch, func(refused jaybarrow.Resources) bool { return refused.FitsIn(demand) })
+}
+
+// refuse records a demand for which no worker has room.
+func (r *room) refuse(demand jaybarrow.Resources) {
+	r.tooMuch = append(slices.DeleteFunc(r.tooMuch, func(refused jaybarrow.Resources) bool { return demand.FitsIn(refused) }), demand)
+}
+
 // largestFree returns the largest free amount of each resource on any worker; a demand that exceeds it fits nowhere.
 func largestFree(candidates []*worker) jaybarrow.Resources {
 	var out jaybarrow.Resources
@@ -40,30 +59,40 @@
 	return out
 }
 
-// mayFit reports whether a task of the step could fit on a worker with that much free capacity.
-func (s *step) mayFit(largest jaybarrow.Resources) bool {
+// demand returns the resources that a task of the step uses on a worker.
+func (s *step) demand() jaybarrow.Resources {
 	demand := s.spec.Demand
 	if s.spec.Background {
 		demand.CPU = 0
 	}
-	return demand.FitsIn(largest)
+	return demand
+}
+
+// needsRoomOnly reports whether free capacity is all that a worker needs for the step's tasks.
+func (s *step) needsRoomOnly() bool {
+	return s.spec.Requires == "" && s.spec.MaxPerWorker == 0 && s.job.policy.Advice == nil
 }
 
 // waitingJobs returns the jobs with tasks to start: first lasting jobs, then those that can still meet their target; within a
 // rank those of more urgent queues, then those of teams within their share, then by target time.
 func (p *Pool) waitingJobs(now time.Time) []*job {
-	var waiting []*job
-	for _, j := range p.jobs {
-		if !j.state.Ended() && j.tasksLeft > 0 && slices.ContainsFunc(j.steps, func(s *step) bool { return s.unassigned > 0 }) {
-			waiting = append(waiting, j)
+	waiting := make([]*job, 0, len(p.waiting))
+	for j := range p.waiting {
+		if j.state.Ended() || !j.hasUnassigned() {
+			delete(p.waiting, j)
+			continue
 		}
+		waiting = append(waiting, j)
 	}
 	overShare := p.teamsOverShare(waiting)
+	for _, j := range waiting {
+		j.order = placementOrder{rank: j.rank(now), priority: j.policy.Priority, overShare: overShare[j.spec.Team]}
+	}
 	slices.SortFunc(waiting, func(a, b *job) int {
 		return cmp.Or(
-			cmp.Compare(a.rank(now), b.rank(now)),
-			cmp.Compare(a.policy.Priority, b.policy.Priority),
-			cmp.Compare(overShare[a.spec.Team], overShare[b.spec.Team]),
+			cmp.Compare(a.order.rank, b.order.rank),
+			cmp.Compare(a.order.priority, b.order.priority),
+			cmp.Compare(a.order.overShare, b.order.overShare),
 			a.targetTime.Compare(b.targetTime),
 			cmp.Compare(a.spec.ID, b.spec.ID),
 		)
@@ -71,6 +100,9 @@
 	return waiting
 }
 
+// placementOrder is a job's place among the waiting jobs of a plan; lower values come first.
+type placementOrder struct{ rank, priority, overShare int }
+
 // The ranks of jobs: lasting ones come first because they are few, then those in time, then late ones.
 const (
 	rankLasting = iota
@@ -90,7 +122,7 @@
 }
 
 // placeStep assigns the step's tasks until one of them cannot be placed.
-func (p *Pool) placeStep(s *step, candidates []*worker, now time.Time) {
+func (p *Pool) placeStep(s *step, candidates []*worker, room *room, now time.Time) {
 	if s.spec.Gang {
 		p.placeGang(s, candidates, now)
 		return
@@ -99,7 +131,11 @@
 		if t.done || t.current != nil {
 			continue
 		}
-		if p.placeTask(t, candidates, now) == nil {
+		w := p.chooseWorker(t, candidates, now)
+		if w == nil && s.needsRoomOnly() {
+			room.refuse(s.demand())
+		}
+		if w == nil || p.placeOn(t, w, now) == nil {
 			return
 		}
 		p.markStarted(s.job, now)
@@ -118,8 +154,15 @@
 
 // placeTask assigns the task to the best worker; nil when no worker can take it now or the team's limit is reached.
 func (p *Pool) placeTask(t *task, candidates []*worker, now time.Time) *run {
-	w := p.chooseWorker(t, candidates, now)
-	if w == nil || !p.teams.TryUse(t.step.job.spec.Team, t.step.spec.Demand) {
+	if w := p.chooseWorker(t, candidates, now); w != nil {
+		return p.placeOn(t, w, now)
+	}
+	return nil
+}
+
+// placeOn assigns the task to the worker; nil when the team's limit is reached.
+func (p *Pool) placeOn(t *task, w *worker, now time.Time) *run {
+	if !p.teams.TryUse(t.step.job.spec.Team, t.step.spec.Demand) {
 		return nil
 	}
 	r := p.assign(t, w, t.run+1, now)
@@ -154,10 +197,7 @@
 // unassign undoes an assignment that was neither stored nor sent.
 func (p *Pool) unassign(r *run) {
 	t := r.task
-	delete(r.worker.runs, runKey{t.ref, r.number})
-	r.worker.used = r.worker.used.Minus(r.demand)
-	p.teams.Release(t.step.job.spec.Team, r.charged)
-	t.step.job.runs--
+	p.removeRun(r)
 	t.step.unassigned++
 	t.current = nil
 	t.run--
@@ -184,12 +224,8 @@
 // canRun reports whether the worker has room for the task and meets its step's constraints.
 func (p *Pool) canRun(t *task, w *worker) bool {
 	s := t.step.spec
-	demand := s.Demand
-	if s.Background {
-		demand.CPU = 0
-	}
 	switch {
-	case !demand.FitsIn(w.free()):
+	case !t.step.demand().FitsIn(w.free()):
 		return false
 	case s.Requires != "" && !slices.Contains(w.entry.Labels, s.Requires):
 		return false
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -61,18 +61,23 @@
 
 // Plan decides what to do now. No task is started unless starting is true.
 func (p *Pool) Plan(now time.Time, starting bool) Round {
-	p.expireLeases(now)
-	p.stopEndedJobs(now)
-	p.stopStalledRuns(now)
-	p.evacuateDraining(now)
-	p.evacuateReserved(now)
 	var out Round
+	if p.takeSweep(now) {
+		p.expireLeases(now)
+		p.stopStalledRuns(now)
+		p.evacuateDraining(now)
+		p.evacuateReserved(now)
+		out.Throttles = p.throttle(now)
+		p.placementsDue = true
+	}
+	p.stopEndedJobs(now)
 	out.Expired = p.expireJobs(now)
-	if starting {
-		p.placeWaiting(now)
-		out.AdviceRequests = p.requestAdvice(now)
+	if starting && p.placementsDue {
+		p.placementsDue = false
+		waiting := p.waitingJobs(now)
+		p.placeWaiting(waiting, now)
+		out.AdviceRequests = p.requestAdvice(waiting, now)
 	}
-	out.Throttles = p.throttle(now)
 	out.Stops = p.dueStops(now)
 	p.collectWrites(&out, now)
 	return out
@@ -80,7 +85,7 @@
 
 // expireLeases ends the runs on workers whose lease has certainly ended.
 func (p *Pool) expireLeases(now time.Time) {
-	for id, w := range p.workers {
+	for _, w := range p.workers {
 		if !w.leaseEnd.IsZero() && now.After(w.leaseEnd) {
 			for _, r := range w.runs {
 				if r.phase != runPlanned {
@@ -89,7 +94,7 @@
 			}
 		}
 		if w.gone && len(w.runs) == 0 && w.missedReports > 0 {
-			delete(p.workers, id)
+			p.removeWorker(w)
 		}
 	}
 }
@@ -99,38 +104,40 @@
 
 // expireJobs returns ended jobs whose retention is over and whose records are not being removed yet.
 func (p *Pool) expireJobs(now time.Time) []jaybarrow.JobID {
-	var out []jaybarrow.JobID
-	for id, e := range p.endedJobs {
-		if len(out) == maxExpiredPerPlan {
-			break
-		}
-		if !e.removing && now.Sub(e.endedAt) > p.settings.Retention {
-			e.removing = true
-			p.endedJobs[id] = e
-			out = append(out, id)
-		}
+	if p.expiryUnsorted {
+		p.expiryUnsorted = false
+		slices.SortStableFunc(p.expiry, func(a, b jaybarrow.JobID) int { return p.endedJobs[a].endedAt.Compare(p.endedJobs[b].endedAt) })
+	}
+	n := 0
+	for n < min(maxExpiredPerPlan, len(p.expiry)) && now.Sub(p.endedJobs[p.expiry[n]].endedAt) > p.settings.Retention {
+		n++
 	}
+	out := slices.Clone(p.expiry[:n])
+	p.expiry = p.expiry[n:]
 	return out
 }
 
 // HandleRemoval records whether the records of expired jobs were removed; a failed removal is retried.
 func (p *Pool) HandleRemoval(ids []jaybarrow.JobID, done bool) {
+	if !done {
+		p.expiry = slices.Concat(ids, p.expiry)
+		return
+	}
 	for _, id := range ids {
-		if done {
-			delete(p.endedJobs, id)
-		} else if e, ok := p.endedJobs[id]; ok {
-			e.removing = false
-			p.endedJobs[id] = e
-		}
+		delete(p.endedJobs, id)
 	}
 }
 
+// addEndedJob keeps an ended job until its retention is over.
+func (p *Pool) addEndedJob(id jaybarrow.JobID, e endedJob) {
+	p.expiryUnsorted = p.expiryUnsorted || len(p.expiry) > 0 && e.endedAt.Before(p.endedJobs[p.expiry[len(p.expiry)-1]].endedAt)
+	p.endedJobs[id] = e
+	p.expiry = append(p.expiry, id)
+}
+
 // stopEndedJobs stops the runs of ended jobs, and drops an ended job once its state is stored and no run is left.
 func (p *Pool) stopEndedJobs(now time.Time) {
-	for id, j := range p.jobs {
-		if !j.state.Ended() {
-			continue
-		}
+	for j := range p.ended {
 		if j.runs > 0 {
 			j.eachTask(func(t *task) {
 				if t.current != nil {
@@ -138,8 +145,10 @@
 				}
 			})
 		} else if j.storedState == j.state {
-			delete(p.jobs, id)
-			p.endedJobs[id] = endedJob{state: j.state, team: j.spec.Team, endedAt: now}
+			delete(p.jobs, j.spec.ID)
+			delete(p.ended, j)
+			delete(p.waiting, j)
+			p.addEndedJob(j.spec.ID, endedJob{state: j.state, team: j.spec.Team, endedAt: now})
 		}
 	}
 }
@@ -187,14 +196,12 @@
 func (p *Pool) dueStops(now time.Time) []StopRun {
 	out := p.unknownRuns
 	p.unknownRuns = nil
-	for _, w := range p.workers {
-		for key, r := range w.runs {
-			if r.phase != runStopping || !r.stopAnsweredAt.IsZero() || now.Sub(r.stopSentAt) < p.settings.StopRetry {
-				continue
-			}
-			r.stopSentAt = now
-			out = append(out, StopRun{Worker: w.entry, Task: key.task, Run: key.run})
+	for r := range p.stopping {
+		if !r.stopAnsweredAt.IsZero() || now.Sub(r.stopSentAt) < p.settings.StopRetry {
+			continue
 		}
+		r.stopSentAt = now
+		out = append(out, StopRun{Worker: r.worker.entry, Task: r.task.ref, Run: r.number})
 	}
 	return out
 }
@@ -210,18 +217,14 @@
 	}
 	clear(p.urgentWrites)
 	clear(p.delayedWrites)
-	for _, w := range p.workers {
-		if w.processedEnds > w.storedEnds {
-			if out.processedEnds == nil {
-				out.processedEnds = make(map[jaybarrow.WorkerID]endPosition)
-			}
-			out.processedEnds[w.entry.ID] = endPosition{instanceStartMs: w.instanceStartMs, number: w.processedEnds}
-		}
-		for key, r := range w.runs {
-			if r.phase == runPlanned {
-				out.Starts = append(out.Starts, p.startOrder(w, key, r))
-			}
+	for w := range p.unstoredEnds {
+		if out.processedEnds == nil {
+			out.processedEnds = make(map[jaybarrow.WorkerID]endPosition, len(p.unstoredEnds))
 		}
+		out.processedEnds[w.entry.ID] = endPosition{instanceStartMs: w.instanceStartMs, number: w.processedEnds}
+	}
+	for r := range p.planned {
+		out.Starts = append(out.Starts, p.startOrder(r))
 	}
 }
 
@@ -231,12 +234,7 @@
 	if len(p.delayedWrites) > 0 {
 		return now.Sub(p.delayedSince) >= p.settings.BatchDelay
 	}
-	for _, w := range p.workers {
-		if w.processedEnds > w.storedEnds || w.hasPlannedRun() {
-			return true
-		}
-	}
-	return false
+	return len(p.unstoredEnds) > 0 || len(p.planned) > 0
 }
 
 // NextWriteIn returns how long the next Plan may wait for batched changes to be due; false when there are none.
@@ -251,9 +249,9 @@
 	return 1
 }
 
-func (p *Pool) startOrder(w *worker, key runKey, r *run) StartRun {
-	return StartRun{Worker: w.entry, Task: key.task, Run: key.run, Order: jaybarrow.StartOrder{
-		Task: key.task, Run: key.run, Spec: r.task.step.job.spec.Spec, Fence: p.fence,
+func (p *Pool) startOrder(r *run) StartRun {
+	return StartRun{Worker: r.worker.entry, Task: r.task.ref, Run: r.number, Order: jaybarrow.StartOrder{
+		Task: r.task.ref, Run: r.number, Spec: r.task.step.job.spec.Spec, Fence: p.fence,
 		Checkpoint: r.task.checkpoint, Ticket: r.ticket,
 	}}
 }
@@ -268,6 +266,9 @@
 	for id, n := range round.processedEnds {
 		if w := p.workers[id]; w != nil && w.instanceStartMs == n.instanceStartMs {
 			w.storedEnds = max(w.storedEnds, n.number)
+			if w.storedEnds >= w.processedEnds {
+				delete(p.unstoredEnds, w)
+			}
 		}
 	}
 }
@@ -288,6 +289,7 @@
 	}
 	s.Order.Expires = w.leaseExpiry(now, p.settings.Lease)
 	w.extendLease(s.Order.Expires)
-	r.phase, r.phaseSince, r.progressedAt = runSent, now, now
+	p.setPhase(r, runSent, now)
+	r.progressedAt = now
 	return s, true
 }
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -49,14 +49,28 @@
 	delayedSince  time.Time     // when the oldest delayed write was requested
 	arrivals      arrivals
 	unknownRuns   []StopRun // runs that workers report but the pool does not know; the next plan stops them
+
+	// Indexes, so that a plan visits only what has changed.
+	waiting        map[*job]bool                            // holds every job with unassigned tasks, and jobs that no longer have any
+	ended          map[*job]bool                            // ended jobs whose runs are not all stopped, or whose state is not stored
+	planned        map[*run]bool                            // runs in the phase runPlanned
+	stopping       map[*run]bool                            // runs in the phase runStopping
+	unstoredEnds   map[*worker]bool                         // workers with ends that are processed and not stored
+	teamUsed       map[jaybarrow.TeamID]jaybarrow.Resources // in use by runs of tasks that do not last
+	labelUsed      map[jaybarrow.Label]jaybarrow.Resources  // in use by runs that require the label
+	expiry         []jaybarrow.JobID                        // of endedJobs whose records are not being removed, the earliest end first unless expiryUnsorted
+	expiryUnsorted bool
+	sorted         []*worker // by id; rebuilt when nil
+	placementsDue  bool      // whether a task may have become placeable since the last plan
+	sweepDue       bool      // whether the next plan must check every worker and run
+	sweptAt        time.Time // when a plan last checked every worker and run
 }
 
 // endedJob is what is kept of an ended job until its records are removed.
 type endedJob struct {
-	state    jaybarrow.JobState
-	team     jaybarrow.TeamID
-	endedAt  time.Time
-	removing bool // its records are being removed
+	state   jaybarrow.JobState
+	team    jaybarrow.TeamID
+	endedAt time.Time
 }
 
 // Deps are what a Pool depends on.
@@ -75,6 +89,9 @@
 		settings: d.Settings, id: d.ID, fence: d.Fence, teams: d.Teams, observer: d.Observer, policies: d.Policies,
 		jobs: make(map[jaybarrow.JobID]*job), endedJobs: make(map[jaybarrow.JobID]endedJob),
 		workers: make(map[jaybarrow.WorkerID]*worker), urgentWrites: make(map[*job]bool), delayedWrites: make(map[*job]bool),
+		waiting: make(map[*job]bool), ended: make(map[*job]bool), planned: make(map[*run]bool), stopping: make(map[*run]bool),
+		unstoredEnds: make(map[*worker]bool), teamUsed: make(map[jaybarrow.TeamID]jaybarrow.Resources),
+		labelUsed: make(map[jaybarrow.Label]jaybarrow.Resources),
 	}
 }
 
@@ -88,7 +105,7 @@
 		return
 	}
 	if stored != nil && stored.State.Ended() {
-		p.endedJobs[spec.ID] = endedJob{state: stored.State, team: spec.Team, endedAt: time.UnixMilli(stored.EndedMs)}
+		p.addEndedJob(spec.ID, endedJob{state: stored.State, team: spec.Team, endedAt: time.UnixMilli(stored.EndedMs)})
 		return
 	}
 	policy, ok := p.policies(spec.Queue)
@@ -97,6 +114,7 @@
 	}
 	j := newJob(spec, policy)
 	p.jobs[spec.ID] = j
+	p.markWaiting(j)
 	p.arrivals.add(spec, earlier(j.accepted, now))
 	if stored != nil {
 		j.restoreProgress(*stored)
@@ -130,13 +148,14 @@
 			// The worker is not in the register. Cut off from the store, it may still run its tasks until its lease ends.
 			w = newWorker(jaybarrow.Worker{ID: s.Worker, Pool: p.id, State: jaybarrow.WorkerDraining})
 			w.gone, w.missedReports = true, 1
-			p.workers[s.Worker] = w
+			p.addWorker(w)
 		}
 		if w.leaseEnd.IsZero() {
 			w.leaseEnd = now.Add(time.Duration(float64(p.settings.Lease)/(1-clockSlowdown)) + leaseEndMargin)
 		}
 		r := p.assign(t, w, s.Run, now)
-		r.instanceStartMs, r.phase, r.inherited = s.InstanceStartMs, runUnconfirmed, true
+		p.setPhase(r, runUnconfirmed, now)
+		r.instanceStartMs, r.inherited = s.InstanceStartMs, true
 		p.teams.Use(j.spec.Team, r.charged)
 	})
 }
@@ -146,7 +165,7 @@
 	t.run = number
 	demand := t.step.spec.Demand
 	r := &run{
-		task: t, number: number, worker: w, instanceStartMs: w.instanceStartMs, phase: runPlanned, phaseSince: now, progressedAt: now,
+		task: t, number: number, worker: w, instanceStartMs: w.instanceStartMs, progressedAt: now,
 		demand: demand, charged: demand, throttle: fullPercent,
 	}
 	if t.step.spec.Background {
@@ -154,9 +173,8 @@
 	}
 	t.current = r
 	t.step.unassigned--
-	t.step.job.runs++
-	w.used = w.used.Plus(r.demand)
-	w.runs[runKey{t.ref, r.number}] = r
+	p.addRun(r)
+	p.setPhase(r, runPlanned, now)
 	return r
 }
 
@@ -166,13 +184,11 @@
 // endRun removes the run and applies its end to the task and the job.
 func (p *Pool) endRun(r *run, kind jaybarrow.EndKind, checkpoint jaybarrow.Checkpoint, now time.Time) {
 	t, w, j := r.task, r.worker, r.task.step.job
-	delete(w.runs, runKey{t.ref, r.number})
-	w.used = w.used.Minus(r.demand)
-	p.teams.Release(j.spec.Team, r.charged)
-	j.runs--
+	p.removeRun(r)
 	if t.current == r {
 		t.current = nil
 		t.step.unassigned++
+		p.markWaiting(j)
 	}
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
@@ -273,6 +289,7 @@
 	p.urgentWrites[j] = true
 	if j.state.Ended() {
 		j.endedMs = now.UnixMilli()
+		p.ended[j] = true
 		p.observer.JobEnded(j.spec, j.state, now.Sub(j.accepted), failures)
 	}
 }
@@ -310,7 +327,7 @@
 // Waiting returns how many jobs of the queue have started no task; scheduled jobs do not count.
 func (p *Pool) Waiting(queue jaybarrow.QueueID) int {
 	n := 0
-	for _, j := range p.jobs {
+	for j := range p.waiting {
 		if j.spec.Queue == queue && !j.started && !j.state.Ended() && j.spec.Recurrence == nil {
 			n++
 		}
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -11,8 +11,9 @@
 	w := p.workers[entry.ID]
 	if w == nil {
 		w = newWorker(entry)
-		p.workers[entry.ID] = w
+		p.addWorker(w)
 	}
+	p.sweepDue = true
 	if w.entry.Address != entry.Address {
 		// The address has changed, so earlier reports do not show that the worker can be reached there.
 		w.reported = false
@@ -26,7 +27,7 @@
 // DropWorker records that a worker is no longer registered; its tasks may keep running until its lease ends.
 func (p *Pool) DropWorker(id jaybarrow.WorkerID) {
 	if w := p.workers[id]; w != nil {
-		w.gone = true
+		w.gone, p.sweepDue = true, true
 	}
 }
 
@@ -45,6 +46,7 @@
 	}
 	if !first {
 		w.processedEnds, w.storedEnds, w.reported, w.clock, w.faults = 0, 0, false, 0, 0
+		delete(p.unstoredEnds, w)
 	}
 }
 
@@ -80,12 +82,14 @@
 	return w == nil || w.processedEnds <= w.storedEnds
 }
 
-// HandleReport applies a worker's report; sent and received are the times of the order and of the report.
-func (p *Pool) HandleReport(id jaybarrow.WorkerID, report jaybarrow.HoldReport, sent, received time.Time) {
+// HandleReport applies a worker's report; sent and received are the times of the order and of the report. It reports whether a plan
+// may have something to do because of it; most reports only renew what is known.
+func (p *Pool) HandleReport(id jaybarrow.WorkerID, report jaybarrow.HoldReport, sent, received time.Time) bool {
 	w := p.workers[id]
 	if w == nil {
-		return
+		return false
 	}
+	wasUsable := w.usable(received, p.settings.ReportGrace)
 	if report.StartedMs != 0 {
 		p.setInstance(w, report.StartedMs, received)
 	}
@@ -100,6 +104,10 @@
 	if len(report.Ended) < maxReportedEnds {
 		p.resolveMissing(w, listed, sent, received)
 	}
+	if !wasUsable && w.usable(received, p.settings.ReportGrace) {
+		p.placementsDue = true
+	}
+	return p.placementsDue || len(p.unknownRuns)+len(p.stopping)+len(p.unstoredEnds) > 0
 }
 
 // processEnds applies listed ends, except those of earlier reports: a worker lists an end until it is acknowledged.
@@ -109,6 +117,7 @@
 			continue
 		}
 		w.processedEnds = e.Number
+		p.unstoredEnds[w] = true
 		if r := w.runs[runKey{e.Task, e.Run}]; r != nil {
 			p.endRun(r, e.Kind, e.Checkpoint, now)
 		}
@@ -127,7 +136,8 @@
 		p.markChanged(r.task.step.job, now)
 	}
 	if r.phase == runSent || r.phase == runUnconfirmed {
-		r.phase, r.phaseSince, r.progressedAt, r.inherited = runRunning, now, now, false
+		p.setPhase(r, runRunning, now)
+		r.progressedAt, r.inherited = now, false
 	}
 	if report.Progress != r.progress {
 		r.progress, r.progressedAt = report.Progress, now
@@ -161,6 +171,7 @@
 		return
 	}
 	w.missedReports++
+	p.sweepDue = true
 	if !replaced {
 		return
 	}
@@ -184,9 +195,11 @@
 	p.observer.StartAnswered(outcome)
 	switch outcome {
 	case jaybarrow.StartDone:
-		r.phase, r.progressedAt = runRunning, now
+		p.setPhase(r, runRunning, now)
+		r.progressedAt = now
 	case jaybarrow.StartUnknown:
-		r.phase, r.startUnanswered = runUnconfirmed, true
+		p.setPhase(r, runUnconfirmed, now)
+		r.startUnanswered = true
 		return true
 	case jaybarrow.StartStale:
 		// The worker knows a stop or an end of this run; its next report shows which.
@@ -224,7 +237,8 @@
 	if r.phase == runStopping || r.phase == runPlanned {
 		return
 	}
-	r.phase, r.phaseSince, r.stopSentAt, r.stopAnsweredAt = runStopping, now, time.Time{}, time.Time{}
+	p.setPhase(r, runStopping, now)
+	r.stopSentAt, r.stopAnsweredAt = time.Time{}, time.Time{}
 }
 
 // HandleStopOutcome records whether the worker answered a stop. It returns true when only a report can show that the run does not
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"maps"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
@@ -29,29 +30,21 @@
 
 // Load returns the pool's load.
 func (p *Pool) Load(now time.Time) Load {
-	out := Load{Labels: make(map[jaybarrow.Label]jaybarrow.Resources)}
+	out := Load{Labels: maps.Clone(p.labelUsed), Workers: make([]WorkerLoad, 0, len(p.workers))}
 	for _, w := range p.workers {
 		if w.gone {
 			continue
 		}
 		l := WorkerLoad{
 			ID: w.entry.ID, Usable: w.usable(now, p.settings.ReportGrace) || w.reserved && w.missedReports == 0, Reserved: w.reserved,
-			StartedMs: w.instanceStartMs, Runs: len(w.runs),
-		}
-		for _, r := range w.runs {
-			if r.task.step.spec.Lasting {
-				l.Lasting++
-				out.Lasting = out.Lasting.Plus(r.demand)
-			}
-			if label := r.task.step.spec.Requires; label != "" {
-				out.Labels[label] = out.Labels[label].Plus(r.demand)
-			}
+			StartedMs: w.instanceStartMs, Runs: len(w.runs), Lasting: w.lasting,
 		}
 		out.Workers = append(out.Workers, l)
 		out.Used = out.Used.Plus(w.used)
+		out.Lasting = out.Lasting.Plus(w.lastingUsed)
 	}
 	out.Offered = p.arrivals.offered(now)
-	for _, j := range p.jobs {
+	for j := range p.waiting {
 		if j.state.Ended() {
 			continue
 		}
@@ -80,14 +73,14 @@
 	if w == nil || onlyEmpty && len(w.runs) > 0 {
 		return false
 	}
-	w.reserved = true
+	w.reserved, p.sweepDue = true, true
 	return true
 }
 
 // Unreserve ends the reservation of a worker.
 func (p *Pool) Unreserve(id jaybarrow.WorkerID) {
 	if w := p.workers[id]; w != nil {
-		w.reserved = false
+		w.reserved, p.placementsDue = false, true
 	}
 }
 
--- a/internal/workload/share.go
+++ b/internal/workload/share.go
@@ -1,15 +1,18 @@
 package workload
 
 import (
+	"maps"
+
 	"github.com/jaybarrow/jaybarrow"
 )
 
 // teamsOverShare returns 1 for each team that uses more of the pool than its share among the teams with waiting or running tasks,
 // else 0. Lasting tasks do not count, since they hold their resources until their job is cancelled.
 func (p *Pool) teamsOverShare(waiting []*job) map[jaybarrow.TeamID]int {
-	used := make(map[jaybarrow.TeamID]jaybarrow.Resources)
+	used := make(map[jaybarrow.TeamID]jaybarrow.Resources, len(p.teamUsed))
+	maps.Copy(used, p.teamUsed)
 	for _, j := range waiting {
-		used[j.spec.Team] = jaybarrow.Resources{}
+		used[j.spec.Team] = p.teamUsed[j.spec.Team]
 	}
 	if len(used) < 2 {
 		return nil
@@ -19,12 +22,6 @@
 		if w.reported && !w.gone {
 			capacity = capacity.Plus(w.entry.Capacity)
 		}
-		for _, r := range w.runs {
-			if !r.task.step.spec.Lasting {
-				team := r.task.step.job.spec.Team
-				used[team] = used[team].Plus(r.demand)
-			}
-		}
 	}
 	var totalShare jaybarrow.Share
 	for team := range used {
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -18,6 +18,8 @@
 	instanceStartMs int64                 // wall clock of the process's start, which identifies the instance; 0 when unknown
 	leaseEnd        time.Time             // when the lease has certainly ended unless it is extended again
 	used            jaybarrow.Resources
+	lasting         int                 // runs of lasting tasks
+	lastingUsed     jaybarrow.Resources // the part of used that they use
 	runs            map[runKey]*run
 	processedEnds   jaybarrow.EndNumber // ends up to this number are processed
 	storedEnds      jaybarrow.EndNumber // ends up to this number are also stored
@@ -81,16 +83,6 @@
 	return now.Sub(w.lastReport) <= w.reportWait+grace
 }
 
-// hasPlannedRun reports whether a run that has not been sent is assigned to the worker.
-func (w *worker) hasPlannedRun() bool {
-	for _, r := range w.runs {
-		if r.phase == runPlanned {
-			return true
-		}
-	}
-	return false
-}
-
 func (w *worker) free() jaybarrow.Resources { return w.entry.Capacity.Minus(w.used) }
 
 // leaseExpiry returns the end of a lease that begins now, on the worker's clock.
