Collect log lines for 20 ms before they are written

Change: the writer waits 20 ms after the first line. The queue's bound and the drop count are unchanged.

--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -4,6 +4,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sourcegraph/conc"
 )
@@ -13,6 +14,9 @@
 	maxQueuedBytes = 1 << 20
 	// maxWriteBytes bounds one write. Queued lines are written together, so that a burst of lines takes few writes.
 	maxWriteBytes = 64 << 10
+	// batchDelay is how long lines are collected into one write. A busy process has hundreds of lines in that time, and each write wakes
+	// whoever reads the output.
+	batchDelay = 20 * time.Millisecond
 )
 
 // BoundedWriter queues lines for an output in bounded memory and never blocks its callers.
@@ -68,6 +72,11 @@
 		for len(b.queue) == 0 && !b.closed {
 			b.changed.Wait()
 		}
+		if !b.closed {
+			b.lock.Unlock()
+			time.Sleep(batchDelay)
+			b.lock.Lock()
+		}
 		batch, b.queue = b.queue, batch[:0]
 		closed := b.closed
 		b.lock.Unlock()
