Bound orders, reports, lists and writes by what the leader's host carries

Change: package budget decides, without input or output, how many orders are sent (bytes a second, slower when answers are late), how often workers report, how often hosts are listed and how long changes are collected. No more is placed than can be sent soon, starts keep the order of their jobs, stops are repeated ever more rarely, a start no longer writes the pending changes of other jobs, and time limits and hedges allow for the link. Room is held for a lasting task that waits or is being moved, since short tasks took what was freed. Each decision has a test that replays its load; the test of held room and that of the order budget were seen to fail without them.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/jobhost"
 	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
@@ -106,6 +107,15 @@
 	settings.MaxConfigurationAge = time.Duration(configurationAgeFraction * float64(s.Bounds.ConfigurationDelay+s.Bounds.OutageDelay))
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.MaxWorkerLease)
 	settings.Leader.Capacity, settings.Leader.Link = s.Capacity, s.Link
+	carrier := budget.Host{Cores: s.Capacity, Link: s.Link}
+	settings.Scheduler.Host, settings.Fleet.Host = carrier, carrier
+	settings.Scheduler.StartTimeout += carrier.CallSlack()
+	settings.Scheduler.StopTimeout += carrier.CallSlack()
+	settings.Scheduler.HoldSlack += carrier.CallSlack()
+	// A write that only queues at the link must not be sent again: each copy takes a share of the link, and the answer to the second one
+	// repeats every record that it names.
+	settings.Scheduler.Commit.Delay += carrier.CallSlack()
+	settings.Scheduler.Commit.Timeout += carrier.CallSlack()
 	if s.Link > 0 {
 		settings.Scheduler.MaxConcurrentStarts = max(minConcurrentStarts, int(min(startsPerMegabit*s.Link, maxConcurrentStarts)))
 	}
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
 	"github.com/jaybarrow/jaybarrow/internal/fleetplan"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
@@ -46,8 +47,10 @@
 // Settings are the intervals and timeouts of a Keeper.
 type Settings struct {
 	Plan fleetplan.Settings
-	// Interval is the time between two decisions. Each decision is preceded by a call for the platform's list of hosts.
+	// Interval is the least time between two decisions. Each decision is preceded by a call for the platform's list of hosts.
 	Interval time.Duration
+	// Host is what the leader's host can carry; a long list of hosts is read less often.
+	Host budget.Host
 	// CallTimeout is the timeout of one call to the platform or the store; a call for hosts reads one page.
 	CallTimeout time.Duration
 	// TakeoverDelay is the least time between orders of two leaders for one host.
@@ -118,7 +121,7 @@
 // decideLoop reads the list of hosts, decides and sends orders every Interval until ctx ends.
 func (k *Keeper) decideLoop(ctx context.Context) {
 	takeoverEnd := k.deps.Clock.Now().Add(k.deps.Settings.TakeoverDelay)
-	for k.sleep(ctx, k.deps.Settings.Interval) {
+	for k.sleep(ctx, k.deps.Settings.Host.HostListInterval(len(k.state.hosts), k.deps.Settings.Interval)) {
 		k.loadWaves(ctx)
 		k.sampleNeeds(k.deps.Clock.Now())
 		// Orders are sent only right after a response of the platform. An order that a network partition delays could arrive after an
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -119,6 +119,12 @@
 		}
 		return 0
 	})
+	d.Metrics.Gauge("orders.ratePercent", func() int64 {
+		if s := h.activeScheduler.Load(); s != nil {
+			return int64(s.OrderRatePercent())
+		}
+		return 0
+	})
 	h.waves.operators = d.Platform.Operators
 	h.announcer = &announcer{host: h, log: logging.For(d.Log, "peer"), group: rungroup.New(d.OnFault)}
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -77,6 +77,9 @@
 		return err
 	}
 	now := p.deps.Clock.Now()
+	if order.Expires != 0 {
+		p.noteAnswer(err == nil || jaybarrow.IsKind(err, jaybarrow.KindNotFound))
+	}
 	changed := true
 	p.locked(func() {
 		if err != nil {
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/notify"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
@@ -24,6 +25,7 @@
 	writer     *writer
 	forgetJob  func(jaybarrow.JobID) // called when a job's records have been removed
 	startSlots chan struct{}         // of the scheduler
+	orders     *budget.Orders        // of the scheduler
 	group      *rungroup.Group       // a part that fails ends the term
 	wake       chan struct{}         // has a value when the planning loop must plan again
 	jobsLoaded chan struct{}         // closed once the stored jobs are loaded
@@ -49,7 +51,7 @@
 			clock: d.Clock, log: d.Log, store: d.Store, settings: d.Settings, leaderRevision: d.Term.Revision,
 			revisions: make(map[jaybarrow.JobID]jaybarrow.Revision),
 		},
-		forgetJob: s.jobPools.Delete, startSlots: s.startSlots,
+		forgetJob: s.jobPools.Delete, startSlots: s.startSlots, orders: s.orders,
 		wake: make(chan struct{}, 1), jobsLoaded: make(chan struct{}), written: notify.New(),
 		state: workload.New(workload.Deps{
 			Settings: d.Settings.Workload, ID: id, Fence: d.Term.Fence, Teams: s.teams, Observer: d.Observer, Policies: s.policy,
@@ -135,21 +137,33 @@
 	}
 }
 
+// orderRetryInterval is the time until the next plan while the budget of orders delays starts: a few orders fit into it on a slow link.
+const orderRetryInterval = 20 * time.Millisecond
+
 // untilNextPlan returns the time until the next plan is due.
 func (p *poolShard) untilNextPlan() time.Duration {
 	p.lock.Lock()
 	defer p.lock.Unlock()
+	limit := p.deps.Settings.MaxPlanInterval
+	if p.state.HasUnsentRuns() || p.state.HasPlacementsDue() {
+		limit = min(limit, orderRetryInterval)
+	}
 	if due, ok := p.state.NextWriteIn(p.deps.Clock.Now()); ok {
-		return max(time.Millisecond, min(due, p.deps.Settings.MaxPlanInterval))
+		return max(time.Millisecond, min(due, limit))
 	}
-	return p.deps.Settings.MaxPlanInterval
+	return limit
 }
 
 // planRound plans once. It sends stops, throttle orders and adviser calls immediately, and starts only after their records are
 // stored.
 func (p *poolShard) planRound(ctx context.Context) error {
 	var round workload.Round
-	if !p.locked(func() { round = p.state.Plan(p.deps.Clock.Now(), p.deps.Term.Valid()) }) {
+	if !p.locked(func() {
+		now := p.deps.Clock.Now()
+		room := p.orders.Room(now)
+		p.state.LimitOrders(room, room)
+		round = p.state.Plan(now, p.deps.Term.Valid())
+	}) {
 		return errFailed
 	}
 	if round.Empty() {
@@ -199,7 +213,7 @@
 }
 
 // sendableStarts returns the starts that may still be sent, with the lease of each filled in and a start slot taken for it. Starts beyond
-// the free slots stay planned and are part of the next round. The lock is held.
+// the free slots and the budget of orders stay planned and are part of the next round. The lock is held.
 func (p *poolShard) sendableStarts(starts []workload.StartRun) []workload.StartRun {
 	if !p.deps.Term.Valid() {
 		return nil
@@ -211,7 +225,12 @@
 		default:
 			return out
 		}
-		ready, ok := p.state.MarkSent(s, p.deps.Clock.Now())
+		now := p.deps.Clock.Now()
+		if !p.orders.TryTake(budget.Bytes(len(s.Order.Spec)+len(s.Order.Checkpoint)), now) {
+			<-p.startSlots
+			return out
+		}
+		ready, ok := p.state.MarkSent(s, now)
 		if !ok {
 			<-p.startSlots
 			continue
@@ -228,6 +247,7 @@
 	defer cancel()
 	outcome, err := p.deps.Agents.Start(limited, s.Worker, s.Order)
 	<-p.startSlots
+	p.noteAnswer(outcome != jaybarrow.StartUnknown)
 	line := p.log.Info()
 	if outcome != jaybarrow.StartDone {
 		line = p.log.Warn().Err(err)
@@ -251,12 +271,21 @@
 	}
 }
 
+// noteAnswer counts whether an order was answered in time, and logs a change of the rate of orders.
+func (p *poolShard) noteAnswer(answered bool) {
+	if p.orders.Note(answered, p.deps.Clock.Now()) {
+		p.log.Info().Int("percent", p.orders.RatePercent()).Msg("rate of orders changed")
+	}
+}
+
 // stopRun sends a stop order and records its outcome. It polls the worker after an answered stop of a run whose start was not
 // answered, because only a report shows that such a run does not exist.
 func (p *poolShard) stopRun(ctx context.Context, s workload.StopRun) {
 	limited, cancel := context.WithTimeout(ctx, p.deps.Settings.StopTimeout)
 	defer cancel()
+	p.orders.TryTake(0, p.deps.Clock.Now())
 	err := p.deps.Agents.Stop(limited, s.Worker, s.Task, s.Run, p.deps.Term.Fence)
+	p.noteAnswer(err == nil)
 	p.log.Info().Str("task", s.Task.String()).Int64("run", int64(s.Run)).Str("worker", string(s.Worker.ID)).
 		Err(err).Msg("stop")
 	var needsPoll bool
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
 	"github.com/jaybarrow/jaybarrow/internal/follow"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
@@ -41,8 +42,9 @@
 	jobPools    *shard.Map[jaybarrow.JobID, jaybarrow.PoolID]    // pool of each known job
 	workerPools *shard.Map[jaybarrow.WorkerID, jaybarrow.PoolID] // pool of each registered worker
 	loaded      chan struct{}                                    // closed once every stored job is loaded
-	startSlots  chan struct{}                                    // has a value for each start order that waits for an answer
-	pageRead    chan struct{}                                    // has a value when a page of the register or of the stored jobs was read
+	orders      *budget.Orders
+	startSlots  chan struct{} // has a value for each start order that waits for an answer
+	pageRead    chan struct{} // has a value when a page of the register or of the stored jobs was read
 }
 
 // New returns a running Scheduler. It reads the register of workers first and then the stored jobs; it plans once both are loaded.
@@ -53,6 +55,7 @@
 		pools: shard.New[jaybarrow.PoolID, *poolShard](), jobPools: shard.New[jaybarrow.JobID, jaybarrow.PoolID](),
 		workerPools: shard.New[jaybarrow.WorkerID, jaybarrow.PoolID](), loaded: make(chan struct{}),
 		pageRead: make(chan struct{}, 1), startSlots: make(chan struct{}, d.Settings.MaxConcurrentStarts),
+		orders: budget.NewOrders(d.Settings.Host, d.Clock.Now()),
 	}
 	registered := make(chan struct{})
 	s.group.Keep(ctx, "register", func() error {
@@ -115,6 +118,20 @@
 		s.workerPools.Set(c.ID, c.Worker.Pool)
 		s.pool(c.Worker.Pool).setWorker(*c.Worker, now)
 	}
+	s.setReportInterval()
+}
+
+// setReportInterval adapts the interval of the workers' reports to their number.
+func (s *Scheduler) setReportInterval() {
+	workers := 0
+	s.workerPools.Each(func(jaybarrow.WorkerID, jaybarrow.PoolID) { workers++ })
+	interval := s.deps.Settings.Host.ReportInterval(workers, s.deps.Settings.Workload.RenewInterval, s.deps.Settings.MaxReportInterval)
+	s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) {
+		p.locked(func() {
+			p.state.SetRenewInterval(interval)
+			p.state.SetBatchDelay(s.deps.Settings.Host.BatchDelay(s.deps.Settings.Workload.BatchDelay))
+		})
+	})
 }
 
 // knowsPool reports whether the pool is configured or has had workers or jobs in this term. An entry that names another pool is no
@@ -164,6 +181,9 @@
 	}
 }
 
+// OrderRatePercent returns the part of the full rate at which orders are sent to workers, from 0 to 100.
+func (s *Scheduler) OrderRatePercent() int { return s.orders.RatePercent() }
+
 // Loaded returns a channel that is closed once every stored job is loaded.
 func (s *Scheduler) Loaded() <-chan struct{} { return s.loaded }
 
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/follow"
 	"github.com/jaybarrow/jaybarrow/internal/hedge"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
@@ -19,6 +20,10 @@
 	// MaxConcurrentStarts bounds the start orders that wait for an answer. More than the link carries within StartTimeout would delay the
 	// reports of the workers and the renewals of the leader's lease.
 	MaxConcurrentStarts int
+	// Host is what the leader's host can carry; it bounds orders and reports.
+	Host budget.Host
+	// MaxReportInterval is the longest time for which a worker with running tasks may hold back its report.
+	MaxReportInterval time.Duration
 	// AdviceTimeout bounds a call to the adviser, whose answer takes longer with each worker and with each call queued before it.
 	AdviceTimeout time.Duration
 	// HoldRetryDelay is the delay after a failed hold order; it doubles twice with further failures.
@@ -44,14 +49,17 @@
 		// Tens of round trips between data centres, and longer than the pause of a host that has exhausted its CPU quota.
 		StartTimeout: 250 * time.Millisecond, StopTimeout: 250 * time.Millisecond, HoldSlack: 400 * time.Millisecond,
 		MaxConcurrentStarts: 1000,
-		AdviceTimeout:       2 * time.Second,
-		HoldRetryDelay:      150 * time.Millisecond,
-		MaxStoreWait:        200 * time.Millisecond,
+		// Two reports arrive within the lease of a worker, and the platform's workers wait no longer.
+		MaxReportInterval: 2 * time.Second,
+		AdviceTimeout:     2 * time.Second,
+		HoldRetryDelay:    150 * time.Millisecond,
+		MaxStoreWait:      200 * time.Millisecond,
 		// The hedging delay is ten times the store's usual response time; a slow store still responds within the timeout.
 		Commit:           hedge.Settings{Delay: 80 * time.Millisecond, MaxCalls: 3, Timeout: 1500 * time.Millisecond},
 		CommitRetryDelay: 30 * time.Millisecond,
 		TakeoverSlack:    time.Second,
-		Input:            follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, RetryDelay: 50 * time.Millisecond},
+		// Accepted jobs are also announced, so the pause only batches what the announcements have brought already.
+		Input: follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, Pause: 50 * time.Millisecond, RetryDelay: 50 * time.Millisecond},
 		// Workers renew their entries continually; the pause batches the changes into a few calls a second.
 		Register: follow.Settings{
 			// Some worker renews its entry within this time, so a watch that delivers no change for longer has failed.
--- a/internal/workload/index.go
+++ b/internal/workload/index.go
@@ -112,5 +112,19 @@
 	return true
 }
 
+// LimitOrders sets how many runs may wait for their start orders before no further task is placed, and how many stops a plan returns.
+func (p *Pool) LimitOrders(unsent, stops int) {
+	p.maxUnsent, p.maxStops = unsent, stops
+}
+
+// SetBatchDelay sets how long changes are collected into one write.
+func (p *Pool) SetBatchDelay(d time.Duration) { p.batchDelay = d }
+
+// SetRenewInterval sets how long a worker with running tasks may hold back its report.
+func (p *Pool) SetRenewInterval(d time.Duration) { p.renewInterval = d }
+
+// HasPlacementsDue reports whether tasks may be placeable that the last plan did not place.
+func (p *Pool) HasPlacementsDue() bool { return p.placementsDue && len(p.waiting) > 0 }
+
 // HasUnsentRuns reports whether assigned runs wait for their start orders.
 func (p *Pool) HasUnsentRuns() bool { return len(p.planned) > 0 }
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -23,15 +24,76 @@
 		return
 	}
 	room := room{largest: largestFree(candidates)}
+	held := p.roomForStopping(candidates)
 	for _, j := range waiting {
+		if len(held) > 0 && j.order.rank != rankLasting {
+			candidates = slices.DeleteFunc(candidates, func(w *worker) bool { return held[w] })
+			clear(held)
+			room.largest = largestFree(candidates)
+		}
 		for _, s := range j.steps {
-			if s.unassigned > 0 && room.mayFit(s.demand()) && s.ready(now) {
+			if len(p.planned) >= p.maxUnsent {
+				p.placementsDue = true
+				return
+			}
+			if s.unassigned == 0 || !s.ready(now) {
+				continue
+			}
+			if room.mayFit(s.demand()) {
 				p.placeStep(s, candidates, &room, now)
 			}
+			if j.order.rank == rankLasting && s.unassigned > 0 {
+				p.holdRoom(s, candidates, held)
+			}
+		}
+	}
+}
+
+// holdRoom picks the worker on which the step's next task will soonest have room, and adds it to held. Other tasks are not placed there,
+// since small ones would take what is freed there again and again.
+//
+// Load pattern: a pool full of short tasks, where a lasting task must move to another worker and needs more than one of them frees.
+func (p *Pool) holdRoom(s *step, candidates []*worker, held map[*worker]bool) {
+	var best *worker
+	var bestFraction float64
+	demand := s.demand()
+	for _, w := range candidates {
+		if held[w] || !demand.FitsIn(w.entry.Capacity.Minus(w.lastingUsed)) || !s.allows(w) {
+			continue
 		}
+		if fraction := roomFraction(w.free(), demand); best == nil || fraction > bestFraction {
+			best, bestFraction = w, fraction
+		}
+	}
+	if best != nil {
+		held[best] = true
 	}
 }
 
+// roomForStopping holds room for the lasting tasks that are being stopped to run elsewhere, so that it is still there when they end.
+func (p *Pool) roomForStopping(candidates []*worker) map[*worker]bool {
+	held := make(map[*worker]bool)
+	for r := range p.stopping {
+		if r.task.step.spec.Lasting && !r.task.step.job.state.Ended() {
+			p.holdRoom(r.task.step, candidates, held)
+		}
+	}
+	return held
+}
+
+// roomFraction returns which part of the demand fits into the free resources, by the scarcest one; 1 and more when all of it does.
+func roomFraction(free, demand jaybarrow.Resources) float64 {
+	fraction := math.Inf(1)
+	for _, part := range [...][2]float64{
+		{float64(free.CPU), float64(demand.CPU)}, {float64(free.Memory), float64(demand.Memory)}, {float64(free.Accelerators), float64(demand.Accelerators)},
+	} {
+		if part[1] > 0 {
+			fraction = min(fraction, part[0]/part[1])
+		}
+	}
+	return fraction
+}
+
 // room is what is known about the free capacity of a pool's workers during one placement. Under overload most waiting steps are refused
 // by it, without a look at each worker.
 type room struct {
@@ -131,6 +193,9 @@
 		if t.done || t.current != nil {
 			continue
 		}
+		if len(p.planned) >= p.maxUnsent {
+			return
+		}
 		w := p.chooseWorker(t, candidates, now)
 		if w == nil && s.needsRoomOnly() {
 			room.refuse(s.demand())
@@ -223,13 +288,16 @@
 
 // canRun reports whether the worker has room for the task and meets its step's constraints.
 func (p *Pool) canRun(t *task, w *worker) bool {
-	s := t.step.spec
+	return t.step.demand().FitsIn(w.free()) && t.step.allows(w)
+}
+
+// allows reports whether the worker meets the step's constraints other than room.
+func (st *step) allows(w *worker) bool {
+	s := st.spec
 	switch {
-	case !t.step.demand().FitsIn(w.free()):
-		return false
 	case s.Requires != "" && !slices.Contains(w.entry.Labels, s.Requires):
 		return false
-	case s.MaxPerWorker > 0 && w.countRuns(t.step) >= s.MaxPerWorker:
+	case s.MaxPerWorker > 0 && w.countRuns(st) >= s.MaxPerWorker:
 		return false
 	}
 	return true
--- a/internal/workload/place_test.go
+++ b/internal/workload/place_test.go
@@ -174,3 +174,85 @@
 	h.report("w1", nil)
 	assert.Equal(t, len(h.plan().Starts), 2)
 }
+
+// Load pattern: a pool full of short tasks, where a lasting task waits and needs more than one of them frees. Short tasks must not take
+// what is freed there again and again.
+func TestALastingTaskGetsRoomInAFullPool(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1")
+	h.addWorker("w2")
+	h.addJob("quick", tasks(100, 2000))
+	running := h.planAndStart(jaybarrow.StartDone)
+	assert.Equal(t, len(running), 10, "the pool is full")
+	long := lasting(1)
+	long.Demand.CPU = 7000
+	h.addJob("long", long)
+	var started bool
+	for range 12 {
+		// The oldest run ends, and the worker reports it with the others.
+		oldest := running[0]
+		running = running[1:]
+		id := oldest.Worker.ID
+		h.report(id, runReports(running, id, 50), h.endReport(oldest, jaybarrow.EndDone))
+		for _, s := range h.planAndStart(jaybarrow.StartDone) {
+			started = started || s.Task.Job == "long"
+			running = append(running, s)
+		}
+	}
+	assert.Assert(t, started)
+}
+
+// Guards against order by chance where only some of the starts can be sent: those of the job that comes first must be first.
+func TestStartsKeepTheOrderOfTheirJobs(t *testing.T) {
+	h := newHarness(t)
+	for n := range 5 {
+		h.addWorker(jaybarrow.WorkerID(fmt.Sprintf("w%d", n)))
+	}
+	for n := range 5 {
+		h.addJob(jaybarrow.JobID(fmt.Sprintf("j%d", n)), tasks(4, 1000))
+		h.advance(time.Millisecond)
+	}
+	starts := h.plan().Starts
+	assert.Equal(t, len(starts), 20)
+	for n, s := range starts {
+		assert.Equal(t, s.Task.Job, jaybarrow.JobID(fmt.Sprintf("j%d", n/4)))
+	}
+}
+
+// Load pattern: more work than start orders can be sent for. What is not sent soon must stay in its queue, where more urgent work can
+// still come before it.
+func TestNoMoreIsPlacedThanCanBeSent(t *testing.T) {
+	h := newHarness(t)
+	for n := range 10 {
+		h.addWorker(jaybarrow.WorkerID(fmt.Sprintf("w%d", n)))
+	}
+	h.addJob("usual", tasks(50, 1000))
+	h.pool.LimitOrders(8, 8)
+	assert.Equal(t, len(h.planAndStart(jaybarrow.StartDone)), 8)
+	h.addJob("long", lasting(4))
+	starts := h.planAndStart(jaybarrow.StartDone)
+	assert.Equal(t, len(starts), 8)
+	for _, s := range starts[:4] {
+		assert.Equal(t, s.Task.Job, jaybarrow.JobID("long"))
+	}
+}
+
+// Load pattern: stops that are not answered, since the link or the worker is overloaded. They must be repeated, but ever more rarely.
+func TestUnansweredStopsAreRepeatedMoreRarely(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1")
+	h.addJob("j", tasks(1, 1000))
+	starts := h.planAndStart(jaybarrow.StartDone)
+	assert.Assert(t, h.pool.Cancel("j", h.now))
+	var sent []time.Time
+	for h.now.Before(time.UnixMilli(1_000_000).Add(4 * time.Second)) {
+		h.report("w1", runReports(starts, "w1", 50))
+		if len(h.plan().Stops) > 0 {
+			sent = append(sent, h.now)
+		}
+	}
+	assert.Assert(t, len(sent) >= 3 && len(sent) <= 5, "%d stops in 4 s", len(sent))
+	for n := 2; n < len(sent); n++ {
+		assert.Assert(t, sent[n].Sub(sent[n-1]) > sent[n-1].Sub(sent[n-2])*3/2, "%v", sent)
+	}
+}
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -39,7 +40,7 @@
 // are written.
 type Round struct {
 	Records        []JobRecord
-	Starts         []StartRun
+	Starts         []StartRun // in the order of their assignment
 	Stops          []StopRun
 	Throttles      []ThrottleRun
 	AdviceRequests []AdviceRequest
@@ -72,7 +73,7 @@
 	}
 	p.stopEndedJobs(now)
 	out.Expired = p.expireJobs(now)
-	if starting && p.placementsDue {
+	if starting && p.placementsDue && len(p.planned) < p.maxUnsent {
 		p.placementsDue = false
 		waiting := p.waitingJobs(now)
 		p.placeWaiting(waiting, now)
@@ -192,15 +193,24 @@
 	}
 }
 
-// dueStops returns the stops to send now, including those that were not answered within the retry interval.
+// maxStopRetryShift bounds how often the time before a stop is sent again doubles.
+const maxStopRetryShift = 3
+
+// dueStops returns the stops to send now, including those that were not answered within the retry interval, which doubles with each
+// try. Stops that are not answered mostly wait for the same link or worker, and more of them delay the answers.
 func (p *Pool) dueStops(now time.Time) []StopRun {
-	out := p.unknownRuns
-	p.unknownRuns = nil
+	n := min(len(p.unknownRuns), p.maxStops)
+	out := slices.Clone(p.unknownRuns[:n])
+	p.unknownRuns = p.unknownRuns[n:]
 	for r := range p.stopping {
-		if !r.stopAnsweredAt.IsZero() || now.Sub(r.stopSentAt) < p.settings.StopRetry {
+		if len(out) >= p.maxStops {
+			break
+		}
+		if !r.stopAnsweredAt.IsZero() || r.stopsSent > 0 && now.Sub(r.stopSentAt) < p.settings.StopRetry<<min(r.stopsSent-1, maxStopRetryShift) {
 			continue
 		}
 		r.stopSentAt = now
+		r.stopsSent++
 		out = append(out, StopRun{Worker: r.worker.entry, Task: r.task.ref, Run: r.number})
 	}
 	return out
@@ -208,38 +218,41 @@
 
 // collectWrites adds the records to write, the starts that depend on them and the ends that they cover, if a write is due.
 func (p *Pool) collectWrites(out *Round, now time.Time) {
-	if len(p.urgentWrites) == 0 && !p.writeDue(now) {
+	batchDue := len(p.delayedWrites) == 0 || now.Sub(p.delayedSince) >= p.batchDelay
+	if len(p.urgentWrites) == 0 && (!batchDue || len(p.delayedWrites)+len(p.unstoredEnds)+len(p.planned) == 0) {
 		return
 	}
-	maps.Copy(p.urgentWrites, p.delayedWrites)
+	if batchDue {
+		maps.Copy(p.urgentWrites, p.delayedWrites)
+	}
 	for _, j := range slices.SortedFunc(maps.Keys(p.urgentWrites), byID) {
 		out.Records = append(out.Records, JobRecord{Job: j.spec.ID, Record: j.record()})
+		delete(p.delayedWrites, j)
 	}
 	clear(p.urgentWrites)
-	clear(p.delayedWrites)
+	p.collectStarts(out)
+	if len(p.delayedWrites) > 0 {
+		// The changes that wait may include an end that would be acknowledged.
+		return
+	}
 	for w := range p.unstoredEnds {
 		if out.processedEnds == nil {
 			out.processedEnds = make(map[jaybarrow.WorkerID]endPosition, len(p.unstoredEnds))
 		}
 		out.processedEnds[w.entry.ID] = endPosition{instanceStartMs: w.instanceStartMs, number: w.processedEnds}
 	}
-	for r := range p.planned {
-		out.Starts = append(out.Starts, p.startOrder(r))
-	}
 }
 
-// writeDue reports whether batched changes have waited long enough, or whether there are ends to acknowledge or starts to send
-// without any change to write: a start remains unsent when leadership was not certain after its write.
-func (p *Pool) writeDue(now time.Time) bool {
-	if len(p.delayedWrites) > 0 {
-		return now.Sub(p.delayedSince) >= p.settings.BatchDelay
+// collectStarts adds the starts of the planned runs. A start remains planned when it was not sent after its write.
+func (p *Pool) collectStarts(out *Round) {
+	for _, r := range slices.SortedFunc(maps.Keys(p.planned), func(a, b *run) int { return cmp.Compare(a.assignment, b.assignment) }) {
+		out.Starts = append(out.Starts, p.startOrder(r))
 	}
-	return len(p.unstoredEnds) > 0 || len(p.planned) > 0
 }
 
 // NextWriteIn returns how long the next Plan may wait for batched changes to be due; false when there are none.
 func (p *Pool) NextWriteIn(now time.Time) (time.Duration, bool) {
-	return p.settings.BatchDelay - now.Sub(p.delayedSince), len(p.delayedWrites) > 0
+	return p.batchDelay - now.Sub(p.delayedSince), len(p.delayedWrites) > 0
 }
 
 func byID(a, b *job) int {
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"math"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
@@ -48,6 +49,7 @@
 	delayedWrites map[*job]bool // changed jobs whose write may wait for the batch delay
 	delayedSince  time.Time     // when the oldest delayed write was requested
 	arrivals      arrivals
+	assignments   int64     // number of the last assignment
 	unknownRuns   []StopRun // runs that workers report but the pool does not know; the next plan stops them
 
 	// Indexes, so that a plan visits only what has changed.
@@ -60,10 +62,14 @@
 	labelUsed      map[jaybarrow.Label]jaybarrow.Resources  // in use by runs that require the label
 	expiry         []jaybarrow.JobID                        // of endedJobs whose records are not being removed, the earliest end first unless expiryUnsorted
 	expiryUnsorted bool
-	sorted         []*worker // by id; rebuilt when nil
-	placementsDue  bool      // whether a task may have become placeable since the last plan
-	sweepDue       bool      // whether the next plan must check every worker and run
-	sweptAt        time.Time // when a plan last checked every worker and run
+	sorted         []*worker     // by id; rebuilt when nil
+	batchDelay     time.Duration // how long changes are collected into one write
+	renewInterval  time.Duration // how long a worker with running tasks may hold back its report
+	maxUnsent      int           // runs that may wait for their start orders; no task is placed beyond it
+	maxStops       int           // stops of one plan
+	placementsDue  bool          // whether a task may have become placeable since the last plan
+	sweepDue       bool          // whether the next plan must check every worker and run
+	sweptAt        time.Time     // when a plan last checked every worker and run
 }
 
 // endedJob is what is kept of an ended job until its records are removed.
@@ -91,7 +97,9 @@
 		workers: make(map[jaybarrow.WorkerID]*worker), urgentWrites: make(map[*job]bool), delayedWrites: make(map[*job]bool),
 		waiting: make(map[*job]bool), ended: make(map[*job]bool), planned: make(map[*run]bool), stopping: make(map[*run]bool),
 		unstoredEnds: make(map[*worker]bool), teamUsed: make(map[jaybarrow.TeamID]jaybarrow.Resources),
-		labelUsed: make(map[jaybarrow.Label]jaybarrow.Resources),
+		labelUsed: make(map[jaybarrow.Label]jaybarrow.Resources), renewInterval: d.Settings.RenewInterval,
+		batchDelay: d.Settings.BatchDelay,
+		maxUnsent:  math.MaxInt, maxStops: math.MaxInt,
 	}
 }
 
@@ -173,6 +181,8 @@
 	}
 	t.current = r
 	t.step.unassigned--
+	p.assignments++
+	r.assignment = p.assignments
 	p.addRun(r)
 	p.setPhase(r, runPlanned, now)
 	return r
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -60,7 +60,7 @@
 	}
 	o := jaybarrow.HoldOrder{Fence: p.fence, Acknowledged: w.storedEnds, Wait: p.settings.IdleInterval}
 	if len(w.runs) > 0 {
-		o.Wait = p.settings.RenewInterval
+		o.Wait = p.renewInterval
 	}
 	if !w.reported || w.missedReports > 0 {
 		o.Wait = 0
@@ -238,7 +238,7 @@
 		return
 	}
 	p.setPhase(r, runStopping, now)
-	r.stopSentAt, r.stopAnsweredAt = time.Time{}, time.Time{}
+	r.stopSentAt, r.stopsSent, r.stopAnsweredAt = time.Time{}, 0, time.Time{}
 }
 
 // HandleStopOutcome records whether the worker answered a stop. It returns true when only a report can show that the run does not
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -50,6 +50,7 @@
 type run struct {
 	task            *task
 	number          jaybarrow.RunNumber
+	assignment      int64 // numbers the assignments of the pool in their order
 	worker          *worker
 	instanceStartMs int64 // the worker instance that the run was assigned to
 	phase           phase
@@ -57,6 +58,7 @@
 	startUnanswered bool      // its start was not answered
 	phaseSince      time.Time // when the phase began
 	stopSentAt      time.Time
+	stopsSent       int
 	stopAnsweredAt  time.Time // when a stop was answered; zero until then
 	progress        jaybarrow.Percent
 	progressedAt    time.Time           // when the progress last changed
