Refuse at once a job that would be completed too late to be of use

Change: package admission decides from the waiting work, the capacity of the workers, the hosts that are joining or idle elsewhere and the rate of starts whether a job can meet its target, or be completed within three times that; otherwise it is answered 429, with a Retry-After at which its work fits in behind that of callers refused before. Estimates are corrected by how long the queue's tasks ran. A job that is stored is not refused, nor one about which the leader or the store cannot tell.

--- /dev/null
+++ b/admitting.go
@@ -0,0 +1,36 @@
+package jaybarrow
+
+import "time"
+
+// Work is resources multiplied by the seconds for which they are used.
+type Work struct{ CPU, Memory, Accelerators float64 }
+
+// Plus returns the sum.
+func (w Work) Plus(o Work) Work {
+	return Work{w.CPU + o.CPU, w.Memory + o.Memory, w.Accelerators + o.Accelerators}
+}
+
+// Times returns the work multiplied by a factor.
+func (w Work) Times(factor float64) Work {
+	return Work{factor * w.CPU, factor * w.Memory, factor * w.Accelerators}
+}
+
+// Work returns what the resources do in the time.
+func (r Resources) Work(d time.Duration) Work {
+	return Work{float64(r.CPU), float64(r.Memory), float64(r.Accelerators)}.Times(d.Seconds())
+}
+
+// AdmissionRequest describes a job that a caller wants to hand in.
+type AdmissionRequest struct {
+	Queue        QueueID
+	Pool         PoolID
+	Work         Work
+	CriticalPath time.Duration // estimated run time of the longest chain of steps
+}
+
+// Admission is the scheduler's answer to an AdmissionRequest.
+type Admission struct {
+	Admitted   bool
+	Wait       time.Duration // expected until the job could begin
+	RetryAfter time.Duration // when to hand the job in again if it is not admitted
+}
--- a/errors.go
+++ b/errors.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // ErrorKind is one of the fixed set of error kinds that callers and operators see.
@@ -108,6 +109,8 @@
 	Effect  Effect
 	Message string
 	Cause   error
+	// RetryAfter is when the same request may succeed; 0 when that is not known.
+	RetryAfter time.Duration
 }
 
 // Error returns the kind and the message.
@@ -131,6 +134,13 @@
 	return &c
 }
 
+// WithRetryAfter returns a copy of the error with the time after which the same request may succeed.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
 // AsError returns the Error that err is or wraps, or else a KindInternal error that wraps err.
 func AsError(err error) *Error {
 	var e *Error
--- a/following.go
+++ b/following.go
@@ -66,4 +66,6 @@
 	JobStatus(ctx context.Context, id JobID) (JobStatus, error)
 	// JobsWaiting returns the number of jobs of the queue that have not started a task.
 	JobsWaiting(ctx context.Context, queue QueueID) (int, error)
+	// Admit decides whether a job should be handed in now, or KindPeerLost when no scheduler can be asked.
+	Admit(ctx context.Context, r AdmissionRequest) (Admission, error)
 }
--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,68 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// Job is a job that is to be handed in.
+type Job struct {
+	Work         jaybarrow.Work
+	CriticalPath time.Duration // estimated run time of the longest chain of steps
+	Target       time.Duration // within which the job should be completed
+}
+
+// lateFactor is how many times its target a job may take and still be of use to its caller.
+const lateFactor = 3
+
+// maxBacklog bounds the waiting work beside which further jobs are admitted: late jobs that were admitted must be completed too, although
+// newer ones come before them.
+const maxBacklog = 6 * time.Second
+
+// maxReturn bounds the time after which a caller is asked to return; the load is not known further ahead.
+const maxReturn = 20 * time.Second
+
+// Decision is the answer to a job.
+type Decision struct {
+	Admitted   bool
+	Wait       time.Duration // expected until the job could begin
+	RetryAfter time.Duration // when to hand the job in again if it is not admitted
+}
+
+// Gate admits the jobs of one pool. It is not safe for concurrent use.
+//
+// Load pattern: a turn in which a queue asks for several times what its pool and the idle hosts hold. A job that would be completed too
+// late to be of use is refused at once, so that it neither waits in vain nor delays others. Newer jobs that still meet their target are
+// admitted beside a backlog of late ones, since they are placed first. The callers of refused jobs return one after the other, as their
+// work fits in, rather than all at once.
+type Gate struct {
+	promisedUntil time.Time // when the work of refused callers who have not returned yet will have fitted in
+}
+
+// Decide admits or refuses a job. The load includes the jobs admitted before.
+func (g *Gate) Decide(l Load, j Job, now time.Time) Decision {
+	wait := l.Wait()
+	inTime := l.InTimeWait()+j.CriticalPath <= j.Target && wait <= maxBacklog
+	if inTime || wait+j.CriticalPath <= lateFactor*j.Target {
+		return Decision{Admitted: true, Wait: wait}
+	}
+	// The job can be admitted when the wait has fallen to what it bears; callers who were refused before come first.
+	free := now.Add(wait + j.CriticalPath - lateFactor*j.Target)
+	if g.promisedUntil.After(free) {
+		free = g.promisedUntil
+	}
+	g.promisedUntil = free.Add(Load{Capacity: l.Capacity.Plus(l.Coming)}.waitFor(j.Work))
+	if latest := now.Add(maxReturn); g.promisedUntil.After(latest) {
+		g.promisedUntil = latest
+	}
+	return Decision{Wait: wait, RetryAfter: min(maxReturn, max(0, free.Sub(now)))}
+}
+
+// startWait returns how long the starts of the waiting tasks take.
+func (l Load) startWait() time.Duration {
+	if l.StartsPerSecond <= 0 {
+		return 0
+	}
+	return seconds(float64(l.Tasks) / l.StartsPerSecond)
+}
--- a/internal/command/job/accept.go
+++ b/internal/command/job/accept.go
@@ -32,6 +32,7 @@
 type Settings struct {
 	SchedulerTimeout time.Duration  // for the scheduler's response, before the store is read instead
 	ReadTimeout      time.Duration  // for one read of the store
+	AdmissionTimeout time.Duration  // for the scheduler's decision on a new job, which is accepted without one
 	Write            hedge.Settings // each write is conditional, so a duplicate has no effect
 }
 
@@ -42,6 +43,8 @@
 		SchedulerTimeout: 150 * time.Millisecond,
 		// Hundreds of times the store's usual response time, and less than callers wait.
 		ReadTimeout: time.Second,
+		// As for other responses of the scheduler.
+		AdmissionTimeout: 150 * time.Millisecond,
 		// The delay is twenty times the store's usual response time. A second call uses a new connection when the
 		// first one gets no response.
 		Write: hedge.Settings{Delay: 120 * time.Millisecond, MaxCalls: 3, Timeout: 1500 * time.Millisecond},
@@ -63,6 +66,9 @@
 	if err := validateJob(in); err != nil {
 		return "", err
 	}
+	if err := h.admit(ctx, in); err != nil {
+		return "", err
+	}
 	value, err := json.Marshal(jaybarrow.Job{
 		ID: in.ID, Queue: in.Queue.ID, Pool: in.Queue.Pool, Team: team, Spec: in.Spec, Steps: in.Steps, Recurrence: in.Recurrence,
 		AcceptedMs: h.deps.Clock.Now().UnixMilli(),
--- /dev/null
+++ b/internal/command/job/admit.go
@@ -0,0 +1,70 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// admit returns KindDeadlineUnattainable, with the time to return, for a job that the scheduler expects to complete too late to be of
+// use. A job that is stored already is admitted, since its caller only repeats a request whose answer was lost. So is every job while no
+// scheduler answers.
+func (h *AcceptHandler) admit(ctx context.Context, in Accept) error {
+	if in.Recurrence != nil || isLasting(in.Steps) {
+		return nil
+	}
+	askCtx, cancel := context.WithTimeout(ctx, h.deps.Settings.AdmissionTimeout)
+	a, err := h.deps.Directory.Admit(askCtx, jaybarrow.AdmissionRequest{
+		Queue: in.Queue.ID, Pool: in.Queue.Pool, Work: workOf(in.Steps), CriticalPath: criticalPath(in.Steps),
+	})
+	cancel()
+	if err != nil || a.Admitted {
+		return nil
+	}
+	readCtx, cancel := context.WithTimeout(ctx, h.deps.Settings.ReadTimeout)
+	defer cancel()
+	_, err = h.deps.Store.Get(readCtx, jaybarrow.JobAcceptedKey(in.ID))
+	if !jaybarrow.IsKind(err, jaybarrow.KindNotFound) {
+		// The job is stored, or the store cannot tell; the write finds out.
+		return nil
+	}
+	return jaybarrow.Errorf(jaybarrow.KindDeadlineUnattainable, "the queue's work takes %d ms before this job could begin", a.Wait.Milliseconds()).
+		WithRetryAfter(a.RetryAfter)
+}
+
+func isLasting(steps []jaybarrow.Step) bool {
+	for _, s := range steps {
+		if s.Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// workOf returns the estimated work of all tasks.
+func workOf(steps []jaybarrow.Step) jaybarrow.Work {
+	var out jaybarrow.Work
+	for _, s := range steps {
+		demand := s.Demand
+		if s.Background {
+			demand.CPU = 0
+		}
+		out = out.Plus(demand.Work(s.Estimate()).Times(float64(s.Tasks)))
+	}
+	return out
+}
+
+// criticalPath returns the estimated run time of the longest chain of steps; a step only comes after earlier ones.
+func criticalPath(steps []jaybarrow.Step) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	var longest time.Duration
+	for i, s := range steps {
+		for _, before := range s.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += s.Estimate()
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/command/job/admit_test.go
@@ -0,0 +1,98 @@
+package job_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/catalog"
+	command "github.com/jaybarrow/jaybarrow/internal/command/job"
+)
+
+// store is a JobStore that holds the keys of accepted jobs.
+type store struct {
+	jaybarrow.JobStore
+	accepted map[jaybarrow.Key]bool
+	readErr  error
+}
+
+func (s *store) Get(_ context.Context, key jaybarrow.Key) (jaybarrow.Record, error) {
+	switch {
+	case s.readErr != nil:
+		return jaybarrow.Record{}, s.readErr
+	case !s.accepted[key]:
+		return jaybarrow.Record{}, jaybarrow.Errorf(jaybarrow.KindNotFound, "no record")
+	}
+	return jaybarrow.Record{Key: key}, nil
+}
+
+func (s *store) Commit(_ context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
+	if s.accepted[changes.Puts[0].Key] {
+		return 0, jaybarrow.Errorf(jaybarrow.KindConflict, "the record exists")
+	}
+	s.accepted[changes.Puts[0].Key] = true
+	return 1, nil
+}
+
+// directory is a scheduler with one answer for every job.
+type directory struct {
+	jaybarrow.JobDirectory
+	answer jaybarrow.Admission
+	err    error
+}
+
+func (d directory) Admit(context.Context, jaybarrow.AdmissionRequest) (jaybarrow.Admission, error) {
+	return d.answer, d.err
+}
+
+// Guards against refusals that are not true or of no use: a repeated request for a job that is stored, lasting jobs, and jobs about which
+// no scheduler or store can tell must not be refused.
+func TestOnlyNewJobsAreRefused(t *testing.T) {
+	const id = jaybarrow.JobID("00000000000000aa")
+	refusal := jaybarrow.Admission{Wait: 9 * time.Second, RetryAfter: 4 * time.Second}
+	quick := jaybarrow.Step{Tasks: 2, EstimateMs: 100}
+	lasting := quick
+	lasting.Lasting = true
+	cases := []struct {
+		name      string
+		directory directory
+		stored    bool
+		readErr   error
+		step      jaybarrow.Step
+		refused   bool
+	}{
+		{"admitted", directory{answer: jaybarrow.Admission{Admitted: true}}, false, nil, quick, false},
+		{"refused", directory{answer: refusal}, false, nil, quick, true},
+		{"a repeated request", directory{answer: refusal}, true, nil, quick, false},
+		{"no scheduler", directory{err: errors.New("no answer")}, false, nil, quick, false},
+		{"a store that cannot tell", directory{answer: refusal}, false, jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "no answer"), quick, false},
+		{"a lasting job", directory{answer: refusal}, false, nil, lasting, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := &store{accepted: map[jaybarrow.Key]bool{jaybarrow.JobAcceptedKey(id): c.stored}, readErr: c.readErr}
+			clock := jaybarrow.SystemClock{}
+			accept := command.NewAccept(command.Deps{
+				Clock: clock, Store: s, Authorizer: command.NewAuthorizer(clock, catalog.New(clock.Now()), time.Hour),
+				Directory: c.directory, Settings: command.DefaultSettings(),
+			})
+			_, err := accept.Handle(context.Background(), command.Accept{
+				Queue: &jaybarrow.JobQueue{ID: "match", Pool: "desk", Open: true}, ID: id, Steps: []jaybarrow.Step{c.step},
+			})
+			if !c.refused {
+				assert.NilError(t, err)
+				assert.Assert(t, s.accepted[jaybarrow.JobAcceptedKey(id)])
+				return
+			}
+			e := jaybarrow.AsError(err)
+			assert.Equal(t, e.Kind, jaybarrow.KindDeadlineUnattainable)
+			assert.Equal(t, e.Effect, jaybarrow.EffectNotRun)
+			assert.Equal(t, e.RetryAfter, refusal.RetryAfter)
+			assert.Assert(t, !s.accepted[jaybarrow.JobAcceptedKey(id)], "a refused job must not be stored")
+		})
+	}
+}
--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -16,6 +16,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/fleetkeeper"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
+	"github.com/jaybarrow/jaybarrow/internal/scheduler"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
@@ -108,6 +109,8 @@
 }
 
 // byPool returns the loads; it returns none for nil, whose method Loads panics.
+func (p *pools) SetComing(map[jaybarrow.PoolID]scheduler.Coming) {}
+
 func (p *pools) byPool() map[jaybarrow.PoolID]workload.Load {
 	if p == nil {
 		return nil
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -14,6 +14,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/fleetplan"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
+	"github.com/jaybarrow/jaybarrow/internal/scheduler"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
@@ -21,6 +22,8 @@
 type Pools interface {
 	// Loads returns the load of each pool.
 	Loads(now time.Time) map[jaybarrow.PoolID]workload.Load
+	// SetComing replaces the capacity that the fleet can add to each pool.
+	SetComing(byPool map[jaybarrow.PoolID]scheduler.Coming)
 	// Reserve stops the assignment of new tasks to a worker. It reports false, and changes nothing, when the worker is unknown or, with
 	// onlyEmpty, still has tasks.
 	Reserve(pool jaybarrow.PoolID, worker jaybarrow.WorkerID, onlyEmpty bool) bool
@@ -131,6 +134,7 @@
 		}
 		now := k.deps.Clock.Now()
 		view := k.view(now, now.Before(takeoverEnd))
+		k.deps.Pools.SetComing(k.coming(view))
 		if now.Before(takeoverEnd) {
 			// The previous leader may have begun maintenance that the list does not show yet, so beginning more could exceed a wave's limit.
 			view.Waves = nil
--- a/internal/fleetkeeper/view.go
+++ b/internal/fleetkeeper/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/fleetplan"
+	"github.com/jaybarrow/jaybarrow/internal/scheduler"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
@@ -134,6 +135,15 @@
 	return out
 }
 
+// coming returns the capacity that each pool can get: hosts that are joining it, and idle ones of other pools.
+func (k *Keeper) coming(view fleetplan.State) map[jaybarrow.PoolID]scheduler.Coming {
+	out := make(map[jaybarrow.PoolID]scheduler.Coming, len(view.Pools))
+	for id, hosts := range fleetplan.Available(view) {
+		out[id] = scheduler.Coming{Capacity: k.hostSize(id).Times(hosts), In: k.deps.Settings.Plan.Lookahead}
+	}
+	return out
+}
+
 // mayHaveBeenOrdered reports whether a previous leader may have sent an order for the host within TakeoverDelay. An order ends the
 // host's worker immediately and takes at least MinOrderDuration. So there was none if the host's worker is usable and started more
 // than TakeoverDelay plus ClockSkew ago, or if the host has been listed as up for TakeoverDelay less MinOrderDuration. The state's
--- a/internal/jobhost/leaderqueries.go
+++ b/internal/jobhost/leaderqueries.go
@@ -34,6 +34,27 @@
 	return d.host.client.JobsWaiting(ctx, leaderAddress, queue)
 }
 
+// Admit asks the scheduler about jobs of congested pools. The scheduler of another entry host is not asked again for a while after it did
+// not answer.
+func (d jobDirectory) Admit(ctx context.Context, r jaybarrow.AdmissionRequest) (jaybarrow.Admission, error) {
+	if s := d.host.activeScheduler.Load(); s != nil {
+		return s.Admit(r)
+	}
+	if !d.host.leader.Congested(r.Pool) {
+		return jaybarrow.Admission{Admitted: true}, nil
+	}
+	leaderAddress, err := d.host.leaderAddress()
+	if err != nil {
+		return jaybarrow.Admission{}, err
+	}
+	if !d.host.admissions.allow(d.host.deps.Clock.Now()) {
+		return jaybarrow.Admission{}, jaybarrow.Errorf(jaybarrow.KindPeerLost, "the leader did not answer lately")
+	}
+	a, err := d.host.client.Admit(ctx, leaderAddress, r)
+	d.host.admissions.record(d.host.deps.Clock.Now(), err == nil)
+	return a, err
+}
+
 // leaderAddress returns the peer address of the leader, or KindPeerLost when no other entry host is known to lead.
 func (h *Host) leaderAddress() (jaybarrow.Address, error) {
 	holder, held := h.leader.Holder()
@@ -63,6 +84,14 @@
 	return s.JobsWaiting(ctx, queue)
 }
 
+func (p peerService) Admit(_ context.Context, r jaybarrow.AdmissionRequest) (jaybarrow.Admission, error) {
+	s := p.host.activeScheduler.Load()
+	if s == nil {
+		return jaybarrow.Admission{}, notLeadingError()
+	}
+	return s.Admit(r)
+}
+
 func (p peerService) Commit(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
 	revision, err := p.host.deps.Platform.Store.Commit(ctx, changes)
 	if err == nil {
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -127,6 +127,22 @@
 	return int(answer.Count), decodeFault(answer.Fault)
 }
 
+// Admit asks the peer whether a job should be handed in now.
+func (c *Client) Admit(ctx context.Context, to jaybarrow.Address, r jaybarrow.AdmissionRequest) (jaybarrow.Admission, error) {
+	answer, err := call(c, to, func(p jobpb.JobsClient) (*jobpb.AdmitAnswer, error) {
+		return p.Admit(ctx, &jobpb.AdmitRequest{
+			Queue: string(r.Queue), Pool: string(r.Pool), CriticalPathMs: r.CriticalPath.Milliseconds(),
+			Cpu: r.Work.CPU, Memory: r.Work.Memory, Accelerators: r.Work.Accelerators,
+		})
+	})
+	if err != nil {
+		return jaybarrow.Admission{}, err
+	}
+	return jaybarrow.Admission{
+		Admitted: answer.Admitted, Wait: time.Duration(answer.WaitMs) * time.Millisecond, RetryAfter: time.Duration(answer.RetryAfterMs) * time.Millisecond,
+	}, decodeFault(answer.Fault)
+}
+
 // Commit asks the peer to write the changes to the store. Only Expect and Puts are sent.
 func (c *Client) Commit(ctx context.Context, to jaybarrow.Address, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
 	in := &jobpb.CommitRequest{}
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
@@ -69,6 +70,17 @@
 	return &jobpb.WaitingAnswer{Count: int64(n), Fault: encodeFault(err)}, nil
 }
 
+// Admit decides on a job that a caller of the peer wants to hand in.
+func (s *Server) Admit(ctx context.Context, in *jobpb.AdmitRequest) (*jobpb.AdmitAnswer, error) {
+	a, err := s.handler.Admit(ctx, jaybarrow.AdmissionRequest{
+		Queue: jaybarrow.QueueID(in.Queue), Pool: jaybarrow.PoolID(in.Pool), CriticalPath: time.Duration(in.CriticalPathMs) * time.Millisecond,
+		Work: jaybarrow.Work{CPU: in.Cpu, Memory: in.Memory, Accelerators: in.Accelerators},
+	})
+	return &jobpb.AdmitAnswer{
+		Admitted: a.Admitted, WaitMs: a.Wait.Milliseconds(), RetryAfterMs: a.RetryAfter.Milliseconds(), Fault: encodeFault(err),
+	}, nil
+}
+
 // Commit writes the changes to the store for the caller.
 func (s *Server) Commit(ctx context.Context, in *jobpb.CommitRequest) (*jobpb.CommitAnswer, error) {
 	changes := jaybarrow.Commit{}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -53,11 +53,12 @@
 	changed *notify.Notifier
 	started time.Time
 
-	lock    sync.Mutex
-	known   bool // whether the record has been read
-	held    bool // whether an entry host leads
-	current Holder
-	resign  func(reason string) // ends the running term; nil without one
+	lock      sync.Mutex
+	known     bool                      // whether the record has been read
+	held      bool                      // whether an entry host leads
+	congested map[jaybarrow.PoolID]bool // pools that may refuse jobs
+	current   Holder
+	resign    func(reason string) // ends the running term; nil without one
 
 	// These are used by the campaign only.
 	nextChallenge  time.Time     // before it no leader is challenged
@@ -108,12 +109,15 @@
 	l.lock.Lock()
 	before, held := l.current, l.held
 	if isList {
-		l.held = false
+		l.held, l.congested = false, nil
 	}
 	for _, r := range records {
 		if r.Key == jaybarrow.JobChallengeKey && !r.Deleted && l.resign != nil {
 			l.answerChallenge(r.Value)
 		}
+		if r.Key == jaybarrow.JobCongestionKey {
+			l.applyCongestion(r)
+		}
 		if r.Key != jaybarrow.JobLeaderKey {
 			continue
 		}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -20,6 +20,8 @@
 	Fence jaybarrow.FenceToken
 	// Revision is the revision of the leader's record; each write is conditional on it.
 	Revision jaybarrow.Revision
+	// Lease is the lease of the leader's record.
+	Lease jaybarrow.LeaseID
 	// Valid reports whether the lease is certain to hold now.
 	Valid func() bool
 	// Resign ends the term and logs the reason; it does not wait for the end.
@@ -36,7 +38,7 @@
 	validUntil.Store(int64(requestedAt + d.Settings.Lease - expiryMargin))
 	resigned := make(chan string, 1)
 	term := Term{
-		Fence: jaybarrow.FenceToken(revision), Revision: revision,
+		Fence: jaybarrow.FenceToken(revision), Revision: revision, Lease: lease,
 		Valid: func() bool {
 			now, err := boottime.Now()
 			return err == nil && int64(now) < validUntil.Load() && !ended.Load()
--- /dev/null
+++ b/internal/scheduler/admission.go
@@ -0,0 +1,141 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/admission"
+	"github.com/jaybarrow/jaybarrow/internal/leader"
+)
+
+// backlogAge is how long the backlog of a pool is used for the decisions on new jobs; what they add is counted in between.
+const backlogAge = 20 * time.Millisecond
+
+// gate admits the jobs of one pool; the pool's lock guards it.
+type gate struct {
+	admission.Gate
+	load   admission.Load
+	readAt time.Time
+}
+
+// Admit decides whether a job should be handed in now. Before the stored jobs are loaded every job is admitted.
+func (s *Scheduler) Admit(r jaybarrow.AdmissionRequest) (jaybarrow.Admission, error) {
+	admitted := jaybarrow.Admission{Admitted: true}
+	if !s.JobsAreLoaded() {
+		return admitted, nil
+	}
+	p, known := s.pools.Get(r.Pool)
+	if !known {
+		return admitted, nil
+	}
+	out := admitted
+	if !p.locked(func() { out = p.admit(r, s.deps.Clock.Now()) }) {
+		return jaybarrow.Admission{}, jaybarrow.Errorf(jaybarrow.KindPeerLost, "the scheduler is ending")
+	}
+	return out, nil
+}
+
+// admit decides on a job of the pool. The lock is held.
+func (p *poolShard) admit(r jaybarrow.AdmissionRequest, now time.Time) jaybarrow.Admission {
+	target, known := p.state.Target(r.Queue, r.CriticalPath)
+	if !known {
+		return jaybarrow.Admission{Admitted: true}
+	}
+	p.readLoad(now)
+	d := p.gate.Decide(p.gate.load, admission.Job{Work: r.Work, CriticalPath: r.CriticalPath, Target: target}, now)
+	if d.Admitted {
+		p.gate.load.InTime, p.gate.load.Waiting = p.gate.load.InTime.Plus(r.Work), p.gate.load.Waiting.Plus(r.Work)
+	}
+	return jaybarrow.Admission{Admitted: d.Admitted, Wait: d.Wait, RetryAfter: d.RetryAfter}
+}
+
+// readLoad brings the load on which jobs are admitted up to date. The lock is held.
+func (p *poolShard) readLoad(now time.Time) {
+	if now.Sub(p.gate.readAt) <= backlogAge {
+		return
+	}
+	p.gate.load, p.gate.readAt = p.state.Backlog(now), now
+	p.gate.load.Coming, p.gate.load.ComingIn = p.coming.Capacity, p.coming.In
+	p.gate.load.StartsPerSecond = p.orders.PerSecond()
+}
+
+const (
+	// congestionInterval is the time between two looks at the pools for congested ones.
+	congestionInterval = 250 * time.Millisecond
+	// congestionWait is the wait from which a pool counts as congested. Below it no job is refused, since no target is shorter.
+	congestionWait = 500 * time.Millisecond
+)
+
+// announceCongestion keeps the record of congested pools up to date until ctx ends. Without it entry hosts admit every job, so that a
+// failed write is only repeated with the next look.
+func (s *Scheduler) announceCongestion(ctx context.Context) {
+	var announced []jaybarrow.PoolID
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.deps.Clock.After(congestionInterval):
+		}
+		congested := s.congestedPools(s.deps.Clock.Now())
+		if slices.Equal(congested, announced) || !s.deps.Term.Valid() {
+			continue
+		}
+		if err := s.writeCongestion(ctx, congested); err != nil {
+			if ctx.Err() == nil {
+				s.deps.Log.Info().Err(err).Msg("cannot announce which pools are congested; trying again")
+			}
+			continue
+		}
+		s.deps.Log.Info().Int("pools", len(congested)).Msg("congested pools announced")
+		announced = congested
+	}
+}
+
+// congestedPools returns the pools whose waiting work takes longer than congestionWait, sorted.
+func (s *Scheduler) congestedPools(now time.Time) []jaybarrow.PoolID {
+	var out []jaybarrow.PoolID
+	s.pools.Each(func(id jaybarrow.PoolID, p *poolShard) {
+		p.locked(func() {
+			p.readLoad(now)
+			if p.gate.load.Wait() > congestionWait {
+				out = append(out, id)
+			}
+		})
+	})
+	slices.Sort(out)
+	return out
+}
+
+// writeCongestion replaces the record of congested pools under the leader's lease.
+func (s *Scheduler) writeCongestion(ctx context.Context, pools []jaybarrow.PoolID) error {
+	changes := jaybarrow.Commit{Expect: []jaybarrow.Expectation{{Key: jaybarrow.JobLeaderKey, Revision: s.deps.Term.Revision}}}
+	if len(pools) == 0 {
+		changes.Removes = []jaybarrow.Key{jaybarrow.JobCongestionKey}
+	} else {
+		value, err := json.Marshal(leader.Congestion{Pools: pools})
+		if err != nil {
+			return err
+		}
+		changes.Puts = []jaybarrow.Put{{Key: jaybarrow.JobCongestionKey, Value: value, Lease: s.deps.Term.Lease}}
+	}
+	limited, cancel := context.WithTimeout(ctx, s.deps.Settings.Commit.Timeout)
+	defer cancel()
+	_, err := s.deps.Store.Commit(limited, changes)
+	return err
+}
+
+// Coming is the capacity that the fleet can add to a pool, and the time that it takes.
+type Coming struct {
+	Capacity jaybarrow.Resources
+	In       time.Duration
+}
+
+// SetComing replaces what the fleet can add to each pool; a pool that is not named gets nothing.
+func (s *Scheduler) SetComing(byPool map[jaybarrow.PoolID]Coming) {
+	s.pools.Each(func(id jaybarrow.PoolID, p *poolShard) {
+		p.locked(func() { p.coming = byPool[id] })
+	})
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -63,6 +63,10 @@
 		return nil
 	})
 	s.group.Go("takeover", func() { s.watchTakeover(ctx) })
+	s.group.Keep(ctx, "congested pools", func() error {
+		s.announceCongestion(ctx)
+		return nil
+	})
 	s.group.Keep(ctx, "accepted jobs", func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/workload/arrivals.go
+++ b/internal/workload/arrivals.go
@@ -16,26 +16,22 @@
 
 type arrival struct {
 	at   time.Time
-	work work
+	work jaybarrow.Work
 }
 
-// work is a demand multiplied by the seconds for which it is needed.
-type work struct{ cpu, memory, accelerators float64 }
-
 // workOf returns the estimated work of a job; lasting and scheduled jobs count as none.
-func workOf(spec *jaybarrow.Job) work {
-	var out work
+func workOf(spec *jaybarrow.Job) jaybarrow.Work {
+	var out jaybarrow.Work
 	if spec.Lasting() || spec.Recurrence != nil {
 		return out
 	}
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
-		seconds := float64(s.Tasks) * s.Estimate().Seconds()
-		if !s.Background {
-			out.cpu += float64(s.Demand.CPU) * seconds
+		demand := s.Demand
+		if s.Background {
+			demand.CPU = 0
 		}
-		out.memory += float64(s.Demand.Memory) * seconds
-		out.accelerators += float64(s.Demand.Accelerators) * seconds
+		out = out.Plus(demand.Work(s.Estimate()).Times(float64(s.Tasks)))
 	}
 	return out
 }
@@ -48,15 +44,15 @@
 // each resource the largest job is left out, since a single job is no trend.
 func (a *arrivals) offered(now time.Time) jaybarrow.Resources {
 	*a = slices.DeleteFunc(*a, func(one arrival) bool { return now.Sub(one.at) > offeredWindow })
-	var sum, largest work
+	var sum, largest jaybarrow.Work
 	for _, one := range *a {
-		sum = work{sum.cpu + one.work.cpu, sum.memory + one.work.memory, sum.accelerators + one.work.accelerators}
-		largest = work{max(largest.cpu, one.work.cpu), max(largest.memory, one.work.memory), max(largest.accelerators, one.work.accelerators)}
+		sum = sum.Plus(one.work)
+		largest = jaybarrow.Work{CPU: max(largest.CPU, one.work.CPU), Memory: max(largest.Memory, one.work.Memory), Accelerators: max(largest.Accelerators, one.work.Accelerators)}
 	}
 	seconds := offeredWindow.Seconds()
 	return jaybarrow.Resources{
-		CPU:          jaybarrow.Millicores((sum.cpu - largest.cpu) / seconds),
-		Memory:       jaybarrow.Megabytes((sum.memory - largest.memory) / seconds),
-		Accelerators: jaybarrow.Accelerators((sum.accelerators - largest.accelerators) / seconds),
+		CPU:          jaybarrow.Millicores((sum.CPU - largest.CPU) / seconds),
+		Memory:       jaybarrow.Megabytes((sum.Memory - largest.Memory) / seconds),
+		Accelerators: jaybarrow.Accelerators((sum.Accelerators - largest.Accelerators) / seconds),
 	}
 }
--- /dev/null
+++ b/internal/workload/backlog.go
@@ -0,0 +1,69 @@
+package workload
+
+import (
+	"time"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/admission"
+)
+
+// Backlog returns what waits in the pool and the capacity of its workers; what the fleet can add is left out.
+func (p *Pool) Backlog(now time.Time) admission.Load {
+	var out admission.Load
+	for _, w := range p.sortedWorkers() {
+		if w.usable(now, p.settings.ReportGrace) {
+			out.Capacity = out.Capacity.Plus(w.entry.Capacity.Minus(w.lastingUsed))
+		}
+	}
+	for j := range p.waiting {
+		if j.state.Ended() || j.spec.Recurrence != nil || j.spec.Lasting() {
+			continue
+		}
+		var waiting jaybarrow.Work
+		for _, s := range j.steps {
+			if s.unassigned > 0 {
+				waiting = waiting.Plus(s.demand().Work(s.spec.Estimate()).Times(float64(s.unassigned)))
+				out.Tasks += s.unassigned
+			}
+		}
+		waiting = waiting.Times(p.runTimes.factor(j.spec.Queue))
+		out.Waiting = out.Waiting.Plus(waiting)
+		if j.rank(now) == rankInTime {
+			out.InTime = out.InTime.Plus(waiting)
+		}
+	}
+	return out
+}
+
+// Target returns within which time a job with the critical path should be completed; false when the queue is not configured.
+func (p *Pool) Target(queue jaybarrow.QueueID, criticalPath time.Duration) (time.Duration, bool) {
+	policy, ok := p.policies(queue)
+	return time.Duration(policy.Stretch*float64(criticalPath)) + policy.Target, ok
+}
+
+// runTimes compares, for each queue, how long tasks ran with how long they were estimated to run.
+type runTimes map[jaybarrow.QueueID]*runTime
+
+type runTime struct{ ran, estimated float64 } // seconds, with older runs weighted less
+
+// runTimeDecay is the weight that a run keeps with each later run of its queue.
+const runTimeDecay = 0.99
+
+// add counts a completed run.
+func (t runTimes) add(queue jaybarrow.QueueID, ran, estimated time.Duration) {
+	one := t[queue]
+	if one == nil {
+		one = new(runTime)
+		t[queue] = one
+	}
+	one.ran = runTimeDecay*one.ran + ran.Seconds()
+	one.estimated = runTimeDecay*one.estimated + estimated.Seconds()
+}
+
+// factor returns by how much the queue's estimates must be multiplied; 1 before a run has ended.
+func (t runTimes) factor(queue jaybarrow.QueueID) float64 {
+	if one := t[queue]; one != nil && one.estimated > 0 {
+		return one.ran / one.estimated
+	}
+	return 1
+}
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -49,6 +49,7 @@
 	delayedWrites map[*job]bool // changed jobs whose write may wait for the batch delay
 	delayedSince  time.Time     // when the oldest delayed write was requested
 	arrivals      arrivals
+	runTimes      runTimes
 	assignments   int64     // number of the last assignment
 	unknownRuns   []StopRun // runs that workers report but the pool does not know; the next plan stops them
 
@@ -98,8 +99,8 @@
 		waiting: make(map[*job]bool), ended: make(map[*job]bool), planned: make(map[*run]bool), stopping: make(map[*run]bool),
 		unstoredEnds: make(map[*worker]bool), teamUsed: make(map[jaybarrow.TeamID]jaybarrow.Resources),
 		labelUsed: make(map[jaybarrow.Label]jaybarrow.Resources), renewInterval: d.Settings.RenewInterval,
-		batchDelay: d.Settings.BatchDelay,
-		maxUnsent:  math.MaxInt, maxStops: math.MaxInt,
+		batchDelay: d.Settings.BatchDelay, runTimes: make(runTimes),
+		maxUnsent: math.MaxInt, maxStops: math.MaxInt,
 	}
 }
 
@@ -212,6 +213,7 @@
 	switch {
 	case kind == jaybarrow.EndDone && !t.step.spec.Lasting:
 		p.markDone(t)
+		p.runTimes.add(j.spec.Queue, now.Sub(r.phaseSince), t.step.spec.Estimate())
 	case kind == jaybarrow.EndFailed:
 		t.avoidWorker = w.entry.ID
 		if !t.step.spec.Lasting {
--- a/keys.go
+++ b/keys.go
@@ -61,6 +61,9 @@
 	// JobChallengeKey is the key of the record in which an entry host asks a leader with a slower link or fewer cores to resign. Those who follow the leader's
 	// record receive it too, since JobLeaderKey is its prefix.
 	JobChallengeKey = JobLeaderKey + "/challenge"
+	// JobCongestionKey is the key of the record in which the leader names the pools that may refuse jobs. Those who follow the leader's record
+	// receive it too. It is kept under the leader's lease.
+	JobCongestionKey = JobLeaderKey + "/congestion"
 	// JobWavePrefix holds the progress of maintenance waves.
 	JobWavePrefix Key = "jaybarrow-jobs/wave/"
 
