Count the completion of a task by a worker that was silent too long

Cause: a task whose worker was silent until its lease had ended was started again although the worker, when it returned, listed it as done: that end named an unknown run and was only acknowledged. Change: such an end marks the task as done; a later run is stopped, or not sent. Lasting tasks and gangs are left alone. Result: TestATaskThatASilentWorkerCompletedIsNotStartedAgain fails without it in both cases.

--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -63,6 +63,7 @@
 	checkpoint  jaybarrow.Checkpoint
 	current     *run
 	avoidWorker jaybarrow.WorkerID // where the last run failed or stalled
+	doneBefore  bool               // a run that was given up turned out to have completed the task
 }
 
 func newJob(spec *jaybarrow.Job, policy Policy) *job {
@@ -116,6 +117,18 @@
 	return j.tasksLeft > 0 && slices.ContainsFunc(j.steps, func(s *step) bool { return s.unassigned > 0 })
 }
 
+// task returns a task of the job; nil when the job has none of that name.
+func (j *job) task(ref jaybarrow.TaskRef) *task {
+	n := int(ref.Occurrence)*len(j.spec.Steps) + int(ref.Step)
+	if ref.Occurrence < 0 || ref.Step < 0 || int(ref.Step) >= len(j.spec.Steps) || n >= len(j.steps) {
+		return nil
+	}
+	if s := j.steps[n]; ref.Index >= 0 && int(ref.Index) < len(s.tasks) {
+		return s.tasks[ref.Index]
+	}
+	return nil
+}
+
 // ready reports whether the step's tasks may start now.
 func (s *step) ready(now time.Time) bool {
 	if now.Before(s.notBefore) {
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -200,6 +200,9 @@
 		t.current = nil
 		t.step.unassigned++
 		p.markWaiting(j)
+		if t.doneBefore {
+			t.markDone()
+		}
 	}
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -120,10 +120,36 @@
 		p.unstoredEnds[w] = true
 		if r := w.runs[runKey{e.Task, e.Run}]; r != nil {
 			p.endRun(r, e.Kind, e.Checkpoint, now)
+		} else if e.Kind == jaybarrow.EndDone {
+			p.adoptDone(e, now)
 		}
 	}
 }
 
+// adoptDone marks a task as done whose run was given up before its end was known: its worker was silent until its lease had ended, and
+// had completed the task before. A later run of the task is stopped or not sent.
+func (p *Pool) adoptDone(e jaybarrow.EndReport, now time.Time) {
+	j := p.jobs[e.Task.Job]
+	if j == nil || j.state.Ended() {
+		return
+	}
+	t := j.task(e.Task)
+	if t == nil || t.done || t.step.spec.Lasting || t.step.spec.Gang {
+		return
+	}
+	t.doneBefore = true
+	switch r := t.current; {
+	case r == nil:
+		t.markDone()
+		p.markChanged(j, now)
+		p.updateState(j, now)
+	case r.phase == runPlanned:
+		p.endRun(r, jaybarrow.EndStopped, "", now)
+	default:
+		p.stopRun(r, now)
+	}
+}
+
 // processRunning applies the report of a running task; an unknown run is to be stopped.
 func (p *Pool) processRunning(w *worker, report jaybarrow.RunReport, now time.Time) {
 	r := w.runs[runKey{report.Task, report.Run}]
--- a/internal/workload/takeover_test.go
+++ b/internal/workload/takeover_test.go
@@ -135,3 +135,49 @@
 	assert.Equal(t, len(s), 1)
 	assert.Equal(t, s[0].Worker.ID, jaybarrow.WorkerID("w2"))
 }
+
+// Guards against work that is run again although it had run: a worker is silent until its lease has ended, and then lists a task that it
+// completed before.
+func TestATaskThatASilentWorkerCompletedIsNotStartedAgain(t *testing.T) {
+	cases := []struct {
+		name  string
+		spare bool // whether another worker has room, so that the task is started again before the worker returns
+	}{
+		{"waiting for room", false},
+		{"running elsewhere", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("w1")
+			h.addJob("j", tasks(1, 8000))
+			starts := h.planAndStart(jaybarrow.StartDone)
+			assert.Equal(t, len(starts), 1)
+			if c.spare {
+				h.addWorker("w2")
+			}
+			h.missReport("w1")
+			for range 12 {
+				h.advance(h.settings.Lease / 10)
+				if c.spare {
+					h.report("w2", nil)
+				}
+				h.plan()
+			}
+			h.report("w1", nil, h.endReport(starts[0], jaybarrow.EndDone))
+			round := h.plan()
+			assert.Equal(t, len(round.Starts), 0)
+			if !c.spare {
+				assert.Equal(t, h.finished["j"], jaybarrow.JobCompleted)
+				return
+			}
+			assert.Equal(t, len(round.Stops), 1, "the second run must be stopped")
+			h.pool.HandleStopOutcome(round.Stops[0], true, h.now)
+			stopped := round.Stops[0]
+			h.ends["w2"]++
+			h.report("w2", nil, jaybarrow.EndReport{Number: h.ends["w2"], Task: stopped.Task, Run: stopped.Run, Kind: jaybarrow.EndStopped})
+			assert.Equal(t, len(h.plan().Starts), 0)
+			assert.Equal(t, h.finished["j"], jaybarrow.JobCompleted)
+		})
+	}
+}
