Keep only a stub of an accepted job once it has ended

Cause: a new leader reads every job accepted in the last 150 s, nearly all of them ended, with specifications of up to 4 KB that nobody needs any more; on a link of 2 Mbit/s that takes 6 to 10 s, in which nothing is scheduled. Change: the write of a job's final state also replaces its accepted record by one without specification and steps. The key stays, so that a repeated request still finds the job. A commit holds ten jobs instead of fifteen. The question of admission may take 300 ms, and longer on a slow link, since a job that would be refused is accepted without an answer.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -116,6 +116,7 @@
 	// repeats every record that it names.
 	settings.Scheduler.Commit.Delay += carrier.CallSlack()
 	settings.Scheduler.Commit.Timeout += carrier.CallSlack()
+	settings.Command.AdmissionTimeout += carrier.CallSlack()
 	if s.Link > 0 {
 		settings.Scheduler.MaxConcurrentStarts = max(minConcurrentStarts, int(min(startsPerMegabit*s.Link, maxConcurrentStarts)))
 	}
--- a/internal/command/job/accept.go
+++ b/internal/command/job/accept.go
@@ -43,8 +43,8 @@
 		SchedulerTimeout: 150 * time.Millisecond,
 		// Hundreds of times the store's usual response time, and less than callers wait.
 		ReadTimeout: time.Second,
-		// As for other responses of the scheduler.
-		AdmissionTimeout: 150 * time.Millisecond,
+		// Longer than for other responses: a scheduler that is asked has much to do, and a job that it would refuse is accepted without it.
+		AdmissionTimeout: 300 * time.Millisecond,
 		// The delay is twenty times the store's usual response time. A second call uses a new connection when the
 		// first one gets no response.
 		Write: hedge.Settings{Delay: 120 * time.Millisecond, MaxCalls: 3, Timeout: 1500 * time.Millisecond},
--- a/internal/scheduler/writer.go
+++ b/internal/scheduler/writer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"slices"
 	"sync"
@@ -31,9 +32,9 @@
 // errDeposed means that the store no longer holds this term's leader record.
 var errDeposed = errors.New("another scheduler leads")
 
-// recordsPerCommit is the largest number of records in one commit. Each takes a write and a condition, and the leader's record takes
-// one more condition.
-const recordsPerCommit = (jaybarrow.MaxCommitEntries - 1) / 2
+// recordsPerCommit is the largest number of records in one commit. Each takes a write, a condition and, if its job has ended, a write of
+// what is kept of the accepted job; the leader's record takes one more condition.
+const recordsPerCommit = (jaybarrow.MaxCommitEntries - 1) / 3
 
 // setRevision sets the revision that the next write of the job's record expects.
 func (w *writer) setRevision(id jaybarrow.JobID, revision jaybarrow.Revision) {
@@ -71,6 +72,16 @@
 		}
 		puts[i] = jaybarrow.Put{Key: jaybarrow.JobStateKey(r.Job), Value: value}
 	}
+	for _, r := range records {
+		if r.Accepted == nil {
+			continue
+		}
+		value, err := json.Marshal(r.Accepted)
+		if err != nil {
+			return err
+		}
+		puts = append(puts, jaybarrow.Put{Key: jaybarrow.JobAcceptedKey(r.Job), Value: value})
+	}
 	for failures := 0; ; failures++ {
 		err := w.tryCommit(ctx, records, puts)
 		if err == nil || errors.Is(err, errDeposed) || ctx.Err() != nil {
@@ -90,7 +101,7 @@
 	}
 }
 
-// tryCommit makes one attempt; it must be retried after every error other than errDeposed.
+// tryCommit makes one attempt with the puts, which begin with those of the records; it must be retried after every error other than errDeposed.
 func (w *writer) tryCommit(ctx context.Context, records []workload.JobRecord, puts []jaybarrow.Put) error {
 	changes := jaybarrow.Commit{Expect: w.expectations(records), Puts: puts}
 	revision, err := hedge.Do(ctx, w.clock, w.settings.Commit, func(ctx context.Context) (jaybarrow.Revision, error) {
--- a/internal/scheduler/writer_test.go
+++ b/internal/scheduler/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -211,3 +212,35 @@
 	w.store, w.settings.Commit.MaxCalls, w.settings.Commit.Timeout = s, 1, time.Minute
 	assert.NilError(t, w.write(context.Background(), jobs(commits*recordsPerCommit, 1)))
 }
+
+// countingStore fails the test for a commit with more entries than the store accepts.
+type countingStore struct {
+	*memoryStore
+	t *testing.T
+}
+
+func (s countingStore) Commit(ctx context.Context, c jaybarrow.Commit) (jaybarrow.Revision, error) {
+	assert.Check(s.t, len(c.Expect)+len(c.Puts)+len(c.Removes) <= jaybarrow.MaxCommitEntries)
+	return s.memoryStore.Commit(ctx, c)
+}
+
+// Guards against takeovers that read the specifications of jobs that have ended, and against a commit of ended jobs that the store rejects.
+func TestOnlyAStubIsKeptOfEndedJobs(t *testing.T) {
+	s := newMemoryStore()
+	w := newTestWriter(s)
+	w.store = countingStore{s, t}
+	records := jobs(2*recordsPerCommit, 1)
+	for i := range records {
+		records[i].Record = workload.Record{State: jaybarrow.JobCompleted}
+		records[i].Accepted = &jaybarrow.Job{ID: records[i].Job, Team: "trail"}
+	}
+	assert.NilError(t, w.write(context.Background(), records))
+	for _, r := range records {
+		var kept jaybarrow.Job
+		s.lock.Lock()
+		value := s.records[jaybarrow.JobAcceptedKey(r.Job)].Value
+		s.lock.Unlock()
+		assert.NilError(t, json.Unmarshal(value, &kept))
+		assert.Equal(t, kept.Team, jaybarrow.TeamID("trail"))
+	}
+}
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -34,6 +34,9 @@
 type JobRecord struct {
 	Job    jaybarrow.JobID
 	Record Record
+	// Accepted replaces the accepted job of an ended one: without specification and steps, which nobody needs any more and which a new
+	// scheduler would have to read. Nil while the job has not ended.
+	Accepted *jaybarrow.Job
 }
 
 // Round is the result of one Plan. Stops, throttles and advice requests may be sent immediately, starts only after the records
@@ -226,7 +229,7 @@
 		maps.Copy(p.urgentWrites, p.delayedWrites)
 	}
 	for _, j := range slices.SortedFunc(maps.Keys(p.urgentWrites), byID) {
-		out.Records = append(out.Records, JobRecord{Job: j.spec.ID, Record: j.record()})
+		out.Records = append(out.Records, JobRecord{Job: j.spec.ID, Record: j.record(), Accepted: j.acceptedStub()})
 		delete(p.delayedWrites, j)
 	}
 	clear(p.urgentWrites)
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -33,6 +33,16 @@
 	return r, err
 }
 
+// acceptedStub returns what is kept of the accepted job once it has ended; nil before.
+func (j *job) acceptedStub() *jaybarrow.Job {
+	if !j.state.Ended() {
+		return nil
+	}
+	stub := *j.spec
+	stub.Spec, stub.Steps, stub.Recurrence = "", nil, nil
+	return &stub
+}
+
 func (j *job) record() Record {
 	if j.state.Ended() {
 		return Record{State: j.state, EndedMs: j.endedMs}
--- a/internal/workload/takeover_test.go
+++ b/internal/workload/takeover_test.go
@@ -181,3 +181,26 @@
 		})
 	}
 }
+
+// Guards against a takeover that reads what no one needs any more: the record that is kept of an ended job has its team and queue only,
+// and a successor that loads it knows the job as ended.
+func TestTheStubOfAnEndedJobIsLoadedAsEnded(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1")
+	h.addJob("j", tasks(1, 1000))
+	starts := h.planAndStart(jaybarrow.StartDone)
+	h.report("w1", nil, h.endReport(starts[0], jaybarrow.EndDone))
+	round := h.plan()
+	assert.Equal(t, len(round.Records), 1)
+	stub := round.Records[0].Accepted
+	assert.Assert(t, stub != nil)
+	assert.Equal(t, len(stub.Steps), 0)
+	assert.Equal(t, stub.Spec, "")
+	successor := newHarness(t)
+	successor.addWorker("w1")
+	successor.pool.AddJob(stub, &round.Records[0].Record, successor.now)
+	status := successor.pool.Status("j")
+	assert.Equal(t, status.State, jaybarrow.JobCompleted)
+	assert.Equal(t, status.Team, jaybarrow.TeamID("trail"))
+	assert.Equal(t, len(successor.plan().Starts), 0)
+}
