Check the lead again right before an order is sent

Cause: between a decision and its orders a process may be paused for seconds. Workers refuse the old fencing token once a successor has called them; the platform checks none for hosts where fencing is off. Change: each order for a host and each start asks the boot-time clock again immediately before the call; one that may not be sent any more is logged and counts as not run. Result: TestAPauseAfterTheDecisionSendsNoOrder and TestAPauseAfterTheDecisionStartsNothing fail without the check.

--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -102,6 +102,8 @@
 	lock     sync.Mutex
 	loads    map[jaybarrow.PoolID]workload.Load
 	reserved map[jaybarrow.WorkerID]bool
+	// onReserve is called by Reserve; nil calls nothing.
+	onReserve func()
 }
 
 func newPools(loads map[jaybarrow.PoolID]workload.Load) *pools {
@@ -139,6 +141,9 @@
 }
 
 func (p *pools) Reserve(_ jaybarrow.PoolID, worker jaybarrow.WorkerID, _ bool) bool {
+	if p.onReserve != nil {
+		p.onReserve()
+	}
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	p.reserved[worker] = true
@@ -176,6 +181,7 @@
 	startedAt time.Time
 	fleet     *fleet
 	resigned  *atomic.Bool
+	lapsed    *atomic.Bool  // whether the leader's lease may have ended
 	faults    *atomic.Int64 // faults that were reported after the term was resigned
 }
 
@@ -188,10 +194,10 @@
 	known := catalog.New(time.Now())
 	known.Apply(configuration)
 	f := &fleet{orders: make(map[jaybarrow.HostID]order), hosts: hosts}
-	resigned, faults := new(atomic.Bool), new(atomic.Int64)
-	return &keeper{startedAt: time.Now(), fleet: f, resigned: resigned, faults: faults, Keeper: fleetkeeper.New(fleetkeeper.Deps{
+	resigned, lapsed, faults := new(atomic.Bool), new(atomic.Bool), new(atomic.Int64)
+	return &keeper{startedAt: time.Now(), fleet: f, resigned: resigned, lapsed: lapsed, faults: faults, Keeper: fleetkeeper.New(fleetkeeper.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Fleet: f, Store: emptyStore{}, Catalog: known, Settings: settings, Pools: p, Waves: knownWaves,
-		Term: leader.Term{Fence: 1, Valid: func() bool { return true }, Resign: func(string) { resigned.Store(true) }},
+		Term: leader.Term{Fence: 1, Valid: func() bool { return !lapsed.Load() }, Resign: func(string) { resigned.Store(true) }},
 		OnFault: func(rungroup.Fault) {
 			if resigned.Load() {
 				faults.Add(1)
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -265,6 +265,12 @@
 
 // sendOrder sends one order to the platform and records its outcome.
 func (k *Keeper) sendOrder(ctx context.Context, host fleetplan.Host, action string, send func(context.Context) (jaybarrow.FleetOrderOutcome, error)) {
+	if !k.deps.Term.Valid() {
+		// The process may have been paused since the decision, and a successor may give orders by now.
+		k.deps.Log.Warn().Str("host", string(host.ID)).Str("order", action).Msg("order for a host is not sent, since the lead may have ended")
+		k.state.recordOutcome(host.ID, "", true, k.deps.Clock.Now())
+		return
+	}
 	limited, cancel := context.WithTimeout(ctx, k.deps.Settings.CallTimeout)
 	defer cancel()
 	outcome, err := send(limited)
--- a/internal/fleetkeeper/keeper_test.go
+++ b/internal/fleetkeeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,3 +130,28 @@
 		assert.Assert(t, k.fleet.movedTo("desk") > 0, "no host was moved")
 	})
 }
+
+// Guards against a process that is paused between a decision and its orders, and then sends them although its lease has ended and a
+// successor may order the same hosts.
+func TestAPauseAfterTheDecisionSendsNoOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		idle := workload.WorkerLoad{ID: workerOf("a"), Usable: true, StartedMs: time.Now().Add(-time.Hour).UnixMilli()}
+		p := newPools(map[jaybarrow.PoolID]workload.Load{
+			"desk":  {Waiting: jaybarrow.Resources{CPU: 900}},
+			"batch": {Workers: []workload.WorkerLoad{idle}},
+		})
+		settings := fleetkeeper.DefaultSettings()
+		settings.Plan.Headroom = 0
+		k := newKeeper(settings, []jaybarrow.FleetHost{hostIn("batch", "a")}, p, nil)
+		var decided atomic.Bool
+		p.onReserve = func() {
+			decided.Store(true)
+			k.lapsed.Store(true) // as if the process had been paused here
+		}
+		advance(2 * settings.TakeoverDelay)
+		k.Close()
+		assert.Assert(t, decided.Load(), "no order was decided")
+		_, ordered := k.fleet.firstOrder("a")
+		assert.Assert(t, !ordered, "an order was sent after the lease had ended")
+	})
+}
--- a/internal/scheduler/faults_test.go
+++ b/internal/scheduler/faults_test.go
@@ -15,6 +15,7 @@
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
+	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
 const faultJob = jaybarrow.JobID("00000000000000fa")
@@ -140,3 +141,37 @@
 		})
 	}
 }
+
+// countingAgents counts the start orders.
+type countingAgents struct {
+	platformWithFault
+	starts *atomic.Int64
+}
+
+func (a countingAgents) Start(context.Context, jaybarrow.Worker, jaybarrow.StartOrder) (jaybarrow.StartOutcome, error) {
+	a.starts.Add(1)
+	return jaybarrow.StartDone, nil
+}
+
+// Guards against a process that is paused between a decision and its start orders, and then sends them although its lease has ended.
+func TestAPauseAfterTheDecisionStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := platformWithFault{}
+		agents := countingAgents{f, new(atomic.Int64)}
+		var lapsed atomic.Bool
+		s := New(Deps{
+			Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Store: f, Register: f, Agents: agents, Catalog: catalog.New(time.Now()), Observer: f,
+			Term:     leader.Term{Fence: 1, Revision: 1, Valid: func() bool { return !lapsed.Load() }, Resign: func(string) {}},
+			Settings: DefaultSettings(),
+		})
+		time.Sleep(time.Second)
+		before := agents.starts.Load()
+		assert.Assert(t, before > 0, "nothing was started while the lease held")
+		lapsed.Store(true)
+		p := s.pool("desk")
+		p.startSlots <- struct{}{}
+		p.startRun(context.Background(), workload.StartRun{Worker: jaybarrow.Worker{ID: "w1"}, Task: jaybarrow.TaskRef{Job: faultJob}, Run: 9})
+		assert.Equal(t, agents.starts.Load(), before)
+		s.Close()
+	})
+}
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -43,6 +43,9 @@
 // errFailed means that the state of the pool may be inconsistent, so nothing may be decided from it.
 var errFailed = errors.New("a part of the pool has failed")
 
+// errLeadEnded means that a start was not sent: the process may have been paused since the decision, and a successor may lead by now.
+var errLeadEnded = errors.New("not sent, since the lead may have ended")
+
 // newPoolShard returns a running shard; it plans once the stored jobs are loaded.
 func newPoolShard(s *Scheduler, id jaybarrow.PoolID) *poolShard {
 	d := s.deps
@@ -247,9 +250,12 @@
 func (p *poolShard) startRun(ctx context.Context, s workload.StartRun) {
 	limited, cancel := context.WithTimeout(ctx, p.deps.Settings.StartTimeout)
 	defer cancel()
-	outcome, err := p.deps.Agents.Start(limited, s.Worker, s.Order)
+	outcome, err := jaybarrow.StartUnhealthy, errLeadEnded
+	if p.deps.Term.Valid() {
+		outcome, err = p.deps.Agents.Start(limited, s.Worker, s.Order)
+		p.noteAnswer(outcome != jaybarrow.StartUnknown)
+	}
 	<-p.startSlots
-	p.noteAnswer(outcome != jaybarrow.StartUnknown)
 	line := p.log.Info()
 	if outcome != jaybarrow.StartDone {
 		line = p.log.Warn().Err(err)
