Count the waiting tasks of all pools against the rate of starts

Cause: each pool compared its own waiting tasks with the rate of starts that all pools share, so on a slow link jobs were admitted that waited for the starts of other pools. Change: the pools add their waiting tasks up.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -18,6 +18,7 @@
 type gate struct {
 	admission.Gate
 	load   admission.Load
+	tasks  int // waiting tasks of this pool
 	readAt time.Time
 }
 
@@ -58,6 +59,10 @@
 		return
 	}
 	p.gate.load, p.gate.readAt = p.state.Backlog(now), now
+	// All pools share the rate of starts, so the tasks of the others wait for it too.
+	before := p.gate.tasks
+	p.gate.tasks = p.gate.load.Tasks
+	p.gate.load.Tasks = int(p.waitingTasks.Add(int64(p.gate.tasks - before)))
 	p.gate.load.Coming, p.gate.load.ComingIn = p.coming.Capacity, p.coming.In
 	p.gate.load.StartsPerSecond = p.orders.PerSecond()
 }
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,19 +19,20 @@
 // poolShard schedules one pool. One loop plans, stores the decisions and sends the orders; for each worker, another loop renews
 // the worker's lease and collects its reports.
 type poolShard struct {
-	deps       Deps
-	id         jaybarrow.PoolID
-	ctx        context.Context
-	log        zerolog.Logger
-	writer     *writer
-	forgetJob  func(jaybarrow.JobID) // called when a job's records have been removed
-	startSlots chan struct{}         // of the scheduler
-	orders     *budget.Orders        // of the scheduler
-	group      *rungroup.Group       // a part that fails ends the term
-	wake       chan struct{}         // has a value when the planning loop must plan again
-	jobsLoaded chan struct{}         // closed once the stored jobs are loaded
-	loadOnce   sync.Once             // closes jobsLoaded
-	written    *notify.Notifier      // signalled after each write of decisions
+	deps         Deps
+	id           jaybarrow.PoolID
+	ctx          context.Context
+	log          zerolog.Logger
+	writer       *writer
+	forgetJob    func(jaybarrow.JobID) // called when a job's records have been removed
+	startSlots   chan struct{}         // of the scheduler
+	orders       *budget.Orders        // of the scheduler
+	waitingTasks *atomic.Int64         // of all pools
+	group        *rungroup.Group       // a part that fails ends the term
+	wake         chan struct{}         // has a value when the planning loop must plan again
+	jobsLoaded   chan struct{}         // closed once the stored jobs are loaded
+	loadOnce     sync.Once             // closes jobsLoaded
+	written      *notify.Notifier      // signalled after each write of decisions
 
 	lock      sync.Mutex // guards the fields below; never held across I/O
 	state     *workload.Pool
@@ -56,7 +58,7 @@
 			clock: d.Clock, log: d.Log, store: d.Store, settings: d.Settings, leaderRevision: d.Term.Revision,
 			revisions: make(map[jaybarrow.JobID]jaybarrow.Revision),
 		},
-		forgetJob: s.jobPools.Delete, startSlots: s.startSlots, orders: s.orders,
+		forgetJob: s.jobPools.Delete, startSlots: s.startSlots, orders: s.orders, waitingTasks: &s.waitingTasks,
 		wake: make(chan struct{}, 1), jobsLoaded: make(chan struct{}), written: notify.New(),
 		state: workload.New(workload.Deps{
 			Settings: d.Settings.Workload, ID: id, Fence: d.Term.Fence, Teams: s.teams, Observer: d.Observer, Policies: s.policy,
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -33,18 +34,19 @@
 
 // Scheduler schedules the jobs of all pools during one term of the leader.
 type Scheduler struct {
-	deps        Deps
-	teams       *teams
-	cancel      context.CancelFunc
-	ctx         context.Context
-	group       *rungroup.Group // a part that fails ends the term
-	pools       *shard.Map[jaybarrow.PoolID, *poolShard]
-	jobPools    *shard.Map[jaybarrow.JobID, jaybarrow.PoolID]    // pool of each known job
-	workerPools *shard.Map[jaybarrow.WorkerID, jaybarrow.PoolID] // pool of each registered worker
-	loaded      chan struct{}                                    // closed once every stored job is loaded
-	orders      *budget.Orders
-	startSlots  chan struct{} // has a value for each start order that waits for an answer
-	pageRead    chan struct{} // has a value when a page of the register or of the stored jobs was read
+	deps         Deps
+	teams        *teams
+	cancel       context.CancelFunc
+	ctx          context.Context
+	group        *rungroup.Group // a part that fails ends the term
+	pools        *shard.Map[jaybarrow.PoolID, *poolShard]
+	jobPools     *shard.Map[jaybarrow.JobID, jaybarrow.PoolID]    // pool of each known job
+	workerPools  *shard.Map[jaybarrow.WorkerID, jaybarrow.PoolID] // pool of each registered worker
+	loaded       chan struct{}                                    // closed once every stored job is loaded
+	orders       *budget.Orders
+	waitingTasks atomic.Int64  // of all pools, as last read by each
+	startSlots   chan struct{} // has a value for each start order that waits for an answer
+	pageRead     chan struct{} // has a value when a page of the register or of the stored jobs was read
 }
 
 // New returns a running Scheduler. It reads the register of workers first and then the stored jobs; it plans once both are loaded.
