--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -292,12 +292,11 @@
 }
 
 // allows reports whether the worker meets the step's constraints other than room.
-func (st *step) allows(w *worker) bool {
-	s := st.spec
+func (s *step) allows(w *worker) bool {
 	switch {
-	case s.Requires != "" && !slices.Contains(w.entry.Labels, s.Requires):
+	case s.spec.Requires != "" && !slices.Contains(w.entry.Labels, s.spec.Requires):
 		return false
-	case s.MaxPerWorker > 0 && w.countRuns(st) >= s.MaxPerWorker:
+	case s.spec.MaxPerWorker > 0 && w.countRuns(s) >= s.spec.MaxPerWorker:
 		return false
 	}
 	return true
