--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -37,9 +37,9 @@
 	lock      sync.Mutex // guards the fields below; never held across I/O
 	state     *workload.Pool
 	holdLoops map[jaybarrow.WorkerID]bool // workers with a running hold loop
-	gate      gate
-	coming    Coming
-	failed    bool // whether a panic may have left state inconsistent
+	gate      gate                        // decides which new jobs the pool takes on
+	coming    Coming                      // what the fleet can add to the pool
+	failed    bool                        // whether a panic may have left state inconsistent
 }
 
 // errFailed means that the state of the pool may be inconsistent, so nothing may be decided from it.
