Review: a takeover without the manifest gives up accepted work

Case 1 with its stand-ins: all processes are killed while the store is down, and start before it is back. A submission with one attempt left is then shown as failed.

--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,191 @@
+package main
+
+import "time"
+
+// lateManifest kills all processes while the store is down, and starts them before it is back. A work unit that fails twice by its own
+// fault has one attempt left, so its submission can be completed.
+func lateManifest(b *bench, trouble bool) bool {
+	const key = "crews-key"
+	q := queue{name: "r-1", path: "/puxa400/", service: "vejle", attempts: 3}
+	b.begin(9, 8, []queue{q}, map[string]int64{"crews": 400_000}, key)
+	for n := range 9 {
+		id := sprintf("5c0e7a21d94b%04x", n)
+		if !b.submit(id, q.path, key, work{Ms: 600, FailFirst: 2}, []step{{Replicas: 4, CPU: 2000, Mem: 1024, Estimate: 600}}, 20*time.Second) {
+			b.log("submission %s was not accepted", id)
+			return true
+		}
+		if trouble {
+			time.Sleep(150 * time.Millisecond)
+			b.log("the store is down")
+			b.store.setDown(true)
+			back := time.Now().Add(4300 * time.Millisecond)
+			time.Sleep(200 * time.Millisecond)
+			for _, h := range b.hosts {
+				_ = h.command.Process.Kill()
+			}
+			for _, h := range b.hosts {
+				<-h.ended
+			}
+			time.Sleep(500 * time.Millisecond)
+			for _, h := range b.hosts {
+				h.start()
+			}
+			time.Sleep(time.Until(back))
+			b.store.setDown(false)
+			b.log("the store is back")
+		}
+		if s := b.await(id, q.path, key, 9*time.Second, "completed", "failed", "cancelled"); s == "failed" || s == "cancelled" {
+			b.lock.Lock()
+			most := 0
+			for unit := range 4 {
+				most = max(most, b.failures[sprintf("%s.0.0.%d", id, unit)])
+			}
+			b.lock.Unlock()
+			b.log("submission %s is shown as %s; no work unit has ended failed more than %d times, max_attempts is %d", id, s, most, q.attempts)
+			if most < q.attempts {
+				return false
+			}
+		}
+		if time.Since(b.started) > 98*time.Second {
+			break
+		}
+	}
+	return true
+}
+
+// starved reports whether the submission has had no start for the time while workers have room.
+func (b *bench) starved(id string, d time.Duration) bool {
+	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if b.startsOf(id) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// finish is finish_s of the settings, and idle the time for which a submission may have nothing running.
+const (
+	finish = 14 * time.Second
+	idle   = 3 * time.Second
+)
+
+// judge asks for submissions finish_s after the traffic has ended. It reports false if one of them is not completed and has nothing
+// running for 3 s.
+func (b *bench) judge(path, key string, ids []string) bool {
+	b.log("the traffic has ended")
+	time.Sleep(finish)
+	for _, id := range ids {
+		s := b.state(id, path, key)
+		b.log("client: GET %s%s: %q", path, id, s)
+		if s == "completed" {
+			continue
+		}
+		if b.starved(id, idle) {
+			b.lock.Lock()
+			var cpu, used int64
+			for _, w := range b.workers {
+				cpu += w.capacity.CPU
+				used += w.used.CPU
+			}
+			b.lock.Unlock()
+			b.log("submission %s has had no start, and had none for 3 s more; %d of %d thousandths of a core are in use", id, used, cpu)
+			return false
+		}
+	}
+	return true
+}
+
+// lastingBeyondCap lowers the cap of a tenant, which then submits work units that last. Another tenant's short submissions follow.
+func lastingBeyondCap(b *bench, trouble bool) bool {
+	queues := []queue{{name: "r-1", path: "/puxa400/", service: "ribe", attempts: 2}, {name: "r-2", path: "/kafi706/", service: "ribe", attempts: 2}}
+	b.begin(3, 8, queues, map[string]int64{"mills": 200_000, "crews": 200_000}, "crews-key")
+	if trouble {
+		b.putManifest(queues, map[string]int64{"mills": 12_000, "crews": 200_000})
+	}
+	time.Sleep(3 * time.Second)
+	for n := range 12 {
+		if !b.submit(sprintf("7b10000000000%03x", n), "/kafi706/", "mills-key", work{Lasts: true},
+			[]step{{Replicas: 1, CPU: 5000, Mem: 1024, Estimate: 1000, Daemon: true}}, 10*time.Second) {
+			cannotRun(b, "a lasting submission is not accepted")
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	var ids []string
+	for n := range 5 {
+		id := sprintf("5c0e7a21d94b%04x", n)
+		if !b.submit(id, "/puxa400/", "crews-key", work{Ms: 800}, []step{{Replicas: 6, CPU: 3500, Mem: 1024, Estimate: 800}}, 10*time.Second) {
+			cannotRun(b, "a short submission is not accepted")
+		}
+		ids = append(ids, id)
+		time.Sleep(500 * time.Millisecond)
+	}
+	return b.judge("/puxa400/", "crews-key", ids)
+}
+
+// addedWorkers adds empty workers to a service. The policy of a queue allows only workers that were there before, and these are the ones
+// with the least room, since all of the queue's work runs there.
+func addedWorkers(b *bench, trouble bool) bool {
+	const before, allowed, added, key = 30, 5, 7, "crews-key"
+	queues := []queue{{name: "r-1", path: "/puxa400/", service: "ribe", attempts: 2}, {name: "r-2", path: "/kafi706/", service: "ribe", attempts: 2, advice: true}}
+	b.begin(3, before, queues, map[string]int64{"crews": 2_000_000}, key)
+	for _, w := range b.workers[before-allowed:] {
+		b.adviser.allowed[w.id] = true
+		b.log("the policy of /kafi706/ allows %s", w.id)
+	}
+	if !b.submit("7b10000000000000", "/kafi706/", key, work{Lasts: true, Restrict: true},
+		[]step{{Replicas: allowed, CPU: 5000, Mem: 1024, Estimate: 1000, MaxPerServer: 1, Daemon: true}}, 10*time.Second) {
+		cannotRun(b, "the lasting submission is not accepted")
+	}
+	if s := b.await("7b10000000000000", "/kafi706/", key, 10*time.Second, "running"); s != "running" {
+		cannotRun(b, "the lasting submission does not run")
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		for range added {
+			w := b.addWorker("ribe")
+			b.log("worker %s is added", w.id)
+			time.Sleep(2 * time.Second / added)
+		}
+	}
+	time.Sleep(4 * time.Second)
+	var ids []string
+	for n := range 5 {
+		id := sprintf("5c0e7a21d94b%04x", n)
+		if !b.submit(id, "/kafi706/", key, work{Ms: 800, Restrict: true}, []step{{Replicas: 2, CPU: 3500, Mem: 1024, Estimate: 800}}, 10*time.Second) {
+			cannotRun(b, "a short submission is not accepted")
+		}
+		ids = append(ids, id)
+		time.Sleep(500 * time.Millisecond)
+	}
+	return b.judge("/kafi706/", key, ids)
+}
+
+// largeSubmission hands in one submission of many work units, and then small ones.
+func largeSubmission(b *bench, trouble bool) bool {
+	const key = "crews-key"
+	q := queue{name: "r-1", path: "/puxa400/", service: "ribe", attempts: 2}
+	b.quiet = true
+	b.begin(3, 8, []queue{q}, map[string]int64{"crews": 500_000, "clubs": 500_000}, key)
+	if trouble {
+		if !b.submit("7b10000000000000", "/puxa400/", "clubs-key", work{Ms: 60_000}, []step{{Replicas: 24_000, CPU: 5, Mem: 2, Estimate: 60_000}}, 10*time.Second) {
+			cannotRun(b, "the large submission is not accepted")
+		}
+	}
+	var ids []string
+	for n := range 15 {
+		id := sprintf("5c0e7a21d94b%04x", n)
+		if !b.submit(id, q.path, key, work{Ms: 800}, []step{{Replicas: 6, CPU: 3500, Mem: 1024, Estimate: 800}}, 10*time.Second) {
+			cannotRun(b, "a small submission is not accepted")
+		}
+		ids = append(ids, id)
+		time.Sleep(time.Second)
+		b.log("starts of the large submission: %d; values refused by the store: %d", b.startsOf("7b10000000000000"), b.store.refusedValues())
+	}
+	return b.judge(q.path, key, ids)
+}
+
+func (s *store) refusedValues() int64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.refused
+}
