--- a/review/standin/bench.go
+++ b/review/standin/bench.go
@@ -26,7 +26,6 @@
 	store   *store
 	adviser *adviser
 	hosts   []*host
-	path    string
 	version int
 
 	lock     sync.Mutex
@@ -35,6 +34,8 @@
 	steps    map[string]resources // demand by submission and step
 	starts   map[string]int       // by submission
 	active   map[string]int       // running work units by submission
+	noted    map[string]string    // work units with an end `done` that was taken note of: the run and its worker
+	twice    []string             // starts of such work units
 	quiet    bool                 // whether starts and ends are left out of the record
 }
 
@@ -48,7 +49,7 @@
 		return nil, err
 	}
 	b := &bench{
-		started: time.Now(), record: file, folder: folder, failures: map[string]int{}, steps: map[string]resources{}, starts: map[string]int{}, active: map[string]int{},
+		started: time.Now(), record: file, folder: folder, failures: map[string]int{}, steps: map[string]resources{}, starts: map[string]int{}, active: map[string]int{}, noted: map[string]string{},
 		store: newStore(), net: sprintf("127.%d.%d", 20+os.Getpid()%200, time.Now().UnixMilli()%250),
 	}
 	b.adviser = newAdviser(b)
@@ -99,6 +100,9 @@
 	}
 	b.lock.Lock()
 	defer b.lock.Unlock()
+	if before := b.noted[r.task]; before != "" {
+		b.twice = append(b.twice, sprintf("%s run %d on %s, after %s", r.task, r.run, w.id, before))
+	}
 	b.starts[jobOf(r.task)]++
 	b.active[jobOf(r.task)]++
 }
@@ -112,6 +116,19 @@
 	b.active[jobOf(r.task)]--
 }
 
+// noteAck records that acked_upto has reached an end.
+func (b *bench) noteAck(w *worker, e end, acked int64) {
+	if e.how != "done" {
+		return
+	}
+	if !b.quiet {
+		b.log("worker %s: acked_upto %d covers end %d, %s run %d done", w.id, acked, e.n, e.task, e.run)
+	}
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.noted[e.task] = sprintf("run %d ended done on %s and was taken note of", e.run, w.id)
+}
+
 func (b *bench) startsOf(id string) int {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -189,7 +206,6 @@
 	settings string
 	command  *exec.Cmd
 	ended    chan struct{}
-	stopping bool
 }
 
 // startHosts writes the settings of n hosts and starts their processes with the command of the deploy file.
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -189,3 +189,56 @@
 	defer s.lock.Unlock()
 	return s.refused
 }
+
+// steppedClock lets one of eight workers crash twice within two seconds, while the time of day of its machine jumps back between its
+// starts. Submissions of one work unit a worker come all the while.
+func steppedClock(b *bench, trouble bool) bool {
+	const key = "crews-key"
+	q := queue{name: "r-1", path: "/puxa400/", service: "ribe", attempts: 3}
+	b.begin(3, 8, []queue{q}, map[string]int64{"crews": 400_000}, key)
+	victim := b.workers[3]
+	stop, stopped := make(chan struct{}), make(chan []string)
+	go func() {
+		var ids []string
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				stopped <- ids
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+			id := sprintf("5c0e7a21d94b%04x", n)
+			if b.submit(id, q.path, key, work{Ms: 150}, []step{{Replicas: 8, CPU: 1000, Mem: 256, Estimate: 150, MaxPerServer: 1}}, 5*time.Second) {
+				ids = append(ids, id)
+			}
+		}
+	}()
+	time.Sleep(4 * time.Second)
+	if trouble {
+		victim.crash()
+		time.Sleep(300 * time.Millisecond)
+		victim.restart()
+		time.Sleep(1300 * time.Millisecond)
+		victim.stepClock(-2 * time.Second)
+		victim.crash()
+		time.Sleep(200 * time.Millisecond)
+		victim.restart()
+	}
+	time.Sleep(5 * time.Second)
+	if trouble {
+		victim.stepClock(2 * time.Second)
+	}
+	close(stop)
+	for _, id := range <-stopped {
+		if s := b.await(id, q.path, key, 10*time.Second, "completed"); s != "completed" {
+			b.log("submission %s is %q", id, s)
+		}
+	}
+	b.lock.Lock()
+	twice := b.twice
+	b.lock.Unlock()
+	for _, t := range twice {
+		b.log("started again: %s", t)
+	}
+	return len(twice) == 0
+}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -49,9 +49,13 @@
 	labels   []string
 	capacity resources
 	address  string
-	born     time.Time
 
 	lock     sync.Mutex
+	born     time.Time     // start of this life; its clock counts from here
+	ahead    time.Duration // how far the machine's time of day is ahead of the true time
+	bornMs   int64         // start of this life by the machine's time of day
+	life     int
+	down     bool
 	changed  chan struct{}
 	fence    int64
 	leaseEnd time.Time
@@ -67,8 +71,9 @@
 	n := len(b.workers) + 1
 	w := &worker{
 		b: b, id: sprintf("i-%04x", 0x1a00+n), machine: sprintf("m-%04x", n), service: service, labels: []string{"a", sprintf("r1-%d", (n+3)/4)},
-		capacity: resources{CPU: 64000, Mem: 131072}, born: time.Now(), changed: make(chan struct{}), running: map[string]*runOf{}, highest: map[string]int64{},
+		capacity: resources{CPU: 64000, Mem: 131072}, changed: make(chan struct{}),
 	}
+	w.begin()
 	w.address = b.serve(w)
 	b.lock.Lock()
 	b.workers = append(b.workers, w)
@@ -86,13 +91,59 @@
 	return w
 }
 
+// begin starts a life, which knows nothing of those before.
+func (w *worker) begin() {
+	w.born, w.bornMs = time.Now(), time.Now().Add(w.ahead).UnixMilli()
+	w.fence, w.leaseEnd, w.running, w.highest, w.ends, w.lastEnd, w.used, w.sequence = 0, time.Time{}, map[string]*runOf{}, map[string]int64{}, nil, 0, resources{}, 0
+	w.down = false
+	w.life++
+}
+
+// crash ends the life; the worker resets its channels until it starts again under its id.
+func (w *worker) crash() {
+	w.lock.Lock()
+	for _, r := range w.running {
+		w.b.noteEnd(w, r, "lost with the worker")
+	}
+	w.running = map[string]*runOf{}
+	w.down = true
+	close(w.changed)
+	w.changed = make(chan struct{})
+	w.lock.Unlock()
+	w.b.log("worker %s crashes", w.id)
+}
+
+// restart begins the next life and registers it.
+func (w *worker) restart() {
+	w.lock.Lock()
+	w.begin()
+	born := w.bornMs
+	w.lock.Unlock()
+	w.register()
+	w.b.log("worker %s starts again, born %d", w.id, born)
+}
+
+// stepClock changes the machine's time of day.
+func (w *worker) stepClock(by time.Duration) {
+	w.lock.Lock()
+	w.ahead += by
+	w.lock.Unlock()
+	w.b.log("the time of day of %s's machine jumps by %v", w.id, by)
+}
+
 func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() }
 
 func (w *worker) register() {
+	w.lock.Lock()
 	w.sequence++
+	down, sequence, born, clock := w.down, w.sequence, w.bornMs, w.clock()
+	w.lock.Unlock()
+	if down {
+		return
+	}
 	w.b.store.put("servers/"+w.id, map[string]any{
 		"service": w.service, "address": w.address, "zone": "esbjerg", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-		"capacity": w.capacity, "labels": w.labels, "time_ms": w.clock(), "sequence": w.sequence, "born": w.born.UnixMilli(),
+		"capacity": w.capacity, "labels": w.labels, "time_ms": clock, "sequence": sequence, "born": born,
 	})
 }
 
@@ -152,9 +203,15 @@
 		return
 	}
 	w.lock.Lock()
+	if w.down {
+		w.lock.Unlock()
+		reset(out)
+		return
+	}
 	reject := func(reason string) {
+		clock := w.clock()
 		w.lock.Unlock()
-		answer(out, http.StatusConflict, map[string]any{"time_ms": w.clock(), "reason": reason})
+		answer(out, http.StatusConflict, map[string]any{"time_ms": clock, "reason": reason})
 	}
 	if in.Fence < w.fence {
 		reject("fence")
@@ -207,15 +264,18 @@
 		w.hold(out, r, in.Acked, time.Duration(in.Wait)*time.Millisecond)
 		return
 	}
+	clock, born := w.clock(), w.bornMs
 	w.lock.Unlock()
-	answer(out, http.StatusOK, map[string]any{"time_ms": w.clock(), "born": w.born.UnixMilli()})
+	answer(out, http.StatusOK, map[string]any{"time_ms": clock, "born": born})
 }
 
 // hold answers a hold; the lock is held and is released.
 func (w *worker) hold(out http.ResponseWriter, r *http.Request, acked int64, wait time.Duration) {
 	for len(w.ends) > 0 && w.ends[0].n <= acked {
+		w.b.noteAck(w, w.ends[0], acked)
 		w.ends = w.ends[1:]
 	}
+	life := w.life
 	timeout := time.After(min(wait, 2*time.Second))
 	for waiting := wait > 0; waiting && len(w.ends) == 0; {
 		changed := w.changed
@@ -228,6 +288,11 @@
 			return
 		}
 		w.lock.Lock()
+		if w.down || w.life != life {
+			w.lock.Unlock()
+			reset(out)
+			return
+		}
 	}
 	running, finished := [][]any{}, [][]any{}
 	for _, run := range w.running {
@@ -240,6 +305,7 @@
 	for _, e := range w.ends[:min(500, len(w.ends))] {
 		finished = append(finished, []any{e.n, e.task, e.run, e.how, ""})
 	}
+	clock, born := w.clock(), w.bornMs
 	w.lock.Unlock()
-	answer(out, http.StatusOK, map[string]any{"time_ms": w.clock(), "born": w.born.UnixMilli(), "running": running, "finished": finished})
+	answer(out, http.StatusOK, map[string]any{"time_ms": clock, "born": born, "running": running, "finished": finished})
 }
