--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -16,6 +16,8 @@
 	FailFirst int   `json:"failFirst"` // so many runs of each work unit end `failed`, through its own fault
 	Lasts     bool  `json:"lasts"`     // a run works until it is stopped
 	Restrict  bool  `json:"restrict"`  // a start needs a valid ticket of the adviser
+
+	dueIn time.Duration // a submission of one occurrence, due after this time; 0 for one without occurrences
 }
 
 type runOf struct {
@@ -49,6 +51,7 @@
 	labels   []string
 	capacity resources
 	address  string
+	away     string // state of its machine while that has no worker; guarded by the bench
 
 	lock     sync.Mutex
 	born     time.Time     // start of this life; its clock counts from here
