Review: work accepted by a worker that has just started again runs twice

Case 1: a worker that is silent for a moment and starts again under its id accepts a start; the leader then reads its new entry, gives the run up without a stop and starts the task elsewhere. The case of a stepped clock, which has the same part of the code at fault, gives way to it.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/jaybarrow ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin born "$here/record.txt"
+exec target/review-standin manifest "$here/record.txt"
--- a/review/standin/bench.go
+++ b/review/standin/bench.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -33,6 +34,7 @@
 	failures map[string]int       // ends `failed` by work unit
 	steps    map[string]resources // demand by submission and step
 	starts   map[string]int       // by submission
+	active   map[string]*worker   // workers of the running work units
 	noted    map[string]string    // work units with an end `done` that was taken note of: the run and its worker
 	twice    []string             // starts of such work units
 	services map[string]bool      // of the manifest
@@ -51,7 +53,7 @@
 		return nil, err
 	}
 	b := &bench{
-		started: time.Now(), record: file, folder: folder, failures: map[string]int{}, steps: map[string]resources{}, starts: map[string]int{}, noted: map[string]string{}, services: map[string]bool{}, wave: map[string]bool{}, kept: map[string]bool{},
+		started: time.Now(), record: file, folder: folder, failures: map[string]int{}, steps: map[string]resources{}, starts: map[string]int{}, active: map[string]*worker{}, noted: map[string]string{}, services: map[string]bool{}, wave: map[string]bool{}, kept: map[string]bool{},
 		store: newStore(), net: sprintf("127.%d.%d", 20+os.Getpid()%200, time.Now().UnixMilli()%250),
 	}
 	b.adviser = newAdviser(b)
@@ -64,13 +66,19 @@
 	fmt.Fprintf(b.record, "%8.3f %s\n", time.Since(b.started).Seconds(), sprintf(format, args...))
 }
 
+// openedAt is the key under which the context of a request holds when its channel was opened.
+type openedAt struct{}
+
 // serve serves the handler at a free port and returns its address.
 func (b *bench) serve(h http.Handler) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
-	go func() { _ = (&http.Server{Handler: h}).Serve(l) }()
+	server := &http.Server{Handler: h, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, openedAt{}, time.Now())
+	}}
+	go func() { _ = server.Serve(l) }()
 	return l.Addr().String()
 }
 
@@ -103,11 +111,20 @@
 	if before := b.noted[r.task]; before != "" {
 		b.twice = append(b.twice, sprintf("%s run %d on %s, after %s", r.task, r.run, w.id, before))
 	}
+	if other := b.active[r.task]; other != nil {
+		b.twice = append(b.twice, sprintf("%s run %d on %s, while another run of it works on %s", r.task, r.run, w.id, other.id))
+	}
+	b.active[r.task] = w
 	b.starts[jobOf(r.task)]++
 }
 
 func (b *bench) noteEnd(w *worker, r *runOf, how string) {
 	b.log("worker %s lists the end of %s run %d: %s", w.id, r.task, r.run, how)
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if b.active[r.task] == w {
+		delete(b.active, r.task)
+	}
 }
 
 // noteAck records that acked_upto has reached an end.
@@ -237,7 +254,7 @@
 
 // replace ends the worker and lets a new one join the service on the same machine after the delay.
 func (w *worker) replace(service string, delay time.Duration) {
-	w.crash()
+	w.crash(false)
 	w.b.store.removeKey("servers/" + w.id)
 	go func() {
 		time.Sleep(delay)
@@ -457,6 +474,8 @@
 	MaxPerServer int   `json:"max_per_server,omitempty"`
 	Daemon       bool  `json:"daemon,omitempty"`
 	MayMiss      int   `json:"may_miss,omitempty"`
+
+	Requires string `json:"requires,omitempty"`
 }
 
 // callers has no connection reuse, so that each call may reach another node, as after the platform's selection by client.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,7 +26,7 @@
 
 func main() {
 	cases := map[string]func(*bench, bool) bool{
-		"manifest": lateManifest, "cap": lastingBeyondCap, "advice": addedWorkers, "born": steppedClock, "wave": wholeService,
+		"manifest": lateManifest, "cap": lastingBeyondCap, "advice": addedWorkers, "restart": darkRestart, "wave": wholeService,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
