Review: a script's processes end with its driver

They end with its thread, so that none is left after a kill or a panic, and a case is bounded to 117 s.

--- a/review/standin/bench.go
+++ b/review/standin/bench.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -302,6 +303,8 @@
 func (h *host) start() {
 	c := exec.Command("target/jaybarrow", "join", "-metrics", "7001")
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "JAYBARROW_BOOT=" + h.settings}
+	// Also ends when this process is killed or panics. The signal comes with the end of the thread that started it, see main.
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := os.OpenFile(filepath.Join(h.b.folder, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		panic(err)
@@ -322,6 +325,9 @@
 }
 
 func (h *host) kill() {
+	if h.command == nil {
+		return
+	}
 	_ = h.command.Process.Kill()
 	<-h.ended
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -24,7 +25,11 @@
 	os.Exit(exitInvalid)
 }
 
+// longest bounds a case; it ends as one that could not run.
+const longest = 117 * time.Second
+
 func main() {
+	runtime.LockOSThread() // the processes that it starts end with its thread
 	cases := map[string]func(*bench, bool) bool{
 		"manifest": lateManifest, "cap": lastingBeyondCap, "advice": addedWorkers, "restart": darkRestart, "wave": wholeService,
 	}
@@ -40,8 +45,12 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
-		cannotRun(b, "stopped by a signal")
+		select {
+		case s := <-signals:
+			cannotRun(b, "stopped by the signal %v", s)
+		case <-time.After(longest):
+			cannotRun(b, "it takes too long")
+		}
 	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	b.log("case %s, trouble %v", os.Args[1], trouble)
