Tie runs, ends and acknowledgements to one life of a worker

Cause: an order names the worker's id, which its lives share. Every run that was assigned before the new start time was known was given up, also those that the new life had accepted. Only a higher start time counted as another life, so the ends of a life with a lower one were taken for ends processed before and acknowledged unread.

Change: lives are counted. A life begins with a report, sent since, that has another start time or a clock that has gone back, with such a clock in the answer to a start, or with a changed entry. Only runs that a report of the earlier life has listed are lost at once; the others wait for a report of the new life, which is polled. Stops are repeated for the new life; only listed ends are acknowledged, once and soon after their report; a lease that the new life took by the clock of the earlier one counts as the longest possible.

Ruled out: a new life that refuses the order (it answered 200), a lease that had ended (5 s were left).

--- a/agents.go
+++ b/agents.go
@@ -55,6 +55,12 @@
 	StartUnknown      StartOutcome = "unknown"   // no answer: the run may have started or may still start
 )
 
+// StartAnswer is a worker's answer to a StartOrder with the reading of its clock, which is 0 when the answer has none.
+type StartAnswer struct {
+	Outcome StartOutcome
+	Clock   WorkerClock
+}
+
 // EndKind is how a run ended.
 type EndKind string
 
@@ -110,8 +116,8 @@
 // KindConflict that the worker has seen a higher fencing token, and KindNotFound that a worker with another id answers at the
 // address.
 type Agents interface {
-	// Start orders the worker to start a run.
-	Start(ctx context.Context, worker Worker, order StartOrder) (StartOutcome, error)
+	// Start orders the worker to start a run; the error explains an outcome other than StartDone.
+	Start(ctx context.Context, worker Worker, order StartOrder) (StartAnswer, error)
 	// Stop ends a run, or makes the worker refuse the run if its start arrives later.
 	Stop(ctx context.Context, worker Worker, task TaskRef, run RunNumber, fence FenceToken) error
 	// Hold renews the lease and returns the worker's report, waiting up to order.Wait for a run to end.
--- a/internal/jobhost/observer.go
+++ b/internal/jobhost/observer.go
@@ -42,6 +42,12 @@
 		Str("state", string(state)).Int64("tookMs", took.Milliseconds()).Int("failures", failures).Msg("job ended")
 }
 
+// WorkerRestarted logs and counts that a worker has started again under its id.
+func (o observer) WorkerRestarted(worker jaybarrow.WorkerID, lost, uncertain int) {
+	o.metrics.Count("worker.restarted")
+	o.log.Info().Str("worker", string(worker)).Int("lostRuns", lost).Int("uncertainRuns", uncertain).Msg("worker has started again")
+}
+
 // WorkerEjected logs and counts that a worker receives no new tasks for a while.
 func (o observer) WorkerEjected(worker jaybarrow.WorkerID, reason string) {
 	o.metrics.Count("worker.doubted")
--- a/internal/scheduler/faults_test.go
+++ b/internal/scheduler/faults_test.go
@@ -67,9 +67,9 @@
 	return nil, after, pause(ctx, wait)
 }
 
-func (f platformWithFault) Start(context.Context, jaybarrow.Worker, jaybarrow.StartOrder) (jaybarrow.StartOutcome, error) {
+func (f platformWithFault) Start(context.Context, jaybarrow.Worker, jaybarrow.StartOrder) (jaybarrow.StartAnswer, error) {
 	f.call("start")
-	return jaybarrow.StartDone, nil
+	return jaybarrow.StartAnswer{Outcome: jaybarrow.StartDone}, nil
 }
 
 func (f platformWithFault) Stop(context.Context, jaybarrow.Worker, jaybarrow.TaskRef, jaybarrow.RunNumber, jaybarrow.FenceToken) error {
@@ -101,6 +101,8 @@
 
 func (f platformWithFault) JobEnded(*jaybarrow.Job, jaybarrow.JobState, time.Duration, int) {}
 
+func (f platformWithFault) WorkerRestarted(jaybarrow.WorkerID, int, int) {}
+
 func (f platformWithFault) WorkerEjected(jaybarrow.WorkerID, string) {}
 
 // pause waits for d; it returns ctx's error when ctx ends first.
@@ -148,9 +150,9 @@
 	starts *atomic.Int64
 }
 
-func (a countingAgents) Start(context.Context, jaybarrow.Worker, jaybarrow.StartOrder) (jaybarrow.StartOutcome, error) {
+func (a countingAgents) Start(context.Context, jaybarrow.Worker, jaybarrow.StartOrder) (jaybarrow.StartAnswer, error) {
 	a.starts.Add(1)
-	return jaybarrow.StartDone, nil
+	return jaybarrow.StartAnswer{Outcome: jaybarrow.StartDone}, nil
 }
 
 // Guards against a process that is paused between a decision and its start orders, and then sends them although its lease has ended.
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -82,10 +82,13 @@
 	}
 	changed := true
 	p.locked(func() {
-		if err != nil {
-			p.state.HandleHoldFailure(worker.ID, jaybarrow.IsKind(err, jaybarrow.KindNotFound), now)
-		} else {
+		switch {
+		case err == nil:
 			changed = p.state.HandleReport(worker.ID, report, sent, now)
+		case jaybarrow.IsKind(err, jaybarrow.KindNotFound):
+			p.state.HandleReplaced(worker, now)
+		default:
+			p.state.HandleHoldFailure(worker.ID)
 		}
 	})
 	if changed {
@@ -111,7 +114,11 @@
 	if err != nil {
 		return
 	}
-	p.locked(func() { p.state.HandleReport(id, report, sent, p.deps.Clock.Now()) })
+	var changed bool
+	p.locked(func() { changed = p.state.HandleReport(id, report, sent, p.deps.Clock.Now()) })
+	if changed {
+		p.signal()
+	}
 }
 
 // awaitEndsStored waits until the ended runs that the worker reported are stored, up to MaxStoreWait. An earlier hold order could
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -91,6 +91,9 @@
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	p.state.SetWorker(entry, now)
+	if p.state.NeedsPoll(entry.ID) && p.holdLoops[entry.ID] {
+		p.group.Go("report of a worker that has started again", func() { p.pollWorker(p.ctx, entry.ID) })
+	}
 	if !p.holdLoops[entry.ID] {
 		p.holdLoops[entry.ID] = true
 		p.group.Go("reports of a worker", func() { p.holdWorker(p.ctx, entry.ID) })
@@ -252,12 +255,14 @@
 func (p *poolShard) startRun(ctx context.Context, s workload.StartRun) {
 	limited, cancel := context.WithTimeout(ctx, p.deps.Settings.StartTimeout)
 	defer cancel()
-	outcome, err := jaybarrow.StartUnhealthy, errLeadEnded
+	answer, err := jaybarrow.StartAnswer{Outcome: jaybarrow.StartUnhealthy}, errLeadEnded
+	sent := p.deps.Clock.Now()
 	if p.deps.Term.Valid() {
-		outcome, err = p.deps.Agents.Start(limited, s.Worker, s.Order)
-		p.noteAnswer(outcome != jaybarrow.StartUnknown)
+		answer, err = p.deps.Agents.Start(limited, s.Worker, s.Order)
+		p.noteAnswer(answer.Outcome != jaybarrow.StartUnknown)
 	}
 	<-p.startSlots
+	outcome := answer.Outcome
 	line := p.log.Info()
 	if outcome != jaybarrow.StartDone {
 		line = p.log.Warn().Err(err)
@@ -270,7 +275,9 @@
 	}
 	var needsPoll, unsent bool
 	p.locked(func() {
-		needsPoll = p.state.HandleStartOutcome(s, outcome, p.deps.Clock.Now())
+		now := p.deps.Clock.Now()
+		restarted := p.state.HandleClock(s.Worker.ID, answer.Clock, sent, now)
+		needsPoll = p.state.HandleStartOutcome(s, outcome, now) || restarted
 		unsent = p.state.HasUnsentRuns()
 	})
 	if needsPoll {
--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -10,9 +10,9 @@
 
 // AdviceRequest is a decision to ask the adviser which workers may run a step.
 type AdviceRequest struct {
-	Step      jaybarrow.StepRef
-	Workers   []jaybarrow.WorkerID
-	instances map[jaybarrow.WorkerID]int64 // the instanceStartMs of each worker when the request was made
+	Step    jaybarrow.StepRef
+	Workers []jaybarrow.WorkerID
+	lives   map[jaybarrow.WorkerID]life // the life of each worker when the request was made
 }
 
 const (
@@ -67,12 +67,12 @@
 		return cmp.Or(cmp.Compare(b.free().CPU, a.free().CPU), cmp.Compare(a.entry.ID, b.entry.ID))
 	})
 	q := AdviceRequest{
-		Step:      jaybarrow.StepRef{Job: s.job.spec.ID, Occurrence: s.occurrence, Step: s.index},
-		instances: make(map[jaybarrow.WorkerID]int64),
+		Step:  jaybarrow.StepRef{Job: s.job.spec.ID, Occurrence: s.occurrence, Step: s.index},
+		lives: make(map[jaybarrow.WorkerID]life),
 	}
 	for _, w := range candidates[:min(maxAdviceWorkers, len(candidates))] {
 		q.Workers = append(q.Workers, w.entry.ID)
-		q.instances[w.entry.ID] = w.instanceStartMs
+		q.lives[w.entry.ID] = w.life
 	}
 	return q, len(q.Workers) > 0
 }
@@ -89,7 +89,7 @@
 		s.advice = make(map[jaybarrow.WorkerID]ticket)
 	}
 	for id, value := range advice.Tickets {
-		s.advice[id] = ticket{value: value, instanceStartMs: q.instances[id], expires: requestedAt.Add(advice.Valid)}
+		s.advice[id] = ticket{value: value, life: q.lives[id], expires: requestedAt.Add(advice.Valid)}
 	}
 }
 
@@ -99,5 +99,5 @@
 		return "", true
 	}
 	t, ok := s.advice[w.entry.ID]
-	return t.value, ok && t.instanceStartMs == w.instanceStartMs && now.Add(adviceMargin).Before(t.expires)
+	return t.value, ok && t.life == w.life && now.Add(adviceMargin).Before(t.expires)
 }
--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -61,6 +61,8 @@
 }
 func (h *harness) JobStarted(*jaybarrow.Job, time.Duration) {}
 func (h *harness) StartAnswered(jaybarrow.StartOutcome)     {}
+func (h *harness) WorkerRestarted(jaybarrow.WorkerID, int, int) {
+}
 func (h *harness) WorkerEjected(jaybarrow.WorkerID, string) {}
 
 func (h *harness) JobEnded(job *jaybarrow.Job, state jaybarrow.JobState, _ time.Duration, _ int) {
@@ -118,7 +120,7 @@
 	h.Helper()
 	_, order, ok := h.pool.HoldOrder(id, true, h.now)
 	assert.Assert(h, ok)
-	h.pool.HandleHoldFailure(id, false, h.now)
+	h.pool.HandleHoldFailure(id)
 	return order
 }
 
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -49,9 +49,9 @@
 }
 
 type ticket struct {
-	value           jaybarrow.Ticket
-	instanceStartMs int64
-	expires         time.Time
+	value   jaybarrow.Ticket
+	life    life // of the worker that it was given for
+	expires time.Time
 }
 
 type task struct {
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -51,10 +51,10 @@
 	processedEnds  map[jaybarrow.WorkerID]endPosition
 }
 
-// endPosition is the last processed end of a worker instance; it may be acknowledged once the round is written.
+// endPosition is the last processed end of a life of a worker; it may be acknowledged once the round is written.
 type endPosition struct {
-	instanceStartMs int64
-	number          jaybarrow.EndNumber
+	life   life
+	number jaybarrow.EndNumber
 }
 
 // Empty reports whether there is nothing to do.
@@ -242,7 +242,7 @@
 		if out.processedEnds == nil {
 			out.processedEnds = make(map[jaybarrow.WorkerID]endPosition, len(p.unstoredEnds))
 		}
-		out.processedEnds[w.entry.ID] = endPosition{instanceStartMs: w.instanceStartMs, number: w.processedEnds}
+		out.processedEnds[w.entry.ID] = endPosition{life: w.life, number: w.processedEnds}
 	}
 }
 
@@ -280,7 +280,7 @@
 		}
 	}
 	for id, n := range round.processedEnds {
-		if w := p.workers[id]; w != nil && w.instanceStartMs == n.instanceStartMs {
+		if w := p.workers[id]; w != nil && w.life == n.life {
 			w.storedEnds = max(w.storedEnds, n.number)
 			if w.storedEnds >= w.processedEnds {
 				delete(p.unstoredEnds, w)
@@ -299,12 +299,12 @@
 	if r == nil || r.phase != runPlanned {
 		return s, false
 	}
-	if r.task.step.job.state.Ended() || w.gone || !w.reported || w.instanceStartMs != r.instanceStartMs {
+	if r.task.step.job.state.Ended() || w.gone || !w.reported || w.life != r.life {
 		p.endRun(r, jaybarrow.EndStopped, "", now)
 		return s, false
 	}
 	s.Order.Expires = w.leaseExpiry(now, p.settings.Lease)
-	w.extendLease(s.Order.Expires)
+	w.extendLease(s.Order.Expires, now)
 	p.setPhase(r, runSent, now)
 	r.progressedAt = now
 	return s, true
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -29,6 +29,9 @@
 	RunEnded(task jaybarrow.TaskRef, run jaybarrow.RunNumber, worker jaybarrow.WorkerID, kind jaybarrow.EndKind, ran time.Duration)
 	// JobEnded reports the final state of a job and the time since it was accepted.
 	JobEnded(job *jaybarrow.Job, state jaybarrow.JobState, took time.Duration, failures int)
+	// WorkerRestarted reports that a worker has started again under its id: how many runs were lost with its earlier life, and how many
+	// may have been accepted by either.
+	WorkerRestarted(worker jaybarrow.WorkerID, lost, uncertain int)
 	// WorkerEjected reports that a worker temporarily receives no new tasks, and why.
 	WorkerEjected(worker jaybarrow.WorkerID, reason string)
 }
@@ -160,7 +163,7 @@
 			p.addWorker(w)
 		}
 		if w.leaseEnd.IsZero() {
-			w.leaseEnd = now.Add(time.Duration(float64(p.settings.Lease)/(1-clockSlowdown)) + leaseEndMargin)
+			w.leaseEnd = leaseEndAfter(now, p.settings.Lease)
 		}
 		r := p.assign(t, w, s.Run, now)
 		p.setPhase(r, runUnconfirmed, now)
@@ -174,7 +177,7 @@
 	t.run = number
 	demand := t.step.spec.Demand
 	r := &run{
-		task: t, number: number, worker: w, instanceStartMs: w.instanceStartMs, progressedAt: now,
+		task: t, number: number, worker: w, instanceStartMs: w.instanceStartMs, life: w.life, progressedAt: now,
 		demand: demand, charged: demand, throttle: fullPercent,
 	}
 	if t.step.spec.Background {
--- a/internal/workload/pool_test.go
+++ b/internal/workload/pool_test.go
@@ -170,7 +170,7 @@
 			h.pool.HandleReport("w1", jaybarrow.HoldReport{Clock: 6, StartedMs: 2}, h.now, h.now)
 		},
 		"another worker answers at the address": func(h *harness) {
-			h.pool.HandleHoldFailure("w1", true, h.now)
+			h.pool.HandleReplaced(jaybarrow.Worker{ID: "w1", Address: "192.0.2.1:80"}, h.now)
 			h.addWorker("w2")
 		},
 	}
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -18,10 +18,9 @@
 		// The address has changed, so earlier reports do not show that the worker can be reached there.
 		w.reported = false
 	}
+	before := w.entry.StartedMs
 	w.entry, w.gone = entry, false
-	if entry.StartedMs != 0 {
-		p.setInstance(w, entry.StartedMs, now)
-	}
+	p.registerInstance(w, before, entry.StartedMs, now)
 }
 
 // DropWorker records that a worker is no longer registered; its tasks may keep running until its lease ends.
@@ -31,25 +30,6 @@
 	}
 }
 
-// setInstance records the current instance of the worker and ends the runs of earlier ones.
-func (p *Pool) setInstance(w *worker, instanceStartMs int64, now time.Time) {
-	if instanceStartMs <= w.instanceStartMs {
-		return
-	}
-	first := w.instanceStartMs == 0
-	w.instanceStartMs = instanceStartMs
-	for _, r := range w.runs {
-		// When the instance becomes known for the first time, only runs assigned to another instance are lost.
-		if r.instanceStartMs != instanceStartMs && (!first || r.instanceStartMs != 0) {
-			p.endRun(r, jaybarrow.EndLeaseExpired, "", now)
-		}
-	}
-	if !first {
-		w.processedEnds, w.storedEnds, w.reported, w.clock, w.faults = 0, 0, false, 0, 0
-		delete(p.unstoredEnds, w)
-	}
-}
-
 // HoldOrder returns the next order for the worker; false when the worker is no longer known. The lease is only extended with
 // extendLease, which must be false once another scheduler may lead: a successor waits for no longer than one lease from the start
 // of its term.
@@ -58,11 +38,12 @@
 	if w == nil {
 		return jaybarrow.Worker{}, jaybarrow.HoldOrder{}, false
 	}
-	o := jaybarrow.HoldOrder{Fence: p.fence, Acknowledged: w.storedEnds, Wait: p.settings.IdleInterval}
+	o := jaybarrow.HoldOrder{Fence: p.fence, Wait: p.settings.IdleInterval}
+	o.Acknowledged = w.acknowledgement(now, p.settings.ReportGrace)
 	if len(w.runs) > 0 {
 		o.Wait = p.renewInterval
 	}
-	if !w.reported || w.missedReports > 0 {
+	if !w.reported || w.missedReports > 0 || w.firstListed > 0 && o.Acknowledged == 0 {
 		o.Wait = 0
 	}
 	w.reportWait = o.Wait
@@ -70,7 +51,7 @@
 	// tasks would never count as ended.
 	if extendLease && w.reported && w.missedReports == 0 {
 		o.Expires = w.leaseExpiry(now, p.settings.Lease)
-		w.extendLease(o.Expires)
+		w.extendLease(o.Expires, now)
 	}
 	return w.entry, o, true
 }
@@ -90,9 +71,10 @@
 		return false
 	}
 	wasUsable := w.usable(received, p.settings.ReportGrace)
-	if report.StartedMs != 0 {
-		p.setInstance(w, report.StartedMs, received)
+	if !p.reportInstance(w, report, sent, received) {
+		return false
 	}
+	w.firstListed = firstEnd(report.Ended)
 	w.reported, w.missedReports = true, 0
 	w.lastReport, w.clock = received, report.Clock
 	p.processEnds(w, report.Ended, received)
@@ -157,6 +139,7 @@
 		p.unknownRuns = append(p.unknownRuns, StopRun{Worker: w.entry, Task: report.Task, Run: report.Run})
 		return
 	}
+	r.life, r.listed = w.life, true
 	if report.Checkpoint != "" && report.Checkpoint != r.task.checkpoint {
 		r.task.checkpoint = report.Checkpoint
 		p.markChanged(r.task.step.job, now)
@@ -181,6 +164,9 @@
 		case r.inherited:
 			// The worker has seen this scheduler's fence and rejects a late start by a previous scheduler.
 			p.endRun(r, jaybarrow.EndLeaseExpired, "", now)
+		case r.phase == runRunning && r.life != w.life && !sent.Before(r.phaseSince):
+			// The start was answered before the order of this report was sent, so an earlier life has accepted it.
+			p.endRun(r, jaybarrow.EndLeaseExpired, "", now)
 		case r.phase == runStopping && !r.stopAnsweredAt.IsZero() && sent.After(r.stopAnsweredAt):
 			p.endRun(r, jaybarrow.EndStopped, "", now)
 		case (r.phase == runUnconfirmed || r.phase == runRunning) && sent.After(r.phaseSince):
@@ -189,16 +175,23 @@
 	}
 }
 
-// HandleHoldFailure records a hold order without a report. replaced means that another worker answers at the address, so that
-// this one has ended.
-func (p *Pool) HandleHoldFailure(id jaybarrow.WorkerID, replaced bool, now time.Time) {
-	w := p.workers[id]
+// HandleHoldFailure records a hold order without a report.
+func (p *Pool) HandleHoldFailure(id jaybarrow.WorkerID) {
+	if w := p.workers[id]; w != nil {
+		w.missedReports++
+		p.sweepDue = true
+	}
+}
+
+// HandleReplaced records that another worker answers at the address to which an order was sent, so that this one has ended; a worker that has
+// started again at another address since has not.
+func (p *Pool) HandleReplaced(worker jaybarrow.Worker, now time.Time) {
+	w := p.workers[worker.ID]
 	if w == nil {
 		return
 	}
-	w.missedReports++
-	p.sweepDue = true
-	if !replaced {
+	p.HandleHoldFailure(worker.ID)
+	if w.entry.Address != worker.Address {
 		return
 	}
 	w.gone = true
@@ -231,7 +224,7 @@
 		// The worker knows a stop or an end of this run; its next report shows which.
 		p.stopRun(r, now)
 	default:
-		p.handleRefusal(r, outcome, now)
+		p.handleRefusal(s, r, outcome, now)
 	}
 	return false
 }
@@ -241,14 +234,14 @@
 const refusalBackoff = 300 * time.Millisecond
 
 // handleRefusal ends the run of a refused start and reacts to the reason of the refusal.
-func (p *Pool) handleRefusal(r *run, outcome jaybarrow.StartOutcome, now time.Time) {
+func (p *Pool) handleRefusal(s StartRun, r *run, outcome jaybarrow.StartOutcome, now time.Time) {
 	w := r.worker
 	p.endRun(r, jaybarrow.EndStopped, "", now)
 	switch outcome {
 	case jaybarrow.StartNoTicket:
 		delete(r.task.step.advice, w.entry.ID)
 	case jaybarrow.StartReplaced:
-		p.HandleHoldFailure(w.entry.ID, true, now)
+		p.HandleReplaced(s.Worker, now)
 	case jaybarrow.StartInvalid:
 		r.task.avoidWorker = w.entry.ID
 		p.recordFault(w, "a start was rejected as invalid", now)
@@ -283,11 +276,11 @@
 }
 
 // PollOrder returns a hold order without a wait, to be sent while the waiting one is still open; false when the worker is not
-// registered, was replaced or has not reported. It leaves the lease unchanged.
+// registered, was replaced or has never reported. It leaves the lease unchanged and acknowledges nothing.
 func (p *Pool) PollOrder(id jaybarrow.WorkerID) (jaybarrow.Worker, jaybarrow.HoldOrder, bool) {
 	w := p.workers[id]
-	if w == nil || !w.reported || w.gone {
+	if w == nil || !w.reported && !w.restarted || w.gone {
 		return jaybarrow.Worker{}, jaybarrow.HoldOrder{}, false
 	}
-	return w.entry, jaybarrow.HoldOrder{Fence: p.fence, Acknowledged: w.storedEnds}, true
+	return w.entry, jaybarrow.HoldOrder{Fence: p.fence}, true
 }
--- a/internal/workload/settings.go
+++ b/internal/workload/settings.go
@@ -6,6 +6,8 @@
 type Settings struct {
 	// Lease is how long a worker keeps running its tasks after a hold order. It outlasts the takeover by another scheduler.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker grants, whatever an order asks for.
+	MaxLease time.Duration
 	// RenewInterval is how long a worker may hold back its report while tasks run; each hold order renews the lease.
 	RenewInterval time.Duration
 	// IdleInterval is how long a worker may hold back its report while nothing runs.
@@ -27,6 +29,8 @@
 	return Settings{
 		// Five times the TTL of the leader's lease, so that a successor reaches every worker before the worker's lease expires.
 		Lease: 5 * time.Second,
+		// The longest that the platform allows.
+		MaxLease: 10 * time.Second,
 		// Shorter than the stall timeout, so that a stall is reported in time.
 		RenewInterval: 500 * time.Millisecond,
 		// The longest wait that workers accept.
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -16,11 +16,16 @@
 	reportWait      time.Duration         // how long the outstanding order lets the worker hold back its report
 	clock           jaybarrow.WorkerClock // reading at lastReport or slightly earlier
 	instanceStartMs int64                 // wall clock of the process's start, which identifies the instance; 0 when unknown
+	life            life                  // the current one; runs and tickets of earlier ones are void
+	lifeSince       time.Time             // when this pool learned of the current life
+	restarted       bool                  // no report of the current life has arrived, though an earlier one has ended
 	leaseEnd        time.Time             // when the lease has certainly ended unless it is extended again
+	leaseOrderedAt  time.Time             // when an order that extends the lease was last sent
 	used            jaybarrow.Resources
 	lasting         int                 // runs of lasting tasks
 	lastingUsed     jaybarrow.Resources // the part of used that they use
 	runs            map[runKey]*run
+	firstListed     jaybarrow.EndNumber // the lowest end that the last report listed; 0 when it listed none
 	processedEnds   jaybarrow.EndNumber // ends up to this number are processed
 	storedEnds      jaybarrow.EndNumber // ends up to this number are also stored
 	// backoffUntil is when the worker may receive new tasks again after it refused a start or was ejected.
@@ -52,7 +57,9 @@
 	number          jaybarrow.RunNumber
 	assignment      int64 // numbers the assignments of the pool in their order
 	worker          *worker
-	instanceStartMs int64 // the worker instance that the run was assigned to
+	instanceStartMs int64 // start time of the worker when the run was assigned, as its record says
+	life            life  // the life of the worker that the run was assigned to, or that has listed it since
+	listed          bool  // whether a report has listed the run as running
 	phase           phase
 	inherited       bool      // assigned by a previous scheduler
 	startUnanswered bool      // its start was not answered
@@ -92,15 +99,24 @@
 	return w.clock + jaybarrow.WorkerClock((now.Sub(w.lastReport)+lease)/time.Millisecond)
 }
 
-// extendLease records that the worker may keep running its tasks until the expiry.
-func (w *worker) extendLease(expiry jaybarrow.WorkerClock) {
-	remaining := time.Duration(expiry-w.clock) * time.Millisecond
-	end := w.lastReport.Add(time.Duration(float64(remaining)/(1-clockSlowdown)) + leaseEndMargin)
-	if end.After(w.leaseEnd) {
+// extendLease records that an order sent now lets the worker run its tasks until the expiry.
+func (w *worker) extendLease(expiry jaybarrow.WorkerClock, now time.Time) {
+	w.leaseOrderedAt = now
+	w.extendLeaseEnd(w.lastReport, time.Duration(expiry-w.clock)*time.Millisecond)
+}
+
+// extendLeaseEnd records that the worker may run its tasks for a time of its own clock, which may be slow.
+func (w *worker) extendLeaseEnd(from time.Time, lease time.Duration) {
+	if end := leaseEndAfter(from, lease); end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
 }
 
+// leaseEndAfter returns when a lease of a worker's clock has certainly ended.
+func leaseEndAfter(from time.Time, lease time.Duration) time.Time {
+	return from.Add(time.Duration(float64(lease)/(1-clockSlowdown)) + leaseEndMargin)
+}
+
 // countRuns returns how many runs of the step may exist on the worker.
 func (w *worker) countRuns(s *step) int {
 	n := 0
