Lead with a recent configuration only, and keep each job's policy with it

Cause: a host campaigned once it had read the leader's record, whether or not it had read the configuration, which another follower reads. A job whose queue was missing when it was loaded kept a default of two attempts for the term.

Ruled out: ends counted twice, and a limit read wrongly.

Change: a host campaigns only with a configuration that was confirmed lately; an accepted job carries its queue's policy, for when the queue is gone or not known yet; a change of the configuration is applied to the jobs that wait. Earlier builds ignore the new field, and records without it are read as before.

--- a/fleetconfig.go
+++ b/fleetconfig.go
@@ -33,6 +33,20 @@
 	Advice      *AdviceSettings `json:"advice"` // nil when no adviser is asked
 }
 
+// QueuePolicy is how a queue's jobs are scheduled.
+type QueuePolicy struct {
+	Priority    int             `json:"priority"`    // 0 is the highest
+	MaxAttempts int             `json:"maxAttempts"` // failed runs of a task after which its job fails
+	Stretch     float64         `json:"stretch"`
+	Target      time.Duration   `json:"target"` // a job is due Stretch times its critical path plus Target after it was accepted
+	Advice      *AdviceSettings `json:"advice,omitempty"`
+}
+
+// Policy returns how the queue's jobs are scheduled.
+func (q *JobQueue) Policy() QueuePolicy {
+	return QueuePolicy{Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target, Advice: q.Advice}
+}
+
 // AdviceSettings holds the settings of a queue's adviser; a queue that has them requires the adviser's tickets.
 type AdviceSettings struct {
 	Decide time.Duration `json:"decide"`
--- a/internal/command/job/accept.go
+++ b/internal/command/job/accept.go
@@ -69,9 +69,10 @@
 	if err := h.admit(ctx, in); err != nil {
 		return "", err
 	}
+	policy := in.Queue.Policy()
 	value, err := json.Marshal(jaybarrow.Job{
 		ID: in.ID, Queue: in.Queue.ID, Pool: in.Queue.Pool, Team: team, Spec: in.Spec, Steps: in.Steps, Recurrence: in.Recurrence,
-		AcceptedMs: h.deps.Clock.Now().UnixMilli(),
+		AcceptedMs: h.deps.Clock.Now().UnixMilli(), Policy: &policy,
 	})
 	if err != nil {
 		return "", jaybarrow.Errorf(jaybarrow.KindBadRequest, "encode job: %w", err)
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -144,7 +144,7 @@
 	h.leader = leader.New(leader.Deps{
 		Clock: d.Clock, Log: logging.For(d.Log, "leader"), Store: d.Platform.Store, NewChange: identity.NewChangeID,
 		Self:     leader.Holder{Entry: d.Entry, Address: jaybarrow.Address(d.Peers.Addr().String())},
-		Settings: d.Settings.Leader, Lead: h.lead,
+		Settings: d.Settings.Leader, Eligible: h.knowsConfiguration, Lead: h.lead,
 	})
 	h.server = jobpeer.NewServer(logging.For(d.Log, "peer"), d.Peers, peerService{h}, d.OnFault)
 	h.group.Keep(ctx, "operators", func() error { h.followOperators(ctx); return nil })
@@ -178,6 +178,12 @@
 	return known && age <= h.deps.Settings.MaxReadyAge && !h.leaving.Load()
 }
 
+// knowsConfiguration reports whether the configuration is known and recent enough to decide on jobs by it.
+func (h *Host) knowsConfiguration() bool {
+	age, known := h.catalog.Age(h.deps.Clock.Now())
+	return known && age <= h.deps.Settings.MaxConfigurationAge
+}
+
 // Leading reports whether this entry host leads, and so schedules jobs.
 func (h *Host) Leading() bool { return h.activeScheduler.Load() != nil }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -41,6 +41,8 @@
 	Self      Holder
 	NewChange func() jaybarrow.ChangeID
 	Settings  Settings
+	// Eligible reports whether this entry host knows all that a leader decides on. While it does not, it does not campaign.
+	Eligible func() bool
 	// Lead acts as leader for a term and returns once ctx has ended.
 	Lead func(ctx context.Context, term Term)
 }
@@ -160,6 +162,7 @@
 			go panic(fault)
 		}
 	}()
+	waits := false // for the host to become eligible
 	for ctx.Err() == nil {
 		changed := l.Changed()
 		if !l.vacant() {
@@ -171,7 +174,13 @@
 		if ctx.Err() != nil || !l.vacant() {
 			continue
 		}
-		if !l.tryLead(ctx) {
+		if l.deps.Eligible() {
+			waits = false
+		} else if !waits {
+			l.deps.Log.Info().Msg("not campaigning without a recent configuration")
+			waits = true
+		}
+		if waits || !l.tryLead(ctx) {
 			l.sleep(ctx, l.deps.Settings.Jitter*4)
 		}
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -116,7 +118,7 @@
 	led := make(chan leader.Term, 1)
 	l := leader.New(leader.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Store: newStore(earlier), Self: self, NewChange: identity.NewChangeID,
-		Settings: leader.DefaultSettings(),
+		Settings: leader.DefaultSettings(), Eligible: func() bool { return true },
 		Lead: func(ctx context.Context, term leader.Term) {
 			led <- term
 			<-ctx.Done()
@@ -139,3 +141,27 @@
 	assert.Assert(t, !self.Replaces(leader.Holder{Entry: "front-1", Address: "10.0.0.9:7000"}), "the same entry host at another address")
 	assert.Assert(t, !self.Replaces(leader.Holder{Entry: "front-2", Address: "10.0.0.1:7000"}), "another entry host at the same address")
 }
+
+// Guards against a leader that decides on jobs before it has read the configuration: it would take queues and limits for missing.
+func TestAHostThatIsNotEligibleDoesNotCampaign(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var eligible atomic.Bool
+		led := make(chan struct{}, 1)
+		s := newStore(leader.Holder{Entry: "front-2", Address: "10.0.0.2:7000", Lease: 7})
+		l := leader.New(leader.Deps{
+			Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Store: s, Self: leader.Holder{Entry: "front-1", Address: "10.0.0.1:7000"},
+			NewChange: identity.NewChangeID, Settings: leader.DefaultSettings(), Eligible: eligible.Load,
+			Lead: func(ctx context.Context, _ leader.Term) {
+				led <- struct{}{}
+				<-ctx.Done()
+			},
+		})
+		defer l.Close()
+		assert.NilError(t, s.RevokeLease(t.Context(), 7))
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(led), 0, "it leads without a configuration")
+		eligible.Store(true)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(led), 1, "it does not lead although it has a configuration")
+	})
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -65,6 +65,10 @@
 		return nil
 	})
 	s.group.Go("takeover", func() { s.watchTakeover(ctx) })
+	s.group.Keep(ctx, "configuration", func() error {
+		s.followConfiguration(ctx)
+		return nil
+	})
 	s.group.Keep(ctx, "congested pools", func() error {
 		s.announceCongestion(ctx)
 		return nil
@@ -169,14 +173,28 @@
 }
 
 // policy returns the scheduling policy of a queue; false when the queue is not configured.
-func (s *Scheduler) policy(id jaybarrow.QueueID) (workload.Policy, bool) {
+func (s *Scheduler) policy(id jaybarrow.QueueID) (jaybarrow.QueuePolicy, bool) {
 	q, ok := s.deps.Catalog.Queue(id)
 	if !ok {
-		return workload.Policy{}, false
+		return jaybarrow.QueuePolicy{}, false
+	}
+	return q.Policy(), true
+}
+
+// followConfiguration applies each change of the configuration to the jobs that are known; it blocks until ctx ends.
+func (s *Scheduler) followConfiguration(ctx context.Context) {
+	for {
+		changed := s.deps.Catalog.Changed()
+		s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) {
+			p.locked(func() { p.state.UpdatePolicies(s.deps.Clock.Now()) })
+			p.signal()
+		})
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
 	}
-	return workload.Policy{
-		Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target, Advice: q.Advice,
-	}, true
 }
 
 // Announce applies a record that an entry host has just stored, before the watch on the store delivers it. Before the stored jobs
--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -23,10 +23,12 @@
 	maxAttempts int
 	priorities  map[jaybarrow.QueueID]int // by queue; 0 is the most urgent
 	advice      *jaybarrow.AdviceSettings
-	now         time.Time
-	clocks      map[jaybarrow.WorkerID]jaybarrow.WorkerClock
-	ends        map[jaybarrow.WorkerID]jaybarrow.EndNumber
-	finished    map[jaybarrow.JobID]jaybarrow.JobState
+	// unconfigured means that the configuration has no queue.
+	unconfigured bool
+	now          time.Time
+	clocks       map[jaybarrow.WorkerID]jaybarrow.WorkerClock
+	ends         map[jaybarrow.WorkerID]jaybarrow.EndNumber
+	finished     map[jaybarrow.JobID]jaybarrow.JobState
 }
 
 func newHarness(t *testing.T) *harness {
@@ -37,8 +39,8 @@
 	}
 	h.pool = workload.New(workload.Deps{
 		Settings: h.settings, ID: "desk", Fence: ownFence, Teams: h, Observer: h,
-		Policies: func(id jaybarrow.QueueID) (workload.Policy, bool) {
-			return workload.Policy{Priority: h.priorities[id], MaxAttempts: h.maxAttempts, Stretch: 2, Target: time.Second, Advice: h.advice}, true
+		Policies: func(id jaybarrow.QueueID) (jaybarrow.QueuePolicy, bool) {
+			return jaybarrow.QueuePolicy{Priority: h.priorities[id], MaxAttempts: h.maxAttempts, Stretch: 2, Target: time.Second, Advice: h.advice}, !h.unconfigured
 		},
 	})
 	return h
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -7,19 +7,10 @@
 	"github.com/jaybarrow/jaybarrow"
 )
 
-// Policy is the configuration of a job's queue.
-type Policy struct {
-	Priority    int
-	MaxAttempts int
-	Stretch     float64
-	Target      time.Duration
-	Advice      *jaybarrow.AdviceSettings
-}
-
 // job is a job that has not ended, or that still has runs to stop.
 type job struct {
 	spec         *jaybarrow.Job
-	policy       Policy
+	policy       jaybarrow.QueuePolicy
 	state        jaybarrow.JobState
 	storedState  jaybarrow.JobState // last state written to the store
 	endedMs      int64
@@ -31,7 +22,8 @@
 	accepted     time.Time
 	targetTime   time.Time     // when the job should be completed to meet the queue's target
 	work         float64       // estimated core-seconds of the whole job
-	criticalPath time.Duration // estimated run time of the longest chain of steps that are not done
+	wholePath    time.Duration // estimated run time of the longest chain of steps
+	criticalPath time.Duration // the same for the steps that are not done
 	order        placementOrder
 }
 
@@ -66,9 +58,9 @@
 	doneBefore  bool               // a run that was given up turned out to have completed the task
 }
 
-func newJob(spec *jaybarrow.Job, policy Policy) *job {
+func newJob(spec *jaybarrow.Job, policy jaybarrow.QueuePolicy) *job {
 	j := &job{
-		spec: spec, policy: policy, state: jaybarrow.JobPending, storedState: jaybarrow.JobPending,
+		spec: spec, state: jaybarrow.JobPending, storedState: jaybarrow.JobPending,
 		accepted: time.UnixMilli(spec.AcceptedMs),
 	}
 	for k := range spec.Occurrences() {
@@ -81,10 +73,17 @@
 		j.work += float64(s.Tasks) * s.Demand.CPU.Cores() * s.Estimate().Seconds()
 	}
 	j.updateCriticalPath()
-	j.targetTime = j.accepted.Add(time.Duration(policy.Stretch*float64(j.criticalPath)) + policy.Target)
+	j.wholePath = j.criticalPath
+	j.setPolicy(policy)
 	return j
 }
 
+// setPolicy replaces the policy by which the job is scheduled.
+func (j *job) setPolicy(policy jaybarrow.QueuePolicy) {
+	j.policy = policy
+	j.targetTime = j.accepted.Add(time.Duration(policy.Stretch*float64(j.wholePath)) + policy.Target)
+}
+
 func newStep(j *job, k jaybarrow.Occurrence, i jaybarrow.StepIndex) *step {
 	s := &step{job: j, spec: &j.spec.Steps[i], occurrence: k, index: i}
 	if r := j.spec.Recurrence; r != nil {
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -43,7 +43,7 @@
 	fence    jaybarrow.FenceToken
 	teams    Teams
 	observer Observer
-	policies func(jaybarrow.QueueID) (Policy, bool)
+	policies func(jaybarrow.QueueID) (jaybarrow.QueuePolicy, bool)
 
 	jobs          map[jaybarrow.JobID]*job
 	endedJobs     map[jaybarrow.JobID]endedJob
@@ -90,7 +90,7 @@
 	Fence    jaybarrow.FenceToken
 	Teams    Teams
 	Observer Observer
-	Policies func(jaybarrow.QueueID) (Policy, bool) // false when the queue is no longer configured
+	Policies func(jaybarrow.QueueID) (jaybarrow.QueuePolicy, bool) // false when the queue is no longer configured
 }
 
 // New returns an empty Pool.
@@ -107,8 +107,8 @@
 	}
 }
 
-// defaultPolicy applies to jobs of a queue that is no longer configured and that this scheduler has never seen.
-var defaultPolicy = Policy{Priority: 1, MaxAttempts: 2, Stretch: 2, Target: time.Second}
+// defaultPolicy applies to jobs that an earlier build has accepted without their policy, of a queue that is no longer configured.
+var defaultPolicy = jaybarrow.QueuePolicy{Priority: 1, MaxAttempts: 2, Stretch: 2, Target: time.Second}
 
 // AddJob adds an accepted job with its stored progress, which is nil when none is stored. A job that is already known is left
 // unchanged.
@@ -121,7 +121,11 @@
 		return
 	}
 	policy, ok := p.policies(spec.Queue)
-	if !ok {
+	switch {
+	case ok:
+	case spec.Policy != nil:
+		policy = *spec.Policy
+	default:
 		policy = defaultPolicy
 	}
 	j := newJob(spec, policy)
@@ -135,6 +139,19 @@
 	}
 }
 
+// UpdatePolicies applies the present policies of the queues to the jobs; a job whose queue is no longer configured keeps the last one.
+func (p *Pool) UpdatePolicies(now time.Time) {
+	for _, j := range p.jobs {
+		policy, ok := p.policies(j.spec.Queue)
+		if !ok || policy == j.policy {
+			continue
+		}
+		j.setPolicy(policy)
+		p.updateState(j, now)
+		p.placementsDue = true
+	}
+}
+
 // earlier returns the earlier of two times; the clock of the host that accepted a job may be ahead.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -39,7 +39,7 @@
 		return nil
 	}
 	stub := *j.spec
-	stub.Spec, stub.Steps, stub.Recurrence = "", nil, nil
+	stub.Spec, stub.Steps, stub.Recurrence, stub.Policy = "", nil, nil, nil
 	return &stub
 }
 
--- a/internal/workload/takeover_test.go
+++ b/internal/workload/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -204,3 +205,49 @@
 	assert.Equal(t, status.Team, jaybarrow.TeamID("trail"))
 	assert.Equal(t, len(successor.plan().Starts), 0)
 }
+
+// Guards against a job that is shown as failed before a task has used up its attempts, because the leader that has taken over does not know
+// the job's queue: it was removed, or its configuration has not arrived here yet.
+func TestAJobKeepsItsPolicyWithoutItsQueue(t *testing.T) {
+	h := newHarness(t)
+	h.unconfigured = true
+	h.addWorker("w1")
+	h.addWorker("w2")
+	h.addWorker("w3")
+	job := &jaybarrow.Job{
+		ID: "j", Queue: "match", Pool: "desk", Team: "trail", Steps: []jaybarrow.Step{tasks(1, 1000)}, AcceptedMs: h.now.UnixMilli(),
+		Policy: &jaybarrow.QueuePolicy{MaxAttempts: 3, Stretch: 2, Target: time.Second},
+	}
+	h.pool.AddJob(job, &workload.Record{State: jaybarrow.JobRunning, Tasks: []workload.TaskRecord{{Run: 1, Failures: 1}}}, h.now)
+	s := h.planAndStart(jaybarrow.StartDone)
+	assert.Equal(t, len(s), 1)
+	h.report(s[0].Worker.ID, nil, h.endReport(s[0], jaybarrow.EndFailed))
+	s = h.planAndStart(jaybarrow.StartDone)
+	assert.Equal(t, len(s), 1, "two of three attempts have failed")
+	h.report(s[0].Worker.ID, nil, h.endReport(s[0], jaybarrow.EndFailed))
+	h.plan()
+	assert.Equal(t, h.finished["j"], jaybarrow.JobFailed)
+}
+
+// Guards against decisions by the policy that was in force when the job was loaded.
+func TestAJobFollowsThePolicyOfItsQueue(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1")
+	h.addWorker("w2")
+	h.addJob("j", tasks(1, 1000))
+	s := h.planAndStart(jaybarrow.StartDone)
+	h.maxAttempts = 3
+	h.pool.UpdatePolicies(h.now)
+	h.report(s[0].Worker.ID, nil, h.endReport(s[0], jaybarrow.EndFailed))
+	s = h.planAndStart(jaybarrow.StartDone)
+	h.report(s[0].Worker.ID, nil, h.endReport(s[0], jaybarrow.EndFailed))
+	assert.Equal(t, len(h.planAndStart(jaybarrow.StartDone)), 1, "two of three attempts have failed")
+	h.unconfigured = true
+	h.pool.UpdatePolicies(h.now)
+	h.plan()
+	assert.Equal(t, h.finished["j"], jaybarrow.JobState(""))
+	h.unconfigured, h.maxAttempts = false, 2
+	h.pool.UpdatePolicies(h.now)
+	h.plan()
+	assert.Equal(t, h.finished["j"], jaybarrow.JobFailed)
+}
--- a/jobs.go
+++ b/jobs.go
@@ -131,6 +131,8 @@
 	Steps      []Step      `json:"steps"`
 	Recurrence *Recurrence `json:"recurrence,omitempty"`
 	AcceptedMs int64       `json:"acceptedMs"` // wall clock
+	// Policy is that of the queue when the job was accepted, for when the queue is no longer configured; nil in records of earlier builds.
+	Policy *QueuePolicy `json:"policy,omitempty"`
 }
 
 // Occurrences returns the number of times that the job's steps run.
