Hold room only for lasting tasks that lack nothing but room

Cause: one worker was kept from other work for each lasting step that was not placed, whatever the reason; with as many of them as workers nothing else started. The reason was not looked at, nor was what the pool had left.

Evidence: with the new line 'room is held for lasting tasks' the old code logs 8 of 8 usable workers. Ruled out: the other team's limit, ejected workers, the budget of orders.

Change: no room is held for a task whose team's limit, together with what is held for it, does not allow it, nor on workers without a ticket for it.

--- a/internal/jobhost/observer.go
+++ b/internal/jobhost/observer.go
@@ -48,6 +48,14 @@
 	o.log.Info().Str("worker", string(worker)).Int("lostRuns", lost).Int("uncertainRuns", uncertain).Msg("worker has started again")
 }
 
+// RoomHeld logs and counts that lasting tasks begin or cease to keep other work from workers.
+func (o observer) RoomHeld(pool jaybarrow.PoolID, held, usable int) {
+	if held > 0 {
+		o.metrics.Count("room.held")
+	}
+	o.log.Info().Str("pool", string(pool)).Int("workers", held).Int("usable", usable).Msg("room is held for lasting tasks")
+}
+
 // WorkerEjected logs and counts that a worker receives no new tasks for a while.
 func (o observer) WorkerEjected(worker jaybarrow.WorkerID, reason string) {
 	o.metrics.Count("worker.doubted")
--- a/internal/scheduler/faults_test.go
+++ b/internal/scheduler/faults_test.go
@@ -103,6 +103,8 @@
 
 func (f platformWithFault) WorkerRestarted(jaybarrow.WorkerID, int, int) {}
 
+func (f platformWithFault) RoomHeld(jaybarrow.PoolID, int, int) {}
+
 func (f platformWithFault) WorkerEjected(jaybarrow.WorkerID, string) {}
 
 // pause waits for d; it returns ctx's error when ctx ends first.
--- a/internal/scheduler/teams.go
+++ b/internal/scheduler/teams.go
@@ -19,6 +19,13 @@
 // Share returns the team's relative part of a full pool.
 func (t *teams) Share(team jaybarrow.TeamID) jaybarrow.Share { return t.share(team) }
 
+// MayUse reports whether the team's limit allows the resources beside those that it uses. Work without a team has no limit.
+func (t *teams) MayUse(team jaybarrow.TeamID, r jaybarrow.Resources) bool {
+	limit, limited := t.limit(team)
+	used, _ := t.used.Get(team)
+	return !limited || used.Plus(r).FitsLimit(limit)
+}
+
 // TryUse charges the resources to the team and reports true, or reports false when they would exceed the team's limit. Work without
 // a team has no limit.
 func (t *teams) TryUse(team jaybarrow.TeamID, r jaybarrow.Resources) bool {
--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -18,11 +18,14 @@
 	pool        *workload.Pool
 	settings    workload.Settings
 	limit       jaybarrow.Resources
+	limits      map[jaybarrow.TeamID]jaybarrow.Resources // beside limit, which holds for all teams together
+	usedBy      map[jaybarrow.TeamID]jaybarrow.Resources
 	shares      map[jaybarrow.TeamID]jaybarrow.Share
 	used        jaybarrow.Resources
 	maxAttempts int
 	priorities  map[jaybarrow.QueueID]int // by queue; 0 is the most urgent
 	advice      *jaybarrow.AdviceSettings
+	advices     map[jaybarrow.QueueID]*jaybarrow.AdviceSettings // of single queues
 	// unconfigured means that the configuration has no queue.
 	unconfigured bool
 	now          time.Time
@@ -35,12 +38,17 @@
 	h := &harness{
 		T: t, settings: workload.DefaultSettings(), maxAttempts: 2, now: time.UnixMilli(1_000_000),
 		clocks: make(map[jaybarrow.WorkerID]jaybarrow.WorkerClock), ends: make(map[jaybarrow.WorkerID]jaybarrow.EndNumber),
+		limits: make(map[jaybarrow.TeamID]jaybarrow.Resources), usedBy: make(map[jaybarrow.TeamID]jaybarrow.Resources),
 		finished: make(map[jaybarrow.JobID]jaybarrow.JobState),
 	}
 	h.pool = workload.New(workload.Deps{
 		Settings: h.settings, ID: "desk", Fence: ownFence, Teams: h, Observer: h,
 		Policies: func(id jaybarrow.QueueID) (jaybarrow.QueuePolicy, bool) {
-			return jaybarrow.QueuePolicy{Priority: h.priorities[id], MaxAttempts: h.maxAttempts, Stretch: 2, Target: time.Second, Advice: h.advice}, !h.unconfigured
+			advice := h.advice
+			if one := h.advices[id]; one != nil {
+				advice = one
+			}
+			return jaybarrow.QueuePolicy{Priority: h.priorities[id], MaxAttempts: h.maxAttempts, Stretch: 2, Target: time.Second, Advice: advice}, !h.unconfigured
 		},
 	})
 	return h
@@ -48,16 +56,25 @@
 
 func (h *harness) Share(team jaybarrow.TeamID) jaybarrow.Share { return h.shares[team] }
 
-func (h *harness) TryUse(_ jaybarrow.TeamID, r jaybarrow.Resources) bool {
-	if !h.used.Plus(r).FitsLimit(h.limit) {
+func (h *harness) MayUse(team jaybarrow.TeamID, r jaybarrow.Resources) bool {
+	return h.used.Plus(r).FitsLimit(h.limit) && h.usedBy[team].Plus(r).FitsLimit(h.limits[team])
+}
+
+func (h *harness) TryUse(team jaybarrow.TeamID, r jaybarrow.Resources) bool {
+	if !h.MayUse(team, r) {
 		return false
 	}
-	h.used = h.used.Plus(r)
+	h.Use(team, r)
 	return true
 }
 
-func (h *harness) Use(_ jaybarrow.TeamID, r jaybarrow.Resources)     { h.used = h.used.Plus(r) }
-func (h *harness) Release(_ jaybarrow.TeamID, r jaybarrow.Resources) { h.used = h.used.Minus(r) }
+func (h *harness) Use(team jaybarrow.TeamID, r jaybarrow.Resources) {
+	h.used, h.usedBy[team] = h.used.Plus(r), h.usedBy[team].Plus(r)
+}
+
+func (h *harness) Release(team jaybarrow.TeamID, r jaybarrow.Resources) {
+	h.used, h.usedBy[team] = h.used.Minus(r), h.usedBy[team].Minus(r)
+}
 
 func (h *harness) RunEnded(jaybarrow.TaskRef, jaybarrow.RunNumber, jaybarrow.WorkerID, jaybarrow.EndKind, time.Duration) {
 }
@@ -65,6 +82,8 @@
 func (h *harness) StartAnswered(jaybarrow.StartOutcome)     {}
 func (h *harness) WorkerRestarted(jaybarrow.WorkerID, int, int) {
 }
+func (h *harness) RoomHeld(jaybarrow.PoolID, int, int) {}
+
 func (h *harness) WorkerEjected(jaybarrow.WorkerID, string) {}
 
 func (h *harness) JobEnded(job *jaybarrow.Job, state jaybarrow.JobState, _ time.Duration, _ int) {
@@ -164,6 +183,12 @@
 	return j
 }
 
+// addJobOf adds a job of a team.
+func (h *harness) addJobOf(team jaybarrow.TeamID, id jaybarrow.JobID, steps ...jaybarrow.Step) {
+	j := &jaybarrow.Job{ID: id, Queue: "match", Pool: "desk", Team: team, Spec: "s", Steps: steps, AcceptedMs: h.now.UnixMilli()}
+	h.pool.AddJob(j, nil, h.now)
+}
+
 func tasks(n int, cpu jaybarrow.Millicores) jaybarrow.Step {
 	return jaybarrow.Step{Tasks: n, Demand: jaybarrow.Resources{CPU: cpu, Memory: 100}, EstimateMs: 500}
 }
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -12,6 +11,7 @@
 // placeWaiting assigns tasks of the waiting jobs to workers, in the order of the jobs.
 func (p *Pool) placeWaiting(waiting []*job, now time.Time) {
 	if len(waiting) == 0 {
+		p.noteHeldRoom(0, 0)
 		return
 	}
 	candidates := make([]*worker, 0, len(p.workers))
@@ -24,11 +24,14 @@
 		return
 	}
 	room := room{largest: largestFree(candidates)}
-	held := p.roomForStopping(candidates)
+	held := p.roomForStopping(candidates, now)
+	usable := len(candidates)
+	defer func() { p.noteHeldRoom(len(held.workers), usable) }()
+	holding := true
 	for _, j := range waiting {
-		if len(held) > 0 && j.order.rank != rankLasting {
-			candidates = slices.DeleteFunc(candidates, func(w *worker) bool { return held[w] })
-			clear(held)
+		if holding && j.order.rank != rankLasting {
+			holding = false
+			candidates = held.without(candidates)
 			room.largest = largestFree(candidates)
 		}
 		for _, s := range j.steps {
@@ -43,57 +46,12 @@
 				p.placeStep(s, candidates, &room, now)
 			}
 			if j.order.rank == rankLasting && s.unassigned > 0 {
-				p.holdRoom(s, candidates, held)
+				p.holdRoom(s, candidates, held, now)
 			}
 		}
 	}
 }
 
-// holdRoom picks the worker on which the step's next task will soonest have room, and adds it to held. Other tasks are not placed there,
-// since small ones would take what is freed there again and again.
-//
-// Load pattern: a pool full of short tasks, where a lasting task must move to another worker and needs more than one of them frees.
-func (p *Pool) holdRoom(s *step, candidates []*worker, held map[*worker]bool) {
-	var best *worker
-	var bestFraction float64
-	demand := s.demand()
-	for _, w := range candidates {
-		if held[w] || !demand.FitsIn(w.entry.Capacity.Minus(w.lastingUsed)) || !s.allows(w) {
-			continue
-		}
-		if fraction := roomFraction(w.free(), demand); best == nil || fraction > bestFraction {
-			best, bestFraction = w, fraction
-		}
-	}
-	if best != nil {
-		held[best] = true
-	}
-}
-
-// roomForStopping holds room for the lasting tasks that are being stopped to run elsewhere, so that it is still there when they end.
-func (p *Pool) roomForStopping(candidates []*worker) map[*worker]bool {
-	held := make(map[*worker]bool)
-	for r := range p.stopping {
-		if r.task.step.spec.Lasting && !r.task.step.job.state.Ended() {
-			p.holdRoom(r.task.step, candidates, held)
-		}
-	}
-	return held
-}
-
-// roomFraction returns which part of the demand fits into the free resources, by the scarcest one; 1 and more when all of it does.
-func roomFraction(free, demand jaybarrow.Resources) float64 {
-	fraction := math.Inf(1)
-	for _, part := range [...][2]float64{
-		{float64(free.CPU), float64(demand.CPU)}, {float64(free.Memory), float64(demand.Memory)}, {float64(free.Accelerators), float64(demand.Accelerators)},
-	} {
-		if part[1] > 0 {
-			fraction = min(fraction, part[0]/part[1])
-		}
-	}
-	return fraction
-}
-
 // room is what is known about the free capacity of a pool's workers during one placement. Under overload most waiting steps are refused
 // by it, without a look at each worker.
 type room struct {
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -11,6 +11,8 @@
 type Teams interface {
 	// Share returns the team's relative part of a full pool, or 0 when it has none.
 	Share(team jaybarrow.TeamID) jaybarrow.Share
+	// MayUse reports whether the team's limit allows the resources beside those that it uses.
+	MayUse(team jaybarrow.TeamID, r jaybarrow.Resources) bool
 	// TryUse charges the resources to the team unless that would exceed its limit.
 	TryUse(team jaybarrow.TeamID, r jaybarrow.Resources) bool
 	// Use charges the resources regardless of the limit, for tasks that already run.
@@ -32,6 +34,8 @@
 	// WorkerRestarted reports that a worker has started again under its id: how many runs were lost with its earlier life, and how many
 	// may have been accepted by either.
 	WorkerRestarted(worker jaybarrow.WorkerID, lost, uncertain int)
+	// RoomHeld reports that lasting tasks begin or cease to keep other work from some of the pool's usable workers.
+	RoomHeld(pool jaybarrow.PoolID, held, usable int)
 	// WorkerEjected reports that a worker temporarily receives no new tasks, and why.
 	WorkerEjected(worker jaybarrow.WorkerID, reason string)
 }
@@ -71,6 +75,7 @@
 	renewInterval  time.Duration // how long a worker with running tasks may hold back its report
 	maxUnsent      int           // runs that may wait for their start orders; no task is placed beyond it
 	maxStops       int           // stops of one plan
+	heldWorkers    int           // workers that the last plan kept for lasting tasks
 	placementsDue  bool          // whether a task may have become placeable since the last plan
 	sweepDue       bool          // whether the next plan must check every worker and run
 	sweptAt        time.Time     // when a plan last checked every worker and run
