Ask an adviser about each worker once, in turn

Cause: each request named the 30 workers with the most free CPU and refusals were forgotten, so the same 30 were named once a second.

Evidence: the leader logs 'advice' with 30 asked and 0 allowed for each job to the end; the adviser's record shows the same names. Ruled out: calls given up, tickets that expire.

Change: a step remembers the refused lives of workers; requests go on with the workers not asked about, at once after an answer without a usable ticket, and start over 10 s after the last answer when all were refused. A step also asks further while the workers that it has tickets for have no room, and for lasting tasks about workers that could make room.

--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -334,6 +334,6 @@
 	if err != nil {
 		return
 	}
-	p.locked(func() { p.state.HandleAdvice(q, advice, requestedAt) })
+	p.locked(func() { p.state.HandleAdvice(q, advice, requestedAt, p.deps.Clock.Now()) })
 	p.signal()
 }
--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -20,11 +20,21 @@
 	maxAdviceWorkers = 30
 	// adviceMargin is how long before its expiry a ticket is no longer used, to cover the transfer to the worker and clock drift.
 	adviceMargin = 200 * time.Millisecond
-	// adviceRetry is the interval at which a request is repeated that was not answered, or whose answer allowed no worker.
+	// adviceRetry is the interval at which a request is repeated that was not answered.
 	adviceRetry = time.Second
+	// adviceRestart is how long after its last answer an adviser that has refused every worker is asked again from the start.
+	adviceRestart = 10 * time.Second
 )
 
-// requestAdvice returns the requests for steps of the waiting jobs without a usable ticket, in the order of their jobs.
+// stepAdvice is what a step knows of its adviser's decisions.
+type stepAdvice struct {
+	tickets     map[jaybarrow.WorkerID]ticket // of the workers that are allowed, also expired ones
+	refused     map[jaybarrow.WorkerID]life   // the lives of workers that are not allowed
+	requestedAt time.Time                     // when the request that waits for its answer was made; zero without one
+	answeredAt  time.Time
+}
+
+// requestAdvice returns the requests for steps of the waiting jobs that no worker with a ticket can take, in the order of their jobs.
 func (p *Pool) requestAdvice(waiting []*job, now time.Time) []AdviceRequest {
 	var out []AdviceRequest
 	for _, j := range waiting {
@@ -32,12 +42,11 @@
 			continue
 		}
 		for _, s := range j.steps {
-			if s.unassigned == 0 || !s.ready(now) || !s.adviceRequestedAt.IsZero() && now.Sub(s.adviceRequestedAt) < adviceRetry ||
-				s.hasTicket(now) {
+			if s.unassigned == 0 || !s.ready(now) || !s.advice.requestedAt.IsZero() && now.Sub(s.advice.requestedAt) < adviceRetry {
 				continue
 			}
 			if q, ok := p.newAdviceRequest(s, now); ok {
-				s.adviceRequestedAt = now
+				s.advice.requestedAt = now
 				out = append(out, q)
 			}
 		}
@@ -45,26 +54,30 @@
 	return out
 }
 
-// hasTicket reports whether the step has a ticket that is not about to expire.
-func (s *step) hasTicket(now time.Time) bool {
-	for _, t := range s.advice {
-		if now.Add(adviceMargin).Before(t.expires) {
-			return true
-		}
-	}
-	return false
-}
-
-// newAdviceRequest names the workers with the most free CPU; false when no worker can run the step.
+// newAdviceRequest names workers that could take a task of the step if they were allowed: first those that were before, then those that the
+// adviser was not asked about yet, each with the most free CPU first. It returns false when a worker with a ticket can take one, or when there
+// is none to ask about.
 func (p *Pool) newAdviceRequest(s *step, now time.Time) (AdviceRequest, bool) {
 	var candidates []*worker
 	for _, w := range p.workers {
-		if w.usable(now, p.settings.ReportGrace) && p.canRun(s.tasks[0], w) {
-			candidates = append(candidates, w)
+		if !w.usable(now, p.settings.ReportGrace) || !p.mayBecomePlaceable(s, w) || s.advice.refuses(w) {
+			continue
+		}
+		if _, ok := s.ticketFor(w, now); ok {
+			return AdviceRequest{}, false
+		}
+		candidates = append(candidates, w)
+	}
+	if len(candidates) == 0 {
+		if !s.advice.answeredAt.IsZero() && now.Sub(s.advice.answeredAt) > adviceRestart {
+			clear(s.advice.refused)
 		}
+		return AdviceRequest{}, false
 	}
 	slices.SortFunc(candidates, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(b.free().CPU, a.free().CPU), cmp.Compare(a.entry.ID, b.entry.ID))
+		return cmp.Or(
+			cmp.Compare(s.advice.askOrder(a), s.advice.askOrder(b)), cmp.Compare(b.free().CPU, a.free().CPU), cmp.Compare(a.entry.ID, b.entry.ID),
+		)
 	})
 	q := AdviceRequest{
 		Step:  jaybarrow.StepRef{Job: s.job.spec.ID, Occurrence: s.occurrence, Step: s.index},
@@ -74,22 +87,52 @@
 		q.Workers = append(q.Workers, w.entry.ID)
 		q.lives[w.entry.ID] = w.life
 	}
-	return q, len(q.Workers) > 0
+	return q, true
 }
 
-// HandleAdvice stores the tickets of an adviser's answer; their validity is counted from requestedAt, when the request was sent.
-func (p *Pool) HandleAdvice(q AdviceRequest, advice jaybarrow.Advice, requestedAt time.Time) {
+// mayBecomePlaceable reports whether a task of the step can be placed on the worker if it is allowed there. Room for lasting tasks is held where
+// they have a ticket, so they need none yet.
+func (p *Pool) mayBecomePlaceable(s *step, w *worker) bool {
+	if s.spec.Lasting {
+		return s.demand().FitsIn(w.entry.Capacity.Minus(w.lastingUsed)) && s.allows(w)
+	}
+	return p.canRun(s.tasks[0], w)
+}
+
+// refuses reports whether the adviser has refused the present life of the worker.
+func (a *stepAdvice) refuses(w *worker) bool {
+	refused, ok := a.refused[w.entry.ID]
+	return ok && refused == w.life
+}
+
+// askOrder returns 0 for a worker whose present life was allowed and 1 for one that the adviser was not asked about.
+func (a *stepAdvice) askOrder(w *worker) int {
+	if t, ok := a.tickets[w.entry.ID]; ok && t.life == w.life {
+		return 0
+	}
+	return 1
+}
+
+// HandleAdvice stores an adviser's answer. The validity of the tickets is counted from requestedAt, when the request was sent. If none of them
+// can be used, the next plan asks about further workers.
+func (p *Pool) HandleAdvice(q AdviceRequest, advice jaybarrow.Advice, requestedAt, now time.Time) {
 	j := p.jobs[q.Step.Job]
 	if j == nil {
 		return
 	}
 	p.placementsDue = true
-	s := j.step(q.Step.Occurrence, q.Step.Step)
-	if s.advice == nil {
-		s.advice = make(map[jaybarrow.WorkerID]ticket)
+	a := &j.step(q.Step.Occurrence, q.Step.Step).advice
+	if a.tickets == nil {
+		a.tickets, a.refused = make(map[jaybarrow.WorkerID]ticket), make(map[jaybarrow.WorkerID]life)
 	}
-	for id, value := range advice.Tickets {
-		s.advice[id] = ticket{value: value, life: q.lives[id], expires: requestedAt.Add(advice.Valid)}
+	a.requestedAt, a.answeredAt = time.Time{}, now
+	for _, id := range q.Workers {
+		if value, ok := advice.Tickets[id]; ok {
+			a.tickets[id] = ticket{value: value, life: q.lives[id], expires: requestedAt.Add(advice.Valid)}
+			continue
+		}
+		delete(a.tickets, id)
+		a.refused[id] = q.lives[id]
 	}
 }
 
@@ -98,6 +141,6 @@
 	if s.job.policy.Advice == nil {
 		return "", true
 	}
-	t, ok := s.advice[w.entry.ID]
+	t, ok := s.advice.tickets[w.entry.ID]
 	return t.value, ok && t.life == w.life && now.Add(adviceMargin).Before(t.expires)
 }
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -28,16 +28,15 @@
 }
 
 type step struct {
-	job               *job
-	spec              *jaybarrow.Step
-	occurrence        jaybarrow.Occurrence
-	index             jaybarrow.StepIndex
-	tasks             []*task
-	tasksLeft         int
-	unassigned        int // tasks that are neither done nor assigned
-	notBefore         time.Time
-	advice            map[jaybarrow.WorkerID]ticket // tickets by worker
-	adviceRequestedAt time.Time                     // zero when the adviser was never asked
+	job        *job
+	spec       *jaybarrow.Step
+	occurrence jaybarrow.Occurrence
+	index      jaybarrow.StepIndex
+	tasks      []*task
+	tasksLeft  int
+	unassigned int // tasks that are neither done nor assigned
+	notBefore  time.Time
+	advice     stepAdvice
 }
 
 type ticket struct {
--- a/internal/workload/life.go
+++ b/internal/workload/life.go
@@ -35,7 +35,7 @@
 	}
 	w.processedEnds, w.storedEnds, w.firstListed, w.reported, w.clock, w.faults = 0, 0, 0, false, 0, 0
 	delete(p.unstoredEnds, w)
-	w.restarted = true
+	w.restarted, p.sweepDue = true, true
 	if uncertain > 0 {
 		p.assumeLongestLease(w, now)
 	}
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -239,7 +239,7 @@
 	p.endRun(r, jaybarrow.EndStopped, "", now)
 	switch outcome {
 	case jaybarrow.StartNoTicket:
-		delete(r.task.step.advice, w.entry.ID)
+		delete(r.task.step.advice.tickets, w.entry.ID)
 	case jaybarrow.StartReplaced:
 		p.HandleReplaced(s.Worker, now)
 	case jaybarrow.StartInvalid:
