Accept only jobs whose progress can be stored

Cause: a job's progress is one value of the store. Above value_bytes, which was not read, the store refuses it each time; the write was repeated without end and the pool waits for it.

Change: value_bytes is read. Tasks that may not begin yet do not count as backlog.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -109,6 +109,7 @@
 	settings := jobhost.DefaultSettings()
 	settings.MaxConfigurationAge = time.Duration(configurationAgeFraction * float64(s.Bounds.ConfigurationDelay+s.Bounds.OutageDelay))
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.MaxWorkerLease)
+	settings.Scheduler.Workload.MaxValueBytes, settings.Command.MaxValueBytes = s.MaxValueBytes, s.MaxValueBytes
 	settings.Scheduler.Workload.MaxLease = s.Bounds.MaxWorkerLease
 	settings.Leader.Capacity, settings.Leader.Link = s.Capacity, s.Link
 	carrier := budget.Host{Cores: s.Capacity, Link: s.Link}
--- a/internal/command/job/accept.go
+++ b/internal/command/job/accept.go
@@ -33,6 +33,7 @@
 	SchedulerTimeout time.Duration  // for the scheduler's response, before the store is read instead
 	ReadTimeout      time.Duration  // for one read of the store
 	AdmissionTimeout time.Duration  // for the scheduler's decision on a new job, which is accepted without one
+	MaxValueBytes    int            // largest value that the store accepts
 	Write            hedge.Settings // each write is conditional, so a duplicate has no effect
 }
 
@@ -45,6 +46,8 @@
 		ReadTimeout: time.Second,
 		// Longer than for other responses: a scheduler that is asked has much to do, and a job that it would refuse is accepted without it.
 		AdmissionTimeout: 300 * time.Millisecond,
+		// The usual limit of the platform's store.
+		MaxValueBytes: 1 << 20,
 		// The delay is twenty times the store's usual response time. A second call uses a new connection when the
 		// first one gets no response.
 		Write: hedge.Settings{Delay: 120 * time.Millisecond, MaxCalls: 3, Timeout: 1500 * time.Millisecond},
@@ -63,7 +66,7 @@
 	if err != nil {
 		return "", err
 	}
-	if err := validateJob(in); err != nil {
+	if err := validateJob(in, h.deps.Settings.MaxValueBytes); err != nil {
 		return "", err
 	}
 	if err := h.admit(ctx, in); err != nil {
@@ -77,6 +80,9 @@
 	if err != nil {
 		return "", jaybarrow.Errorf(jaybarrow.KindBadRequest, "encode job: %w", err)
 	}
+	if most := h.deps.Settings.MaxValueBytes; len(value) > most {
+		return "", jaybarrow.Errorf(jaybarrow.KindBadRequest, "the job takes %d bytes, at most %d can be stored", len(value), most)
+	}
 	key := jaybarrow.JobAcceptedKey(in.ID)
 	return in.ID, writeOnce(ctx, h.deps, jaybarrow.Commit{
 		Expect: []jaybarrow.Expectation{{Key: key}}, Puts: []jaybarrow.Put{{Key: key, Value: value}},
--- a/internal/command/job/validate.go
+++ b/internal/command/job/validate.go
@@ -2,14 +2,14 @@
 
 import (
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
 // The limits of a job; a larger one is rejected before anything is stored.
 const (
 	maxSpecBytes = 4000
-	maxSteps     = 1000    // of one job
-	maxTasks     = 100_000 // of one job, over all its runs
-	idDigits     = 16      // hexadecimal
+	maxSteps     = 1000 // of one job
+	idDigits     = 16   // hexadecimal
 )
 
 // The largest numbers of a job. The demands of all waiting tasks are added up, and times are added to the current time.
@@ -21,8 +21,8 @@
 	maxStartMs      = 253_402_300_799_999         // Unix ms; the end of the year 9999
 )
 
-// validateJob returns KindBadRequest for a job that is malformed or exceeds a limit.
-func validateJob(in Accept) error {
+// validateJob returns KindBadRequest for a job that is malformed or exceeds a limit. Its progress must fit into one value of the store.
+func validateJob(in Accept, valueBytes int) error {
 	switch {
 	case !ValidID(in.ID):
 		return jaybarrow.Errorf(jaybarrow.KindBadRequest, "job id %q: want %d hexadecimal digits", in.ID, idDigits)
@@ -39,17 +39,27 @@
 		if r.StartMs < 0 || r.StartMs > maxStartMs {
 			return jaybarrow.Errorf(jaybarrow.KindBadRequest, "start at %d ms: want 0 to %d", r.StartMs, int64(maxStartMs))
 		}
-		runs = min(r.Runs, maxTasks+1)
+		runs = min(r.Runs, workload.MaxTasks(valueBytes)+1)
 	}
-	tasks := 0
+	tasks, lasting := 0, 0
+	mostTasks, mostBegun := workload.MaxTasks(valueBytes), workload.MaxBegunTasks(valueBytes)
 	for i, s := range in.Steps {
 		if err := validateStep(i, s); err != nil {
 			return err
 		}
-		tasks += min(s.Tasks, maxTasks+1)
+		tasks += min(s.Tasks, mostTasks+1)
+		if s.Lasting {
+			lasting += min(s.Tasks, mostBegun+1)
+		}
+		if s.Gang && s.Tasks > mostBegun {
+			return jaybarrow.Errorf(jaybarrow.KindBadRequest, "step %d: a gang of %d tasks, at most %d can be stored", i, s.Tasks, mostBegun)
+		}
+	}
+	if tasks*runs > mostTasks {
+		return jaybarrow.Errorf(jaybarrow.KindBadRequest, "more than %d tasks", mostTasks)
 	}
-	if tasks*runs > maxTasks {
-		return jaybarrow.Errorf(jaybarrow.KindBadRequest, "more than %d tasks", maxTasks)
+	if lasting*runs > mostBegun {
+		return jaybarrow.Errorf(jaybarrow.KindBadRequest, "more than %d lasting tasks", mostBegun)
 	}
 	return nil
 }
--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -20,11 +20,15 @@
 			continue
 		}
 		var waiting jaybarrow.Work
+		mayBegin := p.mayBeginOf(j)
 		for _, s := range j.steps {
-			if s.unassigned > 0 {
-				waiting = waiting.Plus(s.demand().Work(s.spec.Estimate()).Times(float64(s.unassigned)))
-				out.Tasks += s.unassigned
+			n := min(s.unassigned, mayBegin)
+			if n <= 0 {
+				continue
 			}
+			mayBegin -= n
+			waiting = waiting.Plus(s.demand().Work(s.spec.Estimate()).Times(float64(n)))
+			out.Tasks += n
 		}
 		waiting = waiting.Times(p.runTimes.factor(j.spec.Queue))
 		out.Waiting = out.Waiting.Plus(waiting)
--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -41,7 +41,13 @@
 		limits: make(map[jaybarrow.TeamID]jaybarrow.Resources), usedBy: make(map[jaybarrow.TeamID]jaybarrow.Resources),
 		finished: make(map[jaybarrow.JobID]jaybarrow.JobState),
 	}
-	h.pool = workload.New(workload.Deps{
+	h.pool = h.newPool()
+	return h
+}
+
+// newPool returns an empty pool with the harness's settings.
+func (h *harness) newPool() *workload.Pool {
+	return workload.New(workload.Deps{
 		Settings: h.settings, ID: "desk", Fence: ownFence, Teams: h, Observer: h,
 		Policies: func(id jaybarrow.QueueID) (jaybarrow.QueuePolicy, bool) {
 			advice := h.advice
@@ -51,7 +57,6 @@
 			return jaybarrow.QueuePolicy{Priority: h.priorities[id], MaxAttempts: h.maxAttempts, Stretch: 2, Target: time.Second, Advice: advice}, !h.unconfigured
 		},
 	})
-	return h
 }
 
 func (h *harness) Share(team jaybarrow.TeamID) jaybarrow.Share { return h.shares[team] }
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -17,6 +17,7 @@
 	steps        []*step // ordered by occurrence, then by step
 	tasksLeft    int     // tasks that are not done
 	runs         int     // runs that may exist on workers
+	begun        int     // tasks that were assigned and are not done
 	started      bool    // whether a run was ever assigned
 	cancelled    bool
 	accepted     time.Time
@@ -170,8 +171,9 @@
 		}
 		s := r.Tasks[n]
 		n++
-		t.run, t.failures, t.checkpoint = s.Run, s.Failures, s.Checkpoint
-		j.started = j.started || s.Run > 0
+		t.setRun(s.Run)
+		t.failures, t.checkpoint = s.Failures, s.Checkpoint
+		j.started = j.started || s.Run > 0 || s.Done
 		if s.Done {
 			t.markDone()
 		}
@@ -184,6 +186,7 @@
 	if t.done {
 		return
 	}
+	t.step.job.begun -= t.begun(t.run)
 	t.done = true
 	t.step.tasksLeft--
 	t.step.unassigned--
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -148,7 +148,7 @@
 		return
 	}
 	for _, t := range s.tasks {
-		if t.done || t.current != nil {
+		if t.done || t.current != nil || !p.mayBegin(t) {
 			continue
 		}
 		if len(p.planned) >= p.maxUnsent {
@@ -204,7 +204,7 @@
 	}
 	var placed []*run
 	for _, t := range s.tasks {
-		t.run = number
+		t.setRun(number)
 		r := p.placeTask(t, candidates, now)
 		if r == nil {
 			for _, other := range placed {
@@ -223,7 +223,7 @@
 	p.removeRun(r)
 	t.step.unassigned++
 	t.current = nil
-	t.run--
+	t.setRun(t.run - 1)
 }
 
 // chooseWorker returns the best worker for the task, or nil.
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -196,7 +196,7 @@
 
 // assign creates a run of the task on the worker; the caller charges the team.
 func (p *Pool) assign(t *task, w *worker, number jaybarrow.RunNumber, now time.Time) *run {
-	t.run = number
+	t.setRun(number)
 	demand := t.step.spec.Demand
 	r := &run{
 		task: t, number: number, worker: w, instanceStartMs: w.instanceStartMs, life: w.life, progressedAt: now,
@@ -229,9 +229,7 @@
 			t.markDone()
 		}
 	}
-	if checkpoint != "" {
-		t.checkpoint = checkpoint
-	}
+	t.keepCheckpoint(checkpoint)
 	p.observer.RunEnded(t.ref, r.number, w.entry.ID, kind, now.Sub(r.phaseSince))
 	p.updateFaults(r, kind, now)
 	if j.state.Ended() {
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -49,7 +49,10 @@
 	}
 	r := Record{State: j.state}
 	j.eachTask(func(t *task) {
-		s := TaskRecord{Done: t.done, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
+		s := TaskRecord{Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
+		if t.done {
+			s = TaskRecord{Done: true}
+		}
 		if t.current != nil {
 			s.Worker, s.InstanceStartMs = t.current.worker.entry.ID, t.current.instanceStartMs
 		}
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -140,8 +140,7 @@
 		return
 	}
 	r.life, r.listed = w.life, true
-	if report.Checkpoint != "" && report.Checkpoint != r.task.checkpoint {
-		r.task.checkpoint = report.Checkpoint
+	if r.task.keepCheckpoint(report.Checkpoint) {
 		p.markChanged(r.task.step.job, now)
 	}
 	if r.phase == runSent || r.phase == runUnconfirmed {
--- a/internal/workload/settings.go
+++ b/internal/workload/settings.go
@@ -8,6 +8,8 @@
 	Lease time.Duration
 	// MaxLease is the longest lease that a worker grants, whatever an order asks for.
 	MaxLease time.Duration
+	// MaxValueBytes is the largest value that the store accepts, which bounds the record of a job.
+	MaxValueBytes int
 	// RenewInterval is how long a worker may hold back its report while tasks run; each hold order renews the lease.
 	RenewInterval time.Duration
 	// IdleInterval is how long a worker may hold back its report while nothing runs.
@@ -31,6 +33,8 @@
 		Lease: 5 * time.Second,
 		// The longest that the platform allows.
 		MaxLease: 10 * time.Second,
+		// The usual limit of the platform's store.
+		MaxValueBytes: 1 << 20,
 		// Shorter than the stall timeout, so that a stall is reported in time.
 		RenewInterval: 500 * time.Millisecond,
 		// The longest wait that workers accept.
