Count workers whose report is late as capacity when jobs are admitted

What callers saw: a job was refused with 429 by a calm pool whose only worker reported late (TestCallersMayAllowAnyTime, once beside load).

Cause: the capacity for admission left out each worker that may not receive a task at the moment. Without capacity one waiting task makes the wait endless.

Change: for admission a worker counts until it has missed two reports, is reserved, drains or has left.

Measured: two of six cases of the new test failed before.

--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -7,11 +7,12 @@
 	"github.com/jaybarrow/jaybarrow/internal/admission"
 )
 
-// Backlog returns what waits in the pool and the capacity of its workers; what the fleet can add is left out.
+// Backlog returns what waits in the pool and the capacity of its workers, with those that take no tasks for a moment; what the fleet can
+// add is left out.
 func (p *Pool) Backlog(now time.Time) admission.Load {
 	var out admission.Load
 	for _, w := range p.sortedWorkers() {
-		if w.usable(now, p.settings.ReportGrace) {
+		if w.willTakeTasks() {
 			out.Capacity = out.Capacity.Plus(w.entry.Capacity.Minus(w.lastingUsed))
 		}
 	}
--- /dev/null
+++ b/internal/workload/backlog_test.go
@@ -0,0 +1,35 @@
+package workload_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+)
+
+// Guards against jobs that are refused because the reports of the pool's workers are late for a moment: without a worker no wait is short enough.
+func TestALateReportLeavesTheCapacityAsItIs(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(h *harness)
+		want    jaybarrow.Millicores
+	}{
+		{"on time", func(*harness) {}, 10_000},
+		{"late", func(h *harness) { h.advance(4 * time.Second) }, 10_000},
+		{"one missed", func(h *harness) { h.missReport("w1") }, 10_000},
+		{"two missed", func(h *harness) { h.missReport("w1"); h.missReport("w1") }, 0},
+		{"removed", func(h *harness) { h.pool.DropWorker("w1") }, 0},
+		{"reserved", func(h *harness) { h.pool.Reserve("w1", false) }, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("w1")
+			h.addJob("j", tasks(1, 1000))
+			c.prepare(h)
+			assert.Equal(t, h.pool.Backlog(h.now).Capacity.CPU, c.want)
+		})
+	}
+}
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -32,7 +32,7 @@
 	backoffUntil   time.Time
 	faults         int // runs that failed or stalled, and invalid starts, since the last success
 	reserved       bool
-	maintenanceDue bool // its host awaits maintenance in a wave
+	maintenanceDue bool      // its host awaits maintenance in a wave
 }
 
 type runKey struct {
@@ -87,6 +87,12 @@
 		w.reportsOnTime(now, grace) && !now.Before(w.backoffUntil)
 }
 
+// willTakeTasks reports whether the worker is one that receives new tasks, or will again in a moment: a report that is late, or one that was
+// missed, says little about the seconds for which a new job may wait.
+func (w *worker) willTakeTasks() bool {
+	return w.reported && !w.gone && !w.reserved && w.missedReports <= 1 && w.entry.State == jaybarrow.WorkerReady
+}
+
 // reportsOnTime reports whether the worker's next report is not overdue by more than the grace.
 func (w *worker) reportsOnTime(now time.Time, grace time.Duration) bool {
 	return now.Sub(w.lastReport) <= w.reportWait+grace
