Send no start to a worker that drains or has missed a report

Cause: a start waits for the write of its assignment, which takes seconds while the store is slow or away. Whether its worker was gone was checked again before the order was sent, whether it drains or is silent was not: the task could start on a draining worker, or wait for the lease of a silent one.

Measured: two of four cases of the new test failed before.

--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -299,7 +299,7 @@
 	if r == nil || r.phase != runPlanned {
 		return s, false
 	}
-	if r.task.step.job.state.Ended() || w.gone || !w.reported || w.life != r.life {
+	if r.task.step.job.state.Ended() || !w.acceptsOrders() || w.life != r.life {
 		p.endRun(r, jaybarrow.EndStopped, "", now)
 		return s, false
 	}
--- a/internal/workload/pool_test.go
+++ b/internal/workload/pool_test.go
@@ -367,3 +367,36 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, in, out)
 }
+
+// Guards against a start that is sent although its worker has become unusable while the assignment was written: it would run on a draining
+// worker, or wait for the lease of a silent one to end.
+func TestAStartIsNotSentToAWorkerThatHasBecomeUnusable(t *testing.T) {
+	cases := map[string]func(h *harness){
+		"drains": func(h *harness) {
+			h.pool.SetWorker(jaybarrow.Worker{
+				ID: "w1", Pool: "desk", Address: "192.0.2.1:80", State: jaybarrow.WorkerDraining, Capacity: jaybarrow.Resources{CPU: 10_000, Memory: 10_000},
+			}, h.now)
+		},
+		"is silent":         func(h *harness) { h.missReport("w1") },
+		"has left":          func(h *harness) { h.pool.DropWorker("w1") },
+		"has started again": func(h *harness) { h.reportLife("w1", secondBorn, 5, nil) },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("w1")
+			h.addJob("j", tasks(1, 1000))
+			h.advance(h.settings.BatchDelay)
+			round := h.pool.Plan(h.now, true)
+			assert.Equal(t, len(round.Starts), 1)
+			change(h)
+			h.pool.MarkWritten(round)
+			_, ok := h.pool.MarkSent(round.Starts[0], h.now)
+			assert.Assert(t, !ok)
+			h.addWorker("w2")
+			again := h.plan().Starts
+			assert.Equal(t, len(again), 1)
+			assert.Assert(t, again[0].Run > round.Starts[0].Run)
+		})
+	}
+}
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -87,6 +87,12 @@
 		w.reportsOnTime(now, grace) && !now.Before(w.backoffUntil)
 }
 
+// acceptsOrders reports whether a start may still be sent to the worker. The write before it can take seconds, in which the worker may have
+// begun to drain or fallen silent.
+func (w *worker) acceptsOrders() bool {
+	return w.reported && !w.gone && w.missedReports == 0 && w.entry.State == jaybarrow.WorkerReady
+}
+
 // willTakeTasks reports whether the worker is one that receives new tasks, or will again in a moment: a report that is late, or one that was
 // missed, says little about the seconds for which a new job may wait.
 func (w *worker) willTakeTasks() bool {
