End waves over all hosts of a pool, and leave the pool at work meanwhile

Cause: hosts were drained without a look at what is left of their pool, and a lasting task was stopped only if another usable worker had room for it. With all workers reserved, or each with a task of its own, none had, and nothing ended the reservations.

Change: the last host of a pool that accepts tasks is drained only when others are back. Lasting tasks that found no room elsewhere for 3 s are stopped as far as they may be unavailable, if that empties their worker, and start again after its maintenance.

The new test and the new case failed with the earlier plan and evacuation.

--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -123,12 +123,13 @@
 		settings: s, state: in, taken: make(map[jaybarrow.HostID]bool),
 		pools: make(map[jaybarrow.PoolID]Pool, len(in.Pools)), servingHosts: make(map[jaybarrow.PoolID]int, len(in.Pools)),
 		lastingHosts: make(map[jaybarrow.PoolID]int, len(in.Pools)), orderedHosts: make(map[jaybarrow.PoolID]int, len(in.Pools)),
-		servingByLabel: make(map[poolLabel]int),
+		servingByLabel: make(map[poolLabel]int), hostsOf: make(map[jaybarrow.PoolID]int, len(in.Pools)),
 	}
 	for _, p := range in.Pools {
 		d.pools[p.ID] = p
 	}
 	for _, h := range in.Hosts {
+		d.hostsOf[h.Pool]++
 		if h.serving() {
 			d.countServing(h, 1)
 		}
@@ -153,6 +154,7 @@
 	state          State
 	taken          map[jaybarrow.HostID]bool // hosts with an order in this decision
 	pools          map[jaybarrow.PoolID]Pool
+	hostsOf        map[jaybarrow.PoolID]int // hosts, in whatever state
 	servingHosts   map[jaybarrow.PoolID]int // hosts that accept tasks
 	lastingHosts   map[jaybarrow.PoolID]int // hosts with lasting tasks
 	orderedHosts   map[jaybarrow.PoolID]int // hosts that this decision moves there
@@ -205,7 +207,7 @@
 			if budget <= 0 {
 				break
 			}
-			if d.taken[h.ID] || h.Reserved || !urgent && !d.canSpare(h) {
+			if d.taken[h.ID] || h.Reserved || !urgent && !d.canSpare(h) || d.isLastServing(h) {
 				continue
 			}
 			d.orders.Drain = append(d.orders.Drain, Maintenance{h, w.ID})
@@ -229,6 +231,12 @@
 	return out
 }
 
+// isLastServing reports whether the host is the last one that accepts tasks in a pool that has others: these come back from their maintenance
+// before this one is drained.
+func (d *decision) isLastServing(h Host) bool {
+	return h.serving() && d.servingHosts[h.Pool] <= 1 && d.hostsOf[h.Pool] > 1
+}
+
 // canSpare reports whether the host's pool meets its recent need without the host.
 func (d *decision) canSpare(h Host) bool {
 	p, known := d.pools[h.Pool]
--- a/internal/fleetplan/plan_test.go
+++ b/internal/fleetplan/plan_test.go
@@ -127,6 +127,8 @@
 		{"busy hosts are drained first", busy(hosts("desk", 4)), wave(2, 0, time.Minute, hosts("desk", 4)), 0, 2, 0},
 		{"hosts that a busy pool needs are not drained", busy(hosts("desk", 4)), wave(2, 0, time.Minute, hosts("desk", 4)), 4, 0, 0},
 		{"hosts that a busy pool needs are drained when time is short", busy(hosts("desk", 4)), wave(2, 0, 10*time.Second, hosts("desk", 4)), 4, 2, 0},
+		{"the last serving host of a pool stays until others are back", busy(hosts("desk", 4)), wave(4, 0, 10*time.Second, hosts("desk", 4)), 4, 3, 0},
+		{"the only host of a pool is drained", busy(hosts("desk", 1)), wave(4, 0, 10*time.Second, hosts("desk", 1)), 1, 1, 0},
 		{"spare hosts need no drain", hosts("spare", 2), wave(2, 0, time.Minute, hosts("spare", 2)), 0, 0, 2},
 	}
 	for _, c := range cases {
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -80,7 +80,7 @@
 // Unreserve ends the reservation of a worker.
 func (p *Pool) Unreserve(id jaybarrow.WorkerID) {
 	if w := p.workers[id]; w != nil {
-		w.reserved, p.placementsDue = false, true
+		w.reserved, w.reservedAt, p.placementsDue = false, time.Time{}, true
 	}
 }
 
@@ -98,24 +98,48 @@
 	}
 }
 
-// evacuateReserved stops lasting tasks on reserved workers, as far as their steps' MaxUnavailable allows, so that they move to
-// others.
+// relocationTime is how long the lasting tasks on a reserved worker wait for room elsewhere before they are stopped without, to start again
+// after its maintenance. Joining hosts bring room within it, and short tasks end.
+const relocationTime = 3 * time.Second
+
+// evacuateReserved stops lasting tasks on reserved workers, as far as their steps' MaxUnavailable allows, so that they move to others. A worker
+// whose tasks found no room elsewhere for relocationTime is emptied all the same once this can be done at a stroke, so that its
+// maintenance begins at once.
 func (p *Pool) evacuateReserved(now time.Time) {
 	for _, w := range p.workers {
 		if !w.reserved || w.missedReports > 0 {
 			continue
 		}
+		if w.reservedAt.IsZero() {
+			w.reservedAt = now
+		}
+		emptied := now.Sub(w.reservedAt) >= relocationTime && p.mayEmpty(w, now)
 		for _, r := range w.runs {
-			if r.task.step.spec.Lasting && r.phase == runRunning && p.canEvict(r, now) {
+			if r.evictable() && (emptied || p.mayMiss(r, now) && p.hasRoomElsewhere(r, now)) {
 				p.stopRun(r, now)
 			}
 		}
 	}
 }
 
-// canEvict reports whether a lasting task may be unavailable: enough others of its step are available, and another worker has
-// room for it.
-func (p *Pool) canEvict(r *run, now time.Time) bool {
+// mayEmpty reports whether only lasting tasks run on the worker and all of them may be stopped together.
+func (p *Pool) mayEmpty(w *worker, now time.Time) bool {
+	steps := make(map[*step]bool, len(w.runs))
+	for _, r := range w.runs {
+		s := r.task.step
+		if !r.evictable() || steps[s] || !p.mayMiss(r, now) {
+			return false
+		}
+		steps[s] = true
+	}
+	return true
+}
+
+// evictable reports whether the run is one of a lasting task that can be stopped.
+func (r *run) evictable() bool { return r.task.step.spec.Lasting && r.phase == runRunning }
+
+// mayMiss reports whether the lasting task may be unavailable: enough others of its step are available.
+func (p *Pool) mayMiss(r *run, now time.Time) bool {
 	s := r.task.step
 	unavailable := 0
 	for _, t := range s.tasks {
@@ -123,9 +147,11 @@
 			unavailable++
 		}
 	}
-	if unavailable >= max(1, s.spec.MaxUnavailable) {
-		return false
-	}
+	return unavailable < max(1, s.spec.MaxUnavailable)
+}
+
+// hasRoomElsewhere reports whether another worker can take the run's task.
+func (p *Pool) hasRoomElsewhere(r *run, now time.Time) bool {
 	for _, w := range p.workers {
 		if w != r.worker && w.usable(now, p.settings.ReportGrace) && p.canRun(r.task, w) {
 			return true
--- a/internal/workload/takeover_test.go
+++ b/internal/workload/takeover_test.go
@@ -251,3 +251,41 @@
 	h.plan()
 	assert.Equal(t, h.finished["j"], jaybarrow.JobFailed)
 }
+
+// Guards against a wave that never ends because its lasting tasks cannot run on another worker: they may be away one at a time, and start again
+// after the maintenance.
+func TestLastingTasksWithoutRoomElsewhereAreStoppedOneAtATime(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1")
+	h.addWorker("w2")
+	h.addWorker("w3")
+	h.addJob("j", lasting(3))
+	s := h.planAndStart(jaybarrow.StartDone)
+	assert.Equal(t, len(s), 3)
+	report := func() {
+		for _, id := range []jaybarrow.WorkerID{"w1", "w2", "w3"} {
+			h.report(id, runReports(s, id, 100))
+		}
+	}
+	report()
+	assert.Assert(t, h.pool.Reserve("w1", false))
+	assert.Assert(t, h.pool.Reserve("w2", false))
+	assert.Equal(t, len(h.plan().Stops), 0, "another worker may have room soon")
+	h.advance(4 * time.Second)
+	report()
+	out := h.plan()
+	assert.Equal(t, len(out.Stops), 1)
+	h.pool.HandleStopOutcome(out.Stops[0], true, h.now)
+	stopped := out.Stops[0].Worker.ID
+	for _, start := range s {
+		if start.Worker.ID == stopped {
+			h.report(stopped, nil, h.endReport(start, jaybarrow.EndStopped))
+		}
+	}
+	out = h.plan()
+	assert.Equal(t, len(out.Stops)+len(out.Starts), 0, "one at a time")
+	h.pool.Unreserve(stopped)
+	again := h.planAndStart(jaybarrow.StartDone)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Worker.ID, stopped)
+}
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -32,6 +32,7 @@
 	backoffUntil   time.Time
 	faults         int // runs that failed or stalled, and invalid starts, since the last success
 	reserved       bool
+	reservedAt     time.Time // when a plan first saw the worker reserved
 	maintenanceDue bool      // its host awaits maintenance in a wave
 }
 
