Poll a worker that has started again only once it has reported here

And a successor waited for the usual lease of a worker that has started again since the assignment, although an order may have set the longest one there, by the clock of the life before.

Measured: TestAWorkerThatHasNotReportedIsNotPolled and the case 'a later life' of TestASuccessorWaitsForTheLongestLeaseOfANewLife failed before.

--- a/internal/workload/life.go
+++ b/internal/workload/life.go
@@ -33,9 +33,10 @@
 	if startedMs != 0 {
 		w.instanceStartMs = startedMs
 	}
+	w.restarted = w.restarted || w.reported
 	w.processedEnds, w.storedEnds, w.firstListed, w.reported, w.clock, w.faults = 0, 0, 0, false, 0, 0
 	delete(p.unstoredEnds, w)
-	w.restarted, p.sweepDue = true, true
+	p.sweepDue = true
 	if uncertain > 0 {
 		p.assumeLongestLease(w, now)
 	}
--- a/internal/workload/life_test.go
+++ b/internal/workload/life_test.go
@@ -207,3 +207,19 @@
 	h.reportLife("w1", secondBorn, 90, runReports(s, "w1", 10))
 	assert.Equal(t, len(h.plan().Starts), 0)
 }
+
+// Guards against a poll before a worker has reported to this scheduler: while the stored jobs are being loaded every run that it lists would be
+// stopped.
+func TestAWorkerThatHasNotReportedIsNotPolled(t *testing.T) {
+	h := newHarness(t)
+	h.registerLife("w1", firstBorn)
+	h.registerLife("w1", secondBorn)
+	assert.Assert(t, !h.pool.NeedsPoll("w1"))
+	_, _, ok := h.pool.PollOrder("w1")
+	assert.Assert(t, !ok)
+	h.reportLife("w1", secondBorn, 90, nil)
+	h.registerLife("w1", 2*secondBorn)
+	assert.Assert(t, h.pool.NeedsPoll("w1"))
+	_, _, ok = h.pool.PollOrder("w1")
+	assert.Assert(t, ok)
+}
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -184,9 +184,12 @@
 			w.gone, w.missedReports = true, 1
 			p.addWorker(w)
 		}
-		if w.leaseEnd.IsZero() {
-			w.leaseEnd = leaseEndAfter(now, p.settings.Lease)
+		lease := p.settings.Lease
+		if s.InstanceStartMs != 0 && w.instanceStartMs != 0 && s.InstanceStartMs != w.instanceStartMs {
+			// The order may have set a lease in a later life by the clock of the one that it was meant for.
+			lease = p.settings.MaxLease
 		}
+		w.extendLeaseEnd(now, lease)
 		r := p.assign(t, w, s.Run, now)
 		p.setPhase(r, runUnconfirmed, now)
 		r.instanceStartMs, r.inherited = s.InstanceStartMs, true
--- a/internal/workload/takeover_test.go
+++ b/internal/workload/takeover_test.go
@@ -289,3 +289,33 @@
 	assert.Equal(t, len(again), 1)
 	assert.Equal(t, again[0].Worker.ID, stopped)
 }
+
+// Guards against a task that a successor starts elsewhere while its worker, which has started again since the assignment and cannot be reached,
+// may run it under the longest lease: the order set it by the clock of the life before.
+func TestASuccessorWaitsForTheLongestLeaseOfANewLife(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		registered int64
+		want       func(workload.Settings) time.Duration
+	}{
+		{"the same life", firstBorn, func(s workload.Settings) time.Duration { return s.Lease }},
+		{"a later life", secondBorn, func(s workload.Settings) time.Duration { return s.MaxLease }},
+		{"not registered", 0, func(s workload.Settings) time.Duration { return s.Lease }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.registerLife("w1", c.registered)
+			h.addWorker("w2")
+			job := &jaybarrow.Job{ID: "j", Queue: "match", Pool: "desk", Team: "trail", Steps: []jaybarrow.Step{tasks(1, 1000)}, AcceptedMs: h.now.UnixMilli()}
+			h.pool.AddJob(job, &workload.Record{State: jaybarrow.JobRunning, Tasks: []workload.TaskRecord{{Run: 4, Worker: "w1", InstanceStartMs: firstBorn}}}, h.now)
+			started := h.now
+			for len(h.plan().Starts) == 0 {
+				h.missReport("w1")
+				h.advance(h.settings.Lease / 20)
+				h.report("w2", nil)
+			}
+			took := h.now.Sub(started)
+			assert.Assert(t, took > c.want(h.settings) && took < c.want(h.settings)*5/4, "after %v", took)
+		})
+	}
+}
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -18,7 +18,7 @@
 	instanceStartMs int64                 // wall clock of the process's start, which identifies the instance; 0 when unknown
 	life            life                  // the current one; runs and tickets of earlier ones are void
 	lifeSince       time.Time             // when this pool learned of the current life
-	restarted       bool                  // no report of the current life has arrived, though an earlier one has ended
+	restarted       bool                  // an earlier life has reported under this scheduler's fence, the current one has not
 	leaseEnd        time.Time             // when the lease has certainly ended unless it is extended again
 	leaseOrderedAt  time.Time             // when an order that extends the lease was last sent
 	used            jaybarrow.Resources
