Report held room once a second at most

The line that tells of held room could be written with each plan of each pool while tasks come and go. A test that holds and gives up room many times failed without the interval.

--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -32,6 +32,7 @@
 	clocks       map[jaybarrow.WorkerID]jaybarrow.WorkerClock
 	ends         map[jaybarrow.WorkerID]jaybarrow.EndNumber
 	finished     map[jaybarrow.JobID]jaybarrow.JobState
+	roomReports  int // calls of RoomHeld
 }
 
 func newHarness(t *testing.T) *harness {
@@ -87,7 +88,7 @@
 func (h *harness) StartAnswered(jaybarrow.StartOutcome)     {}
 func (h *harness) WorkerRestarted(jaybarrow.WorkerID, int, int) {
 }
-func (h *harness) RoomHeld(jaybarrow.PoolID, int, int) {}
+func (h *harness) RoomHeld(jaybarrow.PoolID, int, int) { h.roomReports++ }
 
 func (h *harness) WorkerEjected(jaybarrow.WorkerID, string) {}
 
--- a/internal/workload/hold.go
+++ b/internal/workload/hold.go
@@ -90,12 +90,16 @@
 	return held
 }
 
+// heldReportInterval is the least time between two notices about held room, which may begin and end with each plan.
+const heldReportInterval = time.Second
+
 // noteHeldRoom tells the observer when lasting tasks begin or cease to hold room.
-func (p *Pool) noteHeldRoom(workers, usable int) {
-	if (workers > 0) != (p.heldWorkers > 0) {
-		p.observer.RoomHeld(p.id, workers, usable)
+func (p *Pool) noteHeldRoom(workers, usable int, now time.Time) {
+	if (workers > 0) == p.holdsRoom || now.Sub(p.heldReportedAt) < heldReportInterval {
+		return
 	}
-	p.heldWorkers = workers
+	p.holdsRoom, p.heldReportedAt = workers > 0, now
+	p.observer.RoomHeld(p.id, workers, usable)
 }
 
 // roomFraction returns which part of the demand fits into the free resources, by the scarcest one; 1 and more when all of it does.
--- a/internal/workload/hold_test.go
+++ b/internal/workload/hold_test.go
@@ -93,3 +93,27 @@
 	h.addJob("quick", tasks(2, 1000))
 	assert.Equal(t, h.startsOf("quick"), 2)
 }
+
+// Guards against a log line with each plan: room may be held and given up many times a second.
+func TestHeldRoomIsReportedOnceASecondAtMost(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1")
+	h.addWorker("w2")
+	for n := range 40 {
+		long := lasting(1)
+		long.Demand.CPU = 7000
+		job := jaybarrow.JobID(fmt.Sprintf("l%d", n))
+		h.addJob("full"+job, tasks(2, 9000))
+		running := h.planAndStart(jaybarrow.StartDone)
+		h.addJob(job, long)
+		h.plan()
+		h.pool.Cancel(job, h.now)
+		for _, r := range running {
+			h.report(r.Worker.ID, nil, h.endReport(r, jaybarrow.EndDone))
+		}
+		h.plan()
+	}
+	elapsed := h.now.Sub(time.UnixMilli(1_000_000))
+	assert.Assert(t, h.roomReports >= 2, "%d reports", h.roomReports)
+	assert.Assert(t, time.Duration(h.roomReports-1)*time.Second <= elapsed, "%d reports in %v", h.roomReports, elapsed)
+}
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -11,7 +11,7 @@
 // placeWaiting assigns tasks of the waiting jobs to workers, in the order of the jobs.
 func (p *Pool) placeWaiting(waiting []*job, now time.Time) {
 	if len(waiting) == 0 {
-		p.noteHeldRoom(0, 0)
+		p.noteHeldRoom(0, 0, now)
 		return
 	}
 	candidates := make([]*worker, 0, len(p.workers))
@@ -26,7 +26,7 @@
 	room := room{largest: largestFree(candidates)}
 	held := p.roomForStopping(candidates, now)
 	usable := len(candidates)
-	defer func() { p.noteHeldRoom(len(held.workers), usable) }()
+	defer func() { p.noteHeldRoom(len(held.workers), usable, now) }()
 	holding := true
 	for _, j := range waiting {
 		if holding && j.order.rank != rankLasting {
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -75,7 +75,8 @@
 	renewInterval  time.Duration // how long a worker with running tasks may hold back its report
 	maxUnsent      int           // runs that may wait for their start orders; no task is placed beyond it
 	maxStops       int           // stops of one plan
-	heldWorkers    int           // workers that the last plan kept for lasting tasks
+	holdsRoom      bool          // whether the observer was last told that room is held
+	heldReportedAt time.Time     // when the observer was last told of it
 	placementsDue  bool          // whether a task may have become placeable since the last plan
 	sweepDue       bool          // whether the next plan must check every worker and run
 	sweptAt        time.Time     // when a plan last checked every worker and run
