Store nothing but the end of a done task

A done task whose last run was still being stopped kept its worker in the record, beside a run number that is no longer there; a successor skips done tasks.

--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -13,7 +13,7 @@
 	Tasks   []TaskRecord       `json:"tasks,omitempty"`   // by occurrence, step and index; empty once the job has ended
 }
 
-// TaskRecord is the stored progress of a task.
+// TaskRecord is the stored progress of a task; of one that is done nothing else is kept.
 type TaskRecord struct {
 	Done            bool                 `json:"done,omitempty"`
 	Run             jaybarrow.RunNumber  `json:"run,omitempty"`    // the last assigned run
@@ -49,10 +49,11 @@
 	}
 	r := Record{State: j.state}
 	j.eachTask(func(t *task) {
-		s := TaskRecord{Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
 		if t.done {
-			s = TaskRecord{Done: true}
+			r.Tasks = append(r.Tasks, TaskRecord{Done: true})
+			return
 		}
+		s := TaskRecord{Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
 		if t.current != nil {
 			s.Worker, s.InstanceStartMs = t.current.worker.entry.ID, t.current.instanceStartMs
 		}
