--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -10,9 +10,9 @@
 
 // AdviceRequest is a decision to ask the adviser which workers may run a step.
 type AdviceRequest struct {
-	Step    jaybarrow.StepRef
-	Workers []jaybarrow.WorkerID
-	lives   map[jaybarrow.WorkerID]life // the life of each worker when the request was made
+	Step      jaybarrow.StepRef
+	Workers   []jaybarrow.WorkerID
+	instances map[jaybarrow.WorkerID]instanceNumber // the instance of each worker when the request was made
 }
 
 const (
@@ -28,9 +28,9 @@
 
 // stepAdvice is what a step knows of its adviser's decisions.
 type stepAdvice struct {
-	tickets     map[jaybarrow.WorkerID]ticket // of the workers that are allowed, also expired ones
-	refused     map[jaybarrow.WorkerID]life   // the lives of workers that are not allowed
-	requestedAt time.Time                     // when the request that waits for its answer was made; zero without one
+	tickets     map[jaybarrow.WorkerID]ticket         // of the workers that are allowed, also expired ones
+	refused     map[jaybarrow.WorkerID]instanceNumber // the instances of workers that are not allowed
+	requestedAt time.Time                             // when the request that waits for its answer was made; zero without one
 	answeredAt  time.Time
 }
 
@@ -80,12 +80,12 @@
 		)
 	})
 	q := AdviceRequest{
-		Step:  jaybarrow.StepRef{Job: s.job.spec.ID, Occurrence: s.occurrence, Step: s.index},
-		lives: make(map[jaybarrow.WorkerID]life),
+		Step:      jaybarrow.StepRef{Job: s.job.spec.ID, Occurrence: s.occurrence, Step: s.index},
+		instances: make(map[jaybarrow.WorkerID]instanceNumber),
 	}
 	for _, w := range candidates[:min(maxAdviceWorkers, len(candidates))] {
 		q.Workers = append(q.Workers, w.entry.ID)
-		q.lives[w.entry.ID] = w.life
+		q.instances[w.entry.ID] = w.instance
 	}
 	return q, true
 }
@@ -99,15 +99,15 @@
 	return p.canRun(s.tasks[0], w)
 }
 
-// refuses reports whether the adviser has refused the present life of the worker.
+// refuses reports whether the adviser has refused the present instance of the worker.
 func (a *stepAdvice) refuses(w *worker) bool {
 	refused, ok := a.refused[w.entry.ID]
-	return ok && refused == w.life
+	return ok && refused == w.instance
 }
 
-// askOrder returns 0 for a worker whose present life was allowed and 1 for one that the adviser was not asked about.
+// askOrder returns 0 for a worker whose present instance was allowed and 1 for one that the adviser was not asked about.
 func (a *stepAdvice) askOrder(w *worker) int {
-	if t, ok := a.tickets[w.entry.ID]; ok && t.life == w.life {
+	if t, ok := a.tickets[w.entry.ID]; ok && t.instance == w.instance {
 		return 0
 	}
 	return 1
@@ -123,16 +123,16 @@
 	p.placementsDue = true
 	a := &j.step(q.Step.Occurrence, q.Step.Step).advice
 	if a.tickets == nil {
-		a.tickets, a.refused = make(map[jaybarrow.WorkerID]ticket), make(map[jaybarrow.WorkerID]life)
+		a.tickets, a.refused = make(map[jaybarrow.WorkerID]ticket), make(map[jaybarrow.WorkerID]instanceNumber)
 	}
 	a.requestedAt, a.answeredAt = time.Time{}, now
 	for _, id := range q.Workers {
 		if value, ok := advice.Tickets[id]; ok {
-			a.tickets[id] = ticket{value: value, life: q.lives[id], expires: requestedAt.Add(advice.Valid)}
+			a.tickets[id] = ticket{value: value, instance: q.instances[id], expires: requestedAt.Add(advice.Valid)}
 			continue
 		}
 		delete(a.tickets, id)
-		a.refused[id] = q.lives[id]
+		a.refused[id] = q.instances[id]
 	}
 }
 
@@ -142,5 +142,5 @@
 		return "", true
 	}
 	t, ok := s.advice.tickets[w.entry.ID]
-	return t.value, ok && t.life == w.life && now.Add(adviceMargin).Before(t.expires)
+	return t.value, ok && t.instance == w.instance && now.Add(adviceMargin).Before(t.expires)
 }
--- a/internal/workload/advice_test.go
+++ b/internal/workload/advice_test.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// Guards against a job that waits although its adviser would allow a worker: the only one with a ticket is full, or a refusal was of a life of
+// Guards against a job that waits although its adviser would allow a worker: the only one with a ticket is full, or a refusal was of an instance of
 // a worker that has ended, or every worker has been refused and the policy has changed since.
 func TestTheAdviserIsAskedAgain(t *testing.T) {
 	t.Run("the allowed worker is full", func(t *testing.T) {
@@ -108,7 +108,7 @@
 		h.addJob("j", tasks(1, 1000))
 		h.advise(h.plan().AdviceRequests[0])
 		assert.Equal(t, len(h.plan().AdviceRequests), 0)
-		h.reportLife("w00", secondBorn, 5, nil)
+		h.reportInstance("w00", secondBorn, 5, nil)
 		assert.Equal(t, len(h.plan().AdviceRequests), 1)
 	})
 	t.Run("all were refused", func(t *testing.T) {
--- a/internal/workload/life.go
+++ b/internal/workload/instance.go
@@ -6,15 +6,15 @@
 	"github.com/jaybarrow/jaybarrow"
 )
 
-// life numbers the lives of a worker as this pool has seen them. A worker that starts again keeps its id and its address, so an order
-// cannot name the life that it is meant for, and a start time alone does not tell lives apart: time of day may have jumped back.
-type life int
+// instanceNumber counts the instances of a worker as this pool has seen them. A worker that starts again keeps its id and its address, so an order
+// cannot name the instance that it is meant for, and a start time alone does not tell instances apart: time of day may have jumped back.
+type instanceNumber int
 
-// startLife records that the worker has started again. startedMs is the start time of the new life, or 0 when it is unknown.
+// beginInstance records that the worker has started again. startedMs is the start time of the new instance, or 0 when it is unknown.
 //
-// A run that a report of an earlier life has listed ended with that life, and a planned run was never sent. Any other run may have been
-// accepted by either life; it stays assigned until a report of the new one shows which.
-func (p *Pool) startLife(w *worker, startedMs int64, now time.Time) {
+// A run that a report of an earlier instance has listed ended with that instance, and a planned run was never sent. Any other run may have been
+// accepted by either instance; it stays assigned until a report of the new one shows which.
+func (p *Pool) beginInstance(w *worker, startedMs int64, now time.Time) {
 	lost, uncertain := 0, 0
 	for _, r := range w.runs {
 		if r.listed || r.phase == runPlanned {
@@ -24,12 +24,12 @@
 		}
 		uncertain++
 		if r.phase == runStopping {
-			// The new life does not know of a stop that the earlier one answered.
+			// The new instance does not know of a stop that the earlier one answered.
 			r.stopSentAt, r.stopsSent, r.stopAnsweredAt = time.Time{}, 0, time.Time{}
 		}
 	}
-	w.life++
-	w.lifeSince = now
+	w.instance++
+	w.instanceSince = now
 	if startedMs != 0 {
 		w.instanceStartMs = startedMs
 	}
@@ -43,32 +43,32 @@
 	p.observer.WorkerRestarted(w.entry.ID, lost, uncertain)
 }
 
-// assumeLongestLease covers a lease that an order has set in the new life by the clock of the earlier one, which may be far ahead.
+// assumeLongestLease covers a lease that an order has set in the new instance by the clock of the earlier one, which may be far ahead.
 func (p *Pool) assumeLongestLease(w *worker, now time.Time) {
 	w.extendLeaseEnd(now, p.settings.MaxLease)
 }
 
 // registerInstance applies the start time of the worker's entry. An entry is read later than it was written, so one that only repeats the
-// entry before says nothing about a life that a report has shown since.
+// entry before says nothing about an instance that a report has shown since.
 func (p *Pool) registerInstance(w *worker, before, startedMs int64, now time.Time) {
 	switch {
 	case startedMs == 0 || startedMs == w.instanceStartMs:
 	case w.instanceStartMs == 0:
 		w.instanceStartMs = startedMs
 	case startedMs != before:
-		p.startLife(w, startedMs, now)
+		p.beginInstance(w, startedMs, now)
 	}
 }
 
 // reportInstance applies the start time and the clock of a report to an order that was sent at the given time. It returns false when the
-// report is of an earlier life and must not be used.
+// report is of an earlier instance and must not be used.
 func (p *Pool) reportInstance(w *worker, report jaybarrow.HoldReport, sent, now time.Time) bool {
 	known := report.StartedMs != 0 && w.instanceStartMs != 0
 	if known && report.StartedMs != w.instanceStartMs || w.clockRestarted(report.Clock, sent) {
-		if sent.Before(w.lifeSince) {
+		if sent.Before(w.instanceSince) {
 			return false
 		}
-		p.startLife(w, report.StartedMs, now)
+		p.beginInstance(w, report.StartedMs, now)
 	}
 	if report.StartedMs != 0 {
 		w.instanceStartMs = report.StartedMs
@@ -82,7 +82,7 @@
 	return true
 }
 
-// clockRestarted reports whether a reading of the worker's clock, in an answer to an order sent at the given time, is too low for the life
+// clockRestarted reports whether a reading of the worker's clock, in an answer to an order sent at the given time, is too low for the instance
 // of the last report. It is false while either reading is unknown.
 func (w *worker) clockRestarted(reading jaybarrow.WorkerClock, sent time.Time) bool {
 	if reading == 0 || w.clock == 0 {
@@ -100,12 +100,12 @@
 	if w == nil || !w.clockRestarted(reading, sent) {
 		return false
 	}
-	p.startLife(w, 0, now)
+	p.beginInstance(w, 0, now)
 	return true
 }
 
 // NeedsPoll reports whether the worker has started again and not reported since. The order that waits for its report may have gone to the
-// earlier life.
+// earlier instance.
 func (p *Pool) NeedsPoll(id jaybarrow.WorkerID) bool {
 	w := p.workers[id]
 	return w != nil && w.restarted
--- a/internal/workload/life_test.go
+++ b/internal/workload/instance_test.go
@@ -10,21 +10,21 @@
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
-// The start times of two lives of a worker.
+// The start times of two instances of a worker.
 const (
 	firstBorn  = 1_000
 	secondBorn = 2_000
 )
 
-// reportLife delivers the report of one life of a worker, whose clock reads the given time, to an order sent now.
-func (h *harness) reportLife(id jaybarrow.WorkerID, bornMs int64, clock jaybarrow.WorkerClock, running []jaybarrow.RunReport, ended ...jaybarrow.EndReport) {
+// reportInstance delivers the report of one instance of a worker, whose clock reads the given time, to an order sent now.
+func (h *harness) reportInstance(id jaybarrow.WorkerID, bornMs int64, clock jaybarrow.WorkerClock, running []jaybarrow.RunReport, ended ...jaybarrow.EndReport) {
 	sent := h.now
 	h.advance(time.Millisecond)
 	h.pool.HandleReport(id, jaybarrow.HoldReport{Clock: clock, StartedMs: bornMs, Running: running, Ended: ended}, sent, h.now)
 }
 
-// registerLife applies the register's entry of one life of a worker.
-func (h *harness) registerLife(id jaybarrow.WorkerID, bornMs int64) {
+// registerInstance applies the register's entry of one instance of a worker.
+func (h *harness) registerInstance(id jaybarrow.WorkerID, bornMs int64) {
 	h.pool.SetWorker(jaybarrow.Worker{
 		ID: id, Pool: "desk", Address: "192.0.2.1:80", State: jaybarrow.WorkerReady, StartedMs: bornMs,
 		Capacity: jaybarrow.Resources{CPU: 10_000, Memory: 10_000},
@@ -34,8 +34,8 @@
 // newRestart returns a harness with a run on w1 whose start was answered with the outcome, and an idle worker w2.
 func newRestart(t *testing.T, outcome jaybarrow.StartOutcome) (*harness, []workload.StartRun) {
 	h := newHarness(t)
-	h.registerLife("w1", firstBorn)
-	h.reportLife("w1", firstBorn, 500_000, nil)
+	h.registerInstance("w1", firstBorn)
+	h.reportInstance("w1", firstBorn, 500_000, nil)
 	h.addJob("j", tasks(1, 1000))
 	s := h.planAndStart(outcome)
 	assert.Equal(t, len(s), 1)
@@ -44,38 +44,38 @@
 	return h, s
 }
 
-// A worker has started again before a start reached it, and its new life runs the task. The three ways in which the pool may learn of the new
-// life first.
-var signsOfANewLife = map[string]func(h *harness){
-	"its entry":        func(h *harness) { h.registerLife("w1", secondBorn) },
+// A worker has started again before a start reached it, and its new instance runs the task. The three ways in which the pool may learn of the new
+// instance first.
+var signsOfANewInstance = map[string]func(h *harness){
+	"its entry":        func(h *harness) { h.registerInstance("w1", secondBorn) },
 	"its answer":       func(h *harness) { h.pool.HandleClock("w1", 40, h.now, h.now) },
 	"its own report":   func(*harness) {},
-	"an earlier entry": func(h *harness) { h.registerLife("w1", firstBorn/2) },
+	"an earlier entry": func(h *harness) { h.registerInstance("w1", firstBorn/2) },
 }
 
 // Guards against a second run beside one that a worker accepted right after it started again, before its new start time was known.
-func TestARunThatANewLifeAcceptedIsNotRepeated(t *testing.T) {
-	for name, learn := range signsOfANewLife {
+func TestARunThatANewInstanceAcceptedIsNotRepeated(t *testing.T) {
+	for name, learn := range signsOfANewInstance {
 		t.Run(name, func(t *testing.T) {
 			h, s := newRestart(t, jaybarrow.StartDone)
 			learn(h)
 			assert.Equal(t, len(h.plan().Starts), 0)
-			h.reportLife("w1", secondBorn, 90, runReports(s, "w1", 10))
+			h.reportInstance("w1", secondBorn, 90, runReports(s, "w1", 10))
 			assert.Equal(t, len(h.plan().Starts), 0)
-			h.reportLife("w1", secondBorn, 200, nil, h.endReport(s[0], jaybarrow.EndDone))
+			h.reportInstance("w1", secondBorn, 200, nil, h.endReport(s[0], jaybarrow.EndDone))
 			h.plan()
 			assert.Equal(t, h.finished["j"], jaybarrow.JobCompleted)
 		})
 	}
 }
 
-// Guards against a task that waits for a lease to end although the life that accepted it has ended.
-func TestARunOfAnEndedLifeRestartsWithTheFirstReportOfTheNextOne(t *testing.T) {
-	for name, learn := range signsOfANewLife {
+// Guards against a task that waits for a lease to end although the instance that accepted it has ended.
+func TestARunOfAnEndedInstanceRestartsWithTheFirstReportOfTheNextOne(t *testing.T) {
+	for name, learn := range signsOfANewInstance {
 		t.Run(name, func(t *testing.T) {
 			h, _ := newRestart(t, jaybarrow.StartDone)
 			learn(h)
-			h.reportLife("w1", secondBorn, 90, nil)
+			h.reportInstance("w1", secondBorn, 90, nil)
 			s := h.plan().Starts
 			assert.Equal(t, len(s), 1)
 			assert.Equal(t, s[0].Run, jaybarrow.RunNumber(2))
@@ -83,59 +83,59 @@
 	}
 }
 
-// Guards against a start that was not answered, is given up when its worker starts again, and is carried out by the new life.
-func TestAnUnansweredStartIsStoppedInTheNewLife(t *testing.T) {
+// Guards against a start that was not answered, is given up when its worker starts again, and is carried out by the new instance.
+func TestAnUnansweredStartIsStoppedInTheNewInstance(t *testing.T) {
 	h, _ := newRestart(t, jaybarrow.StartUnknown)
-	h.registerLife("w1", secondBorn)
-	h.reportLife("w1", secondBorn, 90, nil)
+	h.registerInstance("w1", secondBorn)
+	h.reportInstance("w1", secondBorn, 90, nil)
 	out := h.plan()
 	assert.Equal(t, len(out.Starts), 0)
 	assert.Equal(t, len(out.Stops), 1)
 	h.pool.HandleStopOutcome(out.Stops[0], true, h.now)
 	h.advance(time.Millisecond)
-	h.reportLife("w1", secondBorn, 120, nil)
+	h.reportInstance("w1", secondBorn, 120, nil)
 	assert.Equal(t, len(h.plan().Starts), 1)
 }
 
-// Guards against a stop that only an ended life has answered: the next life would carry out a late start.
-func TestAStopIsRepeatedForTheNextLife(t *testing.T) {
+// Guards against a stop that only an ended instance has answered: the next instance would carry out a late start.
+func TestAStopIsRepeatedForTheNextInstance(t *testing.T) {
 	h, _ := newRestart(t, jaybarrow.StartUnknown)
-	h.reportLife("w1", firstBorn, 500_100, nil)
+	h.reportInstance("w1", firstBorn, 500_100, nil)
 	stops := h.plan().Stops
 	assert.Equal(t, len(stops), 1)
 	h.pool.HandleStopOutcome(stops[0], true, h.now)
-	h.registerLife("w1", secondBorn)
+	h.registerInstance("w1", secondBorn)
 	h.advance(time.Millisecond)
-	h.reportLife("w1", secondBorn, 90, nil)
+	h.reportInstance("w1", secondBorn, 90, nil)
 	out := h.plan()
 	assert.Equal(t, len(out.Starts), 0)
 	assert.Equal(t, len(out.Stops), 1)
 }
 
-// Guards against ends of a new life that are taken for ends of the life before and acknowledged unread, so that done tasks run again: its
+// Guards against ends of a new instance that are taken for ends of the instance before and acknowledged unread, so that done tasks run again: its
 // start time may be lower, when time of day has jumped back, or the same.
-func TestTheEndsOfEachLifeAreRead(t *testing.T) {
+func TestTheEndsOfEachInstanceAreRead(t *testing.T) {
 	for name, born := range map[string]int64{"later": secondBorn, "lower": firstBorn / 2, "equal": firstBorn} {
 		t.Run(name, func(t *testing.T) {
 			h, s := newRestart(t, jaybarrow.StartDone)
-			h.reportLife("w1", firstBorn, 500_100, nil, h.endReport(s[0], jaybarrow.EndDone))
+			h.reportInstance("w1", firstBorn, 500_100, nil, h.endReport(s[0], jaybarrow.EndDone))
 			h.plan()
 			assert.Equal(t, h.finished["j"], jaybarrow.JobCompleted)
 			h.advance(time.Millisecond)
-			h.reportLife("w1", born, 50, nil)
+			h.reportInstance("w1", born, 50, nil)
 			h.addJob("k", tasks(1, 1000))
 			h.missReport("w2") // leaves w1 as the only usable worker
 			s = h.planAndStart(jaybarrow.StartDone)
 			assert.Equal(t, len(s), 1)
 			h.advance(time.Millisecond)
-			h.reportLife("w1", born, 100, nil, jaybarrow.EndReport{Number: 1, Task: s[0].Task, Run: s[0].Run, Kind: jaybarrow.EndDone})
+			h.reportInstance("w1", born, 100, nil, jaybarrow.EndReport{Number: 1, Task: s[0].Task, Run: s[0].Run, Kind: jaybarrow.EndDone})
 			h.plan()
 			assert.Equal(t, h.finished["k"], jaybarrow.JobCompleted)
 		})
 	}
 }
 
-// Guards against an acknowledgement for one life that makes the next one forget its ends: only listed ends are acknowledged, once, and not
+// Guards against an acknowledgement for one instance that makes the next one forget its ends: only listed ends are acknowledged, once, and not
 // after an order without an answer or a pause.
 func TestOnlyListedEndsAreAcknowledged(t *testing.T) {
 	cases := map[string]struct {
@@ -166,23 +166,23 @@
 	}
 }
 
-// Guards against a late report of an ended life that is applied to the next one.
-func TestALateReportOfAnEndedLifeIsIgnored(t *testing.T) {
+// Guards against a late report of an ended instance that is applied to the next one.
+func TestALateReportOfAnEndedInstanceIsIgnored(t *testing.T) {
 	h, s := newRestart(t, jaybarrow.StartDone)
 	sent := h.now
 	h.advance(5 * time.Millisecond)
-	h.reportLife("w1", secondBorn, 90, runReports(s, "w1", 10))
+	h.reportInstance("w1", secondBorn, 90, runReports(s, "w1", 10))
 	h.pool.HandleReport("w1", jaybarrow.HoldReport{Clock: 500_010, StartedMs: firstBorn}, sent, h.now)
-	h.reportLife("w1", secondBorn, 100, runReports(s, "w1", 20))
+	h.reportInstance("w1", secondBorn, 100, runReports(s, "w1", 20))
 	out := h.plan()
 	assert.Equal(t, len(out.Starts)+len(out.Stops), 0)
 }
 
 // Guards against a task that is started elsewhere while its worker, cut off right after it started again, still runs it: its lease was set by
-// the clock of the life before, so it is the longest that the worker grants.
-func TestTheLeaseOfANewLifeIsTheLongest(t *testing.T) {
+// the clock of the instance before, so it is the longest that the worker grants.
+func TestTheLeaseOfANewInstanceIsTheLongest(t *testing.T) {
 	h, _ := newRestart(t, jaybarrow.StartDone)
-	h.registerLife("w1", secondBorn)
+	h.registerInstance("w1", secondBorn)
 	started := h.now
 	for {
 		h.missReport("w1")
@@ -197,14 +197,14 @@
 	assert.Assert(t, took < h.settings.MaxLease*5/4, "after %v", took)
 }
 
-// Guards against a run that is given up because another worker answers at the address of its worker's earlier life.
+// Guards against a run that is given up because another worker answers at the address of its worker's earlier instance.
 func TestAnAnswerAtAnEarlierAddressEndsNothing(t *testing.T) {
 	h, s := newRestart(t, jaybarrow.StartDone)
 	h.pool.SetWorker(jaybarrow.Worker{
 		ID: "w1", Pool: "desk", Address: "192.0.2.2:80", State: jaybarrow.WorkerReady, StartedMs: secondBorn, Capacity: s[0].Worker.Capacity,
 	}, h.now)
 	h.pool.HandleReplaced(s[0].Worker, h.now)
-	h.reportLife("w1", secondBorn, 90, runReports(s, "w1", 10))
+	h.reportInstance("w1", secondBorn, 90, runReports(s, "w1", 10))
 	assert.Equal(t, len(h.plan().Starts), 0)
 }
 
@@ -212,13 +212,13 @@
 // stopped.
 func TestAWorkerThatHasNotReportedIsNotPolled(t *testing.T) {
 	h := newHarness(t)
-	h.registerLife("w1", firstBorn)
-	h.registerLife("w1", secondBorn)
+	h.registerInstance("w1", firstBorn)
+	h.registerInstance("w1", secondBorn)
 	assert.Assert(t, !h.pool.NeedsPoll("w1"))
 	_, _, ok := h.pool.PollOrder("w1")
 	assert.Assert(t, !ok)
-	h.reportLife("w1", secondBorn, 90, nil)
-	h.registerLife("w1", 2*secondBorn)
+	h.reportInstance("w1", secondBorn, 90, nil)
+	h.registerInstance("w1", 2*secondBorn)
 	assert.Assert(t, h.pool.NeedsPoll("w1"))
 	_, _, ok = h.pool.PollOrder("w1")
 	assert.Assert(t, ok)
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -41,9 +41,9 @@
 }
 
 type ticket struct {
-	value   jaybarrow.Ticket
-	life    life // of the worker that it was given for
-	expires time.Time
+	value    jaybarrow.Ticket
+	instance instanceNumber // of the worker that it was given for
+	expires  time.Time
 }
 
 type task struct {
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -51,10 +51,10 @@
 	processedEnds  map[jaybarrow.WorkerID]endPosition
 }
 
-// endPosition is the last processed end of a life of a worker; it may be acknowledged once the round is written.
+// endPosition is the last processed end of an instance of a worker; it may be acknowledged once the round is written.
 type endPosition struct {
-	life   life
-	number jaybarrow.EndNumber
+	instance instanceNumber
+	number   jaybarrow.EndNumber
 }
 
 // Empty reports whether there is nothing to do.
@@ -242,7 +242,7 @@
 		if out.processedEnds == nil {
 			out.processedEnds = make(map[jaybarrow.WorkerID]endPosition, len(p.unstoredEnds))
 		}
-		out.processedEnds[w.entry.ID] = endPosition{life: w.life, number: w.processedEnds}
+		out.processedEnds[w.entry.ID] = endPosition{instance: w.instance, number: w.processedEnds}
 	}
 }
 
@@ -280,7 +280,7 @@
 		}
 	}
 	for id, n := range round.processedEnds {
-		if w := p.workers[id]; w != nil && w.life == n.life {
+		if w := p.workers[id]; w != nil && w.instance == n.instance {
 			w.storedEnds = max(w.storedEnds, n.number)
 			if w.storedEnds >= w.processedEnds {
 				delete(p.unstoredEnds, w)
@@ -299,7 +299,7 @@
 	if r == nil || r.phase != runPlanned {
 		return s, false
 	}
-	if r.task.step.job.state.Ended() || !w.acceptsOrders() || w.life != r.life {
+	if r.task.step.job.state.Ended() || !w.acceptsOrders() || w.instance != r.instance {
 		p.endRun(r, jaybarrow.EndStopped, "", now)
 		return s, false
 	}
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -31,7 +31,7 @@
 	RunEnded(task jaybarrow.TaskRef, run jaybarrow.RunNumber, worker jaybarrow.WorkerID, kind jaybarrow.EndKind, ran time.Duration)
 	// JobEnded reports the final state of a job and the time since it was accepted.
 	JobEnded(job *jaybarrow.Job, state jaybarrow.JobState, took time.Duration, failures int)
-	// WorkerRestarted reports that a worker has started again under its id: how many runs were lost with its earlier life, and how many
+	// WorkerRestarted reports that a worker has started again under its id: how many runs were lost with its earlier instance, and how many
 	// may have been accepted by either.
 	WorkerRestarted(worker jaybarrow.WorkerID, lost, uncertain int)
 	// RoomHeld reports that lasting tasks begin or cease to keep other work from some of the pool's usable workers.
@@ -187,7 +187,7 @@
 		}
 		lease := p.settings.Lease
 		if s.InstanceStartMs != 0 && w.instanceStartMs != 0 && s.InstanceStartMs != w.instanceStartMs {
-			// The order may have set a lease in a later life by the clock of the one that it was meant for.
+			// The order may have set a lease in a later instance by the clock of the one that it was meant for.
 			lease = p.settings.MaxLease
 		}
 		w.extendLeaseEnd(now, lease)
@@ -203,7 +203,7 @@
 	t.setRun(number)
 	demand := t.step.spec.Demand
 	r := &run{
-		task: t, number: number, worker: w, instanceStartMs: w.instanceStartMs, life: w.life, progressedAt: now,
+		task: t, number: number, worker: w, instanceStartMs: w.instanceStartMs, instance: w.instance, progressedAt: now,
 		demand: demand, charged: demand, throttle: fullPercent,
 	}
 	if t.step.spec.Background {
--- a/internal/workload/pool_test.go
+++ b/internal/workload/pool_test.go
@@ -379,7 +379,7 @@
 		},
 		"is silent":         func(h *harness) { h.missReport("w1") },
 		"has left":          func(h *harness) { h.pool.DropWorker("w1") },
-		"has started again": func(h *harness) { h.reportLife("w1", secondBorn, 5, nil) },
+		"has started again": func(h *harness) { h.reportInstance("w1", secondBorn, 5, nil) },
 	}
 	for name, change := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -139,7 +139,7 @@
 		p.unknownRuns = append(p.unknownRuns, StopRun{Worker: w.entry, Task: report.Task, Run: report.Run})
 		return
 	}
-	r.life, r.listed = w.life, true
+	r.instance, r.listed = w.instance, true
 	if r.task.keepCheckpoint(report.Checkpoint) {
 		p.markChanged(r.task.step.job, now)
 	}
@@ -163,8 +163,8 @@
 		case r.inherited:
 			// The worker has seen this scheduler's fence and rejects a late start by a previous scheduler.
 			p.endRun(r, jaybarrow.EndLeaseExpired, "", now)
-		case r.phase == runRunning && r.life != w.life && !sent.Before(r.phaseSince):
-			// The start was answered before the order of this report was sent, so an earlier life has accepted it.
+		case r.phase == runRunning && r.instance != w.instance && !sent.Before(r.phaseSince):
+			// The start was answered before the order of this report was sent, so an earlier instance has accepted it.
 			p.endRun(r, jaybarrow.EndLeaseExpired, "", now)
 		case r.phase == runStopping && !r.stopAnsweredAt.IsZero() && sent.After(r.stopAnsweredAt):
 			p.endRun(r, jaybarrow.EndStopped, "", now)
--- a/internal/workload/takeover_test.go
+++ b/internal/workload/takeover_test.go
@@ -291,20 +291,20 @@
 }
 
 // Guards against a task that a successor starts elsewhere while its worker, which has started again since the assignment and cannot be reached,
-// may run it under the longest lease: the order set it by the clock of the life before.
-func TestASuccessorWaitsForTheLongestLeaseOfANewLife(t *testing.T) {
+// may run it under the longest lease: the order set it by the clock of the instance before.
+func TestASuccessorWaitsForTheLongestLeaseOfANewInstance(t *testing.T) {
 	for _, c := range []struct {
 		name       string
 		registered int64
 		want       func(workload.Settings) time.Duration
 	}{
-		{"the same life", firstBorn, func(s workload.Settings) time.Duration { return s.Lease }},
-		{"a later life", secondBorn, func(s workload.Settings) time.Duration { return s.MaxLease }},
+		{"the same instance", firstBorn, func(s workload.Settings) time.Duration { return s.Lease }},
+		{"a later instance", secondBorn, func(s workload.Settings) time.Duration { return s.MaxLease }},
 		{"not registered", 0, func(s workload.Settings) time.Duration { return s.Lease }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t)
-			h.registerLife("w1", c.registered)
+			h.registerInstance("w1", c.registered)
 			h.addWorker("w2")
 			job := &jaybarrow.Job{ID: "j", Queue: "match", Pool: "desk", Team: "trail", Steps: []jaybarrow.Step{tasks(1, 1000)}, AcceptedMs: h.now.UnixMilli()}
 			h.pool.AddJob(job, &workload.Record{State: jaybarrow.JobRunning, Tasks: []workload.TaskRecord{{Run: 4, Worker: "w1", InstanceStartMs: firstBorn}}}, h.now)
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -16,9 +16,9 @@
 	reportWait      time.Duration         // how long the outstanding order lets the worker hold back its report
 	clock           jaybarrow.WorkerClock // reading at lastReport or slightly earlier
 	instanceStartMs int64                 // wall clock of the process's start, which identifies the instance; 0 when unknown
-	life            life                  // the current one; runs and tickets of earlier ones are void
-	lifeSince       time.Time             // when this pool learned of the current life
-	restarted       bool                  // an earlier life has reported under this scheduler's fence, the current one has not
+	instance        instanceNumber        // the current one; runs and tickets of earlier ones are void
+	instanceSince   time.Time             // when this pool learned of the current instance
+	restarted       bool                  // an earlier instance has reported under this scheduler's fence, the current one has not
 	leaseEnd        time.Time             // when the lease has certainly ended unless it is extended again
 	leaseOrderedAt  time.Time             // when an order that extends the lease was last sent
 	used            jaybarrow.Resources
@@ -58,9 +58,9 @@
 	number          jaybarrow.RunNumber
 	assignment      int64 // numbers the assignments of the pool in their order
 	worker          *worker
-	instanceStartMs int64 // start time of the worker when the run was assigned, as its record says
-	life            life  // the life of the worker that the run was assigned to, or that has listed it since
-	listed          bool  // whether a report has listed the run as running
+	instanceStartMs int64          // start time of the worker when the run was assigned, as its record says
+	instance        instanceNumber // the instance of the worker that the run was assigned to, or that has listed it since
+	listed          bool           // whether a report has listed the run as running
 	phase           phase
 	inherited       bool      // assigned by a previous scheduler
 	startUnanswered bool      // its start was not answered
