Look for a recent configuration before the delay of a campaign

A host that was not eligible went through the delay of its campaign first, and then again, so that hosts with slower links, which wait longer, could come before it. Eligibility is looked at first; the delays keep their order.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -170,17 +170,20 @@
 			l.awaitVacancy(ctx, changed)
 			continue
 		}
+		if !l.deps.Eligible() {
+			if !waits {
+				l.deps.Log.Info().Msg("not campaigning without a recent configuration")
+			}
+			waits = true
+			l.sleep(ctx, l.deps.Settings.Jitter*4)
+			continue
+		}
+		waits = false
 		l.sleep(ctx, l.campaignDelay()+rand.N(l.deps.Settings.Jitter+1))
 		if ctx.Err() != nil || !l.vacant() {
 			continue
 		}
-		if l.deps.Eligible() {
-			waits = false
-		} else if !waits {
-			l.deps.Log.Info().Msg("not campaigning without a recent configuration")
-			waits = true
-		}
-		if waits || !l.tryLead(ctx) {
+		if !l.tryLead(ctx) {
 			l.sleep(ctx, l.deps.Settings.Jitter*4)
 		}
 	}
