Empty hosts for a wave only while their lasting tasks can leave

Cause: planWaves drained without a look at the tasks, and nothing ended a hold before the wave did. Ruled out: team limits, the budget of orders, room held for lasting tasks.

Change: Pool.Drain refuses with an obstacle; holds that meet one, or that waiting work needs, are given up in the pool itself; obstacles are logged, counted, and part of the wave's status. A pool without room for its lasting tasks asks for one more host.

--- a/agents.go
+++ b/agents.go
@@ -202,6 +202,16 @@
 	Maintain(ctx context.Context, host HostID, wave WaveID, fence FenceToken) (FleetOrderOutcome, error)
 }
 
+// DrainObstacle is why a host cannot be emptied for its maintenance at present.
+type DrainObstacle string
+
+// The obstacles to emptying a host.
+const (
+	ObstacleNoRoom     DrainObstacle = "noRoom"     // no other worker takes its lasting tasks, and their steps do not allow them to stop together
+	ObstacleOthersAway DrainObstacle = "othersAway" // too many other tasks of a lasting step are unavailable or have to move too
+	ObstacleNeeded     DrainObstacle = "needed"     // work needs it that no other worker can take
+)
+
 // WaveID numbers the maintenance waves that operators ask for.
 type WaveID int64
 
--- a/following.go
+++ b/following.go
@@ -42,6 +42,12 @@
 	WaveCompleted WaveState = "completed"
 )
 
+// WaveStatus is the status of a wave that operators see.
+type WaveStatus struct {
+	State   WaveState
+	Waiting map[HostID]DrainObstacle // hosts that could not be emptied when it was last tried
+}
+
 // Operators reads the configurations and waves that operators write, and reports the state of waves to them.
 type Operators interface {
 	// List returns a page of the newest configuration and all waves, with one item for its entries; after is empty at the beginning of
@@ -49,8 +55,8 @@
 	List(ctx context.Context, after Key) (Page[OperatorInput], error)
 	// Changes waits up to wait for changes after the revision, with the errors of JobStore.Changes.
 	Changes(ctx context.Context, after Revision, wait time.Duration) (OperatorInput, Revision, error)
-	// ReportWave reports the state of a wave to operators.
-	ReportWave(ctx context.Context, wave WaveID, state WaveState) error
+	// ReportWave reports the status of a wave to operators.
+	ReportWave(ctx context.Context, wave WaveID, status WaveStatus) error
 }
 
 // JobStatus is the scheduler's information about a job.
--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -102,6 +102,8 @@
 	lock     sync.Mutex
 	loads    map[jaybarrow.PoolID]workload.Load
 	reserved map[jaybarrow.WorkerID]bool
+	// obstacles keep workers from being drained.
+	obstacles map[jaybarrow.WorkerID]jaybarrow.DrainObstacle
 	// onReserve is called by Reserve; nil calls nothing.
 	onReserve func()
 }
@@ -140,7 +142,14 @@
 	return out
 }
 
-func (p *pools) Reserve(_ jaybarrow.PoolID, worker jaybarrow.WorkerID, _ bool) bool {
+func (p *pools) Drain(pool jaybarrow.PoolID, worker jaybarrow.WorkerID) (bool, jaybarrow.DrainObstacle) {
+	p.lock.Lock()
+	obstacle := p.obstacles[worker]
+	p.lock.Unlock()
+	return obstacle == "" && p.Reserve(pool, worker), obstacle
+}
+
+func (p *pools) Reserve(_ jaybarrow.PoolID, worker jaybarrow.WorkerID) bool {
 	if p.onReserve != nil {
 		p.onReserve()
 	}
@@ -162,7 +171,27 @@
 
 func (w waves) Waves() []fleetkeeper.KnownWave { return w }
 
-func (waves) ReportWave(context.Context, jaybarrow.WaveID, jaybarrow.WaveState) error { return nil }
+func (waves) ReportWave(context.Context, jaybarrow.WaveID, jaybarrow.WaveStatus) error { return nil }
+
+// reportedWaves keeps the last status that was reported.
+type reportedWaves struct {
+	waves
+	lock   sync.Mutex
+	status jaybarrow.WaveStatus
+}
+
+func (r *reportedWaves) ReportWave(_ context.Context, _ jaybarrow.WaveID, status jaybarrow.WaveStatus) error {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.status = status
+	return nil
+}
+
+func (r *reportedWaves) last() jaybarrow.WaveStatus {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.status
+}
 
 // emptyStore has no records and accepts every commit.
 type emptyStore struct{ jaybarrow.JobStore }
@@ -186,7 +215,7 @@
 }
 
 // newKeeper returns a keeper of the hosts and pools; the pool named reserve is the spare pool.
-func newKeeper(settings fleetkeeper.Settings, hosts []jaybarrow.FleetHost, p *pools, knownWaves waves) *keeper {
+func newKeeper(settings fleetkeeper.Settings, hosts []jaybarrow.FleetHost, p *pools, knownWaves fleetkeeper.Waves) *keeper {
 	configuration := &jaybarrow.Configuration{Version: 1, Pools: []jaybarrow.JobPool{{ID: "reserve", Spare: true}}}
 	for id := range p.byPool() {
 		configuration.Pools = append(configuration.Pools, jaybarrow.JobPool{ID: id})
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -24,9 +24,11 @@
 	Loads(now time.Time) map[jaybarrow.PoolID]workload.Load
 	// SetComing replaces the capacity that the fleet can add to each pool.
 	SetComing(byPool map[jaybarrow.PoolID]scheduler.Coming)
-	// Reserve stops the assignment of new tasks to a worker. It reports false, and changes nothing, when the worker is unknown or, with
-	// onlyEmpty, still has tasks.
-	Reserve(pool jaybarrow.PoolID, worker jaybarrow.WorkerID, onlyEmpty bool) bool
+	// Reserve stops the assignment of new tasks to a worker. It reports false, and changes nothing, when the worker is unknown or still has
+	// tasks.
+	Reserve(pool jaybarrow.PoolID, worker jaybarrow.WorkerID) bool
+	// Drain begins to empty a worker; otherwise it changes nothing and returns the obstacle, which is empty for an unknown worker.
+	Drain(pool jaybarrow.PoolID, worker jaybarrow.WorkerID) (drains bool, obstacle jaybarrow.DrainObstacle)
 	// Unreserve ends the reservation of a worker.
 	Unreserve(pool jaybarrow.PoolID, worker jaybarrow.WorkerID)
 	// SetMaintenanceDue replaces the set of workers whose hosts await maintenance.
@@ -37,8 +39,8 @@
 type Waves interface {
 	// Waves returns every known wave with the time at which it was first received.
 	Waves() []KnownWave
-	// ReportWave reports the state of a wave to operators.
-	ReportWave(ctx context.Context, wave jaybarrow.WaveID, state jaybarrow.WaveState) error
+	// ReportWave reports the status of a wave to operators.
+	ReportWave(ctx context.Context, wave jaybarrow.WaveID, status jaybarrow.WaveStatus) error
 }
 
 // KnownWave is a wave and the time at which it was received; its hosts must be maintained within Wave.Within after ReceivedAt.
@@ -226,13 +228,15 @@
 		if k.isSpare(m.Host.Pool) {
 			continue
 		}
-		if k.deps.Pools.Reserve(m.Host.Pool, m.Host.Worker, false) {
+		drains, obstacle := k.deps.Pools.Drain(m.Host.Pool, m.Host.Worker)
+		if drains {
 			k.deps.Log.Info().Str("host", string(m.Host.ID)).Int64("wave", int64(m.Wave)).Int("runs", m.Host.Runs).
 				Int("lasting", m.Host.Lasting).Msg("host is emptied for its maintenance")
 		}
+		k.noteObstacle(m, obstacle)
 	}
 	for _, m := range orders.Maintain {
-		if !k.isSpare(m.Host.Pool) && !k.deps.Pools.Reserve(m.Host.Pool, m.Host.Worker, true) {
+		if !k.isSpare(m.Host.Pool) && !k.deps.Pools.Reserve(m.Host.Pool, m.Host.Worker) {
 			continue
 		}
 		k.state.recordOrder(m.Host, "", m.Wave, k.deps.Clock.Now())
@@ -243,7 +247,7 @@
 		})
 	}
 	for _, m := range orders.Moves {
-		if !k.isSpare(m.Host.Pool) && !k.deps.Pools.Reserve(m.Host.Pool, m.Host.Worker, true) {
+		if !k.isSpare(m.Host.Pool) && !k.deps.Pools.Reserve(m.Host.Pool, m.Host.Worker) {
 			continue
 		}
 		k.state.recordOrder(m.Host, m.To, 0, k.deps.Clock.Now())
--- a/internal/fleetkeeper/keeper_test.go
+++ b/internal/fleetkeeper/keeper_test.go
@@ -53,7 +53,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newPools(map[jaybarrow.PoolID]workload.Load{"desk": {}})
 		settings := fleetkeeper.DefaultSettings()
-		k := newKeeper(settings, []jaybarrow.FleetHost{hostIn("reserve", "a"), hostIn("reserve", "b")}, p, nil)
+		k := newKeeper(settings, []jaybarrow.FleetHost{hostIn("reserve", "a"), hostIn("reserve", "b")}, p, waves(nil))
 		advance(2 * settings.TakeoverDelay)
 		answered := make(chan struct{})
 		k.fleet.unanswered.Store(&answered)
@@ -79,7 +79,7 @@
 		}
 		settings := fleetkeeper.DefaultSettings()
 		settings.Plan.Headroom = 1
-		k := newKeeper(settings, hosts, newPools(map[jaybarrow.PoolID]workload.Load{"desk": load}), nil)
+		k := newKeeper(settings, hosts, newPools(map[jaybarrow.PoolID]workload.Load{"desk": load}), waves(nil))
 		advance(settings.TakeoverDelay + 2*settings.Plan.ReturnAfter)
 		k.Close()
 		assert.Equal(t, k.fleet.movedTo("reserve"), len(hosts)-settings.Plan.Headroom)
@@ -90,7 +90,7 @@
 func TestAPanicOfTheLoopEndsTheTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		settings := fleetkeeper.DefaultSettings()
-		k := newKeeper(settings, nil, nil, nil)
+		k := newKeeper(settings, nil, nil, waves(nil))
 		advance(settings.Interval)
 		assert.Assert(t, k.resigned.Load())
 		assert.Equal(t, k.faults.Load(), int64(1))
@@ -104,7 +104,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newPools(map[jaybarrow.PoolID]workload.Load{"desk": {Waiting: jaybarrow.Resources{CPU: 900}}})
 		settings := fleetkeeper.DefaultSettings()
-		k := newKeeper(settings, []jaybarrow.FleetHost{hostIn("reserve", "spare")}, p, nil)
+		k := newKeeper(settings, []jaybarrow.FleetHost{hostIn("reserve", "spare")}, p, waves(nil))
 		k.fleet.faulty.Store(true)
 		advance(2 * settings.TakeoverDelay)
 		assert.Assert(t, k.resigned.Load(), "the term goes on after the fault of an order")
@@ -123,7 +123,7 @@
 			hosts[i] = hostIn("reserve", jaybarrow.HostID("h"+strconv.Itoa(i)))
 		}
 		settings := fleetkeeper.DefaultSettings()
-		k := newKeeper(settings, hosts, newPools(map[jaybarrow.PoolID]workload.Load{"desk": {Waiting: jaybarrow.Resources{CPU: 900}}}), nil)
+		k := newKeeper(settings, hosts, newPools(map[jaybarrow.PoolID]workload.Load{"desk": {Waiting: jaybarrow.Resources{CPU: 900}}}), waves(nil))
 		k.fleet.answerTime.Store(int64(240 * time.Millisecond))
 		advance(2*settings.TakeoverDelay + 10*time.Second)
 		k.Close()
@@ -142,7 +142,7 @@
 		})
 		settings := fleetkeeper.DefaultSettings()
 		settings.Plan.Headroom = 0
-		k := newKeeper(settings, []jaybarrow.FleetHost{hostIn("batch", "a")}, p, nil)
+		k := newKeeper(settings, []jaybarrow.FleetHost{hostIn("batch", "a")}, p, waves(nil))
 		var decided atomic.Bool
 		p.onReserve = func() {
 			decided.Store(true)
@@ -155,3 +155,23 @@
 		assert.Assert(t, !ordered, "an order was sent after the lease had ended")
 	})
 }
+
+// Guards against operators who cannot tell why a wave does not go on: its status names the hosts that cannot be emptied, and why.
+func TestTheStatusOfAWaveNamesHostsThatWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		load := func(id jaybarrow.HostID) workload.WorkerLoad {
+			return workload.WorkerLoad{ID: workerOf(id), Usable: true, Runs: 2, Lasting: 2, StartedMs: time.Now().Add(-time.Hour).UnixMilli()}
+		}
+		p := newPools(map[jaybarrow.PoolID]workload.Load{"desk": {Workers: []workload.WorkerLoad{load("a"), load("b")}}})
+		p.obstacles = map[jaybarrow.WorkerID]jaybarrow.DrainObstacle{workerOf("a"): jaybarrow.ObstacleNoRoom}
+		settings := fleetkeeper.DefaultSettings()
+		wave := fleetkeeper.KnownWave{Wave: jaybarrow.Wave{ID: 1, Hosts: []jaybarrow.HostID{"a", "b"}, AtOnce: 2, Within: time.Second}, ReceivedAt: time.Now()}
+		reported := &reportedWaves{waves: waves{wave}}
+		k := newKeeper(settings, []jaybarrow.FleetHost{hostIn("desk", "a"), hostIn("desk", "b"), hostIn("desk", "c")}, p, reported)
+		advance(2 * settings.TakeoverDelay)
+		k.Close()
+		assert.DeepEqual(t, reported.last(), jaybarrow.WaveStatus{
+			State: jaybarrow.WaveRunning, Waiting: map[jaybarrow.HostID]jaybarrow.DrainObstacle{"a": jaybarrow.ObstacleNoRoom},
+		})
+	})
+}
--- a/internal/fleetkeeper/state.go
+++ b/internal/fleetkeeper/state.go
@@ -33,10 +33,12 @@
 // wave is the progress of a wave.
 type wave struct {
 	KnownWave
-	loaded           bool                      // whether the stored progress was read
-	maintenanceBegun map[jaybarrow.HostID]bool // hosts whose maintenance has begun or is not due
-	storedCount      int                       // hosts in the stored progress
-	reported         jaybarrow.WaveState       // last state reported to operators; empty before the first report
+	loaded           bool                                         // whether the stored progress was read
+	maintenanceBegun map[jaybarrow.HostID]bool                    // hosts whose maintenance has begun or is not due
+	storedCount      int                                          // hosts in the stored progress
+	obstacles        map[jaybarrow.HostID]jaybarrow.DrainObstacle // of hosts that could not be emptied at the last try; empty for the others
+	reported         jaybarrow.WaveStatus                         // last status reported to operators; without a state before the first report
+	reportedAt       time.Time
 }
 
 func newState() state {
--- a/internal/fleetkeeper/view.go
+++ b/internal/fleetkeeper/view.go
@@ -109,7 +109,7 @@
 		}
 		out.Hosts = append(out.Hosts, fleetplan.Host{
 			FleetHost: h, Known: workerKnown, Usable: w.Usable, Reserved: w.Reserved, Ordered: o != nil, Runs: w.Runs, Lasting: w.Lasting,
-			MayHaveBeenOrdered: takingOver && k.mayHaveBeenOrdered(h.ID, w, now),
+			Obstacle: w.Obstacle, MayHaveBeenOrdered: takingOver && k.mayHaveBeenOrdered(h.ID, w, now),
 		})
 	}
 	for id := range loads {
--- a/internal/fleetkeeper/waves.go
+++ b/internal/fleetkeeper/waves.go
@@ -6,8 +6,10 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/fleetplan"
 )
 
 // waveRecord is the stored progress of a wave.
@@ -26,7 +28,10 @@
 		k.state.lock.Lock()
 		w := k.state.waves[known.ID]
 		if w == nil {
-			w = &wave{KnownWave: known, maintenanceBegun: make(map[jaybarrow.HostID]bool)}
+			w = &wave{
+				KnownWave: known, maintenanceBegun: make(map[jaybarrow.HostID]bool),
+				obstacles: make(map[jaybarrow.HostID]jaybarrow.DrainObstacle),
+			}
 			k.state.waves[known.ID] = w
 		}
 		loaded := w.loaded
@@ -84,8 +89,8 @@
 func (k *Keeper) reportWave(ctx context.Context, w *wave) {
 	k.state.lock.Lock()
 	begun := slices.Sorted(maps.Keys(w.maintenanceBegun))
-	state := k.waveState(w)
-	unreported, storedCount := w.reported != state, w.storedCount
+	status := k.waveStatus(w)
+	unreported, storedCount := w.needsReport(status, k.deps.Clock.Now()), w.storedCount
 	k.state.lock.Unlock()
 	limited, cancel := context.WithTimeout(ctx, k.deps.Settings.CallTimeout)
 	defer cancel()
@@ -101,26 +106,61 @@
 	if !unreported {
 		return
 	}
-	if err := k.deps.Waves.ReportWave(limited, w.ID, state); err != nil {
+	if err := k.deps.Waves.ReportWave(limited, w.ID, status); err != nil {
 		k.deps.Log.Warn().Err(err).Int64("wave", int64(w.ID)).Msg("cannot report the state of a wave; trying again")
 		return
 	}
-	k.deps.Log.Info().Int64("wave", int64(w.ID)).Str("state", string(state)).Int("begun", len(begun)).Msg("wave reported")
+	k.deps.Log.Info().Int64("wave", int64(w.ID)).Str("state", string(status.State)).Int("begun", len(begun)).Int("waiting", len(status.Waiting)).
+		Msg("wave reported")
 	k.state.lock.Lock()
-	w.reported = state
+	w.reported, w.reportedAt = status, k.deps.Clock.Now()
 	k.state.lock.Unlock()
 }
 
-// waveState returns the state of a wave: completed once the maintenance of every host has begun that the platform still lists. The
+// waveStatus returns the status of a wave: completed once the maintenance of every host has begun that the platform still lists. The
 // state's lock is held.
-func (k *Keeper) waveState(w *wave) jaybarrow.WaveState {
+func (k *Keeper) waveStatus(w *wave) jaybarrow.WaveStatus {
+	out := jaybarrow.WaveStatus{State: jaybarrow.WaveCompleted}
 	for _, id := range w.Hosts {
 		listed := slices.ContainsFunc(k.state.hosts, func(h jaybarrow.FleetHost) bool { return h.ID == id })
-		if listed && !w.maintenanceBegun[id] {
-			return jaybarrow.WaveRunning
+		if !listed || w.maintenanceBegun[id] {
+			continue
+		}
+		out.State = jaybarrow.WaveRunning
+		if obstacle := w.obstacles[id]; obstacle != "" {
+			if out.Waiting == nil {
+				out.Waiting = make(map[jaybarrow.HostID]jaybarrow.DrainObstacle)
+			}
+			out.Waiting[id] = obstacle
 		}
 	}
-	return jaybarrow.WaveCompleted
+	return out
+}
+
+// waitingReportInterval is the least time between two reports of a wave that differ only in what its hosts wait for.
+const waitingReportInterval = 2 * time.Second
+
+// needsReport reports whether operators are to be told of the status.
+func (w *wave) needsReport(status jaybarrow.WaveStatus, now time.Time) bool {
+	if status.State != w.reported.State {
+		return true
+	}
+	return !maps.Equal(status.Waiting, w.reported.Waiting) && now.Sub(w.reportedAt) >= waitingReportInterval
+}
+
+// noteObstacle records what keeps a host from being emptied for its maintenance, and logs it when it has changed.
+func (k *Keeper) noteObstacle(m fleetplan.Maintenance, obstacle jaybarrow.DrainObstacle) {
+	k.state.lock.Lock()
+	w := k.state.waves[m.Wave]
+	changed := w != nil && w.obstacles[m.Host.ID] != obstacle
+	if changed {
+		w.obstacles[m.Host.ID] = obstacle
+	}
+	k.state.lock.Unlock()
+	if changed && obstacle != "" {
+		k.deps.Log.Info().Str("host", string(m.Host.ID)).Int64("wave", int64(m.Wave)).Str("obstacle", string(obstacle)).Int("lasting", m.Host.Lasting).
+			Msg("host cannot be emptied for its maintenance yet")
+	}
 }
 
 // storeWave writes the progress on condition that the leader's record is still that of this term.
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -57,6 +57,8 @@
 	MayHaveBeenOrdered bool
 	Runs               int // running tasks
 	Lasting            int // running tasks that last until their job is cancelled
+	// Obstacle is why the host cannot be emptied at present; it is tried again once this is empty.
+	Obstacle jaybarrow.DrainObstacle
 }
 
 // idle reports whether the host can leave its pool without ending a task.
@@ -122,7 +124,7 @@
 	d := decision{
 		settings: s, state: in, taken: make(map[jaybarrow.HostID]bool),
 		pools: make(map[jaybarrow.PoolID]Pool, len(in.Pools)), servingHosts: make(map[jaybarrow.PoolID]int, len(in.Pools)),
-		lastingHosts: make(map[jaybarrow.PoolID]int, len(in.Pools)), orderedHosts: make(map[jaybarrow.PoolID]int, len(in.Pools)),
+		lastingHosts: make(map[jaybarrow.PoolID]int, len(in.Pools)), lacksRoom: make(map[jaybarrow.PoolID]int), orderedHosts: make(map[jaybarrow.PoolID]int, len(in.Pools)),
 		servingByLabel: make(map[poolLabel]int), hostsOf: make(map[jaybarrow.PoolID]int, len(in.Pools)),
 	}
 	for _, p := range in.Pools {
@@ -136,6 +138,9 @@
 		if h.Lasting > 0 {
 			d.lastingHosts[h.Pool]++
 		}
+		if h.Obstacle == jaybarrow.ObstacleNoRoom || h.Obstacle == jaybarrow.ObstacleOthersAway {
+			d.lacksRoom[h.Pool] = 1
+		}
 	}
 	d.planWaves()
 	d.planMoves()
@@ -157,6 +162,7 @@
 	hostsOf        map[jaybarrow.PoolID]int // hosts, in whatever state
 	servingHosts   map[jaybarrow.PoolID]int // hosts that accept tasks
 	lastingHosts   map[jaybarrow.PoolID]int // hosts with lasting tasks
+	lacksRoom      map[jaybarrow.PoolID]int // 1 for a pool with hosts that cannot be emptied for want of room for their lasting tasks
 	orderedHosts   map[jaybarrow.PoolID]int // hosts that this decision moves there
 	servingByLabel map[poolLabel]int        // hosts that accept tasks, by label
 	orders         Orders
@@ -207,7 +213,7 @@
 			if budget <= 0 {
 				break
 			}
-			if d.taken[h.ID] || h.Reserved || !urgent && !d.canSpare(h) || d.isLastServing(h) {
+			if d.taken[h.ID] || h.Reserved || h.Obstacle != "" || !urgent && !d.canSpare(h) || d.isLastServing(h) {
 				continue
 			}
 			d.orders.Drain = append(d.orders.Drain, Maintenance{h, w.ID})
@@ -289,9 +295,9 @@
 }
 
 // shortage returns how many hosts the pool lacks. Lasting tasks are spread over hosts, so a host that is drained of them must be
-// replaced even if the other hosts have capacity.
+// replaced even if the other hosts have capacity, and one more must come where none can be drained.
 func (d *decision) shortage(p Pool) int {
-	return max(int(math.Ceil(p.Need)), d.lastingHosts[p.ID]) - d.servingHosts[p.ID] - p.Joining - d.orderedHosts[p.ID]
+	return max(int(math.Ceil(p.Need)), d.lastingHosts[p.ID]+d.lacksRoom[p.ID]) - d.servingHosts[p.ID] - p.Joining - d.orderedHosts[p.ID]
 }
 
 // move orders the host to another pool.
--- a/internal/fleetplan/plan_test.go
+++ b/internal/fleetplan/plan_test.go
@@ -59,6 +59,11 @@
 	for i := range emptied {
 		emptied[i].Lasting, emptied[i].Reserved = 1, i < 2
 	}
+	stuck := busy(hosts("desk", 4))
+	for i := range stuck {
+		stuck[i].Lasting = 2
+	}
+	stuck[0].Obstacle = jaybarrow.ObstacleNoRoom
 	idle := need(0)
 	idle.LongTermPeak = 0
 	fast := need(1)
@@ -79,6 +84,7 @@
 		{"busy hosts stay", fleetplan.State{Hosts: append(busy(hosts("desk", 4)), busy(hosts("batch", 8))...), Pools: pools(need(6), need(0))}, nil, ""},
 		{"needed hosts stay", fleetplan.State{Hosts: append(busy(hosts("desk", 4)), hosts("batch", 4)...), Pools: pools(need(6), need(3))}, nil, ""},
 		{"hosts drained of lasting tasks are replaced", fleetplan.State{Hosts: append(emptied, hosts("spare", 3)...), Pools: pools(need(1), need(0))}, map[jaybarrow.PoolID]int{"desk": 2}, "spare"},
+		{"a host comes where lasting tasks have no room to move", fleetplan.State{Hosts: append(stuck, hosts("spare", 3)...), Pools: pools(need(1), need(0))}, map[jaybarrow.PoolID]int{"desk": 1}, "spare"},
 		{"hosts with the label that work needs", fleetplan.State{Hosts: append(append(hosts("desk", 4), hosts("batch", 2)...), labelled(hosts("spare", 3), "fast")[1:]...), Pools: pools(fast, need(0))}, map[jaybarrow.PoolID]int{"desk": 1}, "spare"},
 		{"hosts without the label do not move", fleetplan.State{Hosts: append(hosts("desk", 4), hosts("spare", 3)...), Pools: pools(fast, need(0))}, nil, ""},
 		{"hosts whose label is needed stay", fleetplan.State{Hosts: append(labelled(hosts("desk", 6), "fast"), hosts("spare", 1)...), Pools: pools(idleFast, need(0))}, map[jaybarrow.PoolID]int{"spare": 3}, "desk"},
@@ -115,6 +121,8 @@
 	for i := range reserved {
 		reserved[i].Reserved = true
 	}
+	obstructed := busy(hosts("desk", 4))
+	obstructed[0].Obstacle, obstructed[1].Obstacle = jaybarrow.ObstacleNoRoom, jaybarrow.ObstacleNeeded
 	cases := []struct {
 		name            string
 		hosts           []fleetplan.Host
@@ -129,6 +137,7 @@
 		{"hosts that a busy pool needs are drained when time is short", busy(hosts("desk", 4)), wave(2, 0, 10*time.Second, hosts("desk", 4)), 4, 2, 0},
 		{"the last serving host of a pool stays until others are back", busy(hosts("desk", 4)), wave(4, 0, 10*time.Second, hosts("desk", 4)), 4, 3, 0},
 		{"the only host of a pool is drained", busy(hosts("desk", 1)), wave(4, 0, 10*time.Second, hosts("desk", 1)), 1, 1, 0},
+		{"hosts that cannot be emptied leave their turn to others", obstructed, wave(2, 0, 10*time.Second, obstructed), 0, 2, 0},
 		{"spare hosts need no drain", hosts("spare", 2), wave(2, 0, time.Minute, hosts("spare", 2)), 0, 0, 2},
 	}
 	for _, c := range cases {
@@ -136,6 +145,9 @@
 			s := fleetplan.DefaultSettings()
 			got := fleetplan.Decide(s, fleetplan.State{Hosts: c.hosts, Pools: pools(need(c.need), need(0)), Waves: c.waves})
 			assert.Equal(t, len(got.Drain), c.drain)
+			for _, m := range got.Drain {
+				assert.Equal(t, m.Host.Obstacle, jaybarrow.DrainObstacle(""))
+			}
 			assert.Equal(t, len(got.Maintain), c.maintain)
 		})
 	}
--- a/internal/jobhost/observer.go
+++ b/internal/jobhost/observer.go
@@ -56,6 +56,12 @@
 	o.log.Info().Str("pool", string(pool)).Int("workers", held).Int("usable", usable).Msg("room is held for lasting tasks")
 }
 
+// HoldGivenUp logs and counts that a worker gets tasks again although its host awaits its maintenance.
+func (o observer) HoldGivenUp(worker jaybarrow.WorkerID, obstacle jaybarrow.DrainObstacle) {
+	o.metrics.Count("drain.givenUp." + string(obstacle))
+	o.log.Info().Str("worker", string(worker)).Str("obstacle", string(obstacle)).Msg("worker gets tasks again before its maintenance")
+}
+
 // WorkerEjected logs and counts that a worker receives no new tasks for a while.
 func (o observer) WorkerEjected(worker jaybarrow.WorkerID, reason string) {
 	o.metrics.Count("worker.doubted")
--- a/internal/jobhost/waves.go
+++ b/internal/jobhost/waves.go
@@ -44,7 +44,7 @@
 	return append([]fleetkeeper.KnownWave(nil), w.known...)
 }
 
-// ReportWave reports the state of a wave to operators.
-func (w *waves) ReportWave(ctx context.Context, id jaybarrow.WaveID, state jaybarrow.WaveState) error {
-	return w.operators.ReportWave(ctx, id, state)
+// ReportWave reports the status of a wave to operators.
+func (w *waves) ReportWave(ctx context.Context, id jaybarrow.WaveID, status jaybarrow.WaveStatus) error {
+	return w.operators.ReportWave(ctx, id, status)
 }
--- a/internal/scheduler/faults_test.go
+++ b/internal/scheduler/faults_test.go
@@ -105,7 +105,8 @@
 
 func (f platformWithFault) RoomHeld(jaybarrow.PoolID, int, int) {}
 
-func (f platformWithFault) WorkerEjected(jaybarrow.WorkerID, string) {}
+func (f platformWithFault) WorkerEjected(jaybarrow.WorkerID, string)                {}
+func (f platformWithFault) HoldGivenUp(jaybarrow.WorkerID, jaybarrow.DrainObstacle) {}
 
 // pause waits for d; it returns ctx's error when ctx ends first.
 func pause(ctx context.Context, d time.Duration) error {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -275,14 +275,23 @@
 	return out
 }
 
-// Reserve stops the assignment of new tasks to a worker. It reports false, and changes nothing, when the worker is unknown or, with
-// onlyEmpty, still has tasks.
-func (s *Scheduler) Reserve(pool jaybarrow.PoolID, worker jaybarrow.WorkerID, onlyEmpty bool) bool {
+// Reserve stops the assignment of new tasks to a worker. It reports false, and changes nothing, when the worker is unknown or still has
+// tasks.
+func (s *Scheduler) Reserve(pool jaybarrow.PoolID, worker jaybarrow.WorkerID) bool {
 	p := s.pool(pool)
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	defer p.signal()
-	return p.state.Reserve(worker, onlyEmpty)
+	return p.state.Reserve(worker)
+}
+
+// Drain begins to empty a worker; otherwise it changes nothing and returns the obstacle, which is empty for an unknown worker.
+func (s *Scheduler) Drain(pool jaybarrow.PoolID, worker jaybarrow.WorkerID) (drains bool, obstacle jaybarrow.DrainObstacle) {
+	p := s.pool(pool)
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	defer p.signal()
+	return p.state.Drain(worker, s.deps.Clock.Now())
 }
 
 // Unreserve ends the reservation of a worker.
--- a/internal/workload/backlog_test.go
+++ b/internal/workload/backlog_test.go
@@ -21,7 +21,7 @@
 		{"one missed", func(h *harness) { h.missReport("w1") }, 10_000},
 		{"two missed", func(h *harness) { h.missReport("w1"); h.missReport("w1") }, 0},
 		{"removed", func(h *harness) { h.pool.DropWorker("w1") }, 0},
-		{"reserved", func(h *harness) { h.pool.Reserve("w1", false) }, 0},
+		{"reserved", func(h *harness) { h.drain("w1", "") }, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 
 	"github.com/jaybarrow/jaybarrow"
@@ -33,6 +34,10 @@
 	ends         map[jaybarrow.WorkerID]jaybarrow.EndNumber
 	finished     map[jaybarrow.JobID]jaybarrow.JobState
 	roomReports  int // calls of RoomHeld
+	givenUp      []givenUpHold
+	missed       []jaybarrow.WorkerID // workers whose reports are missed
+	quiet        jaybarrow.WorkerID   // worker whose reports are late
+	refusing     jaybarrow.WorkerID   // worker that refuses starts
 }
 
 func newHarness(t *testing.T) *harness {
@@ -90,6 +95,27 @@
 }
 func (h *harness) RoomHeld(jaybarrow.PoolID, int, int) { h.roomReports++ }
 
+func (h *harness) HoldGivenUp(worker jaybarrow.WorkerID, obstacle jaybarrow.DrainObstacle) {
+	h.givenUp = append(h.givenUp, givenUpHold{worker, obstacle})
+}
+
+// givenUpHold is a call of HoldGivenUp.
+type givenUpHold struct {
+	worker   jaybarrow.WorkerID
+	obstacle jaybarrow.DrainObstacle
+}
+
+// allowUnexported compares the fields of the test's own types.
+var allowUnexported = cmp.AllowUnexported(givenUpHold{})
+
+// drain begins to empty a worker, or expects the obstacle.
+func (h *harness) drain(id jaybarrow.WorkerID, want jaybarrow.DrainObstacle) {
+	h.Helper()
+	drains, obstacle := h.pool.Drain(id, h.now)
+	assert.Equal(h, obstacle, want)
+	assert.Equal(h, drains, want == "")
+}
+
 func (h *harness) WorkerEjected(jaybarrow.WorkerID, string) {}
 
 func (h *harness) JobEnded(job *jaybarrow.Job, state jaybarrow.JobState, _ time.Duration, _ int) {
@@ -148,6 +174,7 @@
 	_, order, ok := h.pool.HoldOrder(id, true, h.now)
 	assert.Assert(h, ok)
 	h.pool.HandleHoldFailure(id)
+	h.missed = append(h.missed, id)
 	return order
 }
 
@@ -173,6 +200,12 @@
 	return out
 }
 
+// planStops plans once, without an answer to the starts, and returns the stops.
+func (h *harness) planStops() []workload.StopRun {
+	h.Helper()
+	return h.plan().Stops
+}
+
 // planAndStart plans and answers every start with the outcome.
 func (h *harness) planAndStart(outcome jaybarrow.StartOutcome) []workload.StartRun {
 	h.Helper()
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -70,6 +70,7 @@
 		p.expireLeases(now)
 		p.stopStalledRuns(now)
 		p.evacuateDraining(now)
+		p.giveUpHolds(now)
 		p.evacuateReserved(now)
 		out.Throttles = p.throttle(now)
 		p.placementsDue = true
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -36,6 +36,8 @@
 	WorkerRestarted(worker jaybarrow.WorkerID, lost, uncertain int)
 	// RoomHeld reports that lasting tasks begin or cease to keep other work from some of the pool's usable workers.
 	RoomHeld(pool jaybarrow.PoolID, held, usable int)
+	// HoldGivenUp reports that a worker that was kept free of new tasks to become empty gets tasks again, and why.
+	HoldGivenUp(worker jaybarrow.WorkerID, obstacle jaybarrow.DrainObstacle)
 	// WorkerEjected reports that a worker temporarily receives no new tasks, and why.
 	WorkerEjected(worker jaybarrow.WorkerID, reason string)
 }
--- a/internal/workload/takeover_test.go
+++ b/internal/workload/takeover_test.go
@@ -106,7 +106,7 @@
 			h.addWorker("w3")
 			h.report("w1", runReports(s, "w1", 100))
 			c.prepare(h, s)
-			assert.Assert(t, h.pool.Reserve("w1", false))
+			h.drain("w1", "")
 			assert.Equal(t, len(h.plan().Stops), c.stops)
 		})
 	}
@@ -118,7 +118,7 @@
 		s := h.planAndStart(jaybarrow.StartDone)
 		h.report("w1", runReports(s, "w1", 100))
 		h.report("w2", runReports(s, "w2", 100))
-		assert.Assert(t, h.pool.Reserve("w1", false))
+		h.drain("w1", "")
 		assert.Equal(t, len(h.plan().Stops), 0)
 	})
 }
@@ -268,8 +268,8 @@
 		}
 	}
 	report()
-	assert.Assert(t, h.pool.Reserve("w1", false))
-	assert.Assert(t, h.pool.Reserve("w2", false))
+	h.drain("w1", "")
+	h.drain("w2", jaybarrow.ObstacleOthersAway)
 	assert.Equal(t, len(h.plan().Stops), 0, "another worker may have room soon")
 	h.advance(4 * time.Second)
 	report()
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -29,11 +29,16 @@
 	processedEnds   jaybarrow.EndNumber // ends up to this number are processed
 	storedEnds      jaybarrow.EndNumber // ends up to this number are also stored
 	// backoffUntil is when the worker may receive new tasks again after it refused a start or was ejected.
-	backoffUntil   time.Time
-	faults         int // runs that failed or stalled, and invalid starts, since the last success
-	reserved       bool
-	reservedAt     time.Time // when a plan first saw the worker reserved
-	maintenanceDue bool      // its host awaits maintenance in a wave
+	backoffUntil    time.Time
+	faults          int // runs that failed or stalled, and invalid starts, since the last success
+	reserved        bool
+	emptyingSince   time.Time               // when it was reserved to become empty; zero unless it is
+	obstructedSince time.Time               // since when it cannot be emptied; zero when nothing prevents it
+	emptied         bool                    // its lasting tasks are stopped without room elsewhere
+	obstacle        jaybarrow.DrainObstacle // why it could not be emptied; holds until drainRetryAt
+	drainRetryAt    time.Time
+	drainWantedAt   time.Time // when it was first to be emptied for the wave that its host awaits
+	maintenanceDue  bool      // its host awaits maintenance in a wave
 }
 
 type runKey struct {
