--- a/internal/workload/drain.go
+++ b/internal/workload/drain.go
@@ -244,7 +244,7 @@
 // others. A worker whose tasks found no room elsewhere for relocationTime is emptied all the same once this can be done at a stroke, so that
 // its maintenance begins at once.
 func (p *Pool) evacuateReserved(now time.Time) {
-	for _, w := range p.workers {
+	for _, w := range p.sortedWorkers() {
 		if !w.emptying() || w.missedReports > 0 {
 			continue
 		}
--- a/internal/workload/index.go
+++ b/internal/workload/index.go
@@ -48,6 +48,7 @@
 	job.runs++
 	r.worker.used = r.worker.used.Plus(r.demand)
 	r.worker.runs[runKey{r.task.ref, r.number}] = r
+	r.worker.countKinds(spec, 1)
 	if spec.Lasting {
 		r.worker.lasting++
 		r.worker.lastingUsed = r.worker.lastingUsed.Plus(r.demand)
@@ -65,6 +66,7 @@
 	job.runs--
 	r.worker.used = r.worker.used.Minus(r.demand)
 	delete(r.worker.runs, runKey{r.task.ref, r.number})
+	r.worker.countKinds(spec, -1)
 	if spec.Lasting {
 		r.worker.lasting--
 		r.worker.lastingUsed = r.worker.lastingUsed.Minus(r.demand)
@@ -86,6 +88,16 @@
 	p.placementsDue = true
 }
 
+// countKinds adds n to the counts of the worker's runs that throttling distinguishes.
+func (w *worker) countKinds(spec *jaybarrow.Step, n int) {
+	if spec.Background {
+		w.background += n
+	}
+	if spec.LatencyMs > 0 {
+		w.bounded += n
+	}
+}
+
 // setPhase moves the run to a phase.
 func (p *Pool) setPhase(r *run, to phase, now time.Time) {
 	switch r.phase {
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -68,7 +68,6 @@
 	var out Round
 	if p.takeSweep(now) {
 		p.expireLeases(now)
-		p.stopStalledRuns(now)
 		p.evacuateDraining(now)
 		p.giveUpHolds(now)
 		p.evacuateReserved(now)
@@ -90,8 +89,8 @@
 
 // expireLeases ends the runs on workers whose lease has certainly ended.
 func (p *Pool) expireLeases(now time.Time) {
-	for _, w := range p.workers {
-		if !w.leaseEnd.IsZero() && now.After(w.leaseEnd) {
+	for _, w := range p.sortedWorkers() {
+		if len(w.runs) > 0 && !w.leaseEnd.IsZero() && now.After(w.leaseEnd) {
 			for _, r := range w.runs {
 				if r.phase != runPlanned {
 					p.endRun(r, jaybarrow.EndLeaseExpired, "", now)
@@ -158,20 +157,15 @@
 	}
 }
 
-// stopStalledRuns stops tasks without progress, so that they restart on another worker; gangs and throttled runs are exempt.
-func (p *Pool) stopStalledRuns(now time.Time) {
-	for _, w := range p.workers {
-		if w.missedReports > 0 || w.gone {
-			continue
-		}
-		for _, r := range w.runs {
-			if r.phase == runRunning && !r.task.step.spec.Gang && r.throttle == fullPercent && p.stalled(r, now) {
-				r.task.avoidWorker = w.entry.ID
-				p.stopRun(r, now)
-				p.recordFault(w, "a task made no progress", now)
-			}
-		}
+// stopIfStalled stops a run without progress, so that its task restarts on another worker; gangs and throttled runs are exempt. It is
+// called with each report of the run, since only a report shows that there was none.
+func (p *Pool) stopIfStalled(r *run, now time.Time) {
+	if r.phase != runRunning || r.task.step.spec.Gang || r.throttle != fullPercent || !p.stalled(r, now) {
+		return
 	}
+	r.task.avoidWorker = r.worker.entry.ID
+	p.stopRun(r, now)
+	p.recordFault(r.worker, "a task made no progress", now)
 }
 
 // stalled reports whether a run made no progress for longer than its timeout while its worker kept reporting.
@@ -179,14 +173,13 @@
 	if r.progress >= fullPercent {
 		return false
 	}
-	timeout := max(p.settings.StallTimeout, r.task.step.spec.Estimate()/10)
-	return r.worker.lastReport.Sub(r.progressedAt) > timeout && now.Sub(r.progressedAt) > timeout
+	return now.Sub(r.progressedAt) > max(p.settings.StallTimeout, r.task.step.spec.Estimate()/10)
 }
 
 // evacuateDraining stops lasting tasks on draining workers, so that they move to others.
 func (p *Pool) evacuateDraining(now time.Time) {
-	for _, w := range p.workers {
-		if w.entry.State != jaybarrow.WorkerDraining || w.gone {
+	for _, w := range p.sortedWorkers() {
+		if w.lasting == 0 || w.entry.State != jaybarrow.WorkerDraining || w.gone {
 			continue
 		}
 		for _, r := range w.runs {
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -78,13 +78,12 @@
 	w.reported, w.missedReports = true, 0
 	w.lastReport, w.clock = received, report.Clock
 	p.processEnds(w, report.Ended, received)
-	listed := make(map[runKey]bool, len(report.Running))
+	w.reports++
 	for _, running := range report.Running {
-		listed[runKey{running.Task, running.Run}] = true
 		p.processRunning(w, running, received)
 	}
 	if len(report.Ended) < maxReportedEnds {
-		p.resolveMissing(w, listed, sent, received)
+		p.resolveMissing(w, sent, received)
 	}
 	if !wasUsable && w.usable(received, p.settings.ReportGrace) {
 		p.placementsDue = true
@@ -139,7 +138,7 @@
 		p.unknownRuns = append(p.unknownRuns, StopRun{Worker: w.entry, Task: report.Task, Run: report.Run})
 		return
 	}
-	r.instance, r.listed = w.instance, true
+	r.instance, r.listed, r.listedIn = w.instance, true, w.reports
 	if r.task.keepCheckpoint(report.Checkpoint) {
 		p.markChanged(r.task.step.job, now)
 	}
@@ -147,16 +146,18 @@
 		p.setPhase(r, runRunning, now)
 		r.progressedAt, r.inherited = now, false
 	}
+	r.gauge = report.Gauge
 	if report.Progress != r.progress {
 		r.progress, r.progressedAt = report.Progress, now
+		return
 	}
-	r.gauge = report.Gauge
+	p.stopIfStalled(r, now)
 }
 
-// resolveMissing resolves the runs that a complete report does not list.
-func (p *Pool) resolveMissing(w *worker, listed map[runKey]bool, sent, now time.Time) {
-	for key, r := range w.runs {
-		if listed[key] {
+// resolveMissing resolves the runs that the last report, a complete one, does not list.
+func (p *Pool) resolveMissing(w *worker, sent, now time.Time) {
+	for _, r := range w.runs {
+		if r.listedIn == w.reports {
 			continue
 		}
 		switch {
--- a/internal/workload/throttle.go
+++ b/internal/workload/throttle.go
@@ -23,7 +23,10 @@
 // throttle decides the shares of background runs from the latest reports.
 func (p *Pool) throttle(now time.Time) []ThrottleRun {
 	var out []ThrottleRun
-	for _, w := range p.workers {
+	for _, w := range p.sortedWorkers() {
+		if w.background == 0 || w.bounded == 0 {
+			continue
+		}
 		latencyRatio := w.worstLatencyRatio()
 		if latencyRatio < 0 || w.missedReports > 0 || w.gone {
 			continue
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -12,6 +12,7 @@
 	gone            bool // no longer in the register, or replaced at its address
 	reported        bool // a report under this scheduler's fence has arrived
 	missedReports   int  // consecutive hold orders without a report
+	reports         int64 // processed so far
 	lastReport      time.Time
 	reportWait      time.Duration         // how long the outstanding order lets the worker hold back its report
 	clock           jaybarrow.WorkerClock // reading at lastReport or slightly earlier
@@ -23,6 +24,8 @@
 	leaseOrderedAt  time.Time             // when an order that extends the lease was last sent
 	used            jaybarrow.Resources
 	lasting         int                 // runs of lasting tasks
+	background      int                 // runs of background work
+	bounded         int                 // runs of tasks with a latency bound
 	lastingUsed     jaybarrow.Resources // the part of used that they use
 	runs            map[runKey]*run
 	firstListed     jaybarrow.EndNumber // the lowest end that the last report listed; 0 when it listed none
@@ -66,6 +69,7 @@
 	instanceStartMs int64          // start time of the worker when the run was assigned, as its record says
 	instance        instanceNumber // the instance of the worker that the run was assigned to, or that has listed it since
 	listed          bool           // whether a report has listed the run as running
+	listedIn        int64          // number of the last report that did, counted by the worker's reports
 	phase           phase
 	inherited       bool      // assigned by a previous scheduler
 	startUnanswered bool      // its start was not answered
