--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -165,6 +165,7 @@
 	lacksRoom      map[jaybarrow.PoolID]int // 1 for a pool with hosts that cannot be emptied for want of room for their lasting tasks
 	orderedHosts   map[jaybarrow.PoolID]int // hosts that this decision moves there
 	servingByLabel map[poolLabel]int        // hosts that accept tasks, by label
+	sources        []*source                // idle hosts, by pool
 	orders         Orders
 }
 
@@ -252,6 +253,7 @@
 // planMoves moves idle hosts to the pools with a shortage and returns surplus hosts to the spare pool. Shortages of labelled hosts
 // are met first.
 func (d *decision) planMoves() {
+	d.findSources()
 	byShortage := slices.Clone(d.state.Pools)
 	slices.SortStableFunc(byShortage, func(a, b Pool) int { return cmp.Compare(d.shortage(b), d.shortage(a)) })
 	for _, p := range byShortage {
@@ -286,8 +288,12 @@
 
 // neededForLabel reports whether the host's pool needs it for one of its labels.
 func (d *decision) neededForLabel(h Host) bool {
+	needs := d.pools[h.Pool].Labels
+	if len(needs) == 0 {
+		return false
+	}
 	for _, label := range h.Labels {
-		if need := d.pools[h.Pool].Labels[label]; need > 0 && float64(d.servingByLabel[poolLabel{h.Pool, label}]-1) < need {
+		if need := needs[label]; need > 0 && float64(d.servingByLabel[poolLabel{h.Pool, label}]-1) < need {
 			return true
 		}
 	}
@@ -310,25 +316,62 @@
 // equally soon, but a spare host costs nothing where it is. The host must have the label, unless that is empty.
 func (d *decision) pickSource(to jaybarrow.PoolID, label jaybarrow.Label) (Host, bool) {
 	best, bestSurplus := Host{}, math.Inf(-1)
-	for _, h := range d.state.Hosts {
-		if h.Pool == to || d.taken[h.ID] || label != "" && !slices.Contains(h.Labels, label) || d.neededForLabel(h) {
-			continue
-		}
-		isSpare := d.isSpare(h.Pool)
-		if !h.idle(isSpare) {
+	for _, from := range d.sources {
+		if from.pool == to {
 			continue
 		}
-		surplus := 0.0
+		isSpare, surplus := d.isSpare(from.pool), 0.0
 		if !isSpare {
-			surplus = d.surplus(h.Pool)
+			if surplus = d.surplus(from.pool); surplus < 1 {
+				continue
+			}
 		}
-		if (isSpare || surplus >= 1) && surplus > bestSurplus {
+		if surplus <= bestSurplus {
+			continue
+		}
+		if h, ok := d.firstSource(from, label); ok {
 			best, bestSurplus = h, surplus
 		}
 	}
 	return best, best.ID != ""
 }
 
+// source holds the idle hosts of a pool.
+type source struct {
+	pool  jaybarrow.PoolID
+	hosts []Host
+}
+
+// findSources collects the idle hosts by pool, in the order of the list of hosts.
+func (d *decision) findSources() {
+	byPool := make(map[jaybarrow.PoolID]*source)
+	for _, h := range d.state.Hosts {
+		if d.taken[h.ID] || !h.idle(d.isSpare(h.Pool)) {
+			continue
+		}
+		from := byPool[h.Pool]
+		if from == nil {
+			from = &source{pool: h.Pool}
+			byPool[h.Pool] = from
+			d.sources = append(d.sources, from)
+		}
+		from.hosts = append(from.hosts, h)
+	}
+}
+
+// firstSource returns the first host of the pool that may leave it and has the label, unless that is empty.
+func (d *decision) firstSource(from *source, label jaybarrow.Label) (Host, bool) {
+	for len(from.hosts) > 0 && d.taken[from.hosts[0].ID] {
+		from.hosts = from.hosts[1:]
+	}
+	for _, h := range from.hosts {
+		if !d.taken[h.ID] && (label == "" || slices.Contains(h.Labels, label)) && !d.neededForLabel(h) {
+			return h, true
+		}
+	}
+	return Host{}, false
+}
+
 // surplus returns how many hosts a pool has in excess of its recent need and the headroom.
 func (d *decision) surplus(id jaybarrow.PoolID) float64 {
 	p, known := d.pools[id]
