--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -34,10 +34,15 @@
 	group   *rungroup.Group
 }
 
+// streamWorkers is how many goroutines are kept for calls. Calls are short, and their stacks are then not grown for each of them.
+const streamWorkers = 8
+
 // NewServer returns a Server that serves on the listener until Close. A server that stops earlier is reported to onFault.
 func NewServer(log zerolog.Logger, listener net.Listener, handler Handler, onFault rungroup.Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{handler: handler, cancel: cancel, group: rungroup.New(onFault), grpc: grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes))}
+	s := &Server{handler: handler, cancel: cancel, group: rungroup.New(onFault), grpc: grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes), grpc.NumStreamWorkers(streamWorkers),
+	)}
 	jobpb.RegisterJobsServer(s.grpc, s)
 	s.group.Keep(ctx, "peer server", func() error {
 		err := s.grpc.Serve(listener)
--- a/internal/rungroup/rungroup.go
+++ b/internal/rungroup/rungroup.go
@@ -53,15 +53,18 @@
 
 // Go runs f in a goroutine. A panic of f is reported to the handler at once and propagated by Wait.
 func (g *Group) Go(part logging.Part, f func()) {
-	g.group.Go(func() {
-		defer func() {
-			if value := recover(); value != nil {
-				g.onFault.Handle(newPanicFault(part, value))
-				panic(value)
-			}
-		}()
-		f()
-	})
+	g.group.Go(func() { g.guard(part, f) })
+}
+
+// guard runs f and reports its panic to the handler before it goes on.
+func (g *Group) guard(part logging.Part, f func()) {
+	defer func() {
+		if value := recover(); value != nil {
+			g.onFault.Handle(newPanicFault(part, value))
+			panic(value)
+		}
+	}()
+	f()
 }
 
 // Keep runs f in a goroutine like Go. A return of f before ctx ends is reported to the handler too.
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -66,8 +66,7 @@
 
 // holdOnce sends one hold order and applies the worker's report or the failure.
 func (p *poolShard) holdOnce(ctx context.Context, worker jaybarrow.Worker, order jaybarrow.HoldOrder, sent time.Time) error {
-	limited, cancel := context.WithTimeout(ctx, order.Wait+p.deps.Settings.HoldSlack)
-	defer cancel()
+	limited := withDeadline(ctx, order.Wait+p.deps.Settings.HoldSlack)
 	report, err := p.deps.Agents.Hold(limited, worker, order)
 	if ctx.Err() != nil {
 		return ctx.Err()
@@ -107,8 +106,7 @@
 	if !ok {
 		return
 	}
-	limited, cancel := context.WithTimeout(ctx, p.deps.Settings.StartTimeout)
-	defer cancel()
+	limited := withDeadline(ctx, p.deps.Settings.StartTimeout)
 	report, err := p.deps.Agents.Poll(limited, worker, order)
 	p.log.Debug().Str("worker", string(id)).Err(err).Msg("look")
 	if err != nil {
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -29,6 +29,7 @@
 	orders       *budget.Orders        // of the scheduler
 	waitingTasks *atomic.Int64         // of all pools
 	group        *rungroup.Group       // a part that fails ends the term
+	orderers     *rungroup.Crew        // of the group, for orders to workers
 	wake         chan struct{}         // has a value when the planning loop must plan again
 	jobsLoaded   chan struct{}         // closed once the stored jobs are loaded
 	loadOnce     sync.Once             // closes jobsLoaded
@@ -48,6 +49,9 @@
 // errLeadEnded means that a start was not sent: the process may have been paused since the decision, and a successor may lead by now.
 var errLeadEnded = errors.New("not sent, since the lead may have ended")
 
+// maxOrderers is how many goroutines a pool keeps for orders to its workers: as many as wait for an answer at once in a turn.
+const maxOrderers = 64
+
 // newPoolShard returns a running shard; it plans once the stored jobs are loaded.
 func newPoolShard(s *Scheduler, id jaybarrow.PoolID) *poolShard {
 	d := s.deps
@@ -65,6 +69,7 @@
 		}),
 		holdLoops: make(map[jaybarrow.WorkerID]bool),
 	}
+	p.orderers = rungroup.NewCrew(s.ctx, p.group, maxOrderers)
 	select {
 	case <-s.loaded:
 		p.startPlanning()
@@ -180,7 +185,7 @@
 		return nil
 	}
 	for _, s := range round.Stops {
-		p.group.Go("stop order", func() { p.stopRun(ctx, s) })
+		p.orderers.Go("stop order", func() { p.stopRun(ctx, s) })
 	}
 	for _, s := range round.Throttles {
 		p.group.Go("throttle order", func() { p.throttleRun(ctx, s) })
@@ -200,7 +205,7 @@
 	}
 	p.written.Signal()
 	for _, s := range starts {
-		p.group.Go("start order", func() { p.startRun(ctx, s) })
+		p.orderers.Go("start order", func() { p.startRun(ctx, s) })
 	}
 	if len(round.Expired) > 0 {
 		p.group.Go("removal of records", func() { p.removeRecords(ctx, round.Expired) })
@@ -253,8 +258,7 @@
 // startRun sends a start order, for which a start slot is taken, and records its outcome. It polls the worker when the order was not
 // answered.
 func (p *poolShard) startRun(ctx context.Context, s workload.StartRun) {
-	limited, cancel := context.WithTimeout(ctx, p.deps.Settings.StartTimeout)
-	defer cancel()
+	limited := withDeadline(ctx, p.deps.Settings.StartTimeout)
 	answer, err := jaybarrow.StartAnswer{Outcome: jaybarrow.StartUnhealthy}, errLeadEnded
 	sent := p.deps.Clock.Now()
 	if p.deps.Term.Valid() {
@@ -298,8 +302,7 @@
 // stopRun sends a stop order and records its outcome. It polls the worker after an answered stop of a run whose start was not
 // answered, because only a report shows that such a run does not exist.
 func (p *poolShard) stopRun(ctx context.Context, s workload.StopRun) {
-	limited, cancel := context.WithTimeout(ctx, p.deps.Settings.StopTimeout)
-	defer cancel()
+	limited := withDeadline(ctx, p.deps.Settings.StopTimeout)
 	p.orders.TryTake(0, p.deps.Clock.Now())
 	err := p.deps.Agents.Stop(limited, s.Worker, s.Task, s.Run, p.deps.Term.Fence)
 	p.noteAnswer(err == nil)
@@ -315,8 +318,7 @@
 
 // throttleRun orders a run to work at a share of its full speed; an unanswered order is decided again.
 func (p *poolShard) throttleRun(ctx context.Context, s workload.ThrottleRun) {
-	limited, cancel := context.WithTimeout(ctx, p.deps.Settings.StopTimeout)
-	defer cancel()
+	limited := withDeadline(ctx, p.deps.Settings.StopTimeout)
 	err := p.deps.Agents.Throttle(limited, s.Worker, s.Task, s.Run, s.Share, p.deps.Term.Fence)
 	p.log.Info().Str("task", s.Task.String()).Int64("run", int64(s.Run)).Str("worker", string(s.Worker.ID)).
 		Int("percent", int(s.Share)).Err(err).Msg("pace")
