Forget a worker with the move of its host, and collect changes before a plan

A move that the platform confirms ends the worker at once, and the entry that it leaves behind is not taken for a worker; an entry of another instance is. Maintenance does not, as it may have been that of an earlier leader.

TestAWorkerThatLeftWithItsHostIsForgottenAtOnce cannot pass before, as nothing recorded the end.

--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -165,6 +165,8 @@
 	p.reserved[worker] = false
 }
 
+func (*pools) EndWorker(jaybarrow.PoolID, jaybarrow.WorkerID) {}
+
 func (*pools) SetMaintenanceDue(map[jaybarrow.WorkerID]bool) {}
 
 type waves []fleetkeeper.KnownWave
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -31,6 +31,8 @@
 	Drain(pool jaybarrow.PoolID, worker jaybarrow.WorkerID) (drains bool, obstacle jaybarrow.DrainObstacle)
 	// Unreserve ends the reservation of a worker.
 	Unreserve(pool jaybarrow.PoolID, worker jaybarrow.WorkerID)
+	// EndWorker records that a worker has certainly ended with an order for its host.
+	EndWorker(pool jaybarrow.PoolID, worker jaybarrow.WorkerID)
 	// SetMaintenanceDue replaces the set of workers whose hosts await maintenance.
 	SetMaintenanceDue(due map[jaybarrow.WorkerID]bool)
 }
@@ -255,7 +257,12 @@
 			Str("reason", m.Reason).Msg("host moves")
 		k.group.Go("order for a host", func() {
 			k.sendOrder(ctx, m.Host, "move", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
-				return k.deps.Fleet.Move(ctx, m.Host.ID, m.To, k.deps.Term.Fence)
+				outcome, err := k.deps.Fleet.Move(ctx, m.Host.ID, m.To, k.deps.Term.Fence)
+				// Maintenance of an earlier leader may be the reason that an order to maintain counts as done, so only a move shows this.
+				if outcome == jaybarrow.FleetOrderDone && m.Host.Worker != "" {
+					k.deps.Pools.EndWorker(m.Host.Pool, m.Host.Worker)
+				}
+				return outcome, err
 			})
 		})
 	}
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -55,9 +55,9 @@
 
 // logLost logs a lost worker; a worker that was expected to leave is logged at a lower level.
 func (p *poolShard) logLost(id jaybarrow.WorkerID, err error) {
-	var reserved bool
-	p.locked(func() { reserved = p.state.Reserved(id) })
-	if reserved {
+	var leaves bool
+	p.locked(func() { leaves = p.state.Leaves(id) })
+	if leaves {
 		p.log.Info().Str("worker", string(id)).Msg("worker left with its host")
 		return
 	}
@@ -140,6 +140,9 @@
 }
 
 func (p *poolShard) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-p.deps.Clock.After(d):
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -95,7 +95,9 @@
 func (p *poolShard) setWorker(entry jaybarrow.Worker, now time.Time) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	p.state.SetWorker(entry, now)
+	if !p.state.SetWorker(entry, now) {
+		return
+	}
 	if p.state.NeedsPoll(entry.ID) && p.holdLoops[entry.ID] {
 		p.group.Go("report of a worker that has started again", func() { p.pollWorker(p.ctx, entry.ID) })
 	}
@@ -113,6 +115,11 @@
 	p.state.DropWorker(id)
 }
 
+// endWorker records that the worker has ended with its host; its hold loop ends with the next failure.
+func (p *poolShard) endWorker(id jaybarrow.WorkerID) {
+	p.locked(func() { p.state.EndWorker(id, p.deps.Clock.Now()) })
+}
+
 // locked calls f with the lock held and reports true. After a panic of an earlier f it reports false instead: the lock is free, so that
 // every part can end with the term, but the state is used no more.
 func (p *poolShard) locked(f func()) bool {
@@ -127,7 +134,7 @@
 	return true
 }
 
-// run plans after each change and at least every MaxPlanInterval until ctx ends. An earlier return ends the term.
+// run plans after each change, though not sooner than MinPlanInterval after the last plan, and at least every MaxPlanInterval until ctx ends. An earlier return ends the term.
 func (p *poolShard) run(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -135,6 +142,7 @@
 	case <-p.jobsLoaded:
 	}
 	for {
+		plannedAt := p.deps.Clock.Now()
 		if err := p.planRound(ctx); err != nil {
 			if errors.Is(err, errDeposed) {
 				// Another leader is no fault of this process.
@@ -147,6 +155,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-p.wake:
+			p.sleep(ctx, p.deps.Settings.MinPlanInterval-p.deps.Clock.Now().Sub(plannedAt))
 		case <-p.deps.Clock.After(p.untilNextPlan()):
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -303,6 +303,13 @@
 	p.state.Unreserve(worker)
 }
 
+// EndWorker records that a worker has certainly ended with an order for its host.
+func (s *Scheduler) EndWorker(pool jaybarrow.PoolID, worker jaybarrow.WorkerID) {
+	if p, ok := s.pools.Get(pool); ok {
+		p.endWorker(worker)
+	}
+}
+
 // SetMaintenanceDue replaces the set of workers whose hosts await maintenance; lasting tasks are placed on other workers where
 // possible.
 func (s *Scheduler) SetMaintenanceDue(due map[jaybarrow.WorkerID]bool) {
--- a/internal/workload/instance_test.go
+++ b/internal/workload/instance_test.go
@@ -223,3 +223,30 @@
 	_, _, ok = h.pool.PollOrder("w1")
 	assert.Assert(t, ok)
 }
+
+// Guards against calls to workers that have ended with their hosts, for as long as their entries stay in the register: they took a quarter of
+// all calls for reports while hosts moved between pools.
+func TestAWorkerThatLeftWithItsHostIsForgottenAtOnce(t *testing.T) {
+	h := newHarness(t)
+	entry := func(startedMs int64) jaybarrow.Worker {
+		return jaybarrow.Worker{
+			ID: "w1", Pool: "desk", Address: "192.0.2.1:80", State: jaybarrow.WorkerReady, Capacity: jaybarrow.Resources{CPU: 10_000, Memory: 10_000}, StartedMs: startedMs,
+		}
+	}
+	known := func() bool {
+		_, _, ok := h.pool.HoldOrder("w1", true, h.now)
+		return ok
+	}
+	assert.Assert(t, h.pool.SetWorker(entry(firstBorn), h.now))
+	assert.Assert(t, h.pool.Reserve("w1"))
+	h.pool.EndWorker("w1", h.now)
+	assert.Assert(t, !known())
+	h.advance(time.Second)
+	assert.Assert(t, !h.pool.SetWorker(entry(firstBorn), h.now), "the entry that it has left counts as a worker")
+	assert.Assert(t, !known())
+	assert.Assert(t, h.pool.SetWorker(entry(secondBorn), h.now), "the worker has started again under its id")
+	assert.Assert(t, known())
+	h.pool.EndWorker("w1", h.now)
+	h.pool.DropWorker("w1")
+	assert.Assert(t, h.pool.SetWorker(entry(secondBorn), h.now), "an entry that was removed is back")
+}
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -54,9 +54,10 @@
 	jobs          map[jaybarrow.JobID]*job
 	endedJobs     map[jaybarrow.JobID]endedJob
 	workers       map[jaybarrow.WorkerID]*worker
-	urgentWrites  map[*job]bool // changed jobs that the next plan writes; starts or answers wait for the write
-	delayedWrites map[*job]bool // changed jobs whose write may wait for the batch delay
-	delayedSince  time.Time     // when the oldest delayed write was requested
+	endedWorkers  map[jaybarrow.WorkerID]endedWorker // their entries may stay in the register for a while
+	urgentWrites  map[*job]bool                      // changed jobs that the next plan writes; starts or answers wait for the write
+	delayedWrites map[*job]bool                      // changed jobs whose write may wait for the batch delay
+	delayedSince  time.Time                          // when the oldest delayed write was requested
 	arrivals      arrivals
 	runTimes      runTimes
 	assignments   int64     // number of the last assignment
@@ -106,7 +107,7 @@
 	return &Pool{
 		settings: d.Settings, id: d.ID, fence: d.Fence, teams: d.Teams, observer: d.Observer, policies: d.Policies,
 		jobs: make(map[jaybarrow.JobID]*job), endedJobs: make(map[jaybarrow.JobID]endedJob),
-		workers: make(map[jaybarrow.WorkerID]*worker), urgentWrites: make(map[*job]bool), delayedWrites: make(map[*job]bool),
+		workers: make(map[jaybarrow.WorkerID]*worker), endedWorkers: make(map[jaybarrow.WorkerID]endedWorker), urgentWrites: make(map[*job]bool), delayedWrites: make(map[*job]bool),
 		waiting: make(map[*job]bool), ended: make(map[*job]bool), planned: make(map[*run]bool), stopping: make(map[*run]bool),
 		unstoredEnds: make(map[*worker]bool), teamUsed: make(map[jaybarrow.TeamID]jaybarrow.Resources),
 		labelUsed: make(map[jaybarrow.Label]jaybarrow.Resources), renewInterval: d.Settings.RenewInterval,
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -1,13 +1,21 @@
 package workload
 
 import (
+	"maps"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
 )
 
-// SetWorker applies a worker's entry in the register.
-func (p *Pool) SetWorker(entry jaybarrow.Worker, now time.Time) {
+// SetWorker applies a worker's entry in the register; it reports false, and changes nothing, when the entry is one that a worker has left
+// which is known to have ended.
+func (p *Pool) SetWorker(entry jaybarrow.Worker, now time.Time) bool {
+	if ended, ok := p.endedWorkers[entry.ID]; ok {
+		if entry.StartedMs == ended.startedMs && now.Sub(ended.at) < endedEntryLimit {
+			return false
+		}
+		delete(p.endedWorkers, entry.ID)
+	}
 	w := p.workers[entry.ID]
 	if w == nil {
 		w = newWorker(entry)
@@ -21,10 +29,37 @@
 	before := w.entry.StartedMs
 	w.entry, w.gone = entry, false
 	p.registerInstance(w, before, entry.StartedMs, now)
+	return true
+}
+
+// endedWorker is the instance of a worker that is known to have ended.
+type endedWorker struct {
+	startedMs int64
+	at        time.Time
+}
+
+// endedEntryLimit is how long the entry of an ended worker may stay in the register: some heartbeats of the worker.
+const endedEntryLimit = 30 * time.Second
+
+// EndWorker records that a worker has certainly ended, because its host has left with it. Nobody waits for its reports any more.
+func (p *Pool) EndWorker(id jaybarrow.WorkerID, now time.Time) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	maps.DeleteFunc(p.endedWorkers, func(_ jaybarrow.WorkerID, e endedWorker) bool { return now.Sub(e.at) >= endedEntryLimit })
+	p.endedWorkers[id] = endedWorker{startedMs: w.entry.StartedMs, at: now}
+	for _, r := range w.runs {
+		p.endRun(r, jaybarrow.EndLeaseExpired, "", now)
+	}
+	w.gone = true
+	w.missedReports++
+	p.removeWorker(w)
 }
 
 // DropWorker records that a worker is no longer registered; its tasks may keep running until its lease ends.
 func (p *Pool) DropWorker(id jaybarrow.WorkerID) {
+	delete(p.endedWorkers, id)
 	if w := p.workers[id]; w != nil {
 		w.gone, p.sweepDue = true, true
 	}
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -94,10 +94,10 @@
 	w.reserved, w.emptyingSince, w.obstructedSince, w.emptied, p.placementsDue = false, time.Time{}, time.Time{}, false, true
 }
 
-// Reserved reports whether the worker is reserved and therefore expected to end: its host is to be moved or maintained.
-func (p *Pool) Reserved(id jaybarrow.WorkerID) bool {
+// Leaves reports whether the worker is expected to end, since its host is to be moved or maintained, or is known to have ended.
+func (p *Pool) Leaves(id jaybarrow.WorkerID) bool {
 	w := p.workers[id]
-	return w != nil && w.reserved
+	return w == nil || w.reserved
 }
 
 // SetMaintenanceDue replaces the set of workers whose hosts await maintenance; lasting tasks are placed on other workers where
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -9,9 +9,9 @@
 // worker is the scheduler's view of one worker.
 type worker struct {
 	entry           jaybarrow.Worker
-	gone            bool // no longer in the register, or replaced at its address
-	reported        bool // a report under this scheduler's fence has arrived
-	missedReports   int  // consecutive hold orders without a report
+	gone            bool  // no longer in the register, or replaced at its address
+	reported        bool  // a report under this scheduler's fence has arrived
+	missedReports   int   // consecutive hold orders without a report
 	reports         int64 // processed so far
 	lastReport      time.Time
 	reportWait      time.Duration         // how long the outstanding order lets the worker hold back its report
