--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -29,7 +29,7 @@
 	orders       *budget.Orders        // of the scheduler
 	waitingTasks *atomic.Int64         // of all pools
 	group        *rungroup.Group       // a part that fails ends the term
-	orderers     *rungroup.Crew        // of the group, for orders to workers
+	orderers     *rungroup.Crew        // of the scheduler, for orders to workers
 	wake         chan struct{}         // has a value when the planning loop must plan again
 	jobsLoaded   chan struct{}         // closed once the stored jobs are loaded
 	loadOnce     sync.Once             // closes jobsLoaded
@@ -49,9 +49,6 @@
 // errLeadEnded means that a start was not sent: the process may have been paused since the decision, and a successor may lead by now.
 var errLeadEnded = errors.New("not sent, since the lead may have ended")
 
-// maxOrderers is how many goroutines a pool keeps for orders to its workers: as many as wait for an answer at once in a turn.
-const maxOrderers = 64
-
 // newPoolShard returns a running shard; it plans once the stored jobs are loaded.
 func newPoolShard(s *Scheduler, id jaybarrow.PoolID) *poolShard {
 	d := s.deps
@@ -62,14 +59,13 @@
 			clock: d.Clock, log: d.Log, store: d.Store, settings: d.Settings, leaderRevision: d.Term.Revision,
 			revisions: make(map[jaybarrow.JobID]jaybarrow.Revision),
 		},
-		forgetJob: s.jobPools.Delete, startSlots: s.startSlots, orders: s.orders, waitingTasks: &s.waitingTasks,
+		forgetJob: s.jobPools.Delete, startSlots: s.startSlots, orders: s.orders, orderers: s.orderers, waitingTasks: &s.waitingTasks,
 		wake: make(chan struct{}, 1), jobsLoaded: make(chan struct{}), written: notify.New(),
 		state: workload.New(workload.Deps{
 			Settings: d.Settings.Workload, ID: id, Fence: d.Term.Fence, Teams: s.teams, Observer: d.Observer, Policies: s.policy,
 		}),
 		holdLoops: make(map[jaybarrow.WorkerID]bool),
 	}
-	p.orderers = rungroup.NewCrew(s.ctx, p.group, maxOrderers)
 	select {
 	case <-s.loaded:
 		p.startPlanning()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -39,6 +39,8 @@
 	cancel       context.CancelFunc
 	ctx          context.Context
 	group        *rungroup.Group // a part that fails ends the term
+	orderGroup   *rungroup.Group // of orders to workers; it is waited for last, since the pools send them
+	orderers     *rungroup.Crew  // of orderGroup
 	pools        *shard.Map[jaybarrow.PoolID, *poolShard]
 	jobPools     *shard.Map[jaybarrow.JobID, jaybarrow.PoolID]    // pool of each known job
 	workerPools  *shard.Map[jaybarrow.WorkerID, jaybarrow.PoolID] // pool of each registered worker
@@ -49,6 +51,9 @@
 	pageRead     chan struct{} // has a value when a page of the register or of the stored jobs was read
 }
 
+// maxOrderers is how many goroutines are kept for orders to workers: about as many as wait for an answer in a turn.
+const maxOrderers = 256
+
 // New returns a running Scheduler. It reads the register of workers first and then the stored jobs; it plans once both are loaded.
 func New(d Deps) *Scheduler {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -59,6 +64,8 @@
 		pageRead: make(chan struct{}, 1), startSlots: make(chan struct{}, d.Settings.MaxConcurrentStarts),
 		orders: budget.NewOrders(d.Settings.Host, d.Clock.Now()),
 	}
+	s.orderGroup = rungroup.New(rungroup.EndTerm(d.Log, d.Term.Resign))
+	s.orderers = rungroup.NewCrew(ctx, s.orderGroup, maxOrderers)
 	registered := make(chan struct{})
 	s.group.Keep(ctx, "register", func() error {
 		s.followRegister(ctx, registered)
@@ -89,6 +96,7 @@
 	s.cancel()
 	s.group.Wait()
 	s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) { p.group.Wait() })
+	s.orderGroup.Wait()
 }
 
 // followRegister follows the register of workers and updates the shards; it closes registered after the first list.
