Send the starts of one worker one after the other in the same goroutine

The starts of a worker now follow each other in two goroutines at most. Once one is not answered the rest is not sent, so that its tasks start elsewhere after one time limit; before, they waited for it beside the first.

TestStartsBehindAnUnansweredOneAreNotSent and TestLanesHoldTheStartsOfOneWorkerInOrder are new; the test of a pause between decision and order calls the new function and checks the same.

--- a/internal/scheduler/faults_test.go
+++ b/internal/scheduler/faults_test.go
@@ -175,8 +175,67 @@
 		lapsed.Store(true)
 		p := s.pool("desk")
 		p.startSlots <- struct{}{}
-		p.startRun(context.Background(), workload.StartRun{Worker: jaybarrow.Worker{ID: "w1"}, Task: jaybarrow.TaskRef{Job: faultJob}, Run: 9})
+		p.startRuns(context.Background(), []workload.StartRun{{Worker: jaybarrow.Worker{ID: "w1"}, Task: jaybarrow.TaskRef{Job: faultJob}, Run: 9}})
 		assert.Equal(t, agents.starts.Load(), before)
 		s.Close()
 	})
 }
+
+// silentAgents leave the first start unanswered.
+type silentAgents struct {
+	platformWithFault
+	starts *atomic.Int64
+}
+
+func (a silentAgents) Start(context.Context, jaybarrow.Worker, jaybarrow.StartOrder) (jaybarrow.StartAnswer, error) {
+	if a.starts.Add(1) == 1 {
+		return jaybarrow.StartAnswer{Outcome: jaybarrow.StartUnknown}, context.DeadlineExceeded
+	}
+	return jaybarrow.StartAnswer{Outcome: jaybarrow.StartDone}, nil
+}
+
+// Guards against tasks that wait for one time limit after the other because their orders follow each other to a worker that is silent.
+func TestStartsBehindAnUnansweredOneAreNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := platformWithFault{}
+		agents := silentAgents{f, new(atomic.Int64)}
+		s := New(Deps{
+			Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Store: f, Register: f, Agents: countingAgents{f, new(atomic.Int64)}, Catalog: catalog.New(time.Now()), Observer: f,
+			Term:     leader.Term{Fence: 1, Revision: 1, Valid: func() bool { return true }, Resign: func(string) {}},
+			Settings: DefaultSettings(),
+		})
+		time.Sleep(time.Second)
+		p := s.pool("desk")
+		p.deps.Agents = agents
+		var starts []workload.StartRun
+		for n := range 5 {
+			p.startSlots <- struct{}{}
+			starts = append(starts, workload.StartRun{Worker: jaybarrow.Worker{ID: "w9"}, Task: jaybarrow.TaskRef{Job: "other", Index: jaybarrow.TaskIndex(n)}, Run: 1})
+		}
+		p.startRuns(context.Background(), starts)
+		assert.Equal(t, agents.starts.Load(), int64(1))
+		assert.Equal(t, len(p.startSlots), 0)
+		s.Close()
+	})
+}
+
+// Guards against orders to one worker that wait for a connection, and against orders of different workers that wait for each other.
+func TestLanesHoldTheStartsOfOneWorkerInOrder(t *testing.T) {
+	var starts []workload.StartRun
+	for n := range 12 {
+		worker := jaybarrow.WorkerID([]string{"a", "b", "a"}[n%3])
+		starts = append(starts, workload.StartRun{Worker: jaybarrow.Worker{ID: worker}, Run: jaybarrow.RunNumber(n)})
+	}
+	counts := make(map[jaybarrow.WorkerID]int)
+	all := 0
+	for _, lane := range lanes(starts) {
+		counts[lane[0].Worker.ID]++
+		for n, s := range lane {
+			assert.Equal(t, s.Worker.ID, lane[0].Worker.ID)
+			assert.Assert(t, n == 0 || s.Run > lane[n-1].Run)
+			all++
+		}
+	}
+	assert.Equal(t, all, len(starts))
+	assert.DeepEqual(t, counts, map[jaybarrow.WorkerID]int{"a": ordersAtOnce, "b": ordersAtOnce})
+}
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -46,9 +46,6 @@
 // errFailed means that the state of the pool may be inconsistent, so nothing may be decided from it.
 var errFailed = errors.New("a part of the pool has failed")
 
-// errLeadEnded means that a start was not sent: the process may have been paused since the decision, and a successor may lead by now.
-var errLeadEnded = errors.New("not sent, since the lead may have ended")
-
 // newPoolShard returns a running shard; it plans once the stored jobs are loaded.
 func newPoolShard(s *Scheduler, id jaybarrow.PoolID) *poolShard {
 	d := s.deps
@@ -209,8 +206,8 @@
 		return errFailed
 	}
 	p.written.Signal()
-	for _, s := range starts {
-		p.orderers.Go("start order", func() { p.startRun(ctx, s) })
+	for _, lane := range lanes(starts) {
+		p.orderers.Go("start orders", func() { p.startRuns(ctx, lane) })
 	}
 	if len(round.Expired) > 0 {
 		p.group.Go("removal of records", func() { p.removeRecords(ctx, round.Expired) })
@@ -260,76 +257,6 @@
 	return out
 }
 
-// startRun sends a start order, for which a start slot is taken, and records its outcome. It polls the worker when the order was not
-// answered.
-func (p *poolShard) startRun(ctx context.Context, s workload.StartRun) {
-	limited := withDeadline(ctx, p.deps.Settings.StartTimeout)
-	answer, err := jaybarrow.StartAnswer{Outcome: jaybarrow.StartUnhealthy}, errLeadEnded
-	sent := p.deps.Clock.Now()
-	if p.deps.Term.Valid() {
-		answer, err = p.deps.Agents.Start(limited, s.Worker, s.Order)
-		p.noteAnswer(answer.Outcome != jaybarrow.StartUnknown)
-	}
-	<-p.startSlots
-	outcome := answer.Outcome
-	line := p.log.Info()
-	if outcome != jaybarrow.StartDone {
-		line = p.log.Warn().Err(err)
-	}
-	line.Str("task", s.Task.String()).Int64("run", int64(s.Run)).Str("worker", string(s.Worker.ID)).
-		Str("outcome", string(outcome)).Msg("start")
-	if outcome == jaybarrow.StartFenced {
-		p.deps.Term.Resign("a worker has seen a higher fencing token")
-		return
-	}
-	var needsPoll, unsent bool
-	p.locked(func() {
-		now := p.deps.Clock.Now()
-		restarted := p.state.HandleClock(s.Worker.ID, answer.Clock, sent, now)
-		needsPoll = p.state.HandleStartOutcome(s, outcome, now) || restarted
-		unsent = p.state.HasUnsentRuns()
-	})
-	if needsPoll {
-		p.pollWorker(ctx, s.Worker.ID)
-	}
-	if unsent || outcome != jaybarrow.StartDone {
-		p.signal()
-	}
-}
-
-// noteAnswer counts whether an order was answered in time, and logs a change of the rate of orders.
-func (p *poolShard) noteAnswer(answered bool) {
-	if p.orders.Note(answered, p.deps.Clock.Now()) {
-		p.log.Info().Int("percent", p.orders.RatePercent()).Msg("rate of orders changed")
-	}
-}
-
-// stopRun sends a stop order and records its outcome. It polls the worker after an answered stop of a run whose start was not
-// answered, because only a report shows that such a run does not exist.
-func (p *poolShard) stopRun(ctx context.Context, s workload.StopRun) {
-	limited := withDeadline(ctx, p.deps.Settings.StopTimeout)
-	p.orders.TryTake(0, p.deps.Clock.Now())
-	err := p.deps.Agents.Stop(limited, s.Worker, s.Task, s.Run, p.deps.Term.Fence)
-	p.noteAnswer(err == nil)
-	p.log.Info().Str("task", s.Task.String()).Int64("run", int64(s.Run)).Str("worker", string(s.Worker.ID)).
-		Err(err).Msg("stop")
-	var needsPoll bool
-	p.locked(func() { needsPoll = p.state.HandleStopOutcome(s, err == nil, p.deps.Clock.Now()) })
-	if needsPoll {
-		p.pollWorker(ctx, s.Worker.ID)
-		p.signal()
-	}
-}
-
-// throttleRun orders a run to work at a share of its full speed; an unanswered order is decided again.
-func (p *poolShard) throttleRun(ctx context.Context, s workload.ThrottleRun) {
-	limited := withDeadline(ctx, p.deps.Settings.StopTimeout)
-	err := p.deps.Agents.Throttle(limited, s.Worker, s.Task, s.Run, s.Share, p.deps.Term.Fence)
-	p.log.Info().Str("task", s.Task.String()).Int64("run", int64(s.Run)).Str("worker", string(s.Worker.ID)).
-		Int("percent", int(s.Share)).Err(err).Msg("pace")
-	p.locked(func() { p.state.HandleThrottleOutcome(s, err == nil) })
-}
-
 // askAdviser asks the adviser which workers may run a step; without an answer the state stays as it is.
 func (p *poolShard) askAdviser(ctx context.Context, q workload.AdviceRequest) {
 	limited, cancel := context.WithTimeout(ctx, p.deps.Settings.AdviceTimeout)
