Refuse jobs that the leader's processor cannot start in time, by urgency

Admission knew what the link and the workers carry, but not the processor of the leader, so that jobs waited although nothing could start them in time.

What the leader sent while more than half of its timers were late is what its processor carries (budget.Pace). The wait of a job counts the starts before it: for one that can be in time those of jobs in time of at least its urgency, as they are placed before it. Each urgency has a gate of its own, so that refused urgent callers do not return behind patient ones.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -30,7 +30,7 @@
 	RetryAfter time.Duration // when to hand the job in again if it is not admitted
 }
 
-// Gate admits the jobs of one pool. It is not safe for concurrent use.
+// Gate admits the jobs of one pool and urgency. It is not safe for concurrent use.
 //
 // Load pattern: a turn in which a queue asks for several times what its pool and the idle hosts hold. A job that would be completed too
 // late to be of use is refused at once, so that it neither waits in vain nor delays others. Newer jobs that still meet their target are
@@ -59,10 +59,10 @@
 	return Decision{Wait: wait, RetryAfter: min(maxReturn, max(0, free.Sub(now)))}
 }
 
-// startWait returns how long the starts of the waiting tasks take.
-func (l Load) startWait() time.Duration {
+// startWait returns how long the starts of the tasks take.
+func (l Load) startWait(tasks int) time.Duration {
 	if l.StartsPerSecond <= 0 {
 		return 0
 	}
-	return seconds(float64(l.Tasks) / l.StartsPerSecond)
+	return seconds(float64(tasks) / l.StartsPerSecond)
 }
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -98,6 +98,15 @@
 	assert.Equal(t, d.Wait, 20*time.Second)
 }
 
+// Load pattern: a turn that fills the leader's processor beside a backlog of late jobs. A job whose starts come too late behind others in time
+// must be refused at once, and one that comes before the late ones must not.
+func TestTheStartsOfJobsInTimeDecideWhetherAnotherOneIs(t *testing.T) {
+	load := admission.Load{Tasks: 5000, InTimeTasks: 5000, Capacity: jaybarrow.Resources{CPU: 10_000_000}, StartsPerSecond: 1000}
+	assert.Assert(t, !new(admission.Gate).Decide(load, quick, time.Unix(1000, 0)).Admitted, "its starts come after 5 s")
+	load.InTimeTasks = 500
+	assert.Assert(t, new(admission.Gate).Decide(load, quick, time.Unix(1000, 0)).Admitted, "its starts come after 0.5 s")
+}
+
 // Guards against a pool without workers that refuses for ever, or with a time that nobody can wait for.
 func TestAPoolWithoutCapacityGivesATimeToReturn(t *testing.T) {
 	d := new(admission.Gate).Decide(admission.Load{Waiting: quick.Work, InTime: quick.Work}, quick, time.Unix(1000, 0))
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -9,12 +9,14 @@
 
 // Load is what a pool has to do, and what it can do it with.
 type Load struct {
-	InTime   jaybarrow.Work      // waiting work of jobs that can still meet their target; it is placed first
-	Waiting  jaybarrow.Work      // all waiting work, that of late jobs included
-	Tasks    int                 // waiting tasks
-	Capacity jaybarrow.Resources // of the workers that take tasks, less what lasting tasks use
-	Coming   jaybarrow.Resources // of idle hosts that the pool can get
-	ComingIn time.Duration       // until they take tasks
+	InTime  jaybarrow.Work // waiting work of jobs that can still meet their target; it is placed first
+	Waiting jaybarrow.Work // all waiting work, that of late jobs included
+	Tasks   int            // waiting tasks
+	// InTimeTasks is the part of Tasks that is started before those of a new job which can meet its target.
+	InTimeTasks int
+	Capacity    jaybarrow.Resources // of the workers that take tasks, less what lasting tasks use
+	Coming      jaybarrow.Resources // of idle hosts that the pool can get
+	ComingIn    time.Duration       // until they take tasks
 	// StartsPerSecond is how many tasks the scheduler can start; 0 is unlimited.
 	StartsPerSecond float64
 }
@@ -23,11 +25,11 @@
 const maxWait = time.Hour
 
 // InTimeWait returns the expected time until the work that can meet its target has been placed.
-func (l Load) InTimeWait() time.Duration { return l.waitFor(l.InTime) }
+func (l Load) InTimeWait() time.Duration { return max(l.waitFor(l.InTime), l.startWait(l.InTimeTasks)) }
 
 // Wait returns the expected time until all waiting work has been placed.
 func (l Load) Wait() time.Duration {
-	return max(l.waitFor(l.Waiting), l.startWait())
+	return max(l.waitFor(l.Waiting), l.startWait(l.Tasks))
 }
 
 // waitFor returns the time that the work takes: on the pool's own workers, and beside them on the coming ones from when they are there.
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -3,25 +3,29 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/admission"
+	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
 )
 
 // backlogAge is how long the backlog of a pool is used for the decisions on new jobs; what they add is counted in between.
 const backlogAge = 20 * time.Millisecond
 
-// gate admits the jobs of one pool; the pool's lock guards it.
+// gate admits the jobs of one pool and priority; the pool's lock guards it.
 type gate struct {
 	admission.Gate
 	load   admission.Load
-	tasks  int // waiting tasks of this pool
 	readAt time.Time
 }
 
+// leastUrgent is a priority that no queue comes after.
+const leastUrgent = math.MaxInt
+
 // Admit decides whether a job should be handed in now. Before the stored jobs are loaded every job is admitted.
 func (s *Scheduler) Admit(r jaybarrow.AdmissionRequest) (jaybarrow.Admission, error) {
 	admitted := jaybarrow.Admission{Admitted: true}
@@ -41,30 +45,61 @@
 
 // admit decides on a job of the pool. The lock is held.
 func (p *poolShard) admit(r jaybarrow.AdmissionRequest, now time.Time) jaybarrow.Admission {
-	target, known := p.state.Target(r.Queue, r.CriticalPath)
+	target, priority, known := p.state.Target(r.Queue, r.CriticalPath)
 	if !known {
 		return jaybarrow.Admission{Admitted: true}
 	}
-	p.readLoad(now)
-	d := p.gate.Decide(p.gate.load, admission.Job{Work: r.Work, CriticalPath: r.CriticalPath, Target: target}, now)
+	g := p.readLoad(priority, now)
+	d := g.Decide(g.load, admission.Job{Work: r.Work, CriticalPath: r.CriticalPath, Target: target}, now)
 	if d.Admitted {
-		p.gate.load.InTime, p.gate.load.Waiting = p.gate.load.InTime.Plus(r.Work), p.gate.load.Waiting.Plus(r.Work)
+		g.load.InTime, g.load.Waiting = g.load.InTime.Plus(r.Work), g.load.Waiting.Plus(r.Work)
 	}
 	return jaybarrow.Admission{Admitted: d.Admitted, Wait: d.Wait, RetryAfter: d.RetryAfter}
 }
 
-// readLoad brings the load on which jobs are admitted up to date. The lock is held.
-func (p *poolShard) readLoad(now time.Time) {
-	if now.Sub(p.gate.readAt) <= backlogAge {
-		return
+// readLoad returns the gate for jobs of the priority, with the load on which they are admitted up to date. The lock is held.
+func (p *poolShard) readLoad(priority int, now time.Time) *gate {
+	g := p.gates[priority]
+	if g == nil {
+		g = new(gate)
+		p.gates[priority] = g
+	}
+	if !g.readAt.IsZero() && now.Sub(g.readAt) <= backlogAge {
+		return g
 	}
-	p.gate.load, p.gate.readAt = p.state.Backlog(now), now
+	g.load, g.readAt = p.state.Backlog(priority, now), now
 	// All pools share the rate of starts, so the tasks of the others wait for it too.
-	before := p.gate.tasks
-	p.gate.tasks = p.gate.load.Tasks
-	p.gate.load.Tasks = int(p.waitingTasks.Add(int64(p.gate.tasks - before)))
-	p.gate.load.Coming, p.gate.load.ComingIn = p.coming.Capacity, p.coming.In
-	p.gate.load.StartsPerSecond = p.orders.PerSecond()
+	before := p.tasks
+	p.tasks = g.load.Tasks
+	g.load.Tasks = int(p.waitingTasks.Add(int64(p.tasks - before)))
+	g.load.Coming, g.load.ComingIn = p.coming.Capacity, p.coming.In
+	g.load.StartsPerSecond = p.startsPerSecond()
+	return g
+}
+
+// startsPerSecond returns how many tasks the link and the processor of this host let it start in a second.
+func (p *poolShard) startsPerSecond() float64 {
+	rate := p.orders.PerSecond()
+	if pace := p.pace.PerSecond(); pace > 0 {
+		rate = min(rate, pace)
+	}
+	return rate
+}
+
+// watchPace samples how late timers are and how many starts are sent, until ctx ends.
+func (s *Scheduler) watchPace(ctx context.Context) {
+	sent, began := s.startsSent.Load(), s.deps.Clock.Now()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.deps.Clock.After(budget.PaceInterval):
+		}
+		now, total := s.deps.Clock.Now(), s.startsSent.Load()
+		took := now.Sub(began)
+		s.pace.Sample(took-budget.PaceInterval, total-sent, took)
+		sent, began = total, now
+	}
 }
 
 const (
@@ -104,8 +139,7 @@
 	var out []jaybarrow.PoolID
 	s.pools.Each(func(id jaybarrow.PoolID, p *poolShard) {
 		p.locked(func() {
-			p.readLoad(now)
-			if p.gate.load.Wait() > congestionWait {
+			if p.readLoad(leastUrgent, now).load.Wait() > congestionWait {
 				out = append(out, id)
 			}
 		})
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -62,6 +62,7 @@
 	if !p.deps.Term.Valid() {
 		return jaybarrow.StartAnswer{Outcome: jaybarrow.StartUnhealthy}, errLeadEnded
 	}
+	p.startsSent.Add(1)
 	answer, err := p.deps.Agents.Start(withDeadline(ctx, p.deps.Settings.StartTimeout), s.Worker, s.Order)
 	p.noteAnswer(answer.Outcome != jaybarrow.StartUnknown)
 	return answer, err
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -28,6 +28,8 @@
 	startSlots   chan struct{}         // of the scheduler
 	orders       *budget.Orders        // of the scheduler
 	waitingTasks *atomic.Int64         // of all pools
+	pace         *budget.Pace          // of the scheduler
+	startsSent   *atomic.Int64         // of all pools
 	group        *rungroup.Group       // a part that fails ends the term
 	orderers     *rungroup.Crew        // of the scheduler, for orders to workers
 	wake         chan struct{}         // has a value when the planning loop must plan again
@@ -38,7 +40,8 @@
 	lock      sync.Mutex // guards the fields below; never held across I/O
 	state     *workload.Pool
 	holdLoops map[jaybarrow.WorkerID]bool // workers with a running hold loop
-	gate      gate                        // decides which new jobs the pool takes on
+	gates     map[int]*gate               // decide which new jobs the pool takes on, by the priority of their queues
+	tasks     int                         // waiting tasks that waitingTasks counts for this pool
 	coming    Coming                      // what the fleet can add to the pool
 	failed    bool                        // whether a panic may have left state inconsistent
 }
@@ -61,7 +64,7 @@
 		state: workload.New(workload.Deps{
 			Settings: d.Settings.Workload, ID: id, Fence: d.Term.Fence, Teams: s.teams, Observer: d.Observer, Policies: s.policy,
 		}),
-		holdLoops: make(map[jaybarrow.WorkerID]bool),
+		holdLoops: make(map[jaybarrow.WorkerID]bool), gates: make(map[int]*gate), pace: &s.pace, startsSent: &s.startsSent,
 	}
 	select {
 	case <-s.loaded:
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -47,6 +47,8 @@
 	loaded       chan struct{}                                    // closed once every stored job is loaded
 	orders       *budget.Orders
 	waitingTasks atomic.Int64  // of all pools, as last read by each
+	startsSent   atomic.Int64  // start orders of all pools
+	pace         budget.Pace   // what the processor carries of them
 	startSlots   chan struct{} // has a value for each start order that waits for an answer
 	pageRead     chan struct{} // has a value when a page of the register or of the stored jobs was read
 }
@@ -76,6 +78,10 @@
 		s.followConfiguration(ctx)
 		return nil
 	})
+	s.group.Keep(ctx, "pace of starts", func() error {
+		s.watchPace(ctx)
+		return nil
+	})
 	s.group.Keep(ctx, "congested pools", func() error {
 		s.announceCongestion(ctx)
 		return nil
--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -8,8 +8,8 @@
 )
 
 // Backlog returns what waits in the pool and the capacity of its workers, with those that take no tasks for a moment; what the fleet can
-// add is left out.
-func (p *Pool) Backlog(now time.Time) admission.Load {
+// add is left out. Of the jobs that can meet their target those count as InTime whose queue is at least as urgent as the priority.
+func (p *Pool) Backlog(priority int, now time.Time) admission.Load {
 	var out admission.Load
 	for _, w := range p.sortedWorkers() {
 		if w.willTakeTasks() {
@@ -21,6 +21,7 @@
 			continue
 		}
 		var waiting jaybarrow.Work
+		before := out.Tasks
 		mayBegin := p.mayBeginOf(j)
 		for _, s := range j.steps {
 			n := min(s.unassigned, mayBegin)
@@ -33,17 +34,19 @@
 		}
 		waiting = waiting.Times(p.runTimes.factor(j.spec.Queue))
 		out.Waiting = out.Waiting.Plus(waiting)
-		if j.rank(now) == rankInTime {
+		if j.rank(now) == rankInTime && j.policy.Priority <= priority {
 			out.InTime = out.InTime.Plus(waiting)
+			out.InTimeTasks += out.Tasks - before
 		}
 	}
 	return out
 }
 
-// Target returns within which time a job with the critical path should be completed; false when the queue is not configured.
-func (p *Pool) Target(queue jaybarrow.QueueID, criticalPath time.Duration) (time.Duration, bool) {
+// Target returns within which time a job with the critical path should be completed, and the priority of its queue; false when the queue is
+// not configured.
+func (p *Pool) Target(queue jaybarrow.QueueID, criticalPath time.Duration) (target time.Duration, priority int, known bool) {
 	policy, ok := p.policies(queue)
-	return time.Duration(policy.Stretch*float64(criticalPath)) + policy.Target, ok
+	return time.Duration(policy.Stretch*float64(criticalPath)) + policy.Target, policy.Priority, ok
 }
 
 // runTimes compares, for each queue, how long tasks ran with how long they were estimated to run.
--- a/internal/workload/backlog_test.go
+++ b/internal/workload/backlog_test.go
@@ -29,7 +29,19 @@
 			h.addWorker("w1")
 			h.addJob("j", tasks(1, 1000))
 			c.prepare(h)
-			assert.Equal(t, h.pool.Backlog(h.now).Capacity.CPU, c.want)
+			assert.Equal(t, h.pool.Backlog(0, h.now).Capacity.CPU, c.want)
 		})
 	}
 }
+
+// Guards against urgent jobs that are refused for want of room that less urgent ones wait for: those are placed after them.
+func TestLessUrgentJobsDoNotCountBeforeAnUrgentOne(t *testing.T) {
+	h := newHarness(t)
+	h.priorities = map[jaybarrow.QueueID]int{"match": 0, "later": 2}
+	h.addWorker("w1")
+	h.addJob("urgent", tasks(3, 1000))
+	h.pool.AddJob(&jaybarrow.Job{ID: "patient", Queue: "later", Pool: "desk", Team: "trail", Steps: []jaybarrow.Step{tasks(5, 1000)}, AcceptedMs: h.now.UnixMilli()}, nil, h.now)
+	assert.Equal(t, h.pool.Backlog(0, h.now).InTimeTasks, 3)
+	assert.Equal(t, h.pool.Backlog(2, h.now).InTimeTasks, 8)
+	assert.Equal(t, h.pool.Backlog(0, h.now).Tasks, 8)
+}
--- a/internal/workload/limits_test.go
+++ b/internal/workload/limits_test.go
@@ -91,10 +91,10 @@
 	h.addWorker("w1")
 	h.addJob("wide", tasks(workload.MaxTasks(h.settings.MaxValueBytes), 1))
 	most := workload.MaxBegunTasks(h.settings.MaxValueBytes)
-	assert.Equal(t, h.pool.Backlog(h.now).Tasks, most)
+	assert.Equal(t, h.pool.Backlog(0, h.now).Tasks, most)
 	s := h.planAndStart(jaybarrow.StartDone)
 	assert.Assert(t, len(s) > 0 && len(s) < most, "%d tasks have room", len(s))
-	assert.Equal(t, h.pool.Backlog(h.now).Tasks, most-len(s))
+	assert.Equal(t, h.pool.Backlog(0, h.now).Tasks, most-len(s))
 	h.report("w1", nil, h.endReport(s[0], jaybarrow.EndStopped))
-	assert.Equal(t, h.pool.Backlog(h.now).Tasks, most-len(s)+1)
+	assert.Equal(t, h.pool.Backlog(0, h.now).Tasks, most-len(s)+1)
 }
