Let the least time between two plans follow the size of the pool

In a pool of 12 workers a plan costs little, and each millisecond counts. The interval is now 2 us a worker within 5% of the processor: 0.6 ms for 12 workers, 11 ms for 220 on 0.8 cores.

TestLargePoolsPlanMoreRarely fails with one interval for all.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -42,6 +42,15 @@
 	assert.Equal(t, budget.Host{Cores: 0.4, Link: 1000}.HostListInterval(50, least), least)
 }
 
+// Guards against quick jobs that wait in a small pool for what a large one needs, and against a large pool that plans with each change.
+func TestLargePoolsPlanMoreRarely(t *testing.T) {
+	host := budget.Host{Cores: 0.8, Link: 200}
+	small, large := host.PlanInterval(12), host.PlanInterval(250)
+	assert.Assert(t, small <= time.Millisecond, "%v", small)
+	assert.Assert(t, large >= 5*time.Millisecond && large <= 20*time.Millisecond, "%v", large)
+	assert.Equal(t, budget.Host{}.PlanInterval(250), time.Duration(0))
+}
+
 // replay offers orders of 1.2 KB at a rate for some seconds to a link that answers late whatever exceeds its rate, and returns how many
 // were sent in each second.
 func replay(o *budget.Orders, now time.Time, seconds, offered, carried int) []int {
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -130,7 +130,7 @@
 	return true
 }
 
-// run plans after each change, though not sooner than MinPlanInterval after the last plan, and at least every MaxPlanInterval until ctx ends. An earlier return ends the term.
+// run plans after each change, though not sooner than planInterval after the last plan, and at least every MaxPlanInterval until ctx ends. An earlier return ends the term.
 func (p *poolShard) run(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -151,7 +151,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-p.wake:
-			p.sleep(ctx, p.deps.Settings.MinPlanInterval-p.deps.Clock.Now().Sub(plannedAt))
+			p.sleep(ctx, p.planInterval()-p.deps.Clock.Now().Sub(plannedAt))
 		case <-p.deps.Clock.After(p.untilNextPlan()):
 		}
 	}
@@ -160,6 +160,13 @@
 // orderRetryInterval is the time until the next plan while the budget of orders delays starts: a few orders fit into it on a slow link.
 const orderRetryInterval = 20 * time.Millisecond
 
+// planInterval returns the least time between two plans, in which changes are collected.
+func (p *poolShard) planInterval() time.Duration {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.deps.Settings.Host.PlanInterval(p.state.Workers())
+}
+
 // untilNextPlan returns the time until the next plan is due.
 func (p *poolShard) untilNextPlan() time.Duration {
 	p.lock.Lock()
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -12,8 +12,8 @@
 // Settings are the timeouts and intervals of a Scheduler.
 type Settings struct {
 	Workload workload.Settings
-	// MinPlanInterval is the least time between two plans of a pool, in which changes are collected. MaxPlanInterval is the longest time.
-	MinPlanInterval, MaxPlanInterval time.Duration
+	// MaxPlanInterval is the longest time between two plans of a pool.
+	MaxPlanInterval time.Duration
 	// StartTimeout bounds a start order and a poll. StopTimeout bounds a stop order and a throttle order. HoldSlack is how much longer
 	// than the wait of a hold order its answer may take.
 	StartTimeout, StopTimeout, HoldSlack time.Duration
@@ -46,9 +46,6 @@
 		Workload: workload.DefaultSettings(),
 		// Short relative to a worker's lease and to the shortest timeout of the scheduling decisions.
 		MaxPlanInterval: 100 * time.Millisecond,
-		// Short relative to a quick job's target. A busy pool has several changes in that time, and a plan and a write for each cost more than
-		// they bring; a pool that is not busy plans at once.
-		MinPlanInterval: 10 * time.Millisecond,
 		// Tens of round trips between data centres, and longer than the pause of a host that has exhausted its CPU quota.
 		StartTimeout: 250 * time.Millisecond, StopTimeout: 250 * time.Millisecond, HoldSlack: 400 * time.Millisecond,
 		MaxConcurrentStarts: 1000,
--- a/internal/workload/index.go
+++ b/internal/workload/index.go
@@ -31,6 +31,9 @@
 	p.sorted = nil
 }
 
+// Workers returns how many workers the pool tracks.
+func (p *Pool) Workers() int { return len(p.workers) }
+
 // sortedWorkers returns the workers by id; the result is valid until a worker is added or removed.
 func (p *Pool) sortedWorkers() []*worker {
 	if p.sorted == nil {
