--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -130,7 +130,8 @@
 	return true
 }
 
-// run plans after each change, though not sooner than planInterval after the last plan, and at least every MaxPlanInterval until ctx ends. An earlier return ends the term.
+// run plans after each change, though not sooner than planInterval after the last plan, and at least every MaxPlanInterval until ctx ends. An
+// earlier return ends the term.
 func (p *poolShard) run(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
--- a/internal/workload/drain_test.go
+++ b/internal/workload/drain_test.go
@@ -101,6 +101,7 @@
 		work jaybarrow.Step
 	}{
 		{"the others are silent", func(h *harness) []workload.StartRun { h.missReport("w1"); return nil }, tasks(1, 1000)},
+		{"a lasting task while the others are silent", func(h *harness) []workload.StartRun { h.missReport("w1"); return nil }, lasting(1)},
 		{"the others do not report in time", func(h *harness) []workload.StartRun { h.quiet = "w1"; return nil }, tasks(1, 1000)},
 		{"the others refuse starts", func(h *harness) []workload.StartRun { h.refusing = "w1"; return nil }, tasks(1, 1000)},
 		{"the others are full of lasting tasks", func(h *harness) []workload.StartRun {
