Leave no trace of an ended worker whose entry has no start time

Found by reading: the entry that a moved worker leaves behind is ignored for 30 s, told from that of a next instance by its start time. Without one, a worker that starts again under its id would be ignored too. The new lines of TestAWorkerThatLeftWithItsHostIsForgottenAtOnce fail without the condition.

--- a/internal/workload/instance_test.go
+++ b/internal/workload/instance_test.go
@@ -249,4 +249,8 @@
 	h.pool.EndWorker("w1", h.now)
 	h.pool.DropWorker("w1")
 	assert.Assert(t, h.pool.SetWorker(entry(secondBorn), h.now), "an entry that was removed is back")
+	h.pool.DropWorker("w1")
+	assert.Assert(t, h.pool.SetWorker(entry(0), h.now))
+	h.pool.EndWorker("w1", h.now)
+	assert.Assert(t, h.pool.SetWorker(entry(0), h.now), "an entry without a start time may be that of another instance")
 }
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -48,7 +48,10 @@
 		return
 	}
 	maps.DeleteFunc(p.endedWorkers, func(_ jaybarrow.WorkerID, e endedWorker) bool { return now.Sub(e.at) >= endedEntryLimit })
-	p.endedWorkers[id] = endedWorker{startedMs: w.entry.StartedMs, at: now}
+	if w.entry.StartedMs != 0 {
+		// Without a start time the entry of the next instance would look the same.
+		p.endedWorkers[id] = endedWorker{startedMs: w.entry.StartedMs, at: now}
+	}
 	for _, r := range w.runs {
 		p.endRun(r, jaybarrow.EndLeaseExpired, "", now)
 	}
