Count workers as capacity before their first report when jobs are admitted

What callers saw: 429 with an hour's wait for a pool with sound workers, in the round trip after a takeover or, beside load, some 100 ms.

The capacity for admission counted workers from their first report on.

A registered worker counts until it has missed two reports. Placement still waits for the report. TestWorkersThatHaveNotReportedYetCountAsCapacity fails without the change.

--- a/internal/workload/backlog_test.go
+++ b/internal/workload/backlog_test.go
@@ -9,6 +9,18 @@
 	"github.com/jaybarrow/jaybarrow"
 )
 
+// Guards against jobs that are refused right after a leader has taken over, because none of the pool's workers has reported to it yet: with 429
+// and an hour's wait, while the first reports were on their way.
+func TestWorkersThatHaveNotReportedYetCountAsCapacity(t *testing.T) {
+	h := newHarness(t)
+	h.registerWorker("w1")
+	assert.Equal(t, h.pool.Backlog(0, h.now).Capacity.CPU, jaybarrow.Millicores(10_000))
+	h.missReport("w1")
+	assert.Equal(t, h.pool.Backlog(0, h.now).Capacity.CPU, jaybarrow.Millicores(10_000), "one missed report may be the leader's own delay")
+	h.missReport("w1")
+	assert.Equal(t, h.pool.Backlog(0, h.now).Capacity.CPU, jaybarrow.Millicores(0), "the worker does not answer")
+}
+
 // Guards against jobs that are refused because the reports of the pool's workers are late for a moment: without a worker no wait is short enough.
 func TestALateReportLeavesTheCapacityAsItIs(t *testing.T) {
 	cases := []struct {
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -103,10 +103,10 @@
 	return w.reported && !w.gone && w.missedReports == 0 && w.entry.State == jaybarrow.WorkerReady
 }
 
-// willTakeTasks reports whether the worker is one that receives new tasks, or will again in a moment: a report that is late, or one that was
-// missed, says little about the seconds for which a new job may wait.
+// willTakeTasks reports whether the worker is one that receives new tasks, or will in a moment: a first report that is still on its way, one that
+// is late or one that was missed says little about the seconds for which a new job may wait.
 func (w *worker) willTakeTasks() bool {
-	return w.reported && !w.gone && !w.reserved && w.missedReports <= 1 && w.entry.State == jaybarrow.WorkerReady
+	return !w.gone && !w.reserved && w.missedReports <= 1 && w.entry.State == jaybarrow.WorkerReady
 }
 
 // reportsOnTime reports whether the worker's next report is not overdue by more than the grace.
