Name the goroutine pool, the throughput and the connections by the field's terms

Read as a newcomer: Crew is a GoroutinePool, Pace a Throughput (the platform has a call of that name for something else), lanes are the starts by connection. TestAGoroutinePoolKeepsItsGoroutines waits for the pool instead of yielding, and wants one goroutine for 50 parts, not fewer than 25. No behaviour changes.

--- a/internal/budget/pace_test.go
+++ b/internal/budget/throughput_test.go
@@ -11,7 +11,7 @@
 
 // Load pattern: a turn that fills the leader's processor. What it sent while its timers were late is what it carries; a processor with room,
 // one short delay and one that is kept by other work say nothing about that.
-func TestThePaceIsWhatAFullProcessorSends(t *testing.T) {
+func TestTheThroughputIsWhatAFullProcessorSends(t *testing.T) {
 	cases := []struct {
 		name   string
 		late   []time.Duration // in turn
@@ -26,10 +26,10 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			var p budget.Pace
+			var p budget.Throughput
 			for n := range 30 {
 				late := c.late[n%len(c.late)]
-				p.Sample(late, c.orders, budget.PaceInterval+late)
+				p.Sample(late, c.orders, budget.ThroughputInterval+late)
 			}
 			got := p.PerSecond()
 			assert.Assert(t, got >= 0.9*c.want && got <= 1.1*c.want, "%v", got)
--- a/internal/rungroup/crew_test.go
+++ b/internal/rungroup/goroutinepool_test.go
@@ -6,22 +6,23 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
-// Guards against parts that wait for each other: a crew runs all of them at once, also beyond its size.
-func TestACrewNeverWaitsForAMember(t *testing.T) {
+// Guards against parts that wait for each other: a pool runs all of them at once, also beyond its size.
+func TestAGoroutinePoolNeverWaitsForAFreeGoroutine(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	group := rungroup.New(nil)
-	crew := rungroup.NewCrew(ctx, group, 2)
+	pool := rungroup.NewGoroutinePool(ctx, group, 2)
 	for range 3 {
 		var all sync.WaitGroup
 		all.Add(8)
 		for range 8 {
-			crew.Go("part", func() {
+			pool.Go("part", func() {
 				all.Done()
 				all.Wait()
 			})
@@ -33,35 +34,33 @@
 }
 
 // Guards against a new goroutine, whose stack has to grow again, for each part.
-func TestACrewKeepsItsGoroutines(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	group := rungroup.New(nil)
-	crew := rungroup.NewCrew(ctx, group, 1)
-	seen := make(map[string]bool)
-	for range 50 {
-		id := make(chan string)
-		crew.Go("part", func() {
-			var stack [64]byte
-			id <- strings.Fields(string(stack[:runtime.Stack(stack[:], false)]))[1]
-		})
-		seen[<-id] = true
-		for range 100 {
-			runtime.Gosched()
+func TestAGoroutinePoolKeepsItsGoroutines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		group := rungroup.New(nil)
+		pool := rungroup.NewGoroutinePool(ctx, group, 1)
+		seen := make(map[string]bool)
+		for range 50 {
+			pool.Go("part", func() {
+				var stack [64]byte
+				seen[strings.Fields(string(stack[:runtime.Stack(stack[:], false)]))[1]] = true
+			})
+			synctest.Wait()
 		}
-	}
-	cancel()
-	group.Wait()
-	assert.Assert(t, len(seen) < 25, "%d goroutines for 50 parts", len(seen))
+		cancel()
+		group.Wait()
+		assert.Equal(t, len(seen), 1)
+	})
 }
 
 // Guards against a panic that is lost because its part ran in a goroutine of another one.
-func TestAPanicOfACrewsPartIsReportedOnce(t *testing.T) {
+func TestAPanicOfAPooledPartIsReportedOnce(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	faults := make(chan rungroup.Fault, 4)
 	group := rungroup.New(func(f rungroup.Fault) { faults <- f })
-	crew := rungroup.NewCrew(ctx, group, 1)
-	crew.Go("first", func() {})
-	crew.Go("second", func() { panic("broken") })
+	pool := rungroup.NewGoroutinePool(ctx, group, 1)
+	pool.Go("first", func() {})
+	pool.Go("second", func() { panic("broken") })
 	f := <-faults
 	assert.Equal(t, string(f.Part), "second")
 	cancel()
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -80,24 +80,24 @@
 // startsPerSecond returns how many tasks the link and the processor of this host let it start in a second.
 func (p *poolShard) startsPerSecond() float64 {
 	rate := p.orders.PerSecond()
-	if pace := p.pace.PerSecond(); pace > 0 {
-		rate = min(rate, pace)
+	if most := p.throughput.PerSecond(); most > 0 {
+		rate = min(rate, most)
 	}
 	return rate
 }
 
-// watchPace samples how late timers are and how many starts are sent, until ctx ends.
-func (s *Scheduler) watchPace(ctx context.Context) {
+// watchThroughput samples how late timers are and how many starts are sent, until ctx ends.
+func (s *Scheduler) watchThroughput(ctx context.Context) {
 	sent, began := s.startsSent.Load(), s.deps.Clock.Now()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.deps.Clock.After(budget.PaceInterval):
+		case <-s.deps.Clock.After(budget.ThroughputInterval):
 		}
 		now, total := s.deps.Clock.Now(), s.startsSent.Load()
 		took := now.Sub(began)
-		s.pace.Sample(took-budget.PaceInterval, total-sent, took)
+		s.throughput.Sample(took-budget.ThroughputInterval, total-sent, took)
 		sent, began = total, now
 	}
 }
--- a/internal/scheduler/faults_test.go
+++ b/internal/scheduler/faults_test.go
@@ -220,7 +220,7 @@
 }
 
 // Guards against orders to one worker that wait for a connection, and against orders of different workers that wait for each other.
-func TestLanesHoldTheStartsOfOneWorkerInOrder(t *testing.T) {
+func TestStartsByConnectionHoldTheStartsOfOneWorkerInOrder(t *testing.T) {
 	var starts []workload.StartRun
 	for n := range 12 {
 		worker := jaybarrow.WorkerID([]string{"a", "b", "a"}[n%3])
@@ -228,14 +228,14 @@
 	}
 	counts := make(map[jaybarrow.WorkerID]int)
 	all := 0
-	for _, lane := range lanes(starts) {
-		counts[lane[0].Worker.ID]++
-		for n, s := range lane {
-			assert.Equal(t, s.Worker.ID, lane[0].Worker.ID)
-			assert.Assert(t, n == 0 || s.Run > lane[n-1].Run)
+	for _, some := range byConnection(starts) {
+		counts[some[0].Worker.ID]++
+		for n, s := range some {
+			assert.Equal(t, s.Worker.ID, some[0].Worker.ID)
+			assert.Assert(t, n == 0 || s.Run > some[n-1].Run)
 			all++
 		}
 	}
 	assert.Equal(t, all, len(starts))
-	assert.DeepEqual(t, counts, map[jaybarrow.WorkerID]int{"a": ordersAtOnce, "b": ordersAtOnce})
+	assert.DeepEqual(t, counts, map[jaybarrow.WorkerID]int{"a": orderConnections, "b": orderConnections})
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -15,25 +15,25 @@
 // errWorkerSilent means that a start was not sent, since its worker did not accept the one before it.
 var errWorkerSilent = errors.New("not sent, since the worker did not accept the start before")
 
-// ordersAtOnce is how many orders wait for an answer of one worker, as many as there are connections for them.
-const ordersAtOnce = 2
+// orderConnections is how many orders wait for an answer of one worker, as many as there are connections for them.
+const orderConnections = 2
 
-// lanes groups the starts by worker, into at most ordersAtOnce lists each, and keeps their order.
-func lanes(starts []workload.StartRun) [][]workload.StartRun {
-	type lane struct {
+// byConnection groups the starts by worker, into at most orderConnections lists each, and keeps their order.
+func byConnection(starts []workload.StartRun) [][]workload.StartRun {
+	type connection struct {
 		worker jaybarrow.WorkerID
 		number int
 	}
 	var out [][]workload.StartRun
 	counts := make(map[jaybarrow.WorkerID]int)
-	index := make(map[lane]int)
+	index := make(map[connection]int)
 	for _, s := range starts {
-		l := lane{s.Worker.ID, counts[s.Worker.ID] % ordersAtOnce}
+		c := connection{s.Worker.ID, counts[s.Worker.ID] % orderConnections}
 		counts[s.Worker.ID]++
-		n, known := index[l]
+		n, known := index[c]
 		if !known {
 			n = len(out)
-			index[l] = n
+			index[c] = n
 			out = append(out, nil)
 		}
 		out[n] = append(out[n], s)
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -24,18 +24,18 @@
 	ctx          context.Context
 	log          zerolog.Logger
 	writer       *writer
-	forgetJob    func(jaybarrow.JobID) // called when a job's records have been removed
-	startSlots   chan struct{}         // of the scheduler
-	orders       *budget.Orders        // of the scheduler
-	waitingTasks *atomic.Int64         // of all pools
-	pace         *budget.Pace          // of the scheduler
-	startsSent   *atomic.Int64         // of all pools
-	group        *rungroup.Group       // a part that fails ends the term
-	orderers     *rungroup.Crew        // of the scheduler, for orders to workers
-	wake         chan struct{}         // has a value when the planning loop must plan again
-	jobsLoaded   chan struct{}         // closed once the stored jobs are loaded
-	loadOnce     sync.Once             // closes jobsLoaded
-	written      *notify.Notifier      // signalled after each write of decisions
+	forgetJob    func(jaybarrow.JobID)   // called when a job's records have been removed
+	startSlots   chan struct{}           // of the scheduler
+	orders       *budget.Orders          // of the scheduler
+	waitingTasks *atomic.Int64           // of all pools
+	throughput   *budget.Throughput      // of the scheduler
+	startsSent   *atomic.Int64           // of all pools
+	group        *rungroup.Group         // a part that fails ends the term
+	senders      *rungroup.GoroutinePool // of the scheduler, for orders to workers
+	wake         chan struct{}           // has a value when the planning loop must plan again
+	jobsLoaded   chan struct{}           // closed once the stored jobs are loaded
+	loadOnce     sync.Once               // closes jobsLoaded
+	written      *notify.Notifier        // signalled after each write of decisions
 
 	lock      sync.Mutex // guards the fields below; never held across I/O
 	state     *workload.Pool
@@ -59,12 +59,12 @@
 			clock: d.Clock, log: d.Log, store: d.Store, settings: d.Settings, leaderRevision: d.Term.Revision,
 			revisions: make(map[jaybarrow.JobID]jaybarrow.Revision),
 		},
-		forgetJob: s.jobPools.Delete, startSlots: s.startSlots, orders: s.orders, orderers: s.orderers, waitingTasks: &s.waitingTasks,
+		forgetJob: s.jobPools.Delete, startSlots: s.startSlots, orders: s.orders, senders: s.senders, waitingTasks: &s.waitingTasks,
 		wake: make(chan struct{}, 1), jobsLoaded: make(chan struct{}), written: notify.New(),
 		state: workload.New(workload.Deps{
 			Settings: d.Settings.Workload, ID: id, Fence: d.Term.Fence, Teams: s.teams, Observer: d.Observer, Policies: s.policy,
 		}),
-		holdLoops: make(map[jaybarrow.WorkerID]bool), gates: make(map[int]*gate), pace: &s.pace, startsSent: &s.startsSent,
+		holdLoops: make(map[jaybarrow.WorkerID]bool), gates: make(map[int]*gate), throughput: &s.throughput, startsSent: &s.startsSent,
 	}
 	select {
 	case <-s.loaded:
@@ -198,7 +198,7 @@
 		return nil
 	}
 	for _, s := range round.Stops {
-		p.orderers.Go("stop order", func() { p.stopRun(ctx, s) })
+		p.senders.Go("stop order", func() { p.stopRun(ctx, s) })
 	}
 	for _, s := range round.Throttles {
 		p.group.Go("throttle order", func() { p.throttleRun(ctx, s) })
@@ -217,8 +217,8 @@
 		return errFailed
 	}
 	p.written.Signal()
-	for _, lane := range lanes(starts) {
-		p.orderers.Go("start orders", func() { p.startRuns(ctx, lane) })
+	for _, some := range byConnection(starts) {
+		p.senders.Go("start orders", func() { p.startRuns(ctx, some) })
 	}
 	if len(round.Expired) > 0 {
 		p.group.Go("removal of records", func() { p.removeRecords(ctx, round.Expired) })
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -38,23 +38,23 @@
 	teams        *teams
 	cancel       context.CancelFunc
 	ctx          context.Context
-	group        *rungroup.Group // a part that fails ends the term
-	orderGroup   *rungroup.Group // of orders to workers; it is waited for last, since the pools send them
-	orderers     *rungroup.Crew  // of orderGroup
+	group        *rungroup.Group         // a part that fails ends the term
+	orderGroup   *rungroup.Group         // of orders to workers; it is waited for last, since the pools send them
+	senders      *rungroup.GoroutinePool // of orderGroup
 	pools        *shard.Map[jaybarrow.PoolID, *poolShard]
 	jobPools     *shard.Map[jaybarrow.JobID, jaybarrow.PoolID]    // pool of each known job
 	workerPools  *shard.Map[jaybarrow.WorkerID, jaybarrow.PoolID] // pool of each registered worker
 	loaded       chan struct{}                                    // closed once every stored job is loaded
 	orders       *budget.Orders
-	waitingTasks atomic.Int64  // of all pools, as last read by each
-	startsSent   atomic.Int64  // start orders of all pools
-	pace         budget.Pace   // what the processor carries of them
-	startSlots   chan struct{} // has a value for each start order that waits for an answer
-	pageRead     chan struct{} // has a value when a page of the register or of the stored jobs was read
+	waitingTasks atomic.Int64      // of all pools, as last read by each
+	startsSent   atomic.Int64      // start orders of all pools
+	throughput   budget.Throughput // what the processor carries of them
+	startSlots   chan struct{}     // has a value for each start order that waits for an answer
+	pageRead     chan struct{}     // has a value when a page of the register or of the stored jobs was read
 }
 
-// maxOrderers is how many goroutines are kept for orders to workers: about as many as wait for an answer in a turn.
-const maxOrderers = 256
+// maxSenders is how many goroutines are kept for orders to workers: about as many as wait for an answer in a turn.
+const maxSenders = 256
 
 // New returns a running Scheduler. It reads the register of workers first and then the stored jobs; it plans once both are loaded.
 func New(d Deps) *Scheduler {
@@ -67,7 +67,7 @@
 		orders: budget.NewOrders(d.Settings.Host, d.Clock.Now()),
 	}
 	s.orderGroup = rungroup.New(rungroup.EndTerm(d.Log, d.Term.Resign))
-	s.orderers = rungroup.NewCrew(ctx, s.orderGroup, maxOrderers)
+	s.senders = rungroup.NewGoroutinePool(ctx, s.orderGroup, maxSenders)
 	registered := make(chan struct{})
 	s.group.Keep(ctx, "register", func() error {
 		s.followRegister(ctx, registered)
@@ -78,8 +78,8 @@
 		s.followConfiguration(ctx)
 		return nil
 	})
-	s.group.Keep(ctx, "pace of starts", func() error {
-		s.watchPace(ctx)
+	s.group.Keep(ctx, "throughput of starts", func() error {
+		s.watchThroughput(ctx)
 		return nil
 	})
 	s.group.Keep(ctx, "congested pools", func() error {
