--- a/agents.go
+++ b/agents.go
@@ -112,9 +112,9 @@
 	Ended     []EndReport
 }
 
-// Agents sends orders to workers. A call ends by the deadline of its context, which need not be cancelled then. A KindWorkerLost error means that the order may have been or may still be carried out,
-// KindConflict that the worker has seen a higher fencing token, and KindNotFound that a worker with another id answers at the
-// address.
+// Agents sends orders to workers. A call ends by the deadline of its context, which need not be cancelled then. A KindWorkerLost error means
+// that the order may have been or may still be carried out, KindConflict that the worker has seen a higher fencing token, and KindNotFound that
+// a worker with another id answers at the address.
 type Agents interface {
 	// Start orders the worker to start a run; the error explains an outcome other than StartDone.
 	Start(ctx context.Context, worker Worker, order StartOrder) (StartAnswer, error)
--- a/internal/workload/drain.go
+++ b/internal/workload/drain.go
@@ -12,14 +12,14 @@
 	// relocationTime is how long the lasting tasks of a worker that is to be emptied wait for room elsewhere before they are stopped without,
 	// to start again after its maintenance. Joining hosts bring room within it, and short tasks end.
 	relocationTime = 3 * time.Second
-	// holdPatience is how long a worker is kept free of new tasks although it cannot be emptied, or although waiting work needs it. The start
+	// maxObstructedHold is how long a worker is kept free of new tasks although it cannot be emptied, or although waiting work needs it. The start
 	// of a lasting task takes less, and so do most short tasks.
-	holdPatience = 2 * time.Second
+	maxObstructedHold = 2 * time.Second
 	// drainRetry is the time after which it is tried again to empty a worker that could not be emptied.
 	drainRetry = 500 * time.Millisecond
-	// movePatience is how long a worker is kept free whose lasting tasks cannot leave because others of their steps are unavailable, although
+	// maxMoveWait is how long a worker is kept free whose lasting tasks cannot leave because others of their steps are unavailable, although
 	// there is room for all of them: several starts of a lasting task.
-	movePatience = 5 * time.Second
+	maxMoveWait = 5 * time.Second
 	// neededFor is how long a worker that was given back to waiting work is left to it.
 	neededFor = 3 * time.Second
 )
@@ -164,7 +164,7 @@
 	return false
 }
 
-// giveUpHolds gives workers back that are kept free of new tasks in vain: those that could not be emptied for holdPatience, and one that
+// giveUpHolds gives workers back that are kept free of new tasks in vain: those that could not be emptied for maxObstructedHold, and one that
 // waiting work needs.
 //
 // Load pattern: workers that serve beside the ones being emptied crash, fall silent or fill up. What is held is then all that is left.
@@ -174,20 +174,20 @@
 		if !w.emptying() || w.gone {
 			continue
 		}
-		obstacle, patience := p.obstacle(w, now), holdPatience
+		obstacle, limit := p.obstacle(w, now), maxObstructedHold
 		if obstacle == "" && p.waitsForOthers(w, now) {
-			obstacle, patience = jaybarrow.ObstacleOthersAway, movePatience
+			obstacle, limit = jaybarrow.ObstacleOthersAway, maxMoveWait
 		}
 		switch {
 		case obstacle == "":
 			w.obstructedSince = time.Time{}
 		case w.obstructedSince.IsZero():
 			w.obstructedSince = now
-		case now.Sub(w.obstructedSince) >= patience:
+		case now.Sub(w.obstructedSince) >= limit:
 			p.giveUpHold(w, obstacle, now.Add(drainRetry))
 			continue
 		}
-		if now.Sub(w.emptyingSince) >= holdPatience {
+		if now.Sub(w.emptyingSince) >= maxObstructedHold {
 			held = append(held, w)
 		}
 	}
