--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -308,3 +309,39 @@
 	}
 	return "", nil
 }
+
+// cancelledBeforeAccepted: an entry host stands still when a submission is handed in there. Its caller leaves when its time is over and cancels at
+// another entry host. When the first one goes on, it must not bring the submission to life. Rule UNASKED.
+func cancelledBeforeAccepted(c *cluster) (string, error) {
+	const freeze, nearby = 4 * time.Second, 10 * time.Second
+	if err := c.start(4, 0, 2*time.Second); err != nil {
+		return "", err
+	}
+	first := c.other()
+	second := c.leader()
+	s := c.newSubmission(0, stepSpec{Replicas: 2, CPU: 2000, MemoryMB: 100, EstimateMs: 1000, Daemon: true, MayMiss: 1})
+	thawed := time.Now().Add(freeze)
+	if c.trouble {
+		c.log.print("TROUBLE   %s stands still for %s", first.id, freeze)
+		first.signal(syscall.SIGSTOP)
+		time.AfterFunc(freeze, func() {
+			first.signal(syscall.SIGCONT)
+			c.log.print("TROUBLE   %s goes on", first.id)
+		})
+	}
+	if status, _ := first.call(http.MethodPost, s.id, s.body); !c.trouble && status != http.StatusOK {
+		return "", fmt.Errorf("%w: the submission is not accepted", errNotRun)
+	}
+	status, _ := second.call(http.MethodDelete, s.id, nil)
+	acknowledged := time.Now()
+	if status != http.StatusOK && status != http.StatusGone {
+		return "", fmt.Errorf("%w: the cancelling is not acknowledged", errNotRun)
+	}
+	time.Sleep(time.Until(thawed.Add(nearby)))
+	if running := total(c.floor.runsOf(s.id)); running > 0 {
+		second.call(http.MethodGet, s.id, nil)
+		return fmt.Sprintf("UNASKED: %d work units of %s run %s after its cancelling was acknowledged with %d, and %s after the end of the disruption",
+			running, s.id, time.Since(acknowledged).Round(time.Millisecond), status, time.Since(thawed).Round(time.Millisecond)), nil
+	}
+	return "", nil
+}
--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
@@ -442,7 +443,9 @@
 	r.Header.Set("Jaybarrow-Credential", tenantKey)
 	r.Header.Set("Jaybarrow-Deadline-Ms", "3000")
 	sent := time.Now()
-	answer, err := h.cluster.client.Do(r)
+	limited, cancel := context.WithTimeout(r.Context(), 3*time.Second)
+	defer cancel()
+	answer, err := h.cluster.client.Do(r.WithContext(limited))
 	status, text := 0, ""
 	if err == nil {
 		read, _ := io.ReadAll(answer.Body)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -26,6 +26,7 @@
 type scenario func(c *cluster) (broken string, err error)
 
 var scenarios = map[string]scenario{
+	"cancelled-before": cancelledBeforeAccepted,
 	"cancelled-runs":   cancelledRuns,
 	"gang-checkpoints": gangCheckpoints,
 	"late-acceptance":  lateAcceptance,
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -183,9 +184,9 @@
 	}
 }
 
-// joinGang lets a gang work from when all of it is present.
+// joinGang lets a gang work from when all of it is present. Members that go on from different checkpoints do not make one gang.
 func (w *worker) joinGang(r *unitRun, s stepSpec, now time.Time) {
-	members := w.floor.members(r)
+	members := slices.DeleteFunc(w.floor.members(r), func(m *unitRun) bool { return m.saved != r.saved })
 	switch {
 	case len(members) == s.Replicas:
 		for _, m := range members {
