--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -345,3 +345,49 @@
 	}
 	return "", nil
 }
+
+// adviserBurst: submissions of a queue with advice come at once. When the traffic has ended, they must all be started. Without trouble they come one
+// after the other. Rule LOST.
+func adviserBurst(c *cluster) (string, error) {
+	const submissions, workers, traffic = 60, 12, 4 * time.Second
+	var err error
+	if c.adviser, err = newAdviser(c.log); err != nil {
+		return "", err
+	}
+	if err := c.start(workers, 0, 2*time.Second); err != nil {
+		return "", err
+	}
+	pause := traffic / submissions
+	if !c.trouble {
+		pause *= 5
+	}
+	var accepted []submission
+	for range submissions {
+		s := c.newSubmission(800*time.Millisecond, stepSpec{Replicas: 1, CPU: 3500, MemoryMB: 100, EstimateMs: 800})
+		if status, _ := c.other().call(http.MethodPost, s.id, s.body); status == http.StatusOK {
+			accepted = append(accepted, s)
+		}
+		time.Sleep(pause)
+	}
+	calls, answers := c.adviser.counts()
+	c.log.print("end of the traffic; %d submissions are accepted, %d calls of the adviser, %d answered", len(accepted), calls, answers)
+	unbegun := func() int {
+		idle := 0
+		for _, s := range accepted {
+			if len(c.floor.startsOf(s.id)) == 0 {
+				idle++
+			}
+		}
+		calls, answers := c.adviser.counts()
+		c.log.print("%d submissions have not begun; %d calls of the adviser, %d answered", idle, calls, answers)
+		return idle
+	}
+	time.Sleep(finishTime + 3*time.Second)
+	idle := unbegun()
+	if idle == 0 {
+		return "", nil
+	}
+	time.Sleep(30 * time.Second)
+	return fmt.Sprintf("LOST: %d of %d accepted submissions have nothing running %s after the end of the traffic, and %d still have 30 s later",
+		idle, len(accepted), finishTime+3*time.Second, unbegun()), nil
+}
--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -87,6 +87,7 @@
 	store   *store
 	floor   *floor
 	cloud   *cloud
+	adviser *adviser // nil unless the queue's policy needs one
 	hosts   []*host
 	client  *http.Client
 }
@@ -141,6 +142,9 @@
 	}
 	c.floor.lock.Unlock()
 	c.store.close()
+	if c.adviser != nil {
+		c.adviser.close()
+	}
 	_ = os.RemoveAll(c.folder)
 	c.log.close()
 }
@@ -156,12 +160,15 @@
 			return err
 		}
 	}
+	route := map[string]any{
+		"name": "r-jobs", "host": queueHost, "prefix": prefix, "type": "non_idempotent", "timeout_ms": 3000, "slo_ms": 600, "priority": 0,
+		"service": service, "max_attempts": 2, "stretch": 1.6, "public": false,
+	}
+	if c.adviser != nil {
+		route["advice"] = map[string]any{"decide_ms": adviserDecideMs, "each_ms": adviserEachMs, "valid_ms": adviserValidMs}
+	}
 	c.store.set("op/config", map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "r-jobs", "host": queueHost, "prefix": prefix, "type": "non_idempotent", "timeout_ms": 3000, "slo_ms": 600, "priority": 0,
-			"service": service, "max_attempts": 2, "stretch": 1.6, "public": false,
-		}},
+		"version": 7, "routes": []any{route},
 		"services": []any{map[string]any{
 			"name": service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "enforces_capacity": true, "spare": false,
 		}},
@@ -226,6 +233,10 @@
 		}
 	}
 	_, port, _ := strings.Cut(h.peers, ":")
+	advice := ""
+	if c.adviser != nil {
+		advice = c.adviser.address
+	}
 	file := fmt.Sprintf(`node = %q
 role = "entry"
 machine_class = "front"
@@ -242,7 +253,7 @@
 heartbeat_ms = 1500
 contracts = ["base","drain","config","cost","recover","sched","tenants","quota","platform","advice","upkeep","sharing"]
 control_mode = "rpc"
-advice = ""
+advice = %q
 [zones]
 z1 = "r1"
 [listen]
@@ -275,7 +286,7 @@
 rate_per_s = 64.0
 duties = []
 duty_per_s = 64.0
-`, h.id, h.ip, port, port, h.control, h.front, h.ready, h.control, upkeep.Seconds(), bounds, c.store.address, c.cloud.address)
+`, h.id, h.ip, port, port, h.control, advice, h.front, h.ready, h.control, upkeep.Seconds(), bounds, c.store.address, c.cloud.address)
 	return h, os.WriteFile(h.settings(), []byte(file), 0o600)
 }
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -26,6 +26,7 @@
 type scenario func(c *cluster) (broken string, err error)
 
 var scenarios = map[string]scenario{
+	"adviser-burst":    adviserBurst,
 	"cancelled-before": cancelledBeforeAccepted,
 	"cancelled-runs":   cancelledRuns,
 	"gang-checkpoints": gangCheckpoints,
