--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -89,6 +89,7 @@
 	cloud   *cloud
 	adviser *adviser // nil unless the queue's policy needs one
 	hosts   []*host
+	closing atomic.Bool // no process is started any more
 	client  *http.Client
 }
 
@@ -130,6 +131,7 @@
 
 // close ends all processes and stand-ins.
 func (c *cluster) close() {
+	c.closing.Store(true)
 	for _, h := range c.hosts {
 		h.kill()
 	}
@@ -301,6 +303,11 @@
 	command := exec.Command(h.cluster.program, "join", "-metrics", "7001")
 	command.Env = []string{"JAYBARROW_BOOT=" + h.settings(), "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	command.Stdout, command.Stderr = out, out
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if h.cluster.closing.Load() {
+		return errNotRun
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
@@ -310,9 +317,7 @@
 		_ = out.Close()
 		close(ended)
 	}()
-	h.lock.Lock()
 	h.command, h.ended = command, ended
-	h.lock.Unlock()
 	h.cluster.log.print("process   %s starts", h.id)
 	return nil
 }
