review: a case that is killed or fails leaves no process behind

After SIGKILL of a script's program its three entry hosts ran on. They now end with it, by the kernel's signal at the death of their parent; a panic of a case counts as a case that could not run.

--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -90,6 +91,7 @@
 	adviser *adviser // nil unless the queue's policy needs one
 	hosts   []*host
 	closing atomic.Bool // no process is started any more
+	spawns  chan spawn
 	client  *http.Client
 }
 
@@ -115,7 +117,7 @@
 		return nil, err
 	}
 	c := &cluster{
-		log: log, program: program, trouble: trouble,
+		log: log, program: program, trouble: trouble, spawns: make(chan spawn),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second},
 	}
 	if c.folder, err = os.MkdirTemp("", "review"); err != nil {
@@ -125,6 +127,7 @@
 		return nil, err
 	}
 	c.floor = newFloor(log, c.store)
+	go c.spawnProcesses()
 	log.print("trouble: %t", trouble)
 	return c, nil
 }
@@ -204,6 +207,22 @@
 	return nil
 }
 
+// spawn asks for the start of a process.
+type spawn struct {
+	command *exec.Cmd
+	started chan error
+}
+
+// spawnProcesses starts processes that the kernel ends with this program, however it ends. That goes by the thread that starts them, so that one
+// thread starts them all and lasts as long as the program.
+func (c *cluster) spawnProcesses() {
+	runtime.LockOSThread()
+	for s := range c.spawns {
+		s.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		s.started <- s.command.Start()
+	}
+}
+
 // await polls until the condition holds; it reports false when the limit passes first.
 func (c *cluster) await(limit time.Duration, holds func() bool) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -308,7 +327,9 @@
 	if h.cluster.closing.Load() {
 		return errNotRun
 	}
-	if err := command.Start(); err != nil {
+	s := spawn{command, make(chan error)}
+	h.cluster.spawns <- s
+	if err := <-s.started; err != nil {
 		return err
 	}
 	ended := make(chan struct{})
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -64,11 +64,17 @@
 	}
 	done := make(chan outcome, 1)
 	go func() {
-		broken, err := play(c)
-		done <- outcome{broken, err}
+		var o outcome
+		defer func() {
+			if fault := recover(); fault != nil {
+				o = outcome{err: fmt.Errorf("%w: %v", errNotRun, fault)}
+			}
+			done <- o
+		}()
+		o.broken, o.err = play(c)
 	}()
 	interrupted := make(chan os.Signal, 1)
-	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	select {
 	case o := <-done:
 		switch {
