Keep only what has begun or is due of a job

A leader made the state of every task of every occurrence when it loaded a job, and each plan visited all of them. A takeover also decoded the progress of all jobs at once.

A job now keeps the occurrences and tasks that have begun and are not done, and a few that are due. A schedule without a due occurrence waits in a heap and takes no part in plans. Stored progress ends with the last task that has begun, which earlier builds read as before.

--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -99,18 +99,11 @@
 
 // applyInputs adds the accepted jobs with their stored progress and then applies the cancellations, and wakes the pools concerned.
 func (s *Scheduler) applyInputs(records, progress []jaybarrow.Record, now time.Time) {
-	stored := make(map[jaybarrow.JobID]storedRecord, len(progress))
+	stored := make(map[jaybarrow.JobID]jaybarrow.Record, len(progress))
 	for _, r := range progress {
-		id, ok := jaybarrow.ParseJobStateKey(r.Key)
-		if !ok || r.Deleted {
-			continue
+		if id, ok := jaybarrow.ParseJobStateKey(r.Key); ok && !r.Deleted {
+			stored[id] = r
 		}
-		record, err := workload.DecodeRecord(r.Value)
-		if err != nil {
-			s.deps.Log.Error().Err(err).Str("job", string(id)).Msg("cannot decode the stored progress of a job; the job is loaded without it")
-			continue
-		}
-		stored[id] = storedRecord{&record, r.Revision}
 	}
 	changedPools := make(map[*poolShard]bool)
 	for _, r := range records {
@@ -128,14 +121,21 @@
 	}
 }
 
-// storedRecord is a job's stored progress and the revision of its record.
-type storedRecord struct {
-	record   *workload.Record // nil when no progress is stored
-	revision jaybarrow.Revision
+// decodeProgress returns the stored progress of a job; nil when there is none that can be read.
+func (s *Scheduler) decodeProgress(id jaybarrow.JobID, r jaybarrow.Record) *workload.Record {
+	if r.Revision == 0 {
+		return nil
+	}
+	record, err := workload.DecodeRecord(r.Value)
+	if err != nil {
+		s.deps.Log.Error().Err(err).Str("job", string(id)).Msg("cannot decode the stored progress of a job; the job is loaded without it")
+		return nil
+	}
+	return &record
 }
 
 // addJob adds an accepted job to its pool; a known job is left as it is.
-func (s *Scheduler) addJob(id jaybarrow.JobID, r jaybarrow.Record, stored storedRecord, now time.Time, changedPools map[*poolShard]bool) {
+func (s *Scheduler) addJob(id jaybarrow.JobID, r, progress jaybarrow.Record, now time.Time, changedPools map[*poolShard]bool) {
 	if _, known := s.jobPools.Get(id); known {
 		return
 	}
@@ -145,10 +145,12 @@
 		return
 	}
 	p := s.pool(spec.Pool)
-	if stored.record != nil {
-		p.writer.setRevision(id, stored.revision)
+	// Only one record is decoded at a time, since all of them together can exceed the memory of a small host.
+	stored := s.decodeProgress(id, progress)
+	if stored != nil {
+		p.writer.setRevision(id, progress.Revision)
 	}
-	p.locked(func() { p.state.AddJob(spec, stored.record, now) })
+	p.locked(func() { p.state.AddJob(spec, stored, now) })
 	s.jobPools.Set(id, spec.Pool)
 	changedPools[p] = true
 }
--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -41,15 +41,16 @@
 		if j.policy.Advice == nil {
 			continue
 		}
-		for _, s := range j.steps {
-			if s.unassigned == 0 || !s.ready(now) || !s.advice.requestedAt.IsZero() && now.Sub(s.advice.requestedAt) < adviceRetry {
-				continue
+		j.eachStep(func(s *step) bool {
+			if s.unassigned == 0 || !s.ready() || !s.advice.requestedAt.IsZero() && now.Sub(s.advice.requestedAt) < adviceRetry {
+				return true
 			}
 			if q, ok := p.newAdviceRequest(s, now); ok {
 				s.advice.requestedAt = now
 				out = append(out, q)
 			}
-		}
+			return true
+		})
 	}
 	return out
 }
@@ -80,7 +81,7 @@
 		)
 	})
 	q := AdviceRequest{
-		Step:      jaybarrow.StepRef{Job: s.job.spec.ID, Occurrence: s.occurrence, Step: s.index},
+		Step:      jaybarrow.StepRef{Job: s.job.spec.ID, Occurrence: s.occurrence.number, Step: s.index},
 		instances: make(map[jaybarrow.WorkerID]instanceNumber),
 	}
 	for _, w := range candidates[:min(maxAdviceWorkers, len(candidates))] {
@@ -96,7 +97,7 @@
 	if s.spec.Lasting {
 		return s.demand().FitsIn(w.entry.Capacity.Minus(w.lastingUsed)) && s.allows(w)
 	}
-	return p.canRun(s.tasks[0], w)
+	return p.canRun(s, w)
 }
 
 // refuses reports whether the adviser has refused the present instance of the worker.
@@ -120,8 +121,12 @@
 	if j == nil {
 		return
 	}
+	s := j.step(q.Step.Occurrence, q.Step.Step)
+	if s == nil {
+		return // its occurrence is done
+	}
 	p.placementsDue = true
-	a := &j.step(q.Step.Occurrence, q.Step.Step).advice
+	a := &s.advice
 	if a.tickets == nil {
 		a.tickets, a.refused = make(map[jaybarrow.WorkerID]ticket), make(map[jaybarrow.WorkerID]instanceNumber)
 	}
--- a/internal/workload/drain.go
+++ b/internal/workload/drain.go
@@ -76,7 +76,7 @@
 // stepObstacle returns what keeps the n tasks of a lasting step from leaving the worker: no other worker takes them, and its step does not
 // allow as many tasks to be unavailable as would have to wait for the end of the maintenance.
 func (p *Pool) stepObstacle(s *step, n int, w *worker, now time.Time) jaybarrow.DrainObstacle {
-	competing, away := 0, 0
+	competing, away := s.idle(), 0
 	for _, t := range s.tasks {
 		switch r := t.current; {
 		case r == nil, r.worker != w && r.worker.emptying():
@@ -131,7 +131,7 @@
 // the label exist that come back first.
 func (p *Pool) isLastWithLabel(w *worker, now time.Time) bool {
 	for _, label := range w.entry.Labels {
-		if !p.requires(label) {
+		if !p.requires(label, now) {
 			continue
 		}
 		others, usable := 0, 0
@@ -152,18 +152,31 @@
 }
 
 // requires reports whether running or waiting work requires the label.
-func (p *Pool) requires(label jaybarrow.Label) bool {
+func (p *Pool) requires(label jaybarrow.Label, now time.Time) bool {
 	if _, used := p.labelUsed[label]; used {
 		return true
 	}
 	for j := range p.waiting {
-		if !j.state.Ended() && slices.ContainsFunc(j.steps, func(s *step) bool { return s.unassigned > 0 && s.spec.Requires == label }) {
+		if !j.state.Ended() && j.requires(label, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// requires reports whether a waiting task of the job requires the label.
+func (j *job) requires(label jaybarrow.Label, now time.Time) bool {
+	if !slices.ContainsFunc(j.spec.Steps, func(s jaybarrow.Step) bool { return s.Requires == label }) {
+		return false
+	}
+	found := j.dueUnopened(now) > 0
+	j.eachStep(func(s *step) bool {
+		found = found || s.unassigned > 0 && s.spec.Requires == label
+		return !found
+	})
+	return found
+}
+
 // giveUpHolds gives workers back that are kept free of new tasks in vain: those that could not be emptied for maxObstructedHold, and one that
 // waiting work needs.
 //
@@ -224,22 +237,33 @@
 		if j.state.Ended() {
 			continue
 		}
-		for _, s := range j.steps {
-			if s.unassigned == 0 || !s.ready(now) || !p.teams.MayUse(j.spec.Team, s.spec.Demand) || p.mayBeginOf(j) == 0 {
-				continue
-			}
-			takes := func(w *worker) bool { return !(s.spec.Lasting && w.emptied) && p.roomOn(s, 1, w) > 0 }
-			if slices.ContainsFunc(p.sortedWorkers(), func(w *worker) bool { return w.usable(now, p.settings.ReportGrace) && takes(w) }) {
-				continue
-			}
-			if n := slices.IndexFunc(held, takes); n >= 0 {
-				return held[n]
-			}
+		var needed *worker
+		j.eachStep(func(s *step) bool {
+			needed = p.neededBy(s, held, now)
+			return needed == nil
+		})
+		if needed != nil {
+			return needed
 		}
 	}
 	return nil
 }
 
+// neededBy returns the first of the held workers that a waiting task of the step needs; nil when there is none.
+func (p *Pool) neededBy(s *step, held []*worker, now time.Time) *worker {
+	if s.unassigned == 0 || !s.ready() || !p.teams.MayUse(s.job.spec.Team, s.spec.Demand) || p.mayBeginOf(s.job) == 0 {
+		return nil
+	}
+	takes := func(w *worker) bool { return !(s.spec.Lasting && w.emptied) && p.roomOn(s, 1, w) > 0 }
+	if slices.ContainsFunc(p.sortedWorkers(), func(w *worker) bool { return w.usable(now, p.settings.ReportGrace) && takes(w) }) {
+		return nil
+	}
+	if n := slices.IndexFunc(held, takes); n >= 0 {
+		return held[n]
+	}
+	return nil
+}
+
 // evacuateReserved stops lasting tasks on workers that are being emptied, as far as their steps' MaxUnavailable allows, so that they move to
 // others. A worker whose tasks found no room elsewhere for relocationTime is emptied all the same once this can be done at a stroke, so that
 // its maintenance begins at once.
@@ -282,7 +306,7 @@
 // mayMiss reports whether the lasting task may be unavailable: enough others of its step are available.
 func (p *Pool) mayMiss(r *run, now time.Time) bool {
 	s := r.task.step
-	unavailable := 0
+	unavailable := s.idle()
 	for _, t := range s.tasks {
 		if t != r.task && !t.available(now, p.settings.ReportGrace) {
 			unavailable++
@@ -293,7 +317,7 @@
 
 // unavailable returns how many tasks of the lasting step are unavailable, apart from those on the worker.
 func (p *Pool) unavailable(s *step, w *worker, now time.Time) int {
-	n := 0
+	n := s.idle()
 	for _, t := range s.tasks {
 		if (t.current == nil || t.current.worker != w) && !t.available(now, p.settings.ReportGrace) {
 			n++
@@ -305,7 +329,7 @@
 // hasRoomElsewhere reports whether another worker can take the run's task.
 func (p *Pool) hasRoomElsewhere(r *run, now time.Time) bool {
 	for _, w := range p.workers {
-		if w != r.worker && w.usable(now, p.settings.ReportGrace) && p.canRun(r.task, w) {
+		if w != r.worker && w.usable(now, p.settings.ReportGrace) && p.canRun(r.task.step, w) {
 			return true
 		}
 	}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -1,24 +1,30 @@
 package workload
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/heap"
 )
 
-// job is a job that has not ended, or that still has runs to stop.
+// job is a job that has not ended, or that still has runs to stop. Of its occurrences it keeps those that have begun and are not done, and
+// a few that are due; all others follow from their numbers.
 type job struct {
 	spec         *jaybarrow.Job
 	policy       jaybarrow.QueuePolicy
 	state        jaybarrow.JobState
 	storedState  jaybarrow.JobState // last state written to the store
 	endedMs      int64
-	steps        []*step // ordered by occurrence, then by step
-	tasksLeft    int     // tasks that are not done
-	runs         int     // runs that may exist on workers
-	begun        int     // tasks that were assigned and are not done
-	started      bool    // whether a run was ever assigned
+	open         []*occurrence        // ordered by number
+	next         jaybarrow.Occurrence // the lowest one that was never opened; lower ones that are not open are done
+	dueIndex     int                  // in Pool.due
+	tasksLeft    int                  // tasks that are not done
+	runs         int                  // runs that may exist on workers
+	begun        int                  // tasks that were assigned and are not done
+	mostFailures int                  // of any task
+	started      bool                 // whether a run was ever assigned
 	cancelled    bool
 	accepted     time.Time
 	targetTime   time.Time     // when the job should be completed to meet the queue's target
@@ -28,15 +34,22 @@
 	order        placementOrder
 }
 
+// occurrence is one run of all steps of a job.
+type occurrence struct {
+	number jaybarrow.Occurrence
+	steps  []*step // by index
+}
+
+// step is a step of an open occurrence. It keeps those of its tasks that have begun and are not done.
 type step struct {
 	job        *job
+	occurrence *occurrence
 	spec       *jaybarrow.Step
-	occurrence jaybarrow.Occurrence
 	index      jaybarrow.StepIndex
-	tasks      []*task
-	tasksLeft  int
-	unassigned int // tasks that are neither done nor assigned
-	notBefore  time.Time
+	tasks      []*task             // below next and not done, and done ones with a run that has not ended; ordered by index
+	next       jaybarrow.TaskIndex // tasks from this one on have not begun
+	tasksLeft  int                 // tasks that are not done
+	unassigned int                 // tasks that are neither done nor assigned
 	advice     stepAdvice
 }
 
@@ -60,125 +73,174 @@
 
 func newJob(spec *jaybarrow.Job, policy jaybarrow.QueuePolicy) *job {
 	j := &job{
-		spec: spec, state: jaybarrow.JobPending, storedState: jaybarrow.JobPending,
-		accepted: time.UnixMilli(spec.AcceptedMs),
-	}
-	for k := range spec.Occurrences() {
-		for i := range spec.Steps {
-			j.steps = append(j.steps, newStep(j, jaybarrow.Occurrence(k), jaybarrow.StepIndex(i)))
-		}
+		spec: spec, state: jaybarrow.JobPending, storedState: jaybarrow.JobPending, dueIndex: heap.Absent,
+		accepted: time.UnixMilli(spec.AcceptedMs), tasksLeft: tasksPerOccurrence(spec) * spec.Occurrences(),
 	}
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
 		j.work += float64(s.Tasks) * s.Demand.CPU.Cores() * s.Estimate().Seconds()
 	}
-	j.updateCriticalPath()
-	j.wholePath = j.criticalPath
+	j.wholePath = longestPath(spec.Steps, func(int) bool { return true })
+	j.criticalPath = j.wholePath
 	j.setPolicy(policy)
 	return j
 }
 
+// tasksPerOccurrence returns the number of tasks of all steps.
+func tasksPerOccurrence(spec *jaybarrow.Job) int {
+	n := 0
+	for i := range spec.Steps {
+		n += spec.Steps[i].Tasks
+	}
+	return n
+}
+
 // setPolicy replaces the policy by which the job is scheduled.
 func (j *job) setPolicy(policy jaybarrow.QueuePolicy) {
 	j.policy = policy
 	j.targetTime = j.accepted.Add(time.Duration(policy.Stretch*float64(j.wholePath)) + policy.Target)
 }
 
-func newStep(j *job, k jaybarrow.Occurrence, i jaybarrow.StepIndex) *step {
-	s := &step{job: j, spec: &j.spec.Steps[i], occurrence: k, index: i}
-	if r := j.spec.Recurrence; r != nil {
-		s.notBefore = time.UnixMilli(r.StartMs + int64(k)*r.IntervalMs)
-	}
-	for n := range s.spec.Tasks {
-		s.tasks = append(s.tasks, &task{step: s, ref: jaybarrow.TaskRef{
-			Job: j.spec.ID, Occurrence: k, Step: i, Index: jaybarrow.TaskIndex(n),
-		}})
+// eachTask visits the tasks that are kept.
+func (j *job) eachTask(visit func(*task)) {
+	for _, o := range j.open {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				visit(t)
+			}
+		}
 	}
-	s.tasksLeft, s.unassigned = len(s.tasks), len(s.tasks)
-	j.tasksLeft += len(s.tasks)
-	return s
 }
 
-func (j *job) eachTask(visit func(*task)) {
-	for _, s := range j.steps {
-		for _, t := range s.tasks {
-			visit(t)
+// eachStep visits the steps of the open occurrences until visit returns false.
+func (j *job) eachStep(visit func(*step) bool) {
+	for _, o := range j.open {
+		for _, s := range o.steps {
+			if !visit(s) {
+				return
+			}
 		}
 	}
 }
 
+// step returns a step of an open occurrence; nil when there is none of that name.
 func (j *job) step(k jaybarrow.Occurrence, i jaybarrow.StepIndex) *step {
-	return j.steps[int(k)*len(j.spec.Steps)+int(i)]
+	n, found := slices.BinarySearchFunc(j.open, k, func(o *occurrence, k jaybarrow.Occurrence) int { return cmp.Compare(o.number, k) })
+	if !found || i < 0 || int(i) >= len(j.open[n].steps) {
+		return nil
+	}
+	return j.open[n].steps[i]
 }
 
-// hasUnassigned reports whether a task of the job is neither done nor assigned.
-func (j *job) hasUnassigned() bool {
-	return j.tasksLeft > 0 && slices.ContainsFunc(j.steps, func(s *step) bool { return s.unassigned > 0 })
+// hasUnassigned reports whether a task that is due, or whose occurrence has begun, is neither done nor assigned.
+func (j *job) hasUnassigned(now time.Time) bool {
+	if j.tasksLeft == 0 {
+		return false
+	}
+	found := j.dueUnopened(now) > 0
+	j.eachStep(func(s *step) bool {
+		found = found || s.unassigned > 0
+		return !found
+	})
+	return found
 }
 
-// task returns a task of the job; nil when the job has none of that name.
+// task returns a task that is kept; nil when the job keeps none of that name.
 func (j *job) task(ref jaybarrow.TaskRef) *task {
-	n := int(ref.Occurrence)*len(j.spec.Steps) + int(ref.Step)
-	if ref.Occurrence < 0 || ref.Step < 0 || int(ref.Step) >= len(j.spec.Steps) || n >= len(j.steps) {
+	s := j.step(ref.Occurrence, ref.Step)
+	if s == nil {
 		return nil
 	}
-	if s := j.steps[n]; ref.Index >= 0 && int(ref.Index) < len(s.tasks) {
-		return s.tasks[ref.Index]
+	if n, found := s.find(ref.Index); found {
+		return s.tasks[n]
 	}
 	return nil
 }
 
-// ready reports whether the step's tasks may start now.
-func (s *step) ready(now time.Time) bool {
-	if now.Before(s.notBefore) {
-		return false
-	}
-	for _, dependency := range s.spec.After {
-		if s.job.step(s.occurrence, dependency).tasksLeft > 0 {
-			return false
+// longestPath returns the estimated run time of the longest chain of those steps that count; a step only comes after steps of lower index.
+func longestPath(steps []jaybarrow.Step, counts func(i int) bool) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	var longest time.Duration
+	for i := range steps {
+		for _, dependency := range steps[i].After {
+			ends[i] = max(ends[i], ends[dependency])
 		}
+		if counts(i) {
+			ends[i] += steps[i].Estimate()
+		}
+		longest = max(longest, ends[i])
 	}
-	return true
+	return longest
 }
 
-// updateCriticalPath computes the longest chain of steps that are not done; a step only comes after steps of lower index.
+// updateCriticalPath computes the longest chain of steps that are not done.
 func (j *job) updateCriticalPath() {
+	if int(j.next) < j.spec.Occurrences() {
+		j.criticalPath = j.wholePath
+		return
+	}
 	j.criticalPath = 0
-	ends := make([]time.Duration, len(j.spec.Steps))
-	for k := range j.spec.Occurrences() {
-		for i := range j.spec.Steps {
-			s := j.step(jaybarrow.Occurrence(k), jaybarrow.StepIndex(i))
-			var earliest time.Duration
-			for _, dependency := range s.spec.After {
-				earliest = max(earliest, ends[dependency])
-			}
-			ends[i] = earliest
-			if s.tasksLeft > 0 {
-				ends[i] += s.spec.Estimate()
-			}
-			j.criticalPath = max(j.criticalPath, ends[i])
-		}
+	for _, o := range j.open {
+		j.criticalPath = max(j.criticalPath, longestPath(j.spec.Steps, func(i int) bool { return o.steps[i].tasksLeft > 0 }))
 	}
 }
 
-// restoreProgress applies the stored progress.
-func (j *job) restoreProgress(r Record) {
-	j.storedState, j.state, j.endedMs = r.State, r.State, r.EndedMs
-	n := 0
-	j.eachTask(func(t *task) {
-		if n >= len(r.Tasks) {
-			return
-		}
-		s := r.Tasks[n]
-		n++
-		t.setRun(s.Run)
-		t.failures, t.checkpoint = s.Failures, s.Checkpoint
-		j.started = j.started || s.Run > 0 || s.Done
-		if s.Done {
-			t.markDone()
-		}
-	})
-	j.updateCriticalPath()
+// newOccurrence returns an occurrence whose tasks have not begun.
+func (j *job) newOccurrence(k jaybarrow.Occurrence) *occurrence {
+	o := &occurrence{number: k, steps: make([]*step, len(j.spec.Steps))}
+	for i := range o.steps {
+		spec := &j.spec.Steps[i]
+		o.steps[i] = &step{job: j, occurrence: o, spec: spec, index: jaybarrow.StepIndex(i), tasksLeft: spec.Tasks, unassigned: spec.Tasks}
+	}
+	return o
+}
+
+// begun reports whether a task of the occurrence has begun.
+func (o *occurrence) begun() bool {
+	return slices.ContainsFunc(o.steps, func(s *step) bool { return s.next > 0 })
+}
+
+// closed reports whether all tasks of the occurrence are done and no run of them is left.
+func (o *occurrence) closed() bool {
+	return !slices.ContainsFunc(o.steps, func(s *step) bool { return s.tasksLeft > 0 || len(s.tasks) > 0 })
+}
+
+// ready reports whether the step's tasks may start; occurrences are only opened when they are due.
+func (s *step) ready() bool {
+	return !slices.ContainsFunc(s.spec.After, func(dependency jaybarrow.StepIndex) bool { return s.occurrence.steps[dependency].tasksLeft > 0 })
+}
+
+// find returns the position in tasks of the task with the index, or where it belongs.
+func (s *step) find(index jaybarrow.TaskIndex) (position int, found bool) {
+	return slices.BinarySearchFunc(s.tasks, index, func(t *task, index jaybarrow.TaskIndex) int { return cmp.Compare(t.ref.Index, index) })
+}
+
+// idle returns how many tasks of the step are not kept, since they have not begun.
+func (s *step) idle() int { return s.spec.Tasks - int(s.next) }
+
+// newTask returns the next task that has not begun; keep adds it to the step.
+func (s *step) newTask() *task {
+	return &task{step: s, ref: jaybarrow.TaskRef{Job: s.job.spec.ID, Occurrence: s.occurrence.number, Step: s.index, Index: s.next}}
+}
+
+// keep adds the task that newTask returned last.
+func (s *step) keep(t *task) {
+	s.tasks = append(s.tasks, t)
+	s.next++
+}
+
+// dropIdle drops the last tasks that are kept although they have not begun.
+func (s *step) dropIdle() {
+	for n := len(s.tasks); n > 0 && s.tasks[n-1].idle() && s.tasks[n-1].ref.Index == s.next-1; n-- {
+		s.tasks[n-1] = nil
+		s.tasks = s.tasks[:n-1]
+		s.next--
+	}
+}
+
+// idle reports whether nothing is known of the task, as of one that has not begun.
+func (t *task) idle() bool {
+	return !t.done && t.run == 0 && t.current == nil && t.failures == 0 && t.checkpoint == ""
 }
 
 // markDone marks the task as done.
@@ -191,4 +253,19 @@
 	t.step.tasksLeft--
 	t.step.unassigned--
 	t.step.job.tasksLeft--
+	t.dropDone()
+}
+
+// dropDone drops the task if it is done and its run has ended, and its occurrence with the last task.
+func (t *task) dropDone() {
+	if !t.done || t.current != nil {
+		return
+	}
+	s := t.step
+	if n, found := s.find(t.ref.Index); found && s.tasks[n] == t {
+		s.tasks = slices.Delete(s.tasks, n, n+1)
+	}
+	if s.tasksLeft == 0 && s.occurrence.closed() {
+		s.job.open = slices.DeleteFunc(s.job.open, func(o *occurrence) bool { return o == s.occurrence })
+	}
 }
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -34,22 +34,36 @@
 			candidates = held.without(candidates)
 			room.largest = largestFree(candidates)
 		}
-		for _, s := range j.steps {
+		if !p.placeJob(j, candidates, held, &room, now) {
+			p.placementsDue = true
+			return
+		}
+	}
+}
+
+// placeJob assigns tasks of the job, of one occurrence after the other; it returns false once too many runs wait for their start orders.
+func (p *Pool) placeJob(j *job, candidates []*worker, held *heldRoom, room *room, now time.Time) bool {
+	p.openDue(j, now)
+	for n := 0; n < len(j.open); n++ {
+		for _, s := range j.open[n].steps {
 			if len(p.planned) >= p.maxUnsent {
-				p.placementsDue = true
-				return
+				return false
 			}
-			if s.unassigned == 0 || !s.ready(now) {
+			if s.unassigned == 0 || !s.ready() {
 				continue
 			}
 			if room.mayFit(s.demand()) {
-				p.placeStep(s, candidates, &room, now)
+				p.placeStep(s, candidates, room, now)
 			}
 			if j.order.rank == rankLasting && s.unassigned > 0 {
 				p.holdRoom(s, candidates, held, now)
 			}
 		}
+		if n == len(j.open)-1 {
+			p.openDue(j, now)
+		}
 	}
+	return true
 }
 
 // room is what is known about the free capacity of a pool's workers during one placement. Under overload most waiting steps are refused
@@ -98,8 +112,9 @@
 func (p *Pool) waitingJobs(now time.Time) []*job {
 	waiting := make([]*job, 0, len(p.waiting))
 	for j := range p.waiting {
-		if j.state.Ended() || !j.hasUnassigned() {
+		if j.state.Ended() || !j.hasUnassigned(now) {
 			delete(p.waiting, j)
+			p.addDue(j)
 			continue
 		}
 		waiting = append(waiting, j)
@@ -151,18 +166,34 @@
 		if t.done || t.current != nil || !p.mayBegin(t) {
 			continue
 		}
-		if len(p.planned) >= p.maxUnsent {
+		if !p.placeNext(t, candidates, room, now) {
 			return
 		}
-		w := p.chooseWorker(t, candidates, now)
-		if w == nil && s.needsRoomOnly() {
-			room.refuse(s.demand())
-		}
-		if w == nil || p.placeOn(t, w, now) == nil {
+	}
+	for s.idle() > 0 {
+		t := s.newTask()
+		if !p.mayBegin(t) || !p.placeNext(t, candidates, room, now) {
 			return
 		}
-		p.markStarted(s.job, now)
+		s.keep(t)
+	}
+}
+
+// placeNext assigns a task of a step that is no gang; it returns false when no further one of the step can be placed now.
+func (p *Pool) placeNext(t *task, candidates []*worker, room *room, now time.Time) bool {
+	if len(p.planned) >= p.maxUnsent {
+		return false
+	}
+	s := t.step
+	w := p.chooseWorker(t, candidates, now)
+	if w == nil && s.needsRoomOnly() {
+		room.refuse(s.demand())
+	}
+	if w == nil || p.placeOn(t, w, now) == nil {
+		return false
 	}
+	p.markStarted(s.job, now)
+	return true
 }
 
 // markStarted records that runs of the job were assigned; the record is written without the batch delay.
@@ -202,8 +233,13 @@
 		}
 		number = max(number, t.run)
 	}
+	defer s.dropIdle()
 	var placed []*run
-	for _, t := range s.tasks {
+	for n := 0; n < len(s.tasks) || s.idle() > 0; n++ {
+		if n == len(s.tasks) {
+			s.keep(s.newTask())
+		}
+		t := s.tasks[n]
 		t.setRun(number)
 		r := p.placeTask(t, candidates, now)
 		if r == nil {
@@ -231,7 +267,7 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range candidates {
-		if !p.canRun(t, w) {
+		if !p.canRun(t.step, w) {
 			continue
 		}
 		if _, ok := t.step.ticketFor(w, now); !ok {
@@ -244,9 +280,9 @@
 	return best
 }
 
-// canRun reports whether the worker has room for the task and meets its step's constraints.
-func (p *Pool) canRun(t *task, w *worker) bool {
-	return t.step.demand().FitsIn(w.free()) && t.step.allows(w)
+// canRun reports whether the worker has room for a task of the step and meets the step's constraints.
+func (p *Pool) canRun(s *step, w *worker) bool {
+	return s.demand().FitsIn(w.free()) && s.allows(w)
 }
 
 // allows reports whether the worker meets the step's constraints other than room.
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -74,6 +74,7 @@
 		out.Throttles = p.throttle(now)
 		p.placementsDue = true
 	}
+	p.takeDue(now)
 	p.stopEndedJobs(now)
 	out.Expired = p.expireJobs(now)
 	if starting && p.placementsDue && len(p.planned) < p.maxUnsent {
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/heap"
 )
 
 // Teams accounts for the resources that each team uses in all pools and enforces its limit.
@@ -64,6 +66,7 @@
 	unknownRuns   []StopRun // runs that workers report but the pool does not know; the next plan stops them
 
 	// Indexes, so that a plan visits only what has changed.
+	due            *heap.Heap[*job]                         // jobs that wait for their next occurrence, the earliest first
 	waiting        map[*job]bool                            // holds every job with unassigned tasks, and jobs that no longer have any
 	ended          map[*job]bool                            // ended jobs whose runs are not all stopped, or whose state is not stored
 	planned        map[*run]bool                            // runs in the phase runPlanned
@@ -111,7 +114,7 @@
 		waiting: make(map[*job]bool), ended: make(map[*job]bool), planned: make(map[*run]bool), stopping: make(map[*run]bool),
 		unstoredEnds: make(map[*worker]bool), teamUsed: make(map[jaybarrow.TeamID]jaybarrow.Resources),
 		labelUsed: make(map[jaybarrow.Label]jaybarrow.Resources), renewInterval: d.Settings.RenewInterval,
-		batchDelay: d.Settings.BatchDelay, runTimes: make(runTimes),
+		due: newDue(), batchDelay: d.Settings.BatchDelay, runTimes: make(runTimes),
 		maxUnsent: math.MaxInt, maxStops: math.MaxInt,
 	}
 }
@@ -139,13 +142,14 @@
 	}
 	j := newJob(spec, policy)
 	p.jobs[spec.ID] = j
-	p.markWaiting(j)
 	p.arrivals.add(spec, earlier(j.accepted, now))
 	if stored != nil {
-		j.restoreProgress(*stored)
-		p.restoreRuns(j, *stored, now)
+		for _, r := range j.restoreProgress(*stored) {
+			p.restoreRun(r.task, r.record, now)
+		}
 		p.updateState(j, now)
 	}
+	p.await(j, now)
 }
 
 // UpdatePolicies applies the present policies of the queues to the jobs; a job whose queue is no longer configured keeps the last one.
@@ -169,36 +173,25 @@
 	return b
 }
 
-// restoreRuns rebuilds the runs that a previous scheduler assigned.
-func (p *Pool) restoreRuns(j *job, stored Record, now time.Time) {
-	n := 0
-	j.eachTask(func(t *task) {
-		if n >= len(stored.Tasks) {
-			return
-		}
-		s := stored.Tasks[n]
-		n++
-		if s.Worker == "" || t.done {
-			return
-		}
-		w := p.workers[s.Worker]
-		if w == nil {
-			// The worker is not in the register. Cut off from the store, it may still run its tasks until its lease ends.
-			w = newWorker(jaybarrow.Worker{ID: s.Worker, Pool: p.id, State: jaybarrow.WorkerDraining})
-			w.gone, w.missedReports = true, 1
-			p.addWorker(w)
-		}
-		lease := p.settings.Lease
-		if s.InstanceStartMs != 0 && w.instanceStartMs != 0 && s.InstanceStartMs != w.instanceStartMs {
-			// The order may have set a lease in a later instance by the clock of the one that it was meant for.
-			lease = p.settings.MaxLease
-		}
-		w.extendLeaseEnd(now, lease)
-		r := p.assign(t, w, s.Run, now)
-		p.setPhase(r, runUnconfirmed, now)
-		r.instanceStartMs, r.inherited = s.InstanceStartMs, true
-		p.teams.Use(j.spec.Team, r.charged)
-	})
+// restoreRun rebuilds a run that a previous scheduler assigned.
+func (p *Pool) restoreRun(t *task, stored TaskRecord, now time.Time) {
+	w := p.workers[stored.Worker]
+	if w == nil {
+		// The worker is not in the register. Cut off from the store, it may still run its tasks until its lease ends.
+		w = newWorker(jaybarrow.Worker{ID: stored.Worker, Pool: p.id, State: jaybarrow.WorkerDraining})
+		w.gone, w.missedReports = true, 1
+		p.addWorker(w)
+	}
+	lease := p.settings.Lease
+	if stored.InstanceStartMs != 0 && w.instanceStartMs != 0 && stored.InstanceStartMs != w.instanceStartMs {
+		// The order may have set a lease in a later instance by the clock of the one that it was meant for.
+		lease = p.settings.MaxLease
+	}
+	w.extendLeaseEnd(now, lease)
+	r := p.assign(t, w, stored.Run, now)
+	p.setPhase(r, runUnconfirmed, now)
+	r.instanceStartMs, r.inherited = stored.InstanceStartMs, true
+	p.teams.Use(t.step.job.spec.Team, r.charged)
 }
 
 // assign creates a run of the task on the worker; the caller charges the team.
@@ -235,6 +228,7 @@
 		if t.doneBefore {
 			t.markDone()
 		}
+		t.dropDone()
 	}
 	t.keepCheckpoint(checkpoint)
 	p.observer.RunEnded(t.ref, r.number, w.entry.ID, kind, now.Sub(r.phaseSince))
@@ -251,6 +245,7 @@
 		t.avoidWorker = w.entry.ID
 		if !t.step.spec.Lasting {
 			t.failures++
+			j.mostFailures = max(j.mostFailures, t.failures)
 		}
 	}
 	p.updateState(j, now)
@@ -270,7 +265,7 @@
 		t.markDone()
 		return
 	}
-	for _, member := range t.step.tasks {
+	for _, member := range slices.Clone(t.step.tasks) {
 		member.markDone()
 	}
 }
@@ -335,7 +330,8 @@
 	if j.state.Ended() {
 		j.endedMs = now.UnixMilli()
 		p.ended[j] = true
-		p.observer.JobEnded(j.spec, j.state, now.Sub(j.accepted), failures)
+		p.removeDue(j)
+		p.observer.JobEnded(j.spec, j.state, now.Sub(j.accepted), j.mostFailures)
 	}
 }
 
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -53,22 +53,38 @@
 		if j.state.Ended() {
 			continue
 		}
-		for _, s := range j.steps {
-			if s.unassigned == 0 || !s.ready(now) {
-				continue
-			}
-			demand := s.spec.Demand.Times(s.unassigned)
-			if label := s.spec.Requires; label != "" {
-				out.Labels[label] = out.Labels[label].Plus(demand)
-			}
-			if j.rank(now) == rankLate {
-				out.Late = out.Late.Plus(demand)
-			} else {
-				out.Waiting = out.Waiting.Plus(demand)
+		p.addWaiting(&out, j, now)
+	}
+	return out
+}
+
+// addWaiting adds the demand of the job's tasks that could start now.
+func (p *Pool) addWaiting(out *Load, j *job, now time.Time) {
+	late := j.rank(now) == rankLate
+	add := func(s *jaybarrow.Step, tasks int) {
+		demand := s.Demand.Times(tasks)
+		if label := s.Requires; label != "" {
+			out.Labels[label] = out.Labels[label].Plus(demand)
+		}
+		if late {
+			out.Late = out.Late.Plus(demand)
+		} else {
+			out.Waiting = out.Waiting.Plus(demand)
+		}
+	}
+	j.eachStep(func(s *step) bool {
+		if s.unassigned > 0 && s.ready() {
+			add(s.spec, s.unassigned)
+		}
+		return true
+	})
+	if n := j.dueUnopened(now); n > 0 {
+		for i := range j.spec.Steps {
+			if s := &j.spec.Steps[i]; len(s.After) == 0 {
+				add(s, s.Tasks*n)
 			}
 		}
 	}
-	return out
 }
 
 // Reserve stops the assignment of new tasks to a worker whose host is to be moved or maintained at once. It reports false, and changes
--- /dev/null
+++ b/internal/workload/schedule_test.go
@@ -0,0 +1,329 @@
+package workload_test
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/workload"
+)
+
+// runsADay is how often a schedule of 4.5 s runs in a day.
+const runsADay = 19_200
+
+// schedule returns a job with one task a run, the first run of which is due at start.
+func (h *harness) schedule(id jaybarrow.JobID, start time.Time, interval time.Duration, runs int) *jaybarrow.Job {
+	return &jaybarrow.Job{
+		ID: id, Queue: "match", Pool: "desk", Team: "trail", Spec: "s", Steps: []jaybarrow.Step{tasks(1, 1000)}, AcceptedMs: h.now.UnixMilli(),
+		Recurrence: &jaybarrow.Recurrence{Runs: runs, StartMs: start.UnixMilli(), IntervalMs: interval.Milliseconds()},
+	}
+}
+
+// heapBytes returns the memory that is in use.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// leaderMemory is the memory of the smallest host that may lead.
+const leaderMemory = 284_000_000
+
+// Guards against a leader that exceeds its memory by work that is to come, and is killed, and each one after it too. The bounds hold for a
+// thousand schedules and a hundred jobs of many tasks; a tenth of them is loaded here.
+func TestWorkToComeTakesLittleMemory(t *testing.T) {
+	const part = 10
+	cases := []struct {
+		name  string
+		jobs  int
+		bound int64
+		job   func(h *harness, id jaybarrow.JobID) *jaybarrow.Job
+	}{
+		{"schedules of one day that are not due", 1000, 64_000_000, func(h *harness, id jaybarrow.JobID) *jaybarrow.Job {
+			return h.schedule(id, h.now.Add(time.Hour), 4500*time.Millisecond, runsADay)
+		}},
+		{"schedules whose runs are all due", 100, leaderMemory / 2, func(h *harness, id jaybarrow.JobID) *jaybarrow.Job {
+			return h.schedule(id, h.now.Add(-48*time.Hour), 4500*time.Millisecond, runsADay)
+		}},
+		{"schedules without an interval", 100, leaderMemory / 2, func(h *harness, id jaybarrow.JobID) *jaybarrow.Job {
+			return h.schedule(id, h.now, 0, runsADay)
+		}},
+		{"wide jobs", 100, leaderMemory / 2, func(h *harness, id jaybarrow.JobID) *jaybarrow.Job {
+			j := h.schedule(id, h.now, 0, 1)
+			j.Recurrence, j.Steps = nil, []jaybarrow.Step{tasks(runsADay, 1000)}
+			return j
+		}},
+		{"jobs of many steps", 100, leaderMemory / 2, func(h *harness, id jaybarrow.JobID) *jaybarrow.Job {
+			j := h.schedule(id, h.now, 0, runsADay/960)
+			for len(j.Steps) < 960 {
+				j.Steps = append(j.Steps, tasks(1, 1000))
+			}
+			return j
+		}},
+		{"gangs", 100, leaderMemory / 2, func(h *harness, id jaybarrow.JobID) *jaybarrow.Job {
+			j := h.schedule(id, h.now, 0, runsADay/960)
+			j.Steps[0].Tasks, j.Steps[0].Gang = 960, true
+			return j
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("w1")
+			before := heapBytes()
+			for n := range c.jobs / part {
+				h.pool.AddJob(c.job(h, jaybarrow.JobID(fmt.Sprint(n))), nil, h.now)
+			}
+			h.plan()
+			h.pool.Load(h.now)
+			used := heapBytes() - before
+			t.Logf("%d jobs take %d KB", c.jobs/part, used/1000)
+			assert.Assert(t, used < c.bound/part, "%d bytes", used)
+			runtime.KeepAlive(h)
+		})
+	}
+}
+
+// Guards against plans that visit each run of each schedule, due or not.
+func TestSchedulesThatAreNotDueTakeNoTimeOfAPlan(t *testing.T) {
+	planTime := func(schedules int) time.Duration {
+		h := newHarness(t)
+		for n := range 100 {
+			h.addWorker(jaybarrow.WorkerID(fmt.Sprint(n)))
+		}
+		for n := range schedules {
+			h.pool.AddJob(h.schedule(jaybarrow.JobID(fmt.Sprint(n)), h.now.Add(time.Hour), 4500*time.Millisecond, runsADay), nil, h.now)
+		}
+		least := time.Hour
+		for range 30 {
+			h.now = h.now.Add(60 * time.Millisecond)
+			begin := time.Now()
+			h.pool.Plan(h.now, true)
+			least = min(least, time.Since(begin))
+		}
+		return least
+	}
+	without, with := planTime(0), planTime(100)
+	t.Logf("a plan takes %v without schedules and %v with them", without, with)
+	assert.Assert(t, with <= 2*without+20*time.Microsecond)
+}
+
+// BenchmarkPlanWithSchedules measures a plan beside schedules of which none is due.
+func BenchmarkPlanWithSchedules(b *testing.B) {
+	for _, schedules := range []int{0, 60, 1000} {
+		b.Run(fmt.Sprint(schedules), func(b *testing.B) {
+			h := newHarness(new(testing.T))
+			for n := range 100 {
+				h.addWorker(jaybarrow.WorkerID(fmt.Sprint(n)))
+			}
+			for n := range schedules {
+				h.pool.AddJob(h.schedule(jaybarrow.JobID(fmt.Sprint(n)), h.now.Add(time.Hour), 4500*time.Millisecond, runsADay), nil, h.now)
+			}
+			for b.Loop() {
+				h.now = h.now.Add(60 * time.Millisecond)
+				h.pool.Plan(h.now, true)
+			}
+		})
+	}
+}
+
+// BenchmarkLoadSchedules measures the memory that a leader takes for schedules of one day.
+func BenchmarkLoadSchedules(b *testing.B) {
+	for _, schedules := range []int{60, 1000} {
+		b.Run(fmt.Sprint(schedules), func(b *testing.B) {
+			for b.Loop() {
+				h := newHarness(new(testing.T))
+				before := heapBytes()
+				for n := range schedules {
+					h.pool.AddJob(h.schedule(jaybarrow.JobID(fmt.Sprint(n)), h.now.Add(time.Hour), 4500*time.Millisecond, runsADay), nil, h.now)
+				}
+				b.ReportMetric(float64(heapBytes()-before)/1e6, "MB")
+				runtime.KeepAlive(h)
+			}
+		})
+	}
+}
+
+// fleet plays the workers of a pool over takeovers.
+type fleet struct {
+	*harness
+	job     *jaybarrow.Job // as stored
+	record  []byte         // as stored; empty before the first write
+	running map[runID]workload.StartRun
+	ended   map[jaybarrow.WorkerID][]jaybarrow.EndReport // that no order has acknowledged
+	starts  map[jaybarrow.TaskRef]int
+	started map[jaybarrow.TaskRef]time.Time
+	runTime time.Duration
+	largest int // size of the largest record
+}
+
+type runID struct {
+	task jaybarrow.TaskRef
+	run  jaybarrow.RunNumber
+}
+
+func newFleet(t *testing.T, runTime time.Duration) *fleet {
+	return &fleet{
+		harness: newHarness(t), running: make(map[runID]workload.StartRun), ended: make(map[jaybarrow.WorkerID][]jaybarrow.EndReport), starts: make(map[jaybarrow.TaskRef]int),
+		started: make(map[jaybarrow.TaskRef]time.Time), runTime: runTime,
+	}
+}
+
+// takeOver replaces the pool by one that reads the stored job.
+func (f *fleet) takeOver(workers ...jaybarrow.WorkerID) {
+	f.Helper()
+	f.used, f.usedBy = jaybarrow.Resources{}, make(map[jaybarrow.TeamID]jaybarrow.Resources)
+	f.pool = f.newPool()
+	for _, id := range workers {
+		f.pool.SetWorker(jaybarrow.Worker{
+			ID: id, Pool: "desk", Address: "192.0.2.1:80", State: jaybarrow.WorkerReady, Capacity: jaybarrow.Resources{CPU: 10_000, Memory: 10_000},
+		}, f.now)
+	}
+	var stored *workload.Record
+	if len(f.record) > 0 {
+		r, err := workload.DecodeRecord(f.record)
+		assert.NilError(f, err)
+		stored = &r
+	}
+	f.pool.AddJob(f.job, stored, f.now)
+	for _, id := range workers {
+		f.reportFrom(id)
+	}
+}
+
+// reportFrom delivers the report of a worker whose tasks end after their run time.
+func (f *fleet) reportFrom(id jaybarrow.WorkerID) {
+	f.Helper()
+	var running []workload.StartRun
+	for key, s := range f.running {
+		switch {
+		case s.Worker.ID != id:
+		case f.now.Sub(f.started[s.Task]) >= f.runTime:
+			f.ended[id] = append(f.ended[id], f.endReport(s, jaybarrow.EndDone))
+			delete(f.running, key)
+		default:
+			running = append(running, s)
+		}
+	}
+	order := f.report(id, runReports(running, id, 50), f.ended[id]...)
+	f.ended[id] = slices.DeleteFunc(f.ended[id], func(e jaybarrow.EndReport) bool { return e.Number <= order.Acknowledged })
+}
+
+// turn plans once, stores what the plan says and starts its runs; each must be due and the first of its task.
+func (f *fleet) turn() {
+	f.Helper()
+	out := f.plan()
+	for _, r := range out.Records {
+		data, err := r.Record.Encode()
+		assert.NilError(f, err)
+		f.record, f.largest = data, max(f.largest, len(data))
+		if r.Accepted != nil {
+			f.job = r.Accepted
+		}
+	}
+	assert.Equal(f, len(out.Stops), 0)
+	for _, s := range out.Starts {
+		f.starts[s.Task]++
+		assert.Equal(f, f.starts[s.Task], 1, "%v is started twice", s.Task)
+		f.pool.HandleStartOutcome(s, jaybarrow.StartDone, f.now)
+		f.running[runID{s.Task, s.Run}], f.started[s.Task] = s, f.now
+	}
+}
+
+// Guards against runs of a schedule that begin early, twice or never when leaders change.
+func TestAScheduleGoesOnOverTakeovers(t *testing.T) {
+	f := newFleet(t, 300*time.Millisecond)
+	f.addWorker("w1")
+	f.addWorker("w2")
+	const runs, interval = 400, 100 * time.Millisecond
+	start := f.now.Add(time.Second)
+	f.job = f.schedule("j", start, interval, runs)
+	f.pool.AddJob(f.job, nil, f.now)
+	for n := 0; f.finished["j"] == ""; n++ {
+		assert.Assert(t, n < 5000, "%d of %d runs have begun", len(f.starts), runs)
+		f.turn()
+		f.reportFrom("w1")
+		f.reportFrom("w2")
+		if n%37 == 36 {
+			f.takeOver("w1", "w2")
+		}
+	}
+	assert.Equal(t, f.finished["j"], jaybarrow.JobCompleted)
+	assert.Equal(t, len(f.starts), runs)
+	for ref, at := range f.started {
+		due := start.Add(time.Duration(ref.Occurrence) * interval)
+		assert.Assert(t, !at.Before(due) && at.Sub(due) < time.Second, "%v began at %v, due at %v", ref, at, due)
+	}
+}
+
+// Guards against runs of a schedule that are all overdue and begin one after the other, although there is room for more.
+func TestOverdueRunsFillThePool(t *testing.T) {
+	f := newFleet(t, 300*time.Millisecond)
+	f.addWorker("w1")
+	f.addWorker("w2")
+	f.job = f.schedule("j", f.now.Add(-time.Hour), time.Millisecond, 200)
+	f.pool.AddJob(f.job, nil, f.now)
+	assert.Equal(t, f.pool.Load(f.now).Waiting.CPU, jaybarrow.Millicores(200_000), "all of them wait")
+	f.turn()
+	assert.Equal(t, len(f.running), 20)
+	for n := 0; f.finished["j"] == ""; n++ {
+		assert.Assert(t, n < 1000)
+		f.reportFrom("w1")
+		f.reportFrom("w2")
+		f.turn()
+	}
+	assert.Equal(t, len(f.starts), 200)
+}
+
+// Guards against a run of a schedule whose later steps are not begun, or begun too early, since others of its runs are under way.
+func TestRunsOfAScheduleKeepTheOrderOfTheirSteps(t *testing.T) {
+	f := newFleet(t, 300*time.Millisecond)
+	f.addWorker("w1")
+	f.addWorker("w2")
+	f.job = f.schedule("j", f.now, 200*time.Millisecond, 50)
+	f.job.Steps = []jaybarrow.Step{tasks(2, 1000), tasks(3, 500)}
+	f.job.Steps[1].After = []jaybarrow.StepIndex{0}
+	f.pool.AddJob(f.job, nil, f.now)
+	for n := 0; f.finished["j"] == ""; n++ {
+		assert.Assert(t, n < 5000)
+		f.turn()
+		f.reportFrom("w1")
+		f.reportFrom("w2")
+		if n%23 == 22 {
+			f.takeOver("w1", "w2")
+		}
+	}
+	assert.Equal(t, len(f.starts), 50*5)
+	for ref, at := range f.started {
+		if ref.Step == 1 {
+			for i := range jaybarrow.TaskIndex(2) {
+				first := jaybarrow.TaskRef{Job: "j", Occurrence: ref.Occurrence, Index: i}
+				assert.Assert(t, at.Sub(f.started[first]) >= f.runTime, "%v began at %v, %v at %v", ref, at, first, f.started[first])
+			}
+		}
+	}
+}
+
+// Guards against a successor that reads the progress of an earlier build, which lists every task, otherwise than it was meant.
+func TestTheProgressOfEveryTaskIsRead(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1")
+	j := h.schedule("j", h.now.Add(-time.Second), 0, 4)
+	j.Steps = []jaybarrow.Step{tasks(2, 1000)}
+	stored, err := workload.DecodeRecord([]byte(`{"state":"running","tasks":[{"done":true},{"done":true},{},{"done":true},{"run":3,"worker":"w1"},{"run":1},{},{}]}`))
+	assert.NilError(t, err)
+	h.pool.AddJob(j, &stored, h.now)
+	run := workload.StartRun{Worker: jaybarrow.Worker{ID: "w1"}, Task: jaybarrow.TaskRef{Job: "j", Occurrence: 2}, Run: 3}
+	h.report("w1", runReports([]workload.StartRun{run}, "w1", 10))
+	var got []string
+	for _, s := range h.planAndStart(jaybarrow.StartDone) {
+		got = append(got, fmt.Sprintf("%v run %d", s.Task, s.Run))
+	}
+	assert.DeepEqual(t, got, []string{"j/1/0/0 run 1", "j/2/0/1 run 2", "j/3/0/0 run 1", "j/3/0/1 run 1"})
+}
