Store the progress of a job by marks, once every host reads them

A record lists each task that is done.

Both forms are read. Builds before this one take such a record for a job that has not begun, so it is written only with join -progress-by-marks, which operators set when no such build is left; without the flag records keep the form that reads. A malformed record of either form is applied as far as it names tasks of the job.

TestAScheduleGoesOnOverTakeovers also plays terms that write the two forms in turns. The new tests need the new form; they could not fail before.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -55,11 +55,12 @@
 	file := flags.String("settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
 	port := flags.Uint("metrics", 0, "port of the metrics at path /metrics; 0: none")
 	level := flags.String("log", "info", "least level of log lines: debug, info, warn or error")
+	marks := flags.Bool("progress-by-marks", false, "leave out what is done when the progress of jobs is stored; every entry host must run a build with this flag")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
 	if *file == "" || flags.NArg() > 0 {
-		fmt.Fprintln(stderr, "usage: jaybarrow join [-settings FILE] [-log LEVEL] [-metrics PORT]")
+		fmt.Fprintln(stderr, "usage: jaybarrow join [-settings FILE] [-log LEVEL] [-metrics PORT] [-progress-by-marks]")
 		return exitUsage
 	}
 	s, faults := platform.ReadSettings(*file)
@@ -87,11 +88,11 @@
 		}
 		defer server.close()
 	}
-	return join(ctx, *file, s, log, metrics, onFault)
+	return join(ctx, *file, s, *marks, log, metrics, onFault)
 }
 
 // join runs an entry host on the platform until ctx ends; onFault handles the failure of one of its background parts.
-func join(ctx context.Context, file string, s platform.Settings, root zerolog.Logger, metrics *jobmetrics.Metrics, onFault rungroup.Handler) int {
+func join(ctx context.Context, file string, s platform.Settings, progressByMarks bool, root zerolog.Logger, metrics *jobmetrics.Metrics, onFault rungroup.Handler) int {
 	log := logging.For(root, "join")
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	debug.SetGCPercent(gcPercent)
@@ -110,6 +111,7 @@
 	settings.MaxConfigurationAge = time.Duration(configurationAgeFraction * float64(s.Bounds.ConfigurationDelay+s.Bounds.OutageDelay))
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.MaxWorkerLease)
 	settings.Scheduler.Workload.MaxValueBytes, settings.Command.MaxValueBytes = s.MaxValueBytes, s.MaxValueBytes
+	settings.Scheduler.Workload.ProgressByMarks = progressByMarks
 	settings.Scheduler.Workload.MaxLease = s.Bounds.MaxWorkerLease
 	settings.Leader.Capacity, settings.Leader.Link = s.Capacity, s.Link
 	carrier := budget.Host{Cores: s.Capacity, Link: s.Link}
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -224,7 +224,7 @@
 		maps.Copy(p.urgentWrites, p.delayedWrites)
 	}
 	for _, j := range slices.SortedFunc(maps.Keys(p.urgentWrites), byID) {
-		out.Records = append(out.Records, JobRecord{Job: j.spec.ID, Record: j.record(), Accepted: j.acceptedStub()})
+		out.Records = append(out.Records, JobRecord{Job: j.spec.ID, Record: j.record(p.settings.ProgressByMarks), Accepted: j.acceptedStub()})
 		delete(p.delayedWrites, j)
 	}
 	clear(p.urgentWrites)
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -11,8 +11,29 @@
 type Record struct {
 	State   jaybarrow.JobState `json:"state"`
 	EndedMs int64              `json:"endedMs,omitempty"` // wall clock; 0 while the job has not ended
-	// Tasks are the tasks by occurrence, step and index, up to the last one that has begun; empty once the job has ended.
-	Tasks []TaskRecord `json:"tasks,omitempty"`
+	// Tasks are the tasks by occurrence, step and index, up to the last one that has begun; empty with Progress and once the job has ended.
+	Tasks    []TaskRecord `json:"tasks,omitempty"`
+	Progress *Progress    `json:"progress,omitempty"` // nil when Tasks holds the progress
+}
+
+// Progress is the progress of a job by marks: of tasks that are done nothing is kept.
+type Progress struct {
+	Next jaybarrow.Occurrence `json:"next"`           // occurrences from this one on have not begun
+	Open []OccurrenceRecord   `json:"open,omitempty"` // the lower ones that are not done
+}
+
+// OccurrenceRecord is the stored progress of an occurrence that is not done. A record may hold thousands of them, so their names are short.
+type OccurrenceRecord struct {
+	Number jaybarrow.Occurrence  `json:"k"`
+	Next   []jaybarrow.TaskIndex `json:"n,omitempty"`     // by step: tasks from this one on have not begun; 0 for steps beyond the list
+	Tasks  []OpenTask            `json:"tasks,omitempty"` // the lower ones that are not done or may still run
+}
+
+// OpenTask is the stored progress of a task of an occurrence that is not done.
+type OpenTask struct {
+	Step  jaybarrow.StepIndex `json:"step,omitempty"`
+	Index jaybarrow.TaskIndex `json:"index,omitempty"`
+	TaskRecord
 }
 
 // TaskRecord is the stored progress of a task; of one that is done nothing else is kept.
@@ -45,13 +66,48 @@
 	return &stub
 }
 
-func (j *job) record() Record {
-	if j.state.Ended() {
+// record returns the stored progress, by marks or by tasks.
+func (j *job) record(byMarks bool) Record {
+	switch {
+	case j.state.Ended():
 		return Record{State: j.state, EndedMs: j.endedMs}
+	case byMarks:
+		return Record{State: j.state, Progress: j.progress()}
 	}
 	return Record{State: j.state, Tasks: j.taskRecords()}
 }
 
+// progress returns the progress by marks.
+func (j *job) progress() *Progress {
+	out := &Progress{Next: j.next}
+	for _, o := range j.open {
+		r := OccurrenceRecord{Number: o.number}
+		for i, s := range o.steps {
+			if s.next == 0 {
+				continue
+			}
+			for len(r.Next) < i {
+				r.Next = append(r.Next, 0)
+			}
+			r.Next = append(r.Next, s.next)
+			for _, t := range s.tasks {
+				r.Tasks = append(r.Tasks, OpenTask{Step: s.index, Index: t.ref.Index, TaskRecord: t.record()})
+			}
+		}
+		out.Open = append(out.Open, r)
+	}
+	out.dropIdle()
+	return out
+}
+
+// dropIdle drops the last occurrences that are open although they have not begun.
+func (p *Progress) dropIdle() {
+	for n := len(p.Open); n > 0 && p.Open[n-1].Next == nil && p.Open[n-1].Number == p.Next-1; n-- {
+		p.Open = p.Open[:n-1]
+		p.Next--
+	}
+}
+
 // taskRecords returns the progress of the tasks by occurrence, step and index, up to the last one that has begun.
 func (j *job) taskRecords() []TaskRecord {
 	var out []TaskRecord
@@ -110,8 +166,16 @@
 // restoreProgress applies the stored progress and returns the runs that may exist.
 func (j *job) restoreProgress(r Record) []storedRun {
 	j.storedState, j.state, j.endedMs = r.State, r.State, r.EndedMs
+	if r.Progress != nil {
+		return j.restoreMarks(*r.Progress)
+	}
+	return j.restoreTasks(r.Tasks)
+}
+
+// restoreTasks applies the progress by occurrence, step and index.
+func (j *job) restoreTasks(left []TaskRecord) []storedRun {
 	var runs []storedRun
-	left := r.Tasks[:begunLength(r.Tasks)]
+	left = left[:begunLength(left)]
 	for k := 0; k < j.spec.Occurrences() && len(left) > 0; k++ {
 		o := j.newOccurrence(jaybarrow.Occurrence(k))
 		for _, s := range o.steps {
@@ -122,27 +186,94 @@
 			s.dropIdle()
 			left = left[n:]
 		}
-		j.next = o.number + 1
-		if !o.closed() {
-			j.open = append(j.open, o)
+		j.addRestored(o)
+	}
+	j.updateCriticalPath()
+	return runs
+}
+
+// restoreMarks applies the progress by marks; what the job does not have is left out.
+func (j *job) restoreMarks(p Progress) []storedRun {
+	var runs []storedRun
+	end := min(p.Next, jaybarrow.Occurrence(j.spec.Occurrences()))
+	for _, r := range p.Open {
+		if r.Number < j.next || r.Number >= end {
+			continue
+		}
+		j.skipTo(r.Number)
+		o := j.newOccurrence(r.Number)
+		for i, s := range o.steps {
+			runs = s.restoreTo(r.mark(i), r.Tasks, runs)
 		}
+		j.addRestored(o)
 	}
+	j.skipTo(end)
 	j.updateCriticalPath()
 	return runs
 }
 
+// mark returns the first task of the step that has not begun.
+func (r OccurrenceRecord) mark(step int) jaybarrow.TaskIndex {
+	if step < len(r.Next) {
+		return r.Next[step]
+	}
+	return 0
+}
+
+// skipTo marks the occurrences below k as done.
+func (j *job) skipTo(k jaybarrow.Occurrence) {
+	if k > j.next {
+		j.tasksLeft -= int(k-j.next) * tasksPerOccurrence(j.spec)
+		j.next, j.started = k, true
+	}
+}
+
+// addRestored adds the next occurrence with its stored progress.
+func (j *job) addRestored(o *occurrence) {
+	j.next = o.number + 1
+	if !o.closed() {
+		j.open = append(j.open, o)
+	}
+}
+
+// restoreTo restores the step's tasks below the mark: those that are listed, and the others as done.
+func (s *step) restoreTo(mark jaybarrow.TaskIndex, listed []OpenTask, runs []storedRun) []storedRun {
+	mark = min(mark, jaybarrow.TaskIndex(s.spec.Tasks))
+	for _, one := range listed {
+		if one.Step == s.index && one.Index >= s.next && one.Index < mark {
+			s.skipTo(one.Index)
+			runs = s.restore(one.TaskRecord, runs)
+		}
+	}
+	s.skipTo(mark)
+	s.dropIdle()
+	return runs
+}
+
+// skipTo marks the tasks below the index that have not begun as done.
+func (s *step) skipTo(index jaybarrow.TaskIndex) {
+	if n := int(index - s.next); n > 0 {
+		s.next = index
+		s.tasksLeft -= n
+		s.unassigned -= n
+		s.job.tasksLeft -= n
+		s.job.started = true
+	}
+}
+
 // restore applies the stored progress of the step's next task and appends the run that may exist of it.
 func (s *step) restore(r TaskRecord, runs []storedRun) []storedRun {
+	if r.Done {
+		s.skipTo(s.next + 1)
+		return runs
+	}
 	t := s.newTask()
 	s.keep(t)
 	t.setRun(r.Run)
 	t.failures, t.checkpoint = r.Failures, r.Checkpoint
 	s.job.mostFailures = max(s.job.mostFailures, r.Failures)
-	s.job.started = s.job.started || r.Run > 0 || r.Done
-	switch {
-	case r.Done:
-		t.markDone()
-	case r.Worker != "":
+	s.job.started = s.job.started || r.Run > 0
+	if r.Worker != "" {
 		runs = append(runs, storedRun{t, r})
 	}
 	return runs
--- a/internal/workload/schedule_test.go
+++ b/internal/workload/schedule_test.go
@@ -236,9 +236,24 @@
 	}
 }
 
-// Guards against runs of a schedule that begin early, twice or never when leaders change.
+// Guards against runs of a schedule that begin early, twice or never when leaders change, each of which stores the progress in another form.
 func TestAScheduleGoesOnOverTakeovers(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		marks func(term int) bool
+	}{
+		{"by tasks", func(int) bool { return false }},
+		{"by marks", func(int) bool { return true }},
+		{"in turns", func(term int) bool { return term%2 == 1 }},
+	} {
+		t.Run(c.name, func(t *testing.T) { playSchedule(t, c.marks) })
+	}
+}
+
+func playSchedule(t *testing.T, marks func(term int) bool) {
 	f := newFleet(t, 300*time.Millisecond)
+	f.settings.ProgressByMarks = marks(0)
+	f.pool = f.newPool()
 	f.addWorker("w1")
 	f.addWorker("w2")
 	const runs, interval = 400, 100 * time.Millisecond
@@ -251,6 +266,7 @@
 		f.reportFrom("w1")
 		f.reportFrom("w2")
 		if n%37 == 36 {
+			f.settings.ProgressByMarks = marks(n / 37)
 			f.takeOver("w1", "w2")
 		}
 	}
@@ -262,6 +278,75 @@
 	}
 }
 
+// Guards against progress that takes the more bytes and time of each write and takeover the more of a schedule is done.
+func TestProgressByMarksLeavesOutWhatIsDone(t *testing.T) {
+	f := newFleet(t, 300*time.Millisecond)
+	f.settings.ProgressByMarks = true
+	f.pool = f.newPool()
+	f.addWorker("w1")
+	f.job = f.schedule("j", f.now, time.Millisecond, 2000)
+	f.pool.AddJob(f.job, nil, f.now)
+	early := 0
+	for n := 0; f.finished["j"] == ""; n++ {
+		assert.Assert(t, n < 10_000)
+		f.turn()
+		f.reportFrom("w1")
+		if len(f.starts) == 100 {
+			early = f.largest
+		}
+	}
+	assert.Equal(t, len(f.starts), 2000)
+	t.Logf("largest record: %d bytes after 100 runs, %d after all", early, f.largest)
+	assert.Assert(t, f.largest < early*5/4)
+}
+
+// Guards against a record that is too large to be stored, since thousands of runs of a schedule have begun and wait for a label.
+func TestProgressByMarksFitsBesideRunsThatCannotGoOn(t *testing.T) {
+	f := newFleet(t, time.Millisecond)
+	f.settings.ProgressByMarks, f.settings.MaxValueBytes = true, 48<<10
+	f.pool = f.newPool()
+	f.addWorker("w1")
+	runs := workload.MaxTasks(f.settings.MaxValueBytes) / 2
+	f.job = f.schedule("j", f.now, 0, runs)
+	f.job.Steps = []jaybarrow.Step{tasks(1, 1000), tasks(1, 1000)}
+	f.job.Steps[1].Requires = "none"
+	f.pool.AddJob(f.job, nil, f.now)
+	for n := 0; len(f.starts) < runs; n++ {
+		assert.Assert(t, n < 10_000)
+		f.turn()
+		f.reportFrom("w1")
+	}
+	t.Logf("largest record: %d bytes", f.largest)
+	assert.Assert(t, f.largest < f.settings.MaxValueBytes)
+	f.takeOver("w1")
+	f.turn()
+	assert.Equal(t, len(f.starts), runs)
+}
+
+// Guards against a malformed record that ends a leader, and its successors too.
+func TestMalformedProgressEndsNoLeader(t *testing.T) {
+	for _, stored := range []string{
+		`{"state":"running","progress":{"next":-1}}`,
+		`{"state":"running","progress":{"next":99999}}`,
+		`{"state":"running","progress":{"next":3,"open":[{"k":-5,"n":[1]},{"k":2,"n":[99,1,1,1]},{"k":1,"n":[1]},{"k":77}]}}`,
+		`{"state":"running","progress":{"next":3,"open":[{"k":1,"n":[-4,2],"tasks":[{"step":-1,"run":1,"worker":"w1"},{"step":9,"index":9,"run":2,"worker":"w2"},{"index":-1,"run":3}]}]}}`,
+		`{"state":"completed","progress":{"next":9,"open":[{"k":8,"n":[1],"tasks":[{"run":1,"worker":"w9"}]}]}}`,
+		`{"state":"running","tasks":[{},{},{},{},{},{},{},{},{},{},{},{},{},{"run":-1,"worker":"w1"},{"done":true,"run":7,"worker":"w1"}]}`,
+	} {
+		h := newHarness(t)
+		h.addWorker("w1")
+		record, err := workload.DecodeRecord([]byte(stored))
+		assert.NilError(t, err)
+		j := h.schedule("j", h.now, 0, 4)
+		j.Steps = append(j.Steps, tasks(2, 500))
+		h.pool.AddJob(j, &record, h.now)
+		h.planAndStart(jaybarrow.StartDone)
+		h.pool.Load(h.now)
+		h.pool.Cancel("j", h.now)
+		h.plan()
+	}
+}
+
 // Guards against runs of a schedule that are all overdue and begin one after the other, although there is room for more.
 func TestOverdueRunsFillThePool(t *testing.T) {
 	f := newFleet(t, 300*time.Millisecond)
@@ -310,6 +395,29 @@
 	}
 }
 
+// BenchmarkStoredProgress measures the record of a schedule with 19,200 runs, half of which are done.
+func BenchmarkStoredProgress(b *testing.B) {
+	for _, byMarks := range []bool{false, true} {
+		b.Run(fmt.Sprintf("byMarks=%v", byMarks), func(b *testing.B) {
+			f := newFleet(new(testing.T), 0)
+			f.settings.ProgressByMarks = byMarks
+			f.pool = f.newPool()
+			f.addWorker("w1")
+			f.job = f.schedule("j", f.now, 0, runsADay)
+			done := workload.Record{State: jaybarrow.JobRunning, Tasks: make([]workload.TaskRecord, runsADay/2)}
+			for n := range done.Tasks {
+				done.Tasks[n].Done = true
+			}
+			f.pool.AddJob(f.job, &done, f.now)
+			for b.Loop() {
+				f.turn()
+				f.reportFrom("w1")
+			}
+			b.ReportMetric(float64(f.largest), "bytes")
+		})
+	}
+}
+
 // Guards against a successor that reads the progress of an earlier build, which lists every task, otherwise than it was meant.
 func TestTheProgressOfEveryTaskIsRead(t *testing.T) {
 	h := newHarness(t)
--- a/internal/workload/settings.go
+++ b/internal/workload/settings.go
@@ -10,6 +10,8 @@
 	MaxLease time.Duration
 	// MaxValueBytes is the largest value that the store accepts, which bounds the record of a job.
 	MaxValueBytes int
+	// ProgressByMarks makes the stored progress of a job leave out what is done. Builds that cannot read this would begin everything again.
+	ProgressByMarks bool
 	// RenewInterval is how long a worker may hold back its report while tasks run; each hold order renews the lease.
 	RenewInterval time.Duration
 	// IdleInterval is how long a worker may hold back its report while nothing runs.
