Keep the runs of an ended job in its record until they have ended

The record of an ended job was written without its tasks, and its accepted record without its steps, before its runs had ended. Only the leader that wrote them went on counting the runs. Members of a gang that run on in a done step were left out too.

Both records now keep what the runs need until the last one has ended, and shrink in one more write then.

--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -16,6 +16,7 @@
 	policy       jaybarrow.QueuePolicy
 	state        jaybarrow.JobState
 	storedState  jaybarrow.JobState // last state written to the store
+	stubStored   bool               // whether the store holds nothing but the end of the job any more
 	endedMs      int64
 	open         []*occurrence        // ordered by number
 	next         jaybarrow.Occurrence // the lowest one that was never opened; lower ones that are not open are done
@@ -245,15 +246,19 @@
 
 // markDone marks the task as done.
 func (t *task) markDone() {
-	if t.done {
-		return
+	if !t.done {
+		t.setDone()
+		t.dropDone()
 	}
+}
+
+// setDone marks the task as done and keeps it for the sake of its run.
+func (t *task) setDone() {
 	t.step.job.begun -= t.begun(t.run)
 	t.done = true
 	t.step.tasksLeft--
 	t.step.unassigned--
 	t.step.job.tasksLeft--
-	t.dropDone()
 }
 
 // dropDone drops the task if it is done and its run has ended, and its occurrence with the last task.
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -35,7 +35,7 @@
 	Job    jaybarrow.JobID
 	Record Record
 	// Accepted replaces the accepted job of an ended one: without specification and steps, which nobody needs any more and which a new
-	// scheduler would have to read. Nil while the job has not ended.
+	// scheduler would have to read. Nil while the job has not ended or has runs that may exist.
 	Accepted *jaybarrow.Job
 }
 
@@ -140,16 +140,20 @@
 	p.expiry = append(p.expiry, id)
 }
 
-// stopEndedJobs stops the runs of ended jobs, and drops an ended job once its state is stored and no run is left.
+// stopEndedJobs stops the runs of ended jobs. An ended job is dropped once no run is left and the store holds its end only; until then its
+// record names its runs, so that a successor counts and stops them too.
 func (p *Pool) stopEndedJobs(now time.Time) {
 	for j := range p.ended {
-		if j.runs > 0 {
+		switch {
+		case j.runs > 0:
 			j.eachTask(func(t *task) {
 				if t.current != nil {
 					p.stopRun(t.current, now)
 				}
 			})
-		} else if j.storedState == j.state {
+		case j.storedState == j.state && !j.stubStored:
+			p.markChanged(j, now)
+		case j.storedState == j.state:
 			delete(p.jobs, j.spec.ID)
 			delete(p.ended, j)
 			delete(p.waiting, j)
@@ -271,7 +275,7 @@
 func (p *Pool) MarkWritten(round Round) {
 	for _, s := range round.Records {
 		if j := p.jobs[s.Job]; j != nil {
-			j.storedState = s.Record.State
+			j.storedState, j.stubStored = s.Record.State, s.Accepted != nil
 		}
 	}
 	for id, n := range round.processedEnds {
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -128,7 +128,7 @@
 	if _, known := p.endedJobs[spec.ID]; known || p.jobs[spec.ID] != nil {
 		return
 	}
-	if stored != nil && stored.State.Ended() {
+	if stored != nil && stored.State.Ended() && stored.Progress == nil {
 		p.addEndedJob(spec.ID, endedJob{state: stored.State, team: spec.Team, endedAt: time.UnixMilli(stored.EndedMs)})
 		return
 	}
@@ -142,11 +142,17 @@
 	}
 	j := newJob(spec, policy)
 	p.jobs[spec.ID] = j
-	p.arrivals.add(spec, earlier(j.accepted, now))
 	if stored != nil {
 		for _, r := range j.restoreProgress(*stored) {
 			p.restoreRun(r.task, r.record, now)
 		}
+	}
+	if j.state.Ended() {
+		p.ended[j] = true
+		return
+	}
+	p.arrivals.add(spec, earlier(j.accepted, now))
+	if stored != nil {
 		p.updateState(j, now)
 	}
 	p.await(j, now)
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -12,8 +12,10 @@
 	State   jaybarrow.JobState `json:"state"`
 	EndedMs int64              `json:"endedMs,omitempty"` // wall clock; 0 while the job has not ended
 	// Tasks are the tasks by occurrence, step and index, up to the last one that has begun; empty with Progress and once the job has ended.
-	Tasks    []TaskRecord `json:"tasks,omitempty"`
-	Progress *Progress    `json:"progress,omitempty"` // nil when Tasks holds the progress
+	Tasks []TaskRecord `json:"tasks,omitempty"`
+	// Progress is nil when Tasks holds the progress. Of a job that has ended it holds the tasks with runs that may exist, and is nil after
+	// the last of them.
+	Progress *Progress `json:"progress,omitempty"`
 }
 
 // Progress is the progress of a job by marks: of tasks that are done nothing is kept.
@@ -36,7 +38,7 @@
 	TaskRecord
 }
 
-// TaskRecord is the stored progress of a task; of one that is done nothing else is kept.
+// TaskRecord is the stored progress of a task; of one that is done only a run is kept that may still exist.
 type TaskRecord struct {
 	Done            bool                 `json:"done,omitempty"`
 	Run             jaybarrow.RunNumber  `json:"run,omitempty"`    // the last assigned run
@@ -56,9 +58,10 @@
 	return r, err
 }
 
-// acceptedStub returns what is kept of the accepted job once it has ended; nil before.
+// acceptedStub returns what is kept of the accepted job once it has ended and no run of it is left; nil before. A successor needs the steps to
+// know what the runs use.
 func (j *job) acceptedStub() *jaybarrow.Job {
-	if !j.state.Ended() {
+	if !j.state.Ended() || j.runs > 0 {
 		return nil
 	}
 	stub := *j.spec
@@ -69,8 +72,12 @@
 // record returns the stored progress, by marks or by tasks.
 func (j *job) record(byMarks bool) Record {
 	switch {
-	case j.state.Ended():
+	case j.state.Ended() && j.runs == 0:
 		return Record{State: j.state, EndedMs: j.endedMs}
+	case j.state.Ended():
+		progress := j.progress()
+		progress.keepRuns()
+		return Record{State: j.state, EndedMs: j.endedMs, Progress: progress}
 	case byMarks:
 		return Record{State: j.state, Progress: j.progress()}
 	}
@@ -108,6 +115,14 @@
 	}
 }
 
+// keepRuns drops all but the tasks with runs that may exist.
+func (p *Progress) keepRuns() {
+	for n := range p.Open {
+		p.Open[n].Tasks = slices.DeleteFunc(p.Open[n].Tasks, func(t OpenTask) bool { return t.Worker == "" })
+	}
+	p.Open = slices.DeleteFunc(p.Open, func(r OccurrenceRecord) bool { return len(r.Tasks) == 0 })
+}
+
 // taskRecords returns the progress of the tasks by occurrence, step and index, up to the last one that has begun.
 func (j *job) taskRecords() []TaskRecord {
 	var out []TaskRecord
@@ -147,10 +162,10 @@
 
 // record returns the progress of the task.
 func (t *task) record() TaskRecord {
+	r := TaskRecord{Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
 	if t.done {
-		return TaskRecord{Done: true}
+		r = TaskRecord{Done: true, Run: t.run}
 	}
-	r := TaskRecord{Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
 	if t.current != nil {
 		r.Worker, r.InstanceStartMs = t.current.worker.entry.ID, t.current.instanceStartMs
 	}
@@ -263,13 +278,16 @@
 
 // restore applies the stored progress of the step's next task and appends the run that may exist of it.
 func (s *step) restore(r TaskRecord, runs []storedRun) []storedRun {
-	if r.Done {
+	if r.Done && r.Worker == "" {
 		s.skipTo(s.next + 1)
 		return runs
 	}
 	t := s.newTask()
 	s.keep(t)
 	t.setRun(r.Run)
+	if r.Done {
+		t.setDone()
+	}
 	t.failures, t.checkpoint = r.Failures, r.Checkpoint
 	s.job.mostFailures = max(s.job.mostFailures, r.Failures)
 	s.job.started = s.job.started || r.Run > 0
--- a/internal/workload/schedule_test.go
+++ b/internal/workload/schedule_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"runtime"
-	"slices"
 	"testing"
 	"time"
 
@@ -150,92 +149,6 @@
 	}
 }
 
-// fleet plays the workers of a pool over takeovers.
-type fleet struct {
-	*harness
-	job     *jaybarrow.Job // as stored
-	record  []byte         // as stored; empty before the first write
-	running map[runID]workload.StartRun
-	ended   map[jaybarrow.WorkerID][]jaybarrow.EndReport // that no order has acknowledged
-	starts  map[jaybarrow.TaskRef]int
-	started map[jaybarrow.TaskRef]time.Time
-	runTime time.Duration
-	largest int // size of the largest record
-}
-
-type runID struct {
-	task jaybarrow.TaskRef
-	run  jaybarrow.RunNumber
-}
-
-func newFleet(t *testing.T, runTime time.Duration) *fleet {
-	return &fleet{
-		harness: newHarness(t), running: make(map[runID]workload.StartRun), ended: make(map[jaybarrow.WorkerID][]jaybarrow.EndReport), starts: make(map[jaybarrow.TaskRef]int),
-		started: make(map[jaybarrow.TaskRef]time.Time), runTime: runTime,
-	}
-}
-
-// takeOver replaces the pool by one that reads the stored job.
-func (f *fleet) takeOver(workers ...jaybarrow.WorkerID) {
-	f.Helper()
-	f.used, f.usedBy = jaybarrow.Resources{}, make(map[jaybarrow.TeamID]jaybarrow.Resources)
-	f.pool = f.newPool()
-	for _, id := range workers {
-		f.pool.SetWorker(jaybarrow.Worker{
-			ID: id, Pool: "desk", Address: "192.0.2.1:80", State: jaybarrow.WorkerReady, Capacity: jaybarrow.Resources{CPU: 10_000, Memory: 10_000},
-		}, f.now)
-	}
-	var stored *workload.Record
-	if len(f.record) > 0 {
-		r, err := workload.DecodeRecord(f.record)
-		assert.NilError(f, err)
-		stored = &r
-	}
-	f.pool.AddJob(f.job, stored, f.now)
-	for _, id := range workers {
-		f.reportFrom(id)
-	}
-}
-
-// reportFrom delivers the report of a worker whose tasks end after their run time.
-func (f *fleet) reportFrom(id jaybarrow.WorkerID) {
-	f.Helper()
-	var running []workload.StartRun
-	for key, s := range f.running {
-		switch {
-		case s.Worker.ID != id:
-		case f.now.Sub(f.started[s.Task]) >= f.runTime:
-			f.ended[id] = append(f.ended[id], f.endReport(s, jaybarrow.EndDone))
-			delete(f.running, key)
-		default:
-			running = append(running, s)
-		}
-	}
-	order := f.report(id, runReports(running, id, 50), f.ended[id]...)
-	f.ended[id] = slices.DeleteFunc(f.ended[id], func(e jaybarrow.EndReport) bool { return e.Number <= order.Acknowledged })
-}
-
-// turn plans once, stores what the plan says and starts its runs; each must be due and the first of its task.
-func (f *fleet) turn() {
-	f.Helper()
-	out := f.plan()
-	for _, r := range out.Records {
-		data, err := r.Record.Encode()
-		assert.NilError(f, err)
-		f.record, f.largest = data, max(f.largest, len(data))
-		if r.Accepted != nil {
-			f.job = r.Accepted
-		}
-	}
-	assert.Equal(f, len(out.Stops), 0)
-	for _, s := range out.Starts {
-		f.starts[s.Task]++
-		assert.Equal(f, f.starts[s.Task], 1, "%v is started twice", s.Task)
-		f.pool.HandleStartOutcome(s, jaybarrow.StartDone, f.now)
-		f.running[runID{s.Task, s.Run}], f.started[s.Task] = s, f.now
-	}
-}
-
 // Guards against runs of a schedule that begin early, twice or never when leaders change, each of which stores the progress in another form.
 func TestAScheduleGoesOnOverTakeovers(t *testing.T) {
 	for _, c := range []struct {
@@ -258,8 +171,8 @@
 	f.addWorker("w2")
 	const runs, interval = 400, 100 * time.Millisecond
 	start := f.now.Add(time.Second)
-	f.job = f.schedule("j", start, interval, runs)
-	f.pool.AddJob(f.job, nil, f.now)
+	j := f.schedule("j", start, interval, runs)
+	f.accept(j)
 	for n := 0; f.finished["j"] == ""; n++ {
 		assert.Assert(t, n < 5000, "%d of %d runs have begun", len(f.starts), runs)
 		f.turn()
@@ -272,6 +185,7 @@
 	}
 	assert.Equal(t, f.finished["j"], jaybarrow.JobCompleted)
 	assert.Equal(t, len(f.starts), runs)
+	assert.Equal(t, f.stops, 0)
 	for ref, at := range f.started {
 		due := start.Add(time.Duration(ref.Occurrence) * interval)
 		assert.Assert(t, !at.Before(due) && at.Sub(due) < time.Second, "%v began at %v, due at %v", ref, at, due)
@@ -284,8 +198,8 @@
 	f.settings.ProgressByMarks = true
 	f.pool = f.newPool()
 	f.addWorker("w1")
-	f.job = f.schedule("j", f.now, time.Millisecond, 2000)
-	f.pool.AddJob(f.job, nil, f.now)
+	j := f.schedule("j", f.now, time.Millisecond, 2000)
+	f.accept(j)
 	early := 0
 	for n := 0; f.finished["j"] == ""; n++ {
 		assert.Assert(t, n < 10_000)
@@ -307,10 +221,10 @@
 	f.pool = f.newPool()
 	f.addWorker("w1")
 	runs := workload.MaxTasks(f.settings.MaxValueBytes) / 2
-	f.job = f.schedule("j", f.now, 0, runs)
-	f.job.Steps = []jaybarrow.Step{tasks(1, 1000), tasks(1, 1000)}
-	f.job.Steps[1].Requires = "none"
-	f.pool.AddJob(f.job, nil, f.now)
+	j := f.schedule("j", f.now, 0, runs)
+	j.Steps = []jaybarrow.Step{tasks(1, 1000), tasks(1, 1000)}
+	j.Steps[1].Requires = "none"
+	f.accept(j)
 	for n := 0; len(f.starts) < runs; n++ {
 		assert.Assert(t, n < 10_000)
 		f.turn()
@@ -352,8 +266,8 @@
 	f := newFleet(t, 300*time.Millisecond)
 	f.addWorker("w1")
 	f.addWorker("w2")
-	f.job = f.schedule("j", f.now.Add(-time.Hour), time.Millisecond, 200)
-	f.pool.AddJob(f.job, nil, f.now)
+	j := f.schedule("j", f.now.Add(-time.Hour), time.Millisecond, 200)
+	f.accept(j)
 	assert.Equal(t, f.pool.Load(f.now).Waiting.CPU, jaybarrow.Millicores(200_000), "all of them wait")
 	f.turn()
 	assert.Equal(t, len(f.running), 20)
@@ -371,10 +285,10 @@
 	f := newFleet(t, 300*time.Millisecond)
 	f.addWorker("w1")
 	f.addWorker("w2")
-	f.job = f.schedule("j", f.now, 200*time.Millisecond, 50)
-	f.job.Steps = []jaybarrow.Step{tasks(2, 1000), tasks(3, 500)}
-	f.job.Steps[1].After = []jaybarrow.StepIndex{0}
-	f.pool.AddJob(f.job, nil, f.now)
+	j := f.schedule("j", f.now, 200*time.Millisecond, 50)
+	j.Steps = []jaybarrow.Step{tasks(2, 1000), tasks(3, 500)}
+	j.Steps[1].After = []jaybarrow.StepIndex{0}
+	f.accept(j)
 	for n := 0; f.finished["j"] == ""; n++ {
 		assert.Assert(t, n < 5000)
 		f.turn()
@@ -385,6 +299,7 @@
 		}
 	}
 	assert.Equal(t, len(f.starts), 50*5)
+	assert.Equal(t, f.stops, 0)
 	for ref, at := range f.started {
 		if ref.Step == 1 {
 			for i := range jaybarrow.TaskIndex(2) {
@@ -403,12 +318,12 @@
 			f.settings.ProgressByMarks = byMarks
 			f.pool = f.newPool()
 			f.addWorker("w1")
-			f.job = f.schedule("j", f.now, 0, runsADay)
+			j := f.schedule("j", f.now, 0, runsADay)
 			done := workload.Record{State: jaybarrow.JobRunning, Tasks: make([]workload.TaskRecord, runsADay/2)}
 			for n := range done.Tasks {
 				done.Tasks[n].Done = true
 			}
-			f.pool.AddJob(f.job, &done, f.now)
+			f.pool.AddJob(j, &done, f.now)
 			for b.Loop() {
 				f.turn()
 				f.reportFrom("w1")
