Count runs that were given up while their worker reports them

A worker that was silent until its lease had ended and then reported a run of before had that run stopped, but until it ended neither its team nor its worker was charged for it: more was started than the team's limit or the worker's room allows. The pool knew such runs by name only.

They are now runs like others, in the phase of stopping. While the task has no other run it is not started elsewhere before the end. An end that says done still counts as the task's. Runs of jobs that are not known are stopped as before.

TestARunThatWasGivenUpCountsWhileItsWorkerReportsIt fails without the change in its four cases (0 cores charged for 8, and 8 for 16).

--- a/internal/workload/ended_test.go
+++ b/internal/workload/ended_test.go
@@ -195,3 +195,61 @@
 		assert.Equal(t, len(f.starts), 6)
 	}
 }
+
+// Guards against a run that counts for nobody because it was given up: its worker was silent until its lease had ended, and runs it still.
+func TestARunThatWasGivenUpCountsWhileItsWorkerReportsIt(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		spare bool // whether another worker has room, so that the task is started again before the worker returns
+		end   jaybarrow.EndKind
+	}{
+		{"waiting for room", false, jaybarrow.EndStopped},
+		{"running elsewhere", true, jaybarrow.EndStopped},
+		{"completed while it is stopped", false, jaybarrow.EndDone},
+		{"completed while it runs elsewhere", true, jaybarrow.EndDone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, time.Hour)
+			f.addWorker("w1")
+			j := f.schedule("j", f.now, 0, 1)
+			j.Recurrence, j.Steps = nil, []jaybarrow.Step{tasks(1, 8000)}
+			f.accept(j)
+			f.turn()
+			if c.spare {
+				f.addWorker("w2")
+			}
+			f.missReport("w1")
+			for range 12 {
+				f.advance(f.settings.Lease / 10)
+				if c.spare {
+					f.report("w2", nil)
+				}
+				for _, s := range f.plan().Starts {
+					f.pool.HandleStartOutcome(s, jaybarrow.StartDone, f.now)
+					f.running[runID{s.Task, s.Run}] = s
+				}
+			}
+			again := len(f.running) - 1
+			assert.Equal(t, again == 1, c.spare)
+			f.reportFrom("w1")
+			assert.Equal(t, f.used.CPU, jaybarrow.Millicores(8000*(1+again)))
+			other := f.schedule("other", f.now, 0, 1)
+			other.Recurrence, other.Steps = nil, []jaybarrow.Step{tasks(1, 3000)}
+			f.accept(other)
+			stops := f.turn()
+			assert.Equal(t, len(stops), 1)
+			assert.Equal(t, f.starts[jaybarrow.TaskRef{Job: "other"}], 0, "no worker has room")
+			run := f.running[runID{stops[0].Task, stops[0].Run}]
+			delete(f.running, runID{stops[0].Task, stops[0].Run})
+			f.ended["w1"] = append(f.ended["w1"], f.endReport(run, c.end))
+			f.pool.HandleStopOutcome(stops[0], true, f.now)
+			f.reportFrom("w1")
+			f.turn()
+			assert.Equal(t, f.starts[jaybarrow.TaskRef{Job: "other"}], 1)
+			if c.end == jaybarrow.EndDone && !c.spare {
+				assert.Equal(t, f.finished["j"], jaybarrow.JobCompleted)
+				assert.Equal(t, f.used.CPU, jaybarrow.Millicores(3000))
+			}
+		})
+	}
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -70,6 +70,7 @@
 	current     *run
 	avoidWorker jaybarrow.WorkerID // where the last run failed or stalled
 	doneBefore  bool               // a run that was given up turned out to have completed the task
+	stray       bool               // stands for a run that is not the task's current one; its job and its step do not keep it
 }
 
 func newJob(spec *jaybarrow.Job, policy jaybarrow.QueuePolicy) *job {
@@ -158,6 +159,17 @@
 	return nil
 }
 
+// has reports whether the reference names a task of the job.
+func (j *job) has(ref jaybarrow.TaskRef) bool {
+	return ref.Occurrence >= 0 && int(ref.Occurrence) < j.spec.Occurrences() && ref.Step >= 0 && int(ref.Step) < len(j.spec.Steps) &&
+		ref.Index >= 0 && int(ref.Index) < j.spec.Steps[ref.Step].Tasks
+}
+
+// strayTask returns a task for a run that is not the task's current one. It is marked as done, so that it is never started.
+func (j *job) strayTask(ref jaybarrow.TaskRef) *task {
+	return &task{ref: ref, done: true, stray: true, step: j.newOccurrence(ref.Occurrence).steps[ref.Step]}
+}
+
 // longestPath returns the estimated run time of the longest chain of those steps that count; a step only comes after steps of lower index.
 func longestPath(steps []jaybarrow.Step, counts func(i int) bool) time.Duration {
 	ends := make([]time.Duration, len(steps))
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -239,7 +239,7 @@
 	t.keepCheckpoint(checkpoint)
 	p.observer.RunEnded(t.ref, r.number, w.entry.ID, kind, now.Sub(r.phaseSince))
 	p.updateFaults(r, kind, now)
-	if j.state.Ended() {
+	if j.state.Ended() || t.stray {
 		return
 	}
 	p.markChanged(j, now)
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -137,9 +137,11 @@
 		}
 		w.processedEnds = e.Number
 		p.unstoredEnds[w] = true
-		if r := w.runs[runKey{e.Task, e.Run}]; r != nil {
+		r := w.runs[runKey{e.Task, e.Run}]
+		if r != nil {
 			p.endRun(r, e.Kind, e.Checkpoint, now)
-		} else if e.Kind == jaybarrow.EndDone {
+		}
+		if e.Kind == jaybarrow.EndDone && (r == nil || r.task.stray) {
 			p.adoptDone(e, now)
 		}
 	}
@@ -169,11 +171,11 @@
 	}
 }
 
-// processRunning applies the report of a running task; an unknown run is to be stopped.
+// processRunning applies the report of a running task; a run that was given up is to be stopped.
 func (p *Pool) processRunning(w *worker, report jaybarrow.RunReport, now time.Time) {
 	r := w.runs[runKey{report.Task, report.Run}]
 	if r == nil {
-		p.unknownRuns = append(p.unknownRuns, StopRun{Worker: w.entry, Task: report.Task, Run: report.Run})
+		p.addStray(w, report, now)
 		return
 	}
 	r.instance, r.listed, r.listedIn = w.instance, true, w.reports
@@ -192,6 +194,25 @@
 	p.stopIfStalled(r, now)
 }
 
+// addStray adds a run that a worker reports although the pool knows it as ended or not at all. It is stopped, and until it has ended it counts for
+// its team and its worker, as far as the job is known.
+func (p *Pool) addStray(w *worker, report jaybarrow.RunReport, now time.Time) {
+	j := p.jobs[report.Task.Job]
+	if j == nil || !j.has(report.Task) {
+		p.unknownRuns = append(p.unknownRuns, StopRun{Worker: w.entry, Task: report.Task, Run: report.Run})
+		return
+	}
+	t := j.task(report.Task)
+	if t == nil || t.done || t.current != nil || t.run != report.Run {
+		t = j.strayTask(report.Task)
+	}
+	r := p.assign(t, w, report.Run, now)
+	r.listed, r.listedIn = true, w.reports
+	p.setPhase(r, runRunning, now)
+	p.teams.Use(j.spec.Team, r.charged)
+	p.stopRun(r, now)
+}
+
 // resolveMissing resolves the runs that the last report, a complete one, does not list.
 func (p *Pool) resolveMissing(w *worker, sent, now time.Time) {
 	for _, r := range w.runs {
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -143,7 +143,7 @@
 func (w *worker) countRuns(s *step) int {
 	n := 0
 	for _, r := range w.runs {
-		if r.task.step == s {
+		if t := r.task.ref; t.Job == s.job.spec.ID && t.Occurrence == s.occurrence.number && t.Step == s.index {
 			n++
 		}
 	}
