Refuse new jobs before the leader's memory is used up

Nothing bounds what callers may hand in altogether, so a leader could still exceed its memory and be killed, and its successors too.

A host with a quarter more memory asks such a leader to resign. A takeover drops each stored record once it is read, since both forms together took twice the memory.

--- a/admitting.go
+++ b/admitting.go
@@ -26,6 +26,7 @@
 	Pool         PoolID
 	Work         Work
 	CriticalPath time.Duration // estimated run time of the longest chain of steps
+	Unhurried    bool          // the job is scheduled or lasting, and is never too late
 }
 
 // Admission is the scheduler's answer to an AdmissionRequest.
@@ -33,4 +34,6 @@
 	Admitted   bool
 	Wait       time.Duration // expected until the job could begin
 	RetryAfter time.Duration // when to hand the job in again if it is not admitted
+	// ShortOfMemory means that no job is admitted, since the scheduler's host could not hold it.
+	ShortOfMemory bool
 }
--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	runtimemetrics "runtime/metrics"
 	"strconv"
 	"syscall"
 	"time"
@@ -113,8 +114,8 @@
 	settings.Scheduler.Workload.MaxValueBytes, settings.Command.MaxValueBytes = s.MaxValueBytes, s.MaxValueBytes
 	settings.Scheduler.Workload.ProgressByMarks = progressByMarks
 	settings.Scheduler.Workload.MaxLease = s.Bounds.MaxWorkerLease
-	settings.Leader.Capacity, settings.Leader.Link = s.Capacity, s.Link
-	carrier := budget.Host{Cores: s.Capacity, Link: s.Link}
+	settings.Leader.Capacity, settings.Leader.Link, settings.Leader.MemoryMb = s.Capacity, s.Link, s.MemoryBytes>>20
+	carrier := budget.Host{Cores: s.Capacity, Link: s.Link, Memory: budget.Bytes(s.MemoryBytes)}
 	settings.Scheduler.Host, settings.Fleet.Host = carrier, carrier
 	settings.Scheduler.StartTimeout += carrier.CallSlack()
 	settings.Scheduler.StopTimeout += carrier.CallSlack()
@@ -131,7 +132,7 @@
 	settings.Fleet.Plan.Lookahead = s.Bounds.HostMoveTime + settings.Fleet.Interval
 	host := jobhost.New(jobhost.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: root, Entry: s.EntryID, Peers: listeners[0], Settings: settings, Metrics: metrics,
-		OnFault: onFault,
+		OnFault: onFault, LiveMemory: liveMemory,
 		OnLead: func(leads bool) {
 			if leads {
 				debug.SetGCPercent(leaderGCPercent)
@@ -195,3 +196,13 @@
 	}
 	return out, nil
 }
+
+// liveMemory returns the size of the data that the last garbage collection found in use.
+func liveMemory() budget.Bytes {
+	sample := []runtimemetrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	runtimemetrics.Read(sample)
+	if sample[0].Value.Kind() != runtimemetrics.KindUint64 {
+		return 0
+	}
+	return budget.Bytes(sample[0].Value.Uint64())
+}
--- a/internal/budget/host.go
+++ b/internal/budget/host.go
@@ -8,11 +8,12 @@
 
 // Host is what the platform gives an entry host; a figure of 0 is unknown and sets no limit.
 type Host struct {
-	Cores float64
-	Link  jaybarrow.MegabitsPerSecond
+	Cores  float64
+	Link   jaybarrow.MegabitsPerSecond
+	Memory Bytes // above which the platform kills a process
 }
 
-// Bytes counts bytes on the wire.
+// Bytes counts bytes on the wire or in memory.
 type Bytes int64
 
 const bitsPerByte = 8
--- a/internal/command/job/admit.go
+++ b/internal/command/job/admit.go
@@ -8,18 +8,16 @@
 )
 
 // admit returns KindDeadlineUnattainable, with the time to return, for a job that the scheduler expects to complete too late to be of
-// use. A job that is stored already is admitted, since its caller only repeats a request whose answer was lost. So is every job while no
-// scheduler answers.
+// use, and KindQueueFull for any job while the scheduler is short of memory. A job that is stored already is admitted, since its caller only
+// repeats a request whose answer was lost. So is every job while no scheduler answers.
 func (h *AcceptHandler) admit(ctx context.Context, in Accept) error {
-	if in.Recurrence != nil || isLasting(in.Steps) {
-		return nil
-	}
+	unhurried := in.Recurrence != nil || isLasting(in.Steps)
 	askCtx, cancel := context.WithTimeout(ctx, h.deps.Settings.AdmissionTimeout)
 	a, err := h.deps.Directory.Admit(askCtx, jaybarrow.AdmissionRequest{
-		Queue: in.Queue.ID, Pool: in.Queue.Pool, Work: workOf(in.Steps), CriticalPath: criticalPath(in.Steps),
+		Queue: in.Queue.ID, Pool: in.Queue.Pool, Work: workOf(in.Steps), CriticalPath: criticalPath(in.Steps), Unhurried: unhurried,
 	})
 	cancel()
-	if err != nil || a.Admitted {
+	if err != nil || a.Admitted || unhurried && !a.ShortOfMemory {
 		return nil
 	}
 	readCtx, cancel := context.WithTimeout(ctx, h.deps.Settings.ReadTimeout)
@@ -29,6 +27,9 @@
 		// The job is stored, or the store cannot tell; the write finds out.
 		return nil
 	}
+	if a.ShortOfMemory {
+		return jaybarrow.Errorf(jaybarrow.KindQueueFull, "the scheduler has no memory for more jobs").WithRetryAfter(a.RetryAfter)
+	}
 	return jaybarrow.Errorf(jaybarrow.KindDeadlineUnattainable, "the queue's work takes %d ms before this job could begin", a.Wait.Milliseconds()).
 		WithRetryAfter(a.RetryAfter)
 }
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
 	command "github.com/jaybarrow/jaybarrow/internal/command/job"
 	"github.com/jaybarrow/jaybarrow/internal/fleetkeeper"
@@ -70,9 +71,11 @@
 	Peers    net.Listener
 	Platform Platform
 	Metrics  *jobmetrics.Metrics
-	Settings Settings
-	OnFault  rungroup.Handler // called when a background part fails; nil crashes the process
-	OnLead   func(leads bool) // called when this entry host begins and ceases to lead; nil calls nothing
+	// LiveMemory returns the size of the live data of this process; nil when it is not known.
+	LiveMemory func() budget.Bytes
+	Settings   Settings
+	OnFault    rungroup.Handler // called when a background part fails; nil crashes the process
+	OnLead     func(leads bool) // called when this entry host begins and ceases to lead; nil calls nothing
 }
 
 // Host is a running entry host.
@@ -124,6 +127,15 @@
 		}
 		return 0
 	})
+	if d.LiveMemory != nil {
+		d.Metrics.Gauge("memory.liveBytes", func() int64 { return int64(d.LiveMemory()) })
+	}
+	d.Metrics.Gauge("memory.short", func() int64 {
+		if s := h.activeScheduler.Load(); s != nil && s.ShortOfMemory() {
+			return 1
+		}
+		return 0
+	})
 	d.Metrics.Gauge("orders.ratePercent", func() int64 {
 		if s := h.activeScheduler.Load(); s != nil {
 			return int64(s.OrderRatePercent())
@@ -197,7 +209,8 @@
 	startedAt := h.deps.Clock.Now()
 	s := scheduler.New(scheduler.Deps{
 		Clock: h.deps.Clock, Log: log, Store: h.deps.Platform.Store, Register: h.deps.Platform.Register,
-		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: observer{log, h.deps.Metrics}, Term: term, Settings: h.deps.Settings.Scheduler,
+		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: observer{log, h.deps.Metrics}, Term: term, LiveMemory: h.deps.LiveMemory,
+		Settings: h.deps.Settings.Scheduler,
 	})
 	h.activeScheduler.Store(s)
 	select {
--- a/internal/jobhost/leaderqueries.go
+++ b/internal/jobhost/leaderqueries.go
@@ -7,6 +7,7 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
+	"github.com/jaybarrow/jaybarrow/internal/scheduler"
 )
 
 // jobDirectory answers from the scheduler of this entry host while it leads, and asks the leader otherwise.
@@ -40,7 +41,10 @@
 	if s := d.host.activeScheduler.Load(); s != nil {
 		return s.Admit(r)
 	}
-	if !d.host.leader.Congested(r.Pool) {
+	if d.host.leader.ShortOfMemory() {
+		return scheduler.RefuseForMemory(), nil
+	}
+	if r.Unhurried || !d.host.leader.Congested(r.Pool) {
 		return jaybarrow.Admission{Admitted: true}, nil
 	}
 	leaderAddress, err := d.host.leaderAddress()
--- a/internal/leader/challenge.go
+++ b/internal/leader/challenge.go
@@ -20,6 +20,28 @@
 type challengeRecord struct {
 	Entry           jaybarrow.EntryID `json:"entry"`
 	CampaignDelayMs int64             `json:"campaignDelayMs"`
+	MemoryMb        int64             `json:"memoryMb,omitempty"` // of the host; 0 when it is unknown
+}
+
+// minMemoryFactor is how many times the memory of a leader that is short of it a host has which should lead instead.
+const minMemoryFactor = 1.25
+
+// relieves reports whether a host with the memory should lead in place of the holder, which is short of it.
+func (h Holder) relieves(memoryMb int64) bool {
+	return h.MemoryMb > 0 && float64(memoryMb) >= minMemoryFactor*float64(h.MemoryMb)
+}
+
+// isTooSmall reports whether a leader that was short of memory lately had about as much as this entry host.
+func (l *Leader) isTooSmall() bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.tooSmall.MemoryMb > 0 && l.deps.Clock.Now().Sub(l.tooSmallAt) < l.deps.Settings.MemoryLookback &&
+		!l.tooSmall.relieves(l.deps.Self.MemoryMb)
+}
+
+// shouldLead reports whether this entry host should lead in place of the holder.
+func (l *Leader) shouldLead(holder Holder) bool {
+	return holder.yieldsTo(l.deps.Self.CampaignDelayMs) || l.ShortOfMemory() && holder.relieves(l.deps.Self.MemoryMb)
 }
 
 // yieldsTo reports whether a holder should resign to an entry host with the campaign delay in milliseconds.
@@ -28,11 +50,12 @@
 		h.CampaignDelayMs-campaignDelayMs >= minDelayDifference.Milliseconds()
 }
 
-// awaitVacancy waits until the holder changes or ctx ends, and meanwhile challenges a holder that should yield to this entry host.
+// awaitVacancy waits until the holder or its shortage of memory changes or ctx ends, and meanwhile challenges a holder that should yield to
+// this entry host.
 func (l *Leader) awaitVacancy(ctx context.Context, changed <-chan struct{}) {
 	for {
 		var due <-chan time.Time
-		if holder, held := l.Holder(); held && holder.yieldsTo(l.deps.Self.CampaignDelayMs) {
+		if holder, held := l.Holder(); held && l.shouldLead(holder) {
 			delay := l.deps.Settings.ChallengeDelay + rand.N(l.deps.Settings.ChallengeDelay+1)
 			due = l.deps.Clock.After(max(delay, l.nextChallenge.Sub(l.deps.Clock.Now())))
 		}
@@ -58,7 +81,7 @@
 // challenge asks the leader to resign. A challenge that is lost or that another entry host has made already is of no consequence.
 func (l *Leader) challenge(ctx context.Context) {
 	d := l.deps
-	value, err := json.Marshal(challengeRecord{Entry: d.Self.Entry, CampaignDelayMs: d.Self.CampaignDelayMs})
+	value, err := json.Marshal(challengeRecord{Entry: d.Self.Entry, CampaignDelayMs: d.Self.CampaignDelayMs, MemoryMb: d.Self.MemoryMb})
 	if err != nil {
 		d.Log.Error().Err(err).Msg("cannot encode a challenge; the leader stays")
 		return
@@ -80,15 +103,18 @@
 	d.Log.Info().Int64("campaignDelayMs", d.Self.CampaignDelayMs).Msg("asks the leader to resign")
 }
 
-// answerChallenge ends the running term if the challenger takes over much faster. The lock is held.
+// answerChallenge ends the running term if the challenger takes over much faster, or has the memory that this entry host lacks. The lock is held.
 func (l *Leader) answerChallenge(value []byte) {
 	var c challengeRecord
 	if err := json.Unmarshal(value, &c); err != nil {
 		l.deps.Log.Error().Err(err).Msg("cannot decode a challenge; the lead is kept")
 		return
 	}
-	if l.deps.Self.yieldsTo(c.CampaignDelayMs) {
+	switch {
+	case l.deps.Self.yieldsTo(c.CampaignDelayMs):
 		l.resign("entry host " + string(c.Entry) + " has a faster link or more cores")
+	case l.shortOfMemory && l.deps.Self.relieves(c.MemoryMb):
+		l.resign("entry host " + string(c.Entry) + " has more memory")
 	}
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -25,6 +25,7 @@
 	// CampaignDelayMs is the delay before a campaign that follows from the host's cores and link; a host with a shorter one takes over
 	// faster.
 	CampaignDelayMs int64 `json:"campaignDelayMs,omitempty"`
+	MemoryMb        int64 `json:"memoryMb,omitempty"` // of the host; 0 when it is unknown
 }
 
 // Replaces reports whether h has the entry id and address of other. Two processes cannot listen at one address, so the process of
@@ -59,8 +60,12 @@
 	known     bool                      // whether the record has been read
 	held      bool                      // whether an entry host leads
 	congested map[jaybarrow.PoolID]bool // pools that may refuse jobs
-	current   Holder
-	resign    func(reason string) // ends the running term; nil without one
+	// shortOfMemory is whether the present leader says that it is; tooSmall is the last one that did, and tooSmallAt when it did.
+	shortOfMemory bool
+	tooSmall      Holder
+	tooSmallAt    time.Time
+	current       Holder
+	resign        func(reason string) // ends the running term; nil without one
 
 	// These are used by the campaign only.
 	nextChallenge  time.Time     // before it no leader is challenged
@@ -70,7 +75,7 @@
 // New returns a Leader that campaigns until it is closed.
 func New(d Deps) *Leader {
 	ctx, cancel := context.WithCancel(context.Background())
-	d.Self.CampaignDelayMs = d.Settings.campaignDelay(0).Milliseconds()
+	d.Self.CampaignDelayMs, d.Self.MemoryMb = d.Settings.campaignDelay(0).Milliseconds(), d.Settings.MemoryMb
 	l := &Leader{
 		deps: d, cancel: cancel, changed: notify.New(), started: d.Clock.Now(), challengePause: d.Settings.ChallengeInterval,
 	}
@@ -109,9 +114,9 @@
 // applyRecords applies a list or changes of the leader's record and signals a change of the holder.
 func (l *Leader) applyRecords(records []jaybarrow.Record, isList bool, _ time.Time) {
 	l.lock.Lock()
-	before, held := l.current, l.held
+	before, held, short := l.current, l.held, l.shortOfMemory
 	if isList {
-		l.held, l.congested = false, nil
+		l.held, l.congested, l.shortOfMemory = false, nil, false
 	}
 	for _, r := range records {
 		if r.Key == jaybarrow.JobChallengeKey && !r.Deleted && l.resign != nil {
@@ -138,7 +143,11 @@
 	differs := !l.known || held != l.held || before != l.current
 	l.known = true
 	holder, held := l.current, l.held
+	shortChanged := short != l.shortOfMemory
 	l.lock.Unlock()
+	if shortChanged {
+		l.changed.Signal() // a leader that is short of memory may be challenged
+	}
 	if differs {
 		l.deps.Log.Info().Bool("held", held).Str("holder", string(holder.Entry)).Msg("leader changed")
 		l.changed.Signal()
@@ -201,9 +210,13 @@
 }
 
 // campaignDelay returns the delay before a campaign; it is shorter for an entry host with more cores or a faster link, and for a process
-// that started later.
+// that started later; it is longer for one that has too little memory for what was accepted.
 func (l *Leader) campaignDelay() time.Duration {
-	return l.deps.Settings.campaignDelay(l.deps.Clock.Now().Sub(l.started))
+	delay := l.deps.Settings.campaignDelay(l.deps.Clock.Now().Sub(l.started))
+	if l.isTooSmall() {
+		delay += l.deps.Settings.MemoryDelay
+	}
+	return delay
 }
 
 func (l *Leader) sleep(ctx context.Context, d time.Duration) {
--- a/internal/leader/settings.go
+++ b/internal/leader/settings.go
@@ -24,7 +24,11 @@
 	// UptimeDelay is the delay before a campaign of a process that has run for LongUptime; a younger one waits proportionally less.
 	// A rolling restart restarts each process once, so the process that started last can lead the longest.
 	UptimeDelay, LongUptime time.Duration
-	ResignPause             time.Duration // before the next campaign after a resignation
+	// MemoryDelay is added to the delay of an entry host with little more memory than a leader that was short of it lately, within
+	// MemoryLookback.
+	MemoryDelay, MemoryLookback time.Duration
+	MemoryMb                    int64         // of this entry host; 0 when it is unknown
+	ResignPause                 time.Duration // before the next campaign after a resignation
 	// ChallengeDelay is how long an entry host waits before it challenges a leader, and ChallengeInterval the time between two challenges,
 	// which doubles up to MaxChallengeInterval with each term that the entry host resigned itself.
 	ChallengeDelay, ChallengeInterval, MaxChallengeInterval time.Duration
@@ -47,6 +51,8 @@
 		LinkDelay: 4 * time.Second,
 		// More than the capacity delays of two usual hosts differ by; a rolling restart of a dozen hosts takes half a minute.
 		UptimeDelay: 60 * time.Millisecond, LongUptime: 30 * time.Second,
+		// More than the delays of usual hosts differ by.
+		MemoryDelay: 300 * time.Millisecond, MemoryLookback: time.Minute,
 		ResignPause:    3 * time.Second,
 		ChallengeDelay: 200 * time.Millisecond, ChallengeInterval: 10 * time.Second, MaxChallengeInterval: 10 * time.Minute,
 		Follow: follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, RetryDelay: 100 * time.Millisecond},
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -29,7 +29,10 @@
 // Admit decides whether a job should be handed in now. Before the stored jobs are loaded every job is admitted.
 func (s *Scheduler) Admit(r jaybarrow.AdmissionRequest) (jaybarrow.Admission, error) {
 	admitted := jaybarrow.Admission{Admitted: true}
-	if !s.JobsAreLoaded() {
+	if s.ShortOfMemory() {
+		return RefuseForMemory(), nil
+	}
+	if r.Unhurried || !s.JobsAreLoaded() {
 		return admitted, nil
 	}
 	p, known := s.pools.Get(r.Pool)
@@ -109,18 +112,19 @@
 	congestionWait = 500 * time.Millisecond
 )
 
-// announceCongestion keeps the record of congested pools up to date until ctx ends. Without it entry hosts admit every job, so that a
+// announceCongestion keeps the record of what is congested up to date until ctx ends. Without it entry hosts admit every job, so that a
 // failed write is only repeated with the next look.
 func (s *Scheduler) announceCongestion(ctx context.Context) {
-	var announced []jaybarrow.PoolID
+	var announced leader.Congestion
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.deps.Clock.After(congestionInterval):
 		}
-		congested := s.congestedPools(s.deps.Clock.Now())
-		if slices.Equal(congested, announced) || !s.deps.Term.Valid() {
+		s.sampleMemory()
+		congested := leader.Congestion{Pools: s.congestedPools(s.deps.Clock.Now()), ShortOfMemory: s.ShortOfMemory()}
+		if congested.Equal(announced) || !s.deps.Term.Valid() {
 			continue
 		}
 		if err := s.writeCongestion(ctx, congested); err != nil {
@@ -129,7 +133,7 @@
 			}
 			continue
 		}
-		s.deps.Log.Info().Int("pools", len(congested)).Msg("congested pools announced")
+		s.deps.Log.Info().Int("pools", len(congested.Pools)).Bool("shortOfMemory", congested.ShortOfMemory).Msg("congested pools announced")
 		announced = congested
 	}
 }
@@ -148,13 +152,13 @@
 	return out
 }
 
-// writeCongestion replaces the record of congested pools under the leader's lease.
-func (s *Scheduler) writeCongestion(ctx context.Context, pools []jaybarrow.PoolID) error {
+// writeCongestion replaces the record of what is congested under the leader's lease.
+func (s *Scheduler) writeCongestion(ctx context.Context, c leader.Congestion) error {
 	changes := jaybarrow.Commit{Expect: []jaybarrow.Expectation{{Key: jaybarrow.JobLeaderKey, Revision: s.deps.Term.Revision}}}
-	if len(pools) == 0 {
+	if c.Equal(leader.Congestion{}) {
 		changes.Removes = []jaybarrow.Key{jaybarrow.JobCongestionKey}
 	} else {
-		value, err := json.Marshal(leader.Congestion{Pools: pools})
+		value, err := json.Marshal(c)
 		if err != nil {
 			return err
 		}
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -37,11 +37,12 @@
 			if reading.Wait(); !complete {
 				return
 			}
+			bytes, progressBytes := totalSize(records), totalSize(progress)
 			s.applyInputs(records, progress, s.deps.Clock.Now())
 			s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) { p.startPlanning() })
 			close(s.loaded)
-			s.deps.Log.Info().Int("records", len(records)).Int("bytes", totalSize(records)).Int("progressRecords", len(progress)).
-				Int("progressBytes", totalSize(progress)).Int64("tookMs", s.deps.Clock.Now().Sub(startedAt).Milliseconds()).
+			s.deps.Log.Info().Int("records", len(records)).Int("bytes", bytes).Int("progressRecords", len(progress)).
+				Int("progressBytes", progressBytes).Int64("tookMs", s.deps.Clock.Now().Sub(startedAt).Milliseconds()).
 				Msg("took over the stored jobs")
 			progress = nil
 		},
@@ -97,18 +98,23 @@
 	return n
 }
 
-// applyInputs adds the accepted jobs with their stored progress and then applies the cancellations, and wakes the pools concerned.
+// applyInputs adds the accepted jobs with their stored progress and then applies the cancellations, and wakes the pools concerned. It drops
+// the values of the records.
 func (s *Scheduler) applyInputs(records, progress []jaybarrow.Record, now time.Time) {
 	stored := make(map[jaybarrow.JobID]jaybarrow.Record, len(progress))
-	for _, r := range progress {
+	for n, r := range progress {
 		if id, ok := jaybarrow.ParseJobStateKey(r.Key); ok && !r.Deleted {
 			stored[id] = r
 		}
+		progress[n].Value = nil
 	}
 	changedPools := make(map[*poolShard]bool)
-	for _, r := range records {
+	for n, r := range records {
 		if id, ok := jaybarrow.ParseJobAcceptedKey(r.Key); ok && !r.Deleted {
 			s.addJob(id, r, stored[id], now, changedPools)
+			// The stored form of all jobs beside the decoded one could exceed the memory of a small host.
+			records[n].Value = nil
+			delete(stored, id)
 		}
 	}
 	for _, r := range records {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -29,7 +29,9 @@
 	Catalog  *catalog.Catalog
 	Observer workload.Observer
 	Term     leader.Term
-	Settings Settings
+	// LiveMemory returns the size of the live data of this process; nil when it is not known.
+	LiveMemory func() budget.Bytes
+	Settings   Settings
 }
 
 // Scheduler schedules the jobs of all pools during one term of the leader.
@@ -49,6 +51,8 @@
 	waitingTasks atomic.Int64      // of all pools, as last read by each
 	startsSent   atomic.Int64      // start orders of all pools
 	throughput   budget.Throughput // what the processor carries of them
+	memory       *budget.Memory    // used by announceCongestion only
+	memoryShort  atomic.Bool       // whether new jobs are refused for want of memory
 	startSlots   chan struct{}     // has a value for each start order that waits for an answer
 	pageRead     chan struct{}     // has a value when a page of the register or of the stored jobs was read
 }
@@ -64,7 +68,7 @@
 		pools: shard.New[jaybarrow.PoolID, *poolShard](), jobPools: shard.New[jaybarrow.JobID, jaybarrow.PoolID](),
 		workerPools: shard.New[jaybarrow.WorkerID, jaybarrow.PoolID](), loaded: make(chan struct{}),
 		pageRead: make(chan struct{}, 1), startSlots: make(chan struct{}, d.Settings.MaxConcurrentStarts),
-		orders: budget.NewOrders(d.Settings.Host, d.Clock.Now()),
+		orders: budget.NewOrders(d.Settings.Host, d.Clock.Now()), memory: budget.NewMemory(d.Settings.Host),
 	}
 	s.orderGroup = rungroup.New(rungroup.EndTerm(d.Log, d.Term.Resign))
 	s.senders = rungroup.NewGoroutinePool(ctx, s.orderGroup, maxSenders)
