Open no further occurrence that finds no room

Another occurrence is opened only if a worker may have room for one of its first steps. What a step knows of its adviser is made when the adviser is asked, and the steps of an occurrence are allocated in one piece.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -42,7 +42,13 @@
 			continue
 		}
 		j.eachStep(func(s *step) bool {
-			if s.unassigned == 0 || !s.ready() || !s.advice.requestedAt.IsZero() && now.Sub(s.advice.requestedAt) < adviceRetry {
+			if s.unassigned == 0 || !s.ready() {
+				return true
+			}
+			if s.advice == nil {
+				s.advice = new(stepAdvice)
+			}
+			if !s.advice.requestedAt.IsZero() && now.Sub(s.advice.requestedAt) < adviceRetry {
 				return true
 			}
 			if q, ok := p.newAdviceRequest(s, now); ok {
@@ -102,6 +108,9 @@
 
 // refuses reports whether the adviser has refused the present instance of the worker.
 func (a *stepAdvice) refuses(w *worker) bool {
+	if a == nil {
+		return false
+	}
 	refused, ok := a.refused[w.entry.ID]
 	return ok && refused == w.instance
 }
@@ -122,11 +131,11 @@
 		return
 	}
 	s := j.step(q.Step.Occurrence, q.Step.Step)
-	if s == nil {
+	if s == nil || s.advice == nil {
 		return // its occurrence is done
 	}
 	p.placementsDue = true
-	a := &s.advice
+	a := s.advice
 	if a.tickets == nil {
 		a.tickets, a.refused = make(map[jaybarrow.WorkerID]ticket), make(map[jaybarrow.WorkerID]instanceNumber)
 	}
@@ -146,6 +155,9 @@
 	if s.job.policy.Advice == nil {
 		return "", true
 	}
+	if s.advice == nil {
+		return "", false
+	}
 	t, ok := s.advice.tickets[w.entry.ID]
 	return t.value, ok && t.instance == w.instance && now.Add(adviceMargin).Before(t.expires)
 }
--- a/internal/workload/arrivals.go
+++ b/internal/workload/arrivals.go
@@ -27,11 +27,7 @@
 	}
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
-		demand := s.Demand
-		if s.Background {
-			demand.CPU = 0
-		}
-		out = out.Plus(demand.Work(s.Estimate()).Times(float64(s.Tasks)))
+		out = out.Plus(demandOf(s).Work(s.Estimate()).Times(float64(s.Tasks)))
 	}
 	return out
 }
--- a/internal/workload/due.go
+++ b/internal/workload/due.go
@@ -32,7 +32,7 @@
 	return left
 }
 
-// openDue opens occurrences that are due, as long as those that are open have begun or have few steps.
+// openDue opens occurrences that are due, as long as those that are open have begun or have few steps in all.
 func (p *Pool) openDue(j *job, now time.Time) {
 	due := j.dueUnopened(now)
 	if due == 0 {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -51,7 +51,7 @@
 	next       jaybarrow.TaskIndex // tasks from this one on have not begun
 	tasksLeft  int                 // tasks that are not done
 	unassigned int                 // tasks that are neither done nor assigned
-	advice     stepAdvice
+	advice     *stepAdvice         // nil before the adviser is asked
 }
 
 type ticket struct {
@@ -201,9 +201,11 @@
 // newOccurrence returns an occurrence whose tasks have not begun.
 func (j *job) newOccurrence(k jaybarrow.Occurrence) *occurrence {
 	o := &occurrence{number: k, steps: make([]*step, len(j.spec.Steps))}
-	for i := range o.steps {
+	steps := make([]step, len(o.steps)) // in one piece, since a job may have many
+	for i := range steps {
 		spec := &j.spec.Steps[i]
-		o.steps[i] = &step{job: j, occurrence: o, spec: spec, index: jaybarrow.StepIndex(i), tasksLeft: spec.Tasks, unassigned: spec.Tasks}
+		steps[i] = step{job: j, occurrence: o, spec: spec, index: jaybarrow.StepIndex(i), tasksLeft: spec.Tasks, unassigned: spec.Tasks}
+		o.steps[i] = &steps[i]
 	}
 	return o
 }
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -43,7 +43,9 @@
 
 // placeJob assigns tasks of the job, of one occurrence after the other; it returns false once too many runs wait for their start orders.
 func (p *Pool) placeJob(j *job, candidates []*worker, held *heldRoom, room *room, now time.Time) bool {
-	p.openDue(j, now)
+	if len(j.open) == 0 {
+		p.openDue(j, now)
+	}
 	for n := 0; n < len(j.open); n++ {
 		for _, s := range j.open[n].steps {
 			if len(p.planned) >= p.maxUnsent {
@@ -59,7 +61,7 @@
 				p.holdRoom(s, candidates, held, now)
 			}
 		}
-		if n == len(j.open)-1 {
+		if n == len(j.open)-1 && j.beginsWithin(room) {
 			p.openDue(j, now)
 		}
 	}
@@ -93,10 +95,18 @@
 	return out
 }
 
+// beginsWithin reports whether a worker may have room for the first task of another occurrence.
+func (j *job) beginsWithin(r *room) bool {
+	return slices.ContainsFunc(j.spec.Steps, func(s jaybarrow.Step) bool { return len(s.After) == 0 && r.mayFit(demandOf(&s)) })
+}
+
 // demand returns the resources that a task of the step uses on a worker.
-func (s *step) demand() jaybarrow.Resources {
-	demand := s.spec.Demand
-	if s.spec.Background {
+func (s *step) demand() jaybarrow.Resources { return demandOf(s.spec) }
+
+// demandOf returns the resources that a task of the step uses on a worker.
+func demandOf(s *jaybarrow.Step) jaybarrow.Resources {
+	demand := s.Demand
+	if s.Background {
 		demand.CPU = 0
 	}
 	return demand
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -298,7 +298,9 @@
 	p.endRun(r, jaybarrow.EndStopped, "", now)
 	switch outcome {
 	case jaybarrow.StartNoTicket:
-		delete(r.task.step.advice.tickets, w.entry.ID)
+		if a := r.task.step.advice; a != nil {
+			delete(a.tickets, w.entry.ID)
+		}
 	case jaybarrow.StartReplaced:
 		p.HandleReplaced(s.Worker, now)
 	case jaybarrow.StartInvalid:
