Start the members of a gang from one checkpoint

Members that start from different points never work together, so the job was not completed either.

Each task kept its own checkpoint.

--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -47,11 +47,12 @@
 	occurrence *occurrence
 	spec       *jaybarrow.Step
 	index      jaybarrow.StepIndex
-	tasks      []*task             // below next and not done, and done ones with a run that has not ended; ordered by index
-	next       jaybarrow.TaskIndex // tasks from this one on have not begun
-	tasksLeft  int                 // tasks that are not done
-	unassigned int                 // tasks that are neither done nor assigned
-	advice     *stepAdvice         // nil before the adviser is asked
+	tasks      []*task                // below next and not done, and done ones with a run that has not ended; ordered by index
+	next       jaybarrow.TaskIndex    // tasks from this one on have not begun
+	tasksLeft  int                    // tasks that are not done
+	unassigned int                    // tasks that are neither done nor assigned
+	advice     *stepAdvice            // nil before the adviser is asked
+	passed     []jaybarrow.Checkpoint // the last ones of a gang, so that a late report does not set it back
 }
 
 type ticket struct {
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -277,7 +277,7 @@
 func (p *Pool) startOrder(r *run) StartRun {
 	return StartRun{Worker: r.worker.entry, Task: r.task.ref, Run: r.number, Order: jaybarrow.StartOrder{
 		Task: r.task.ref, Run: r.number, Spec: r.task.step.job.spec.Spec, Fence: p.fence,
-		Checkpoint: r.task.checkpoint, Ticket: r.ticket,
+		Checkpoint: r.checkpoint, Ticket: r.ticket,
 	}}
 }
 
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -206,7 +206,7 @@
 	demand := t.step.spec.Demand
 	r := &run{
 		task: t, number: number, worker: w, instanceStartMs: w.instanceStartMs, instance: w.instance, progressedAt: now,
-		demand: demand, charged: demand, throttle: fullPercent,
+		demand: demand, charged: demand, throttle: fullPercent, checkpoint: t.checkpoint,
 	}
 	if t.step.spec.Background {
 		r.demand.CPU = 0
@@ -236,7 +236,7 @@
 		}
 		t.dropDone()
 	}
-	t.keepCheckpoint(checkpoint)
+	r.keepCheckpoint(checkpoint)
 	p.observer.RunEnded(t.ref, r.number, w.entry.ID, kind, now.Sub(r.phaseSince))
 	p.updateFaults(r, kind, now)
 	if j.state.Ended() || t.stray {
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -99,7 +99,7 @@
 			for _, one := range left[:n] {
 				runs = s.restore(one, runs)
 			}
-			s.dropIdle()
+			s.endRestore()
 			left = left[n:]
 		}
 		j.addRestored(o)
@@ -162,10 +162,18 @@
 		}
 	}
 	s.skipTo(mark)
-	s.dropIdle()
+	s.endRestore()
 	return runs
 }
 
+// endRestore completes the restoration of the step's tasks.
+func (s *step) endRestore() {
+	s.dropIdle()
+	if s.spec.Gang {
+		s.alignCheckpoints()
+	}
+}
+
 // skipTo marks the tasks below the index that have not begun as done.
 func (s *step) skipTo(index jaybarrow.TaskIndex) {
 	if n := int(index - s.next); n > 0 {
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -179,7 +179,7 @@
 		return
 	}
 	r.instance, r.listed, r.listedIn = w.instance, true, w.reports
-	if r.task.keepCheckpoint(report.Checkpoint) {
+	if r.keepCheckpoint(report.Checkpoint) {
 		p.markChanged(r.task.step.job, now)
 	}
 	if r.phase == runSent || r.phase == runUnconfirmed {
@@ -207,7 +207,7 @@
 		t = j.strayTask(report.Task)
 	}
 	r := p.assign(t, w, report.Run, now)
-	r.listed, r.listedIn = true, w.reports
+	r.listed, r.listedIn, r.givenUp = true, w.reports, true
 	p.setPhase(r, runRunning, now)
 	p.teams.Use(j.spec.Team, r.charged)
 	p.stopRun(r, now)
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -83,8 +83,10 @@
 	demand          jaybarrow.Resources // resources in use on the worker
 	charged         jaybarrow.Resources // resources charged to its team
 	ticket          jaybarrow.Ticket
-	throttle        jaybarrow.Percent // share of its full speed that the run may use
-	throttledAt     time.Time         // when the throttle was last changed
+	checkpoint      jaybarrow.Checkpoint // that it starts from
+	givenUp         bool                 // the pool knew it as ended when its worker reported it
+	throttle        jaybarrow.Percent    // share of its full speed that the run may use
+	throttledAt     time.Time            // when the throttle was last changed
 }
 
 func newWorker(entry jaybarrow.Worker) *worker {
