Order a host for one wave at a time

A decision ordered an empty host for each wave that names it. The platform takes one order and answers the other with busy; orders were kept by host alone, so the answer to the first was credited to the wave of the second.

A host gets one order in a decision, and an answer counts for the order that it belongs to.

--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -28,6 +28,15 @@
 	faulty     atomic.Bool                   // orders panic
 	lock       sync.Mutex
 	orders     map[jaybarrow.HostID]order
+	maintained []maintenance // orders to maintain, while each of which the host is busy for busyTime
+	busyTime   time.Duration
+}
+
+// maintenance is an order to maintain a host for a wave that the platform has taken.
+type maintenance struct {
+	host jaybarrow.HostID
+	wave jaybarrow.WaveID
+	at   time.Time
 }
 
 // order is a move to a pool, or maintenance when the pool is empty.
@@ -73,7 +82,16 @@
 	return f.recordFirst(host, to)
 }
 
-func (f *fleet) Maintain(_ context.Context, host jaybarrow.HostID, _ jaybarrow.WaveID, _ jaybarrow.FenceToken) (jaybarrow.FleetOrderOutcome, error) {
+func (f *fleet) Maintain(_ context.Context, host jaybarrow.HostID, wave jaybarrow.WaveID, _ jaybarrow.FenceToken) (jaybarrow.FleetOrderOutcome, error) {
+	f.lock.Lock()
+	busy := slices.ContainsFunc(f.maintained, func(m maintenance) bool { return m.host == host && time.Since(m.at) < f.busyTime })
+	if !busy {
+		f.maintained = append(f.maintained, maintenance{host, wave, time.Now()})
+	}
+	f.lock.Unlock()
+	if busy {
+		return jaybarrow.FleetOrderBusy, nil
+	}
 	return f.recordFirst(host, "")
 }
 
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -241,9 +241,9 @@
 		if !k.isSpare(m.Host.Pool) && !k.deps.Pools.Reserve(m.Host.Pool, m.Host.Worker) {
 			continue
 		}
-		k.state.recordOrder(m.Host, "", m.Wave, k.deps.Clock.Now())
+		o := k.state.recordOrder(m.Host, "", m.Wave, k.deps.Clock.Now())
 		k.group.Go("order for a host", func() {
-			k.sendOrder(ctx, m.Host, "maintain", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
+			k.sendOrder(ctx, m.Host, o, "maintain", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
 				return k.deps.Fleet.Maintain(ctx, m.Host.ID, m.Wave, k.deps.Term.Fence)
 			})
 		})
@@ -252,11 +252,11 @@
 		if !k.isSpare(m.Host.Pool) && !k.deps.Pools.Reserve(m.Host.Pool, m.Host.Worker) {
 			continue
 		}
-		k.state.recordOrder(m.Host, m.To, 0, k.deps.Clock.Now())
+		o := k.state.recordOrder(m.Host, m.To, 0, k.deps.Clock.Now())
 		k.deps.Log.Info().Str("host", string(m.Host.ID)).Str("from", string(m.Host.Pool)).Str("to", string(m.To)).
 			Str("reason", m.Reason).Msg("host moves")
 		k.group.Go("order for a host", func() {
-			k.sendOrder(ctx, m.Host, "move", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
+			k.sendOrder(ctx, m.Host, o, "move", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
 				outcome, err := k.deps.Fleet.Move(ctx, m.Host.ID, m.To, k.deps.Term.Fence)
 				// Maintenance of an earlier leader may be the reason that an order to maintain counts as done, so only a move shows this.
 				if outcome == jaybarrow.FleetOrderDone && m.Host.Worker != "" {
@@ -275,11 +275,11 @@
 }
 
 // sendOrder sends one order to the platform and records its outcome.
-func (k *Keeper) sendOrder(ctx context.Context, host fleetplan.Host, action string, send func(context.Context) (jaybarrow.FleetOrderOutcome, error)) {
+func (k *Keeper) sendOrder(ctx context.Context, host fleetplan.Host, o *order, action string, send func(context.Context) (jaybarrow.FleetOrderOutcome, error)) {
 	if !k.deps.Term.Valid() {
 		// The process may have been paused since the decision, and a successor may give orders by now.
 		k.deps.Log.Warn().Str("host", string(host.ID)).Str("order", action).Msg("order for a host is not sent, since the lead may have ended")
-		k.state.recordOutcome(host.ID, "", true, k.deps.Clock.Now())
+		k.state.recordOutcome(host.ID, o, "", true, k.deps.Clock.Now())
 		return
 	}
 	limited, cancel := context.WithTimeout(ctx, k.deps.Settings.CallTimeout)
@@ -293,5 +293,5 @@
 	if outcome == jaybarrow.FleetOrderFenced {
 		k.deps.Term.Resign("the platform has seen a higher fencing token")
 	}
-	k.state.recordOutcome(host.ID, outcome, err != nil && jaybarrow.AsError(err).Effect == jaybarrow.EffectNotRun, k.deps.Clock.Now())
+	k.state.recordOutcome(host.ID, o, outcome, err != nil && jaybarrow.AsError(err).Effect == jaybarrow.EffectNotRun, k.deps.Clock.Now())
 }
--- a/internal/fleetkeeper/keeper_test.go
+++ b/internal/fleetkeeper/keeper_test.go
@@ -175,3 +175,31 @@
 		})
 	})
 }
+
+// Guards against a wave that is said to be completed although the maintenance that it asks for has not begun, since another wave names the same
+// hosts.
+func TestEachOfTwoWavesOverTheSameHostsIsCarriedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPools(map[jaybarrow.PoolID]workload.Load{"desk": {}})
+		settings := fleetkeeper.DefaultSettings()
+		names := []jaybarrow.HostID{"a", "b", "c"}
+		var all []jaybarrow.FleetHost
+		for _, id := range names {
+			all = append(all, hostIn("reserve", id))
+		}
+		wave := func(id jaybarrow.WaveID) fleetkeeper.KnownWave {
+			return fleetkeeper.KnownWave{Wave: jaybarrow.Wave{ID: id, Hosts: names, AtOnce: 3, Within: time.Minute}, ReceivedAt: time.Now()}
+		}
+		reported := &reportedWaves{waves: waves{wave(1), wave(2)}}
+		k := newKeeper(settings, all, p, reported)
+		k.fleet.busyTime = 50 * time.Millisecond
+		advance(4 * settings.TakeoverDelay)
+		k.Close()
+		assert.Equal(t, reported.last().State, jaybarrow.WaveCompleted)
+		begun := make(map[jaybarrow.WaveID]int)
+		for _, m := range k.fleet.maintained {
+			begun[m.wave]++
+		}
+		assert.DeepEqual(t, begun, map[jaybarrow.WaveID]int{1: 3, 2: 3})
+	})
+}
--- a/internal/fleetkeeper/state.go
+++ b/internal/fleetkeeper/state.go
@@ -101,26 +101,24 @@
 	return requestedAt.After(o.answered) && (o.to == "" || o.to == h.Pool)
 }
 
-// recordOrder records an order that is about to be sent.
-func (s *state) recordOrder(h fleetplan.Host, to jaybarrow.PoolID, wave jaybarrow.WaveID, now time.Time) {
+// recordOrder records an order that is about to be sent, and returns it.
+func (s *state) recordOrder(h fleetplan.Host, to jaybarrow.PoolID, wave jaybarrow.WaveID, now time.Time) *order {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.orders[h.ID] = &order{to: to, wave: wave, worker: h.Worker, sent: now}
+	o := &order{to: to, wave: wave, worker: h.Worker, sent: now}
+	s.orders[h.ID] = o
+	return o
 }
 
-// recordOutcome records the outcome of an order; an order that was certainly not carried out is removed.
-func (s *state) recordOutcome(id jaybarrow.HostID, outcome jaybarrow.FleetOrderOutcome, notRun bool, now time.Time) {
+// recordOutcome records the outcome of the order, for the wave that it was sent for; an order that was certainly not carried out is removed.
+func (s *state) recordOutcome(id jaybarrow.HostID, o *order, outcome jaybarrow.FleetOrderOutcome, notRun bool, now time.Time) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	o := s.orders[id]
-	if o == nil {
-		return
-	}
 	o.answered, o.done = now, outcome == jaybarrow.FleetOrderDone
 	if w := s.waves[o.wave]; w != nil && (o.done || outcome == jaybarrow.FleetOrderNotDue) {
 		w.maintenanceBegun[id] = true
 	}
-	if notRun || outcome != "" && !o.done {
+	if s.orders[id] == o && (notRun || outcome != "" && !o.done) {
 		delete(s.orders, id)
 	}
 }
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -198,7 +198,8 @@
 			if budget <= 0 {
 				break
 			}
-			if h.Runs == 0 && (h.Reserved || d.isSpare(h.Pool)) {
+			// A host that several waves name has its maintenance for one after the other.
+			if !d.taken[h.ID] && h.Runs == 0 && (h.Reserved || d.isSpare(h.Pool)) {
 				d.orders.Maintain = append(d.orders.Maintain, Maintenance{h, w.ID})
 				d.markTaken(h)
 				budget--
--- a/internal/fleetplan/plan_test.go
+++ b/internal/fleetplan/plan_test.go
@@ -107,6 +107,33 @@
 	}
 }
 
+// Guards against two orders at once for a host that two waves name: the platform takes one of them only, and the other wave would be said to be
+// completed without it.
+func TestAHostThatTwoWavesNameIsOrderedForOneOfThem(t *testing.T) {
+	reserved := hosts("desk", 3)
+	for i := range reserved {
+		reserved[i].Reserved = true
+	}
+	for _, in := range [][]fleetplan.Host{reserved, hosts("spare", 3)} {
+		var waves []fleetplan.Wave
+		for id := range jaybarrow.WaveID(2) {
+			w := fleetplan.Wave{Wave: jaybarrow.Wave{ID: id + 1, AtOnce: 2}, TimeLeft: time.Minute}
+			for _, h := range in {
+				w.Pending = append(w.Pending, h.ID)
+			}
+			waves = append(waves, w)
+		}
+		got := fleetplan.Decide(fleetplan.DefaultSettings(), fleetplan.State{Hosts: in, Pools: pools(need(0), need(0)), Waves: waves})
+		var ordered []string
+		for _, m := range got.Maintain {
+			ordered = append(ordered, fmt.Sprint(m.Host.ID, " for ", m.Wave))
+		}
+		assert.DeepEqual(t, ordered, []string{
+			fmt.Sprint(in[0].ID, " for 1"), fmt.Sprint(in[1].ID, " for 1"), fmt.Sprint(in[2].ID, " for 2"),
+		})
+	}
+}
+
 // Guards against a wave with more hosts in maintenance than allowed, against maintenance of hosts with running tasks, and against a
 // wave that exceeds its time because it waits for an idle pool.
 func TestDecideWaves(t *testing.T) {
