Check that an open occurrence is due before its tasks start

Found by reading: an occurrence was opened when it was due, and its tasks then started whenever there was room. If the leader's clock had been set back meanwhile, they began early by the clock in force; before, each plan asked whether the occurrence was due.

TestARunOfAScheduleIsNotEarlyAfterTheClockIsSetBack fails without the change (4 starts, 3 s early and less).

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		j.eachStep(func(s *step) bool {
-			if s.unassigned == 0 || !s.ready() {
+			if s.unassigned == 0 || !s.ready(now) {
 				return true
 			}
 			if s.advice == nil {
--- a/internal/workload/drain.go
+++ b/internal/workload/drain.go
@@ -251,7 +251,7 @@
 
 // neededBy returns the first of the held workers that a waiting task of the step needs; nil when there is none.
 func (p *Pool) neededBy(s *step, held []*worker, now time.Time) *worker {
-	if s.unassigned == 0 || !s.ready() || !p.teams.MayUse(s.job.spec.Team, s.spec.Demand) || p.mayBeginOf(s.job) == 0 {
+	if s.unassigned == 0 || !s.ready(now) || !p.teams.MayUse(s.job.spec.Team, s.spec.Demand) || p.mayBeginOf(s.job) == 0 {
 		return nil
 	}
 	takes := func(w *worker) bool { return !(s.spec.Lasting && w.emptied) && p.roomOn(s, 1, w) > 0 }
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -221,9 +221,9 @@
 	return !slices.ContainsFunc(o.steps, func(s *step) bool { return s.tasksLeft > 0 || len(s.tasks) > 0 })
 }
 
-// ready reports whether the step's tasks may start; occurrences are only opened when they are due.
-func (s *step) ready() bool {
-	return !slices.ContainsFunc(s.spec.After, func(dependency jaybarrow.StepIndex) bool { return s.occurrence.steps[dependency].tasksLeft > 0 })
+// ready reports whether the step's tasks may start now. An open occurrence may be due later all the same, since clocks are set back.
+func (s *step) ready(now time.Time) bool {
+	return !now.Before(s.job.dueTime(s.occurrence.number)) && !slices.ContainsFunc(s.spec.After, func(dependency jaybarrow.StepIndex) bool { return s.occurrence.steps[dependency].tasksLeft > 0 })
 }
 
 // find returns the position in tasks of the task with the index, or where it belongs.
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -51,7 +51,7 @@
 			if len(p.planned) >= p.maxUnsent {
 				return false
 			}
-			if s.unassigned == 0 || !s.ready() {
+			if s.unassigned == 0 || !s.ready(now) {
 				continue
 			}
 			if room.mayFit(s.demand()) {
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -73,7 +73,7 @@
 		}
 	}
 	j.eachStep(func(s *step) bool {
-		if s.unassigned > 0 && s.ready() {
+		if s.unassigned > 0 && s.ready(now) {
 			add(s.spec, s.unassigned)
 		}
 		return true
--- a/internal/workload/schedule_test.go
+++ b/internal/workload/schedule_test.go
@@ -339,6 +339,20 @@
 	assert.Equal(t, len(f.starts), 200)
 }
 
+// Guards against a run that begins early because it was due by a clock that has been set back since.
+func TestARunOfAScheduleIsNotEarlyAfterTheClockIsSetBack(t *testing.T) {
+	h := newHarness(t)
+	h.pool.AddJob(h.schedule("j", h.now.Add(time.Second), time.Second, 10), nil, h.now)
+	h.advance(4 * time.Second)
+	assert.Equal(t, len(h.plan().Starts), 0, "there is no worker")
+	h.advance(-4 * time.Second)
+	h.addWorker("w1")
+	assert.Equal(t, len(h.plan().Starts), 0)
+	h.advance(1500 * time.Millisecond)
+	h.report("w1", nil)
+	assert.Equal(t, len(h.plan().Starts), 1)
+}
+
 // Guards against a run of a schedule whose later steps are not begun, or begun too early, since others of its runs are under way.
 func TestRunsOfAScheduleKeepTheOrderOfTheirSteps(t *testing.T) {
 	f := newFleet(t, 300*time.Millisecond)
