--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -41,22 +41,21 @@
 		if j.policy.Advice == nil {
 			continue
 		}
-		j.eachStep(func(s *step) bool {
+		for s := range j.steps() {
 			if s.unassigned == 0 || !s.ready(now) {
-				return true
+				continue
 			}
 			if s.advice == nil {
 				s.advice = new(stepAdvice)
 			}
 			if !s.advice.requestedAt.IsZero() && now.Sub(s.advice.requestedAt) < adviceRetry {
-				return true
+				continue
 			}
 			if q, ok := p.newAdviceRequest(s, now); ok {
 				s.advice.requestedAt = now
 				out = append(out, q)
 			}
-			return true
-		})
+		}
 	}
 	return out
 }
--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -23,14 +23,15 @@
 		var waiting jaybarrow.Work
 		before := out.Tasks
 		mayBegin := p.mayBeginOf(j)
-		j.eachStep(func(s *step) bool {
-			if n := min(s.unassigned, mayBegin); n > 0 {
-				mayBegin -= n
-				waiting = waiting.Plus(s.demand().Work(s.spec.Estimate()).Times(float64(n)))
-				out.Tasks += n
+		for s := range j.steps() {
+			n := min(s.unassigned, mayBegin)
+			if n <= 0 {
+				continue
 			}
-			return true
-		})
+			mayBegin -= n
+			waiting = waiting.Plus(s.demand().Work(s.spec.Estimate()).Times(float64(n)))
+			out.Tasks += n
+		}
 		waiting = waiting.Times(p.runTimes.factor(j.spec.Queue))
 		out.Waiting = out.Waiting.Plus(waiting)
 		if j.rank(now) == rankInTime && j.policy.Priority <= priority {
--- a/internal/workload/drain.go
+++ b/internal/workload/drain.go
@@ -169,12 +169,12 @@
 	if !slices.ContainsFunc(j.spec.Steps, func(s jaybarrow.Step) bool { return s.Requires == label }) {
 		return false
 	}
-	found := j.dueUnopened(now) > 0
-	j.eachStep(func(s *step) bool {
-		found = found || s.unassigned > 0 && s.spec.Requires == label
-		return !found
-	})
-	return found
+	for s := range j.steps() {
+		if s.unassigned > 0 && s.spec.Requires == label {
+			return true
+		}
+	}
+	return j.dueUnopened(now) > 0
 }
 
 // giveUpHolds gives workers back that are kept free of new tasks in vain: those that could not be emptied for maxObstructedHold, and one that
@@ -237,13 +237,10 @@
 		if j.state.Ended() {
 			continue
 		}
-		var needed *worker
-		j.eachStep(func(s *step) bool {
-			needed = p.neededBy(s, held, now)
-			return needed == nil
-		})
-		if needed != nil {
-			return needed
+		for s := range j.steps() {
+			if w := p.neededBy(s, held, now); w != nil {
+				return w
+			}
 		}
 	}
 	return nil
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -104,23 +105,27 @@
 	j.targetTime = j.accepted.Add(time.Duration(policy.Stretch*float64(j.wholePath)) + policy.Target)
 }
 
-// eachTask visits the tasks that are kept.
-func (j *job) eachTask(visit func(*task)) {
-	for _, o := range j.open {
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				visit(t)
+// steps yields the steps of the open occurrences, in their order.
+func (j *job) steps() iter.Seq[*step] {
+	return func(yield func(*step) bool) {
+		for _, o := range j.open {
+			for _, s := range o.steps {
+				if !yield(s) {
+					return
+				}
 			}
 		}
 	}
 }
 
-// eachStep visits the steps of the open occurrences until visit returns false.
-func (j *job) eachStep(visit func(*step) bool) {
-	for _, o := range j.open {
-		for _, s := range o.steps {
-			if !visit(s) {
-				return
+// tasks yields the tasks that are kept, in their order.
+func (j *job) tasks() iter.Seq[*task] {
+	return func(yield func(*task) bool) {
+		for s := range j.steps() {
+			for _, t := range s.tasks {
+				if !yield(t) {
+					return
+				}
 			}
 		}
 	}
@@ -140,12 +145,12 @@
 	if j.tasksLeft == 0 {
 		return false
 	}
-	found := j.dueUnopened(now) > 0
-	j.eachStep(func(s *step) bool {
-		found = found || s.unassigned > 0
-		return !found
-	})
-	return found
+	for s := range j.steps() {
+		if s.unassigned > 0 {
+			return true
+		}
+	}
+	return j.dueUnopened(now) > 0
 }
 
 // task returns a task that is kept; nil when the job keeps none of that name.
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -30,25 +30,6 @@
 	Share jaybarrow.Percent
 }
 
-// JobRecord is a job's record that is to be written.
-type JobRecord struct {
-	Job    jaybarrow.JobID
-	Record Record
-	// Accepted replaces the accepted job of an ended one: without specification and steps, which nobody needs any more and which a new
-	// scheduler would have to read. Nil while the job has not ended or has runs that may exist.
-	Accepted *jaybarrow.Job
-	// ByTasks holds the steps of a job whose progress is to be stored by tasks; nil when it is stored by marks.
-	ByTasks []jaybarrow.Step
-}
-
-// Encode returns the stored form of the record.
-func (r JobRecord) Encode() ([]byte, error) {
-	if r.ByTasks == nil {
-		return r.Record.Encode()
-	}
-	return r.encodeByTasks()
-}
-
 // Round is the result of one Plan. Stops, throttles and advice requests may be sent immediately, starts only after the records
 // are written.
 type Round struct {
@@ -156,11 +137,11 @@
 	for j := range p.ended {
 		switch {
 		case j.runs > 0:
-			j.eachTask(func(t *task) {
+			for t := range j.tasks() {
 				if t.current != nil {
 					p.stopRun(t.current, now)
 				}
-			})
+			}
 		case j.storedState == j.state && !j.stubStored:
 			p.markChanged(j, now)
 		case j.storedState == j.state:
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -318,7 +318,9 @@
 	j.updateCriticalPath()
 	before := j.state
 	failures := 0
-	j.eachTask(func(t *task) { failures = max(failures, t.failures) })
+	for t := range j.tasks() {
+		failures = max(failures, t.failures)
+	}
 	switch {
 	case j.cancelled:
 		j.state = jaybarrow.JobCancelled
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -57,6 +57,25 @@
 	return r, err
 }
 
+// JobRecord is a job's record that is to be written.
+type JobRecord struct {
+	Job    jaybarrow.JobID
+	Record Record
+	// Accepted replaces the accepted job of an ended one: without specification and steps, which nobody needs any more and which a new
+	// scheduler would have to read. Nil while the job has not ended or has runs that may exist.
+	Accepted *jaybarrow.Job
+	// ByTasks holds the steps of a job whose progress is to be stored by tasks; nil when it is stored by marks.
+	ByTasks []jaybarrow.Step
+}
+
+// Encode returns the stored form of the record.
+func (r JobRecord) Encode() ([]byte, error) {
+	if r.ByTasks == nil {
+		return r.Record.Encode()
+	}
+	return r.encodeByTasks()
+}
+
 // acceptedStub returns what is kept of the accepted job once it has ended and no run of it is left; nil before. A successor needs the steps to
 // know what the runs use.
 func (j *job) acceptedStub() *jaybarrow.Job {
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -72,12 +72,11 @@
 			out.Waiting = out.Waiting.Plus(demand)
 		}
 	}
-	j.eachStep(func(s *step) bool {
+	for s := range j.steps() {
 		if s.unassigned > 0 && s.ready(now) {
 			add(s.spec, s.unassigned)
 		}
-		return true
-	})
+	}
 	if n := j.dueUnopened(now); n > 0 {
 		for i := range j.spec.Steps {
 			if s := &j.spec.Steps[i]; len(s.After) == 0 {
