--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/jaybarrow/jaybarrow"
 )
 
@@ -28,9 +30,9 @@
 	if short == s.memoryShort.Swap(short) {
 		return
 	}
-	event, message := s.deps.Log.Info(), "memory suffices again; new jobs are accepted"
+	level, message := zerolog.InfoLevel, "memory suffices again; new jobs are accepted"
 	if short {
-		event, message = s.deps.Log.Warn(), "memory is short; new jobs are refused, and a host with more memory may lead"
+		level, message = zerolog.WarnLevel, "memory is short; new jobs are refused, and a host with more memory may lead"
 	}
-	event.Int64("liveMb", int64(live)>>20).Int64("hostMb", int64(s.deps.Settings.Host.Memory)>>20).Msg(message)
+	s.deps.Log.WithLevel(level).Int64("liveMb", int64(live)>>20).Int64("hostMb", int64(s.deps.Settings.Host.Memory)>>20).Msg(message)
 }
