Let requests for advice wait here, and end none that may still be served

Cause: each waiting step had a call of its own at the adviser, which serves the calls of a host one at a time. A call was given up after 2 s, while it or one before it was still being served, and made again: the more steps waited, the fewer answers were in time. The times that the manifest announces were read and not used, and each call named up to 30 workers.

Change: internal/advice decides, without input or output: how many calls are under way (two, more where decisions are quicker than a round trip), when one is lost (its connection has failed, or one that was sent later is answered; never by a time limit), which step comes first (what can start at once, by rank and urgency, with the adviser's time shared among equals), and how many workers a request names (the least expected time of the adviser for a usable ticket, by the answers so far). The scheduler makes the next request when the adviser can take it up, from what its pools know then. Tickets count from the earliest time at which an answer can have been given.

Seen to fail on: TestABurstOfAdvisedJobsBegins, TestAdvisedJobsBegin (14 of 17 cases), TestQueuesShareTheAdviser, TestTheAdviserIsNotAskedAboutCancelledJobs, TestANewLeaderAsksForWhatWaits. Not failing there: TestALastingTaskGetsItsTicketBesideABurst.

Three tests of internal/workload/advice_test.go were written for requests that a plan returns and repeats after 1 s. They ask for the requests now; all workers are still named exactly once, in the order of the new choice, and "no answer" became stricter: nothing is asked again for 15 s, only after the failure of the call.

--- a/agents.go
+++ b/agents.go
@@ -143,12 +143,23 @@
 // Advice is an adviser's answer.
 type Advice struct {
 	Tickets map[WorkerID]Ticket // the workers that may run the step
-	Valid   time.Duration       // validity of the tickets from the time of the request
+	Valid   time.Duration       // validity of the tickets from the time of the answer
 }
 
-// Adviser decides which workers may run a step, for queues with such a policy.
+// AdviceOutcome is how a call to an adviser ended.
+type AdviceOutcome string
+
+// The ends of a call to an adviser.
+const (
+	AdviceAnswered AdviceOutcome = "answered"
+	AdviceFailed   AdviceOutcome = "failed" // by an error or a lost connection
+	AdviceLost     AdviceOutcome = "lost"   // it was given up, since no answer can come any more
+)
+
+// Adviser decides which workers may run a step, for queues with such a policy. It decides on one call of a host at a time, in turn.
 type Adviser interface {
-	// Advise asks about workers; KindQueueFull means that too many calls are waiting.
+	// Advise asks about workers. It has no time limit and blocks until the answer, an error or the end of ctx, at which the adviser is told that
+	// the caller has gone. KindQueueFull means that too many calls are waiting, KindPeerLost that there was no answer that can be used.
 	Advise(ctx context.Context, step StepRef, workers []WorkerID) (Advice, error)
 }
 
--- a/fleetconfig.go
+++ b/fleetconfig.go
@@ -49,9 +49,18 @@
 
 // AdviceSettings holds the settings of a queue's adviser; a queue that has them requires the adviser's tickets.
 type AdviceSettings struct {
-	Decide time.Duration `json:"decide"`
-	Each   time.Duration `json:"each"`
-	Valid  time.Duration `json:"valid"`
+	Decide time.Duration `json:"decide"` // of a decision
+	Each   time.Duration `json:"each"`   // of a decision, more for each worker
+	Valid  time.Duration `json:"valid"`  // for which a ticket may be used
+}
+
+// maxAdviceTime bounds the time of a decision, so that sums of it cannot overflow.
+const maxAdviceTime = time.Hour
+
+// Time returns how long the adviser takes for a decision on so many workers.
+func (s AdviceSettings) Time(workers int) time.Duration {
+	bounded := func(d time.Duration) time.Duration { return max(0, min(d, maxAdviceTime)) }
+	return bounded(s.Decide) + time.Duration(workers)*bounded(s.Each)
 }
 
 // JobPool is a pool as the operators configure it.
--- a/internal/jobhost/observer.go
+++ b/internal/jobhost/observer.go
@@ -68,6 +68,14 @@
 	o.log.Warn().Str("worker", string(worker)).Str("reason", reason).Msg("worker receives no new tasks for a while")
 }
 
+// AdviceEnded counts how calls to advisers ended and records how long the answers took.
+func (o observer) AdviceEnded(queue jaybarrow.QueueID, outcome jaybarrow.AdviceOutcome, took time.Duration) {
+	o.metrics.Count("advice." + string(outcome))
+	if outcome == jaybarrow.AdviceAnswered {
+		o.metrics.Record("advice.tookMs.queue."+string(queue), took)
+	}
+}
+
 func (o observer) record(name string, job *jaybarrow.Job, d time.Duration) {
 	o.metrics.Record(name+".team."+string(job.Team), d)
 	o.metrics.Record(name+".queue."+string(job.Queue), d)
--- /dev/null
+++ b/internal/scheduler/advice_test.go
@@ -0,0 +1,260 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/standin/adviser"
+)
+
+// usualTimes are those of an adviser that takes 196 ms for a decision on 12 workers.
+var usualTimes = jaybarrow.AdviceSettings{Decide: 100 * time.Millisecond, Each: 8 * time.Millisecond, Valid: 3 * time.Second}
+
+// usualBurst hands in nearly three times as many jobs as the adviser decides if it is asked about every worker.
+var usualBurst = burst{jobs: 60, workers: 12, cpu: 3500, pause: 66 * time.Millisecond, runs: 800 * time.Millisecond, announced: usualTimes}
+
+// Guards against calls that are given up before their answer and asked again, so that the more jobs wait the fewer of them begin.
+func TestABurstOfAdvisedJobsBegins(t *testing.T) {
+	for _, workers := range []int{12, 48} {
+		for _, skips := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d workers, abandoned calls are skipped %v", workers, skips), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := usualBurst
+					b.workers, b.skipsAbandoned = workers, skips
+					r := b.play(t, 30*time.Second)
+					assert.Equal(t, r.begun, b.jobs)
+					assert.Assert(t, r.last < map[int]time.Duration{12: 9 * time.Second, 48: 12 * time.Second}[workers], "the last job began after %v", r.last)
+					assert.Equal(t, r.counts.Answers, r.counts.Calls, "%+v", r.counts)
+					assert.Equal(t, r.counts.Refused, 0)
+					assert.Assert(t, r.last-r.counts.Busy < 100*time.Millisecond, "the adviser was idle while jobs waited: %v of %v busy", r.counts.Busy, r.last)
+					assert.Equal(t, r.invalid, 0)
+				})
+			})
+		}
+	}
+}
+
+// Guards against the same with other times and policies of the adviser, more work than room, and faults of the adviser.
+func TestAdvisedJobsBegin(t *testing.T) {
+	const ms, s = time.Millisecond, time.Second
+	times := func(decide, each, valid time.Duration) jaybarrow.AdviceSettings {
+		return jaybarrow.AdviceSettings{Decide: decide, Each: each, Valid: valid}
+	}
+	some := func(n int) func(jaybarrow.StepRef, jaybarrow.WorkerID) bool {
+		return func(_ jaybarrow.StepRef, id jaybarrow.WorkerID) bool {
+			var worker int
+			_, err := fmt.Sscanf(string(id), "desk-%d", &worker)
+			return err == nil && worker < n
+		}
+	}
+	stall := func(begin, length time.Duration) func(*adviser.Adviser) {
+		return func(a *adviser.Adviser) {
+			time.Sleep(begin)
+			a.SetStalled(true)
+			time.Sleep(length)
+			a.SetStalled(false)
+		}
+	}
+	deaf := func(begin, length time.Duration) func(*adviser.Adviser) {
+		return func(a *adviser.Adviser) {
+			time.Sleep(begin)
+			a.SetDeaf(true)
+			time.Sleep(length)
+			a.SetDeaf(false)
+		}
+	}
+	lost := func(begin, length time.Duration) func(*adviser.Adviser) {
+		return func(a *adviser.Adviser) {
+			time.Sleep(begin)
+			a.SetLost(true)
+			time.Sleep(length)
+			a.SetLost(false)
+		}
+	}
+	// The limits follow from the adviser's time for a request about a few workers for each job, the room, and 3 s after a fault has ended.
+	for name, c := range map[string]struct {
+		adjust func(*burst)
+		limit  time.Duration
+		gaveUp int // calls that may end without an answer
+	}{
+		"quick decisions":             {func(b *burst) { b.announced = times(5*ms, 1*ms, 3*s) }, 5 * s, 0},
+		"no time at all":              {func(b *burst) { b.announced = times(0, 0, 3*s) }, 5 * s, 0},
+		"decisions of a second":       {func(b *burst) { b.announced, b.jobs = times(s, 10*ms, 3*s), 20 }, 24 * s, 0},
+		"decisions of three seconds":  {func(b *burst) { b.announced, b.jobs = times(3*s, 10*ms, 3*s), 10 }, 36 * s, 0},
+		"short tickets":               {func(b *burst) { b.announced = times(100*ms, 8*ms, 500*ms) }, 9 * s, 0},
+		"ten times as slow":           {func(b *burst) { b.actual, b.jobs = times(s, 80*ms, 3*s), 20 }, 35 * s, 0},
+		"a hundred times as slow":     {func(b *burst) { b.actual, b.jobs = times(10*s, 800*ms, 3*s), 6 }, 100 * s, 2},
+		"the policy allows two":       {func(b *burst) { b.allows = some(2) }, 18 * s, 0},
+		"the policy allows one of 48": {func(b *burst) { b.allows, b.workers, b.jobs, b.cpu = some(1), 48, 20, 400 }, 20 * s, 0},
+		"room for one on each":        {func(b *burst) { b.cpu, b.workers = 8000, 6 }, 12 * s, 0},
+		"room for one, full":          {func(b *burst) { b.cpu, b.workers, b.runs = 8000, 3, 3*s }, 65 * s, 0},
+		"stands still for 6 s":        {func(b *burst) { b.trouble = stall(s, 6*s) }, 15 * s, 0},
+		"stands still for 40 s":       {func(b *burst) { b.trouble = stall(s, 40*s) }, 50 * s, 20},
+		"answers nothing for 6 s":     {func(b *burst) { b.trouble = deaf(s, 6*s) }, 16 * s, 8},
+		"answers nothing for 40 s":    {func(b *burst) { b.trouble = deaf(s, 40*s) }, 50 * s, 30},
+		"refuses for 6 s":             {func(b *burst) { b.trouble = lost(s, 6*s) }, 15 * s, 20},
+		"one job, answers nothing":    {func(b *burst) { b.jobs, b.trouble = 1, deaf(0, 4*s) }, 7 * s, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := usualBurst
+				c.adjust(&b)
+				r := b.play(t, 2*c.limit)
+				t.Logf("%+v", r)
+				assert.Equal(t, r.begun, b.jobs)
+				assert.Assert(t, r.last < c.limit, "the last job began after %v", r.last)
+				assert.Assert(t, r.counts.Calls-r.counts.Answers <= c.gaveUp, "%+v", r.counts)
+				assert.Equal(t, r.counts.Refused, 0)
+				assert.Equal(t, r.invalid, 0)
+			})
+		})
+	}
+}
+
+// Guards against requests of pools, or of a queue with slow decisions, that keep the adviser from the steps of others.
+func TestQueuesShareTheAdviser(t *testing.T) {
+	const ms, s = time.Millisecond, time.Second
+	quick := &jaybarrow.AdviceSettings{Decide: 50 * ms, Each: 4 * ms, Valid: 3 * s}
+	slow := &jaybarrow.AdviceSettings{Decide: 900 * ms, Each: 4 * ms, Valid: 3 * s}
+	for name, c := range map[string]struct {
+		queues []advisedQueue
+		jobs   []int           // of each queue, handed in at once, those of the first queue first
+		within []time.Duration // in which the jobs of each queue begin
+	}{
+		"slow decisions before quick ones": {
+			[]advisedQueue{{"slow", "desk", 1, slow}, {"quick", "desk", 1, quick}}, []int{20, 20}, []time.Duration{24 * s, 6 * s},
+		},
+		"two pools": {
+			[]advisedQueue{{"slow", "desk", 1, slow}, {"quick", "yard", 1, quick}}, []int{20, 20}, []time.Duration{24 * s, 6 * s},
+		},
+		"urgent ones": {
+			[]advisedQueue{{"patient", "desk", 1, quick}, {"urgent", "desk", 0, quick}}, []int{40, 40}, []time.Duration{7 * s, 4 * s},
+		},
+		"urgent ones with slow decisions": {
+			[]advisedQueue{{"patient", "desk", 1, quick}, {"urgent", "desk", 0, slow}}, []int{5, 20}, []time.Duration{18 * s, 24 * s},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := adviser.New(adviser.Settings{Times: jaybarrow.AdviceSettings{Valid: 3 * s}, TimesOf: func(ref jaybarrow.StepRef) jaybarrow.AdviceSettings {
+					for _, q := range c.queues {
+						if strings.HasPrefix(string(ref.Job), string(q.id)) {
+							return *q.advice
+						}
+					}
+					return jaybarrow.AdviceSettings{}
+				}})
+				defer a.Close()
+				f := newAdvisedFleet(a, 12, c.queues...)
+				leader := f.newScheduler(1)
+				defer leader.Close()
+				time.Sleep(2 * s)
+				f.beginNow()
+				for n, q := range c.queues {
+					for k := range c.jobs[n] {
+						f.submit(leader, q, jaybarrow.JobID(fmt.Sprintf("%s-%02d", q.id, k)), 1, 500, 800*ms)
+					}
+				}
+				time.Sleep(40 * s)
+				begun := f.begun()
+				for n, q := range c.queues {
+					for k := range c.jobs[n] {
+						at, ok := begun[jaybarrow.JobID(fmt.Sprintf("%s-%02d", q.id, k))]
+						assert.Assert(t, ok && at < c.within[n], "job %d of %s began after %v: %v", k, q.id, at, ok)
+					}
+				}
+				counts := a.Counts()
+				assert.Equal(t, counts.Answers, counts.Calls)
+				assert.Equal(t, f.refusedStarts(), 0)
+			})
+		})
+	}
+}
+
+// Guards against an adviser that is asked about jobs which were cancelled while they waited.
+func TestTheAdviserIsNotAskedAboutCancelledJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		times := jaybarrow.AdviceSettings{Decide: time.Second, Valid: 3 * time.Second}
+		a := adviser.New(adviser.Settings{Times: times})
+		defer a.Close()
+		queue := advisedQueue{id: "match", pool: "desk", advice: &times}
+		f := newAdvisedFleet(a, 12, queue)
+		leader := f.newScheduler(1)
+		defer leader.Close()
+		time.Sleep(2 * time.Second)
+		for n := range 20 {
+			f.submit(leader, queue, jobOf(n), 1, 500, 800*time.Millisecond)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for n := range 20 {
+			leader.Announce(jaybarrow.Record{Key: jaybarrow.JobCancelledKey(jobOf(n)), Revision: 2})
+		}
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, a.Counts().Calls <= 2, "%+v", a.Counts())
+		assert.Equal(t, len(f.begun()), 0)
+	})
+}
+
+// jobOf returns the id of the n-th job.
+func jobOf(n int) jaybarrow.JobID { return jaybarrow.JobID(fmt.Sprintf("job-%03d", n)) }
+
+// Guards against a lasting task that waits for room without end, since the adviser is asked about all that can start before it.
+func TestALastingTaskGetsItsTicketBesideABurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := adviser.New(adviser.Settings{Times: usualTimes})
+		defer a.Close()
+		queue := advisedQueue{id: "match", pool: "desk", advice: &usualTimes}
+		f := newAdvisedFleet(a, 2, queue)
+		leader := f.newScheduler(1)
+		defer leader.Close()
+		time.Sleep(2 * time.Second)
+		f.beginNow()
+		for n := range 200 {
+			f.submit(leader, queue, jobOf(n), 1, 4000, 800*time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			if n == 40 {
+				f.submitJob(leader, &jaybarrow.Job{
+					ID: "lasting", Queue: queue.id, Pool: queue.pool, Team: "trail", Spec: "forever", AcceptedMs: time.Now().UnixMilli(),
+					Steps: []jaybarrow.Step{{Tasks: 1, Demand: jaybarrow.Resources{CPU: 9000, Memory: 100}, EstimateMs: 1000, Lasting: true}},
+				})
+			}
+		}
+		at, ok := f.begun()["lasting"]
+		assert.Assert(t, ok && at < 8*time.Second, "began after %v: %v", at, ok)
+		assert.Equal(t, f.refusedStarts(), 0)
+	})
+}
+
+// Guards against jobs that a new leader never asks about, or asks about again although they run.
+func TestANewLeaderAsksForWhatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := adviser.New(adviser.Settings{Times: usualTimes})
+		defer a.Close()
+		queue := advisedQueue{id: "match", pool: "desk", advice: &usualTimes}
+		f := newAdvisedFleet(a, 12, queue)
+		first := f.newScheduler(1)
+		time.Sleep(2 * time.Second)
+		f.beginNow()
+		const jobs = 40
+		for n := range jobs {
+			f.submit(first, queue, jobOf(n), 1, 500, 20*time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		first.Close()
+		before, calls := len(f.begun()), a.Counts().Calls
+		assert.Assert(t, before > 0 && before < jobs, "%d", before)
+		second := f.newScheduler(2)
+		defer second.Close()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(f.begun()), jobs)
+		assert.Equal(t, a.Counts().Calls-calls, jobs-before)
+		assert.Equal(t, f.startCount(), jobs)
+		assert.Equal(t, f.refusedStarts(), 0)
+	})
+}
--- a/internal/scheduler/faults_test.go
+++ b/internal/scheduler/faults_test.go
@@ -108,6 +108,8 @@
 func (f platformWithFault) WorkerEjected(jaybarrow.WorkerID, string)                {}
 func (f platformWithFault) HoldGivenUp(jaybarrow.WorkerID, jaybarrow.DrainObstacle) {}
 
+func (f platformWithFault) AdviceEnded(jaybarrow.QueueID, jaybarrow.AdviceOutcome, time.Duration) {}
+
 // pause waits for d; it returns ctx's error when ctx ends first.
 func pause(ctx context.Context, d time.Duration) error {
 	select {
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -30,6 +30,7 @@
 	waitingTasks *atomic.Int64           // of all pools
 	throughput   *budget.Throughput      // of the scheduler
 	startsSent   *atomic.Int64           // of all pools
+	advice       *adviceCalls            // of the scheduler
 	group        *rungroup.Group         // a part that fails ends the term
 	senders      *rungroup.GoroutinePool // of the scheduler, for orders to workers
 	wake         chan struct{}           // has a value when the planning loop must plan again
@@ -64,7 +65,7 @@
 		state: workload.New(workload.Deps{
 			Settings: d.Settings.Workload, ID: id, Fence: d.Term.Fence, Teams: s.teams, Observer: d.Observer, Policies: s.policy,
 		}),
-		holdLoops: make(map[jaybarrow.WorkerID]bool), gates: make(map[int]*gate), throughput: &s.throughput, startsSent: &s.startsSent,
+		holdLoops: make(map[jaybarrow.WorkerID]bool), gates: make(map[int]*gate), throughput: &s.throughput, startsSent: &s.startsSent, advice: s.advice,
 	}
 	select {
 	case <-s.loaded:
@@ -182,18 +183,22 @@
 	return limit
 }
 
-// planRound plans once. It sends stops, throttle orders and adviser calls immediately, and starts only after their records are
-// stored.
+// planRound plans once. It sends stops and throttle orders immediately, and starts only after their records are stored.
 func (p *poolShard) planRound(ctx context.Context) error {
 	var round workload.Round
+	var advised bool
 	if !p.locked(func() {
 		now := p.deps.Clock.Now()
 		room := p.orders.Room(now)
 		p.state.LimitOrders(room, room)
 		round = p.state.Plan(now, p.deps.Term.Valid())
+		advised = p.state.HasAdvised()
 	}) {
 		return errFailed
 	}
+	if advised {
+		p.advice.signal()
+	}
 	if round.Empty() {
 		return nil
 	}
@@ -203,9 +208,6 @@
 	for _, s := range round.Throttles {
 		p.group.Go("throttle order", func() { p.throttleRun(ctx, s) })
 	}
-	for _, q := range round.AdviceRequests {
-		p.group.Go("advice", func() { p.askAdviser(ctx, q) })
-	}
 	if err := p.writer.write(ctx, round.Records); err != nil {
 		return err
 	}
@@ -267,18 +269,3 @@
 	}
 	return out
 }
-
-// askAdviser asks the adviser which workers may run a step; without an answer the state stays as it is.
-func (p *poolShard) askAdviser(ctx context.Context, q workload.AdviceRequest) {
-	limited, cancel := context.WithTimeout(ctx, p.deps.Settings.AdviceTimeout)
-	defer cancel()
-	requestedAt := p.deps.Clock.Now()
-	advice, err := p.deps.Adviser.Advise(limited, q.Step, q.Workers)
-	p.log.Info().Str("job", string(q.Step.Job)).Int("step", int(q.Step.Step)).Int("asked", len(q.Workers)).Int("allowed", len(advice.Tickets)).
-		Err(err).Msg("advice")
-	if err != nil {
-		return
-	}
-	p.locked(func() { p.state.HandleAdvice(q, advice, requestedAt, p.deps.Clock.Now()) })
-	p.signal()
-}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -54,7 +54,8 @@
 	memory       *budget.Memory    // used by announceCongestion only
 	memoryShort  atomic.Bool       // whether new jobs are refused for want of memory
 	startSlots   chan struct{}     // has a value for each start order that waits for an answer
-	pageRead     chan struct{}     // has a value when a page of the register or of the stored jobs was read
+	advice       *adviceCalls
+	pageRead     chan struct{} // has a value when a page of the register or of the stored jobs was read
 }
 
 // maxSenders is how many goroutines are kept for orders to workers: about as many as wait for an answer in a turn.
@@ -70,6 +71,7 @@
 		pageRead: make(chan struct{}, 1), startSlots: make(chan struct{}, d.Settings.MaxConcurrentStarts),
 		orders: budget.NewOrders(d.Settings.Host, d.Clock.Now()), memory: budget.NewMemory(d.Settings.Host),
 	}
+	s.advice = newAdviceCalls(s)
 	s.orderGroup = rungroup.New(rungroup.EndTerm(d.Log, d.Term.Resign))
 	s.senders = rungroup.NewGoroutinePool(ctx, s.orderGroup, maxSenders)
 	registered := make(chan struct{})
@@ -86,6 +88,10 @@
 		s.watchThroughput(ctx)
 		return nil
 	})
+	s.group.Keep(ctx, "calls to the adviser", func() error {
+		s.advice.run(ctx)
+		return nil
+	})
 	s.group.Keep(ctx, "congested pools", func() error {
 		s.announceCongestion(ctx)
 		return nil
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -24,8 +24,6 @@
 	Host budget.Host
 	// MaxReportInterval is the longest time for which a worker with running tasks may hold back its report.
 	MaxReportInterval time.Duration
-	// AdviceTimeout bounds a call to the adviser, whose answer takes longer with each worker and with each call queued before it.
-	AdviceTimeout time.Duration
 	// HoldRetryDelay is the delay after a failed hold order; it doubles twice with further failures.
 	HoldRetryDelay time.Duration
 	// MaxStoreWait is the longest delay of a worker's next hold order until the ends that it reported are stored.
@@ -51,7 +49,6 @@
 		MaxConcurrentStarts: 1000,
 		// Two reports arrive within the lease of a worker, and the platform's workers wait no longer.
 		MaxReportInterval: 2 * time.Second,
-		AdviceTimeout:     2 * time.Second,
 		HoldRetryDelay:    150 * time.Millisecond,
 		MaxStoreWait:      200 * time.Millisecond,
 		// The hedging delay is ten times the store's usual response time; a slow store still responds within the timeout.
--- a/internal/workload/advice_test.go
+++ b/internal/workload/advice_test.go
@@ -19,12 +19,13 @@
 	h.addWorker("w1")
 	h.addWorker("w2")
 	h.addJob("j", tasks(2, 1000))
-	out := h.plan()
-	assert.Equal(t, len(out.Starts), 0)
-	assert.Equal(t, len(out.AdviceRequests), 1)
-	assert.DeepEqual(t, out.AdviceRequests[0].Workers, []jaybarrow.WorkerID{"w1", "w2"})
-	assert.Equal(t, len(h.plan().AdviceRequests), 0, "one request at a time")
-	h.pool.HandleAdvice(out.AdviceRequests[0], jaybarrow.Advice{Tickets: map[jaybarrow.WorkerID]jaybarrow.Ticket{"w2": "t"}, Valid: 3 * time.Second}, h.now, h.now)
+	assert.Equal(t, len(h.plan().Starts), 0)
+	requests := h.adviceRequests()
+	assert.Equal(t, len(requests), 1)
+	assert.DeepEqual(t, requests[0].Workers, []jaybarrow.WorkerID{"w1", "w2"})
+	h.plan()
+	assert.Equal(t, len(h.adviceRequests()), 0, "one request at a time")
+	h.pool.HandleAdvice(requests[0], jaybarrow.Advice{Tickets: map[jaybarrow.WorkerID]jaybarrow.Ticket{"w2": "t"}, Valid: 3 * time.Second}, h.now, h.now)
 	s := h.planAndStart(jaybarrow.StartDone)
 	assert.Equal(t, len(s), 2)
 	for _, start := range s {
@@ -34,9 +35,8 @@
 	h.advance(4 * time.Second)
 	h.report("w1", nil)
 	h.report("w2", nil, h.endReport(s[0], jaybarrow.EndStopped), h.endReport(s[1], jaybarrow.EndStopped))
-	out = h.plan()
-	assert.Equal(t, len(out.Starts), 0, "the ticket has expired")
-	assert.Equal(t, len(out.AdviceRequests), 1)
+	assert.Equal(t, len(h.plan().Starts), 0, "the ticket has expired")
+	assert.Equal(t, len(h.adviceRequests()), 1)
 }
 
 // newAdvised returns a harness with workers w00, w01 and so on, and an adviser whose tickets are valid for 3 s.
@@ -49,6 +49,32 @@
 	return h
 }
 
+// adviceRequests returns the requests that may be sent now.
+func (h *harness) adviceRequests() []workload.AdviceRequest {
+	h.Helper()
+	var out []workload.AdviceRequest
+	for {
+		offers := h.pool.AdviceOffers(h.now, false)
+		if len(offers) == 0 {
+			return out
+		}
+		for _, o := range offers {
+			q, ok := h.pool.RequestAdvice(o.Step, h.now)
+			assert.Assert(h, ok)
+			out = append(out, q)
+		}
+	}
+}
+
+// planAdvice plans and returns the only request that may be sent then.
+func (h *harness) planAdvice() workload.AdviceRequest {
+	h.Helper()
+	h.plan()
+	requests := h.adviceRequests()
+	assert.Equal(h, len(requests), 1)
+	return requests[0]
+}
+
 // advise answers a request of an adviser that allows only some workers.
 func (h *harness) advise(q workload.AdviceRequest, allowed ...jaybarrow.WorkerID) {
 	advice := jaybarrow.Advice{Tickets: make(map[jaybarrow.WorkerID]jaybarrow.Ticket), Valid: h.advice.Valid}
@@ -60,79 +86,95 @@
 	h.pool.HandleAdvice(q, advice, h.now, h.now)
 }
 
-// Guards against a job that is never started because its adviser is asked about the workers with the most free CPU again and again, and
-// allows only others.
+// Guards against a job that is never started because its adviser is asked about the same workers again and again, and allows only another one.
 func TestTheAdviserIsAskedAboutAllWorkersInTurn(t *testing.T) {
-	h := newAdvised(t, 80)
+	const workers = 80
+	h := newAdvised(t, workers)
+	h.advice.Decide, h.advice.Each = 100*time.Millisecond, 8*time.Millisecond
 	h.addJob("full", tasks(1, 5000))
-	q := h.plan().AdviceRequests[0]
+	q := h.planAdvice()
 	h.advise(q, q.Workers...)
-	busy := h.planAndStart(jaybarrow.StartDone)
-	assert.Equal(t, len(busy), 1)
-	allowed := busy[0].Worker.ID // the worker with the least free CPU
+	assert.Equal(t, len(h.planAndStart(jaybarrow.StartDone)), 1)
 	h.addJob("j", tasks(1, 1000))
 	asked := make(map[jaybarrow.WorkerID]int)
-	for range 3 {
-		out := h.plan()
-		assert.Equal(t, len(out.Starts), 0)
-		assert.Equal(t, len(out.AdviceRequests), 1)
-		for _, id := range out.AdviceRequests[0].Workers {
+	var last jaybarrow.WorkerID
+	for len(asked) < workers {
+		assert.Equal(t, len(h.plan().Starts), 0)
+		requests := h.adviceRequests()
+		assert.Equal(t, len(requests), 1)
+		for _, id := range requests[0].Workers {
 			asked[id]++
+			last = id
 		}
-		h.advise(out.AdviceRequests[0], allowed)
+		if len(asked) < workers {
+			last = ""
+		}
+		h.advise(requests[0], last)
 	}
 	s := h.plan().Starts
 	assert.Equal(t, len(s), 1)
-	assert.Equal(t, s[0].Worker.ID, allowed)
-	assert.Equal(t, len(asked), 80)
+	assert.Equal(t, s[0].Worker.ID, last)
 	for id, n := range asked {
 		assert.Equal(t, n, 1, "requests that name %s", id)
 	}
 }
 
 // Guards against a job that waits although its adviser would allow a worker: the only one with a ticket is full, or a refusal was of an instance of
-// a worker that has ended, or every worker has been refused and the policy has changed since.
+// a worker that has ended, or every worker has been refused and the policy has changed since, or a request has failed.
 func TestTheAdviserIsAskedAgain(t *testing.T) {
 	t.Run("the allowed worker is full", func(t *testing.T) {
 		h := newAdvised(t, 40)
+		h.advice.Decide, h.advice.Each = 100*time.Millisecond, 8*time.Millisecond
 		h.addJob("j", tasks(11, 1000))
-		q := h.plan().AdviceRequests[0]
+		q := h.planAdvice()
 		h.advise(q, q.Workers[0])
 		out := h.plan()
 		assert.Equal(t, len(out.Starts), 10)
-		assert.Equal(t, len(out.AdviceRequests), 1)
-		assert.Equal(t, len(out.AdviceRequests[0].Workers), 10)
+		requests := h.adviceRequests()
+		assert.Equal(t, len(requests), 1)
+		for _, id := range requests[0].Workers {
+			assert.Assert(t, !slices.Contains(q.Workers, id), "%s is named again", id)
+		}
 	})
 	t.Run("a worker has started again", func(t *testing.T) {
 		h := newAdvised(t, 1)
 		h.addJob("j", tasks(1, 1000))
-		h.advise(h.plan().AdviceRequests[0])
-		assert.Equal(t, len(h.plan().AdviceRequests), 0)
+		h.advise(h.planAdvice())
+		h.plan()
+		assert.Equal(t, len(h.adviceRequests()), 0)
 		h.reportInstance("w00", secondBorn, 5, nil)
-		assert.Equal(t, len(h.plan().AdviceRequests), 1)
+		h.plan()
+		assert.Equal(t, len(h.adviceRequests()), 1)
 	})
 	t.Run("all were refused", func(t *testing.T) {
 		h := newAdvised(t, 1)
 		h.addJob("j", tasks(1, 1000))
-		h.advise(h.plan().AdviceRequests[0])
+		h.advise(h.planAdvice())
 		requests := 0
 		for started := h.now; h.now.Sub(started) < 15*time.Second; h.advance(100 * time.Millisecond) {
 			h.report("w00", nil)
-			for _, q := range h.plan().AdviceRequests {
+			h.plan()
+			for _, q := range h.adviceRequests() {
 				requests++
 				h.advise(q)
 			}
 		}
 		assert.Equal(t, requests, 1, "in 15 s")
 	})
-	t.Run("no answer", func(t *testing.T) {
+	t.Run("the request has failed", func(t *testing.T) {
 		h := newAdvised(t, 1)
 		h.addJob("j", tasks(1, 1000))
-		assert.Equal(t, len(h.plan().AdviceRequests), 1)
-		assert.Equal(t, len(h.plan().AdviceRequests), 0)
+		q := h.planAdvice()
+		for started := h.now; h.now.Sub(started) < 15*time.Second; h.advance(100 * time.Millisecond) {
+			h.report("w00", nil)
+			h.plan()
+			assert.Equal(t, len(h.adviceRequests()), 0, "the call may still be served")
+		}
+		h.pool.HandleAdviceFailure(q, h.now)
 		h.advance(time.Second)
 		h.report("w00", nil)
-		assert.Equal(t, len(h.plan().AdviceRequests), 1)
+		h.plan()
+		assert.Equal(t, len(h.adviceRequests()), 1)
 	})
 }
 
@@ -141,13 +183,11 @@
 func TestTheAdviserIsAskedWhereALastingTaskWouldGetRoom(t *testing.T) {
 	h := newAdvised(t, 1)
 	h.addJob("full", tasks(1, 9500))
-	h.advise(h.plan().AdviceRequests[0], "w00")
+	h.advise(h.planAdvice(), "w00")
 	full := h.planAndStart(jaybarrow.StartDone)
 	assert.Equal(t, len(full), 1)
 	h.addJob("long", lasting(1))
-	out := h.plan()
-	assert.Equal(t, len(out.AdviceRequests), 1)
-	h.advise(out.AdviceRequests[0], "w00")
+	h.advise(h.planAdvice(), "w00")
 	h.report("w00", nil, h.endReport(full[0], jaybarrow.EndDone))
 	assert.Equal(t, len(h.planAndStart(jaybarrow.StartDone)), 1)
 }
--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -118,6 +118,8 @@
 
 func (h *harness) WorkerEjected(jaybarrow.WorkerID, string) {}
 
+func (h *harness) AdviceEnded(jaybarrow.QueueID, jaybarrow.AdviceOutcome, time.Duration) {}
+
 func (h *harness) JobEnded(job *jaybarrow.Job, state jaybarrow.JobState, _ time.Duration, _ int) {
 	h.finished[job.ID] = state
 }
--- a/internal/workload/index.go
+++ b/internal/workload/index.go
@@ -28,6 +28,7 @@
 func (p *Pool) removeWorker(w *worker) {
 	delete(p.workers, w.entry.ID)
 	delete(p.unstoredEnds, w)
+	p.advising.forget(w.entry.ID)
 	p.sorted = nil
 }
 
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -51,7 +51,7 @@
 			if len(p.planned) >= p.maxUnsent {
 				return false
 			}
-			if s.unassigned == 0 || !s.ready(now) {
+			if s.unassigned == 0 || !s.ready(now) || !s.mayHaveTicket(now) {
 				continue
 			}
 			if room.mayFit(s.demand()) {
@@ -318,8 +318,13 @@
 
 // score rates the worker for the task; the highest score is chosen.
 func (p *Pool) score(t *task, w *worker) float64 {
+	return weightUtilization*float64(w.used.CPU)/float64(max(1, w.entry.Capacity.CPU)) + p.affinity(t, w)
+}
+
+// affinity rates how well the worker suits the task, whatever else it runs for others.
+func (p *Pool) affinity(t *task, w *worker) float64 {
 	s := t.step.spec
-	score := weightUtilization * float64(w.used.CPU) / float64(max(1, w.entry.Capacity.CPU))
+	score := 0.0
 	if t.avoidWorker == w.entry.ID {
 		score += weightAvoid
 	}
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -30,16 +30,14 @@
 	Share jaybarrow.Percent
 }
 
-// Round is the result of one Plan. Stops, throttles and advice requests may be sent immediately, starts only after the records
-// are written.
+// Round is the result of one Plan. Stops and throttles may be sent immediately, starts only after the records are written.
 type Round struct {
-	Records        []JobRecord
-	Starts         []StartRun // in the order of their assignment
-	Stops          []StopRun
-	Throttles      []ThrottleRun
-	AdviceRequests []AdviceRequest
-	Expired        []jaybarrow.JobID // jobs whose retention is over; their records may be removed
-	processedEnds  map[jaybarrow.WorkerID]endPosition
+	Records       []JobRecord
+	Starts        []StartRun // in the order of their assignment
+	Stops         []StopRun
+	Throttles     []ThrottleRun
+	Expired       []jaybarrow.JobID // jobs whose retention is over; their records may be removed
+	processedEnds map[jaybarrow.WorkerID]endPosition
 }
 
 // endPosition is the last processed end of an instance of a worker; it may be acknowledged once the round is written.
@@ -50,8 +48,7 @@
 
 // Empty reports whether there is nothing to do.
 func (r Round) Empty() bool {
-	return len(r.Records)+len(r.Starts)+len(r.Stops)+len(r.Throttles)+len(r.AdviceRequests)+len(r.Expired) == 0 &&
-		len(r.processedEnds) == 0
+	return len(r.Records)+len(r.Starts)+len(r.Stops)+len(r.Throttles)+len(r.Expired) == 0 && len(r.processedEnds) == 0
 }
 
 // Plan decides what to do now. No task is started unless starting is true.
@@ -72,7 +69,7 @@
 		p.placementsDue = false
 		waiting := p.waitingJobs(now)
 		p.placeWaiting(waiting, now)
-		out.AdviceRequests = p.requestAdvice(waiting, now)
+		p.updateAdvising(waiting, now)
 	}
 	out.Stops = p.dueStops(now)
 	p.collectWrites(&out, now)
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -42,6 +42,8 @@
 	HoldGivenUp(worker jaybarrow.WorkerID, obstacle jaybarrow.DrainObstacle)
 	// WorkerEjected reports that a worker temporarily receives no new tasks, and why.
 	WorkerEjected(worker jaybarrow.WorkerID, reason string)
+	// AdviceEnded reports how a call to a queue's adviser ended, and how long it took.
+	AdviceEnded(queue jaybarrow.QueueID, outcome jaybarrow.AdviceOutcome, took time.Duration)
 }
 
 // Pool is the scheduling state of one pool; it is not safe for concurrent use.
@@ -84,8 +86,9 @@
 	holdsRoom      bool          // whether the observer was last told that room is held
 	heldReportedAt time.Time     // when the observer was last told of it
 	placementsDue  bool          // whether a task may have become placeable since the last plan
-	sweepDue       bool          // whether the next plan must check every worker and run
-	sweptAt        time.Time     // when a plan last checked every worker and run
+	advising       advising
+	sweepDue       bool      // whether the next plan must check every worker and run
+	sweptAt        time.Time // when a plan last checked every worker and run
 }
 
 // endedJob is what is kept of an ended job until its records are removed.
@@ -114,7 +117,7 @@
 		waiting: make(map[*job]bool), ended: make(map[*job]bool), planned: make(map[*run]bool), stopping: make(map[*run]bool),
 		unstoredEnds: make(map[*worker]bool), teamUsed: make(map[jaybarrow.TeamID]jaybarrow.Resources),
 		labelUsed: make(map[jaybarrow.Label]jaybarrow.Resources), renewInterval: d.Settings.RenewInterval,
-		due: newDue(), batchDelay: d.Settings.BatchDelay, runTimes: make(runTimes),
+		advising: newAdvising(), due: newDue(), batchDelay: d.Settings.BatchDelay, runTimes: make(runTimes),
 		maxUnsent: math.MaxInt, maxStops: math.MaxInt,
 	}
 }
