Allow for the adviser's time in a job's target

Cause: the target followed from the run times alone.

Change: the time of a step includes a request that names 30 workers where the queue has an adviser, in the scheduler and where an entry host computes the chain of a new job. No message has changed; a host of the build before sends the shorter chain.

TestTheTargetAllowsForTheAdvisersTime fails without the change (2,000 millicores late). Found by reading; no deployment in force has such a queue.

--- a/fleetconfig.go
+++ b/fleetconfig.go
@@ -47,6 +47,17 @@
 	return QueuePolicy{Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target, Advice: q.Advice}
 }
 
+// objectiveWorkers is how many workers the request names that a job's target allows for each step on a queue with advice.
+const objectiveWorkers = 30
+
+// StepTime returns the time that a job's target allows for a task of the step: its estimate and a request to the adviser, if there is one.
+func (p *QueuePolicy) StepTime(s *Step) time.Duration {
+	if p.Advice == nil {
+		return s.Estimate()
+	}
+	return s.Estimate() + p.Advice.Time(objectiveWorkers)
+}
+
 // AdviceSettings holds the settings of a queue's adviser; a queue that has them requires the adviser's tickets.
 type AdviceSettings struct {
 	Decide time.Duration `json:"decide"` // of a decision
--- a/internal/command/job/admit.go
+++ b/internal/command/job/admit.go
@@ -14,7 +14,7 @@
 	unhurried := in.Recurrence != nil || isLasting(in.Steps)
 	askCtx, cancel := context.WithTimeout(ctx, h.deps.Settings.AdmissionTimeout)
 	a, err := h.deps.Directory.Admit(askCtx, jaybarrow.AdmissionRequest{
-		Queue: in.Queue.ID, Pool: in.Queue.Pool, Work: workOf(in.Steps), CriticalPath: criticalPath(in.Steps), Unhurried: unhurried,
+		Queue: in.Queue.ID, Pool: in.Queue.Pool, Work: workOf(in.Steps), CriticalPath: criticalPath(in.Queue.Policy(), in.Steps), Unhurried: unhurried,
 	})
 	cancel()
 	if err != nil || a.Admitted || unhurried && !a.ShortOfMemory {
@@ -56,15 +56,16 @@
 	return out
 }
 
-// criticalPath returns the estimated run time of the longest chain of steps; a step only comes after earlier ones.
-func criticalPath(steps []jaybarrow.Step) time.Duration {
+// criticalPath returns the estimated time of the longest chain of steps; a step only comes after earlier ones.
+func criticalPath(policy jaybarrow.QueuePolicy, steps []jaybarrow.Step) time.Duration {
 	ends := make([]time.Duration, len(steps))
 	var longest time.Duration
-	for i, s := range steps {
+	for i := range steps {
+		s := &steps[i]
 		for _, before := range s.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		ends[i] += s.Estimate()
+		ends[i] += policy.StepTime(s)
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -31,7 +31,7 @@
 	accepted     time.Time
 	targetTime   time.Time     // when the job should be completed to meet the queue's target
 	work         float64       // estimated core-seconds of the whole job
-	wholePath    time.Duration // estimated run time of the longest chain of steps
+	wholePath    time.Duration // estimated time of the longest chain of steps
 	criticalPath time.Duration // the same for the steps that are not done
 	order        placementOrder
 }
@@ -84,9 +84,8 @@
 		s := &spec.Steps[i]
 		j.work += float64(s.Tasks) * s.Demand.CPU.Cores() * s.Estimate().Seconds()
 	}
-	j.wholePath = longestPath(spec.Steps, func(int) bool { return true })
-	j.criticalPath = j.wholePath
 	j.setPolicy(policy)
+	j.criticalPath = j.wholePath
 	return j
 }
 
@@ -102,6 +101,7 @@
 // setPolicy replaces the policy by which the job is scheduled.
 func (j *job) setPolicy(policy jaybarrow.QueuePolicy) {
 	j.policy = policy
+	j.wholePath = j.longestPath(func(int) bool { return true })
 	j.targetTime = j.accepted.Add(time.Duration(policy.Stretch*float64(j.wholePath)) + policy.Target)
 }
 
@@ -176,8 +176,9 @@
 	return &task{ref: ref, done: true, stray: true, step: j.newOccurrence(ref.Occurrence).steps[ref.Step]}
 }
 
-// longestPath returns the estimated run time of the longest chain of those steps that count; a step only comes after steps of lower index.
-func longestPath(steps []jaybarrow.Step, counts func(i int) bool) time.Duration {
+// longestPath returns the estimated time of the longest chain of those steps that count; a step only comes after steps of lower index.
+func (j *job) longestPath(counts func(i int) bool) time.Duration {
+	steps := j.spec.Steps
 	ends := make([]time.Duration, len(steps))
 	var longest time.Duration
 	for i := range steps {
@@ -185,7 +186,7 @@
 			ends[i] = max(ends[i], ends[dependency])
 		}
 		if counts(i) {
-			ends[i] += steps[i].Estimate()
+			ends[i] += j.policy.StepTime(&steps[i])
 		}
 		longest = max(longest, ends[i])
 	}
@@ -200,7 +201,7 @@
 	}
 	j.criticalPath = 0
 	for _, o := range j.open {
-		j.criticalPath = max(j.criticalPath, longestPath(j.spec.Steps, func(i int) bool { return o.steps[i].tasksLeft > 0 }))
+		j.criticalPath = max(j.criticalPath, j.longestPath(func(i int) bool { return o.steps[i].tasksLeft > 0 }))
 	}
 }
 
--- a/internal/workload/load_test.go
+++ b/internal/workload/load_test.go
@@ -100,3 +100,14 @@
 	entry.Capacity = jaybarrow.Resources{CPU: 1<<63 - 1, Memory: 1<<63 - 1}
 	assert.Equal(t, firstTeam(&entry), jaybarrow.TeamID("poor"), "beside a capacity whose sum overflows")
 }
+
+// Guards against jobs that count as late, and come after others, while their target allows for the adviser's time.
+func TestTheTargetAllowsForTheAdvisersTime(t *testing.T) {
+	h := newHarness(t)
+	h.advice = &jaybarrow.AdviceSettings{Decide: time.Second, Each: 100 * time.Millisecond, Valid: 3 * time.Second}
+	h.addJob("a", tasks(2, 1000)) // its chain takes 4.5 s, with a request that names 30 workers
+	h.advance(3 * time.Second)
+	assert.Equal(t, h.pool.Load(h.now).Late.CPU, jaybarrow.Millicores(0))
+	h.advance(3 * time.Second)
+	assert.Equal(t, h.pool.Load(h.now).Late.CPU, jaybarrow.Millicores(2000))
+}
