Admit no more jobs than the adviser decides on in time

Callers saw: jobs were accepted at any rate where workers had room, and waited in a queue that the adviser could not decide in time: of 300 jobs in 3 s at 108 ms a decision not all began within 20 s.

Cause: admission knew the room, the starts and the processor, not the adviser's time.

Change: each plan states the adviser's expected time for the steps that wait, by priority and by whether their jobs are in time, from what a usable ticket has cost so far. A job that needs advice is admitted with this beside the rest of the load, and refused callers return one after the other as the adviser decides. A pool of a queue with advice counts as congested by it. Late jobs are a flow of their own at the adviser, so that newer ones do not pass them over without limit. No message has changed.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -11,6 +11,7 @@
 	Work         jaybarrow.Work
 	CriticalPath time.Duration // estimated run time of the longest chain of steps
 	Target       time.Duration // within which the job should be completed
+	Advice       time.Duration // the adviser's expected time for the job; 0 when it needs no advice
 }
 
 // lateFactor is how many times its target a job may take and still be of use to its caller.
@@ -52,7 +53,7 @@
 	if g.promisedUntil.After(free) {
 		free = g.promisedUntil
 	}
-	g.promisedUntil = free.Add(Load{Capacity: l.Capacity.Plus(l.Coming)}.waitFor(j.Work))
+	g.promisedUntil = free.Add(max(Load{Capacity: l.Capacity.Plus(l.Coming)}.waitFor(j.Work), j.Advice))
 	if latest := now.Add(maxReturn); g.promisedUntil.After(latest) {
 		g.promisedUntil = latest
 	}
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -114,3 +114,17 @@
 	assert.Assert(t, d.RetryAfter > 0 && d.RetryAfter <= 20*time.Second, "%v", d.RetryAfter)
 	assert.Assert(t, new(admission.Gate).Decide(admission.Load{}, quick, time.Unix(1000, 0)).Admitted, "nothing waits")
 }
+
+// Load pattern: a burst of jobs that need advice, in a pool with room. The adviser's time decides, and refused callers return as it decides.
+func TestTheAdvisersTimeCounts(t *testing.T) {
+	advised := quick
+	advised.Advice = 100 * time.Millisecond
+	load := admission.Load{Capacity: jaybarrow.Resources{CPU: 1_000_000}, InTimeAdvice: 6 * time.Second, Advice: 6 * time.Second}
+	var gate admission.Gate
+	first, second := gate.Decide(load, advised, time.Unix(1000, 0)), gate.Decide(load, advised, time.Unix(1000, 0))
+	assert.Assert(t, !first.Admitted && !second.Admitted)
+	assert.Equal(t, first.RetryAfter, 6*time.Second+quick.CriticalPath-3*quick.Target)
+	assert.Equal(t, second.RetryAfter-first.RetryAfter, advised.Advice)
+	load.InTimeAdvice = 500 * time.Millisecond
+	assert.Assert(t, new(admission.Gate).Decide(load, advised, time.Unix(1000, 0)).Admitted, "it comes before the late ones")
+}
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -17,6 +17,9 @@
 	Capacity    jaybarrow.Resources // of the workers that take tasks, less what lasting tasks use
 	Coming      jaybarrow.Resources // of idle hosts that the pool can get
 	ComingIn    time.Duration       // until they take tasks
+	// InTimeAdvice and Advice are the adviser's time for the steps that it decides on before those of a new job, if the job needs advice: of those
+	// that can meet their target, and of all.
+	InTimeAdvice, Advice time.Duration
 	// StartsPerSecond is how many tasks the scheduler can start; 0 is unlimited.
 	StartsPerSecond float64
 }
@@ -25,11 +28,13 @@
 const maxWait = time.Hour
 
 // InTimeWait returns the expected time until the work that can meet its target has been placed.
-func (l Load) InTimeWait() time.Duration { return max(l.waitFor(l.InTime), l.startWait(l.InTimeTasks)) }
+func (l Load) InTimeWait() time.Duration {
+	return max(l.waitFor(l.InTime), l.startWait(l.InTimeTasks), l.InTimeAdvice)
+}
 
 // Wait returns the expected time until all waiting work has been placed.
 func (l Load) Wait() time.Duration {
-	return max(l.waitFor(l.Waiting), l.startWait(l.Tasks))
+	return max(l.waitFor(l.Waiting), l.startWait(l.Tasks), l.Advice)
 }
 
 // waitFor returns the time that the work takes: on the pool's own workers, and beside them on the coming ones from when they are there.
--- a/internal/advice/turns.go
+++ b/internal/advice/turns.go
@@ -11,7 +11,9 @@
 type Flow struct {
 	Pool  jaybarrow.PoolID
 	Queue jaybarrow.QueueID
-	// Waits means that the steps cannot start at once when they are allowed: they wait for room or for their time.
+	// Late means that the jobs can no longer meet their target.
+	Late bool
+	// Waits means that the steps cannot start at once when they are allowed: they wait for room.
 	Waits bool
 }
 
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -53,9 +53,15 @@
 		return jaybarrow.Admission{Admitted: true}
 	}
 	g := p.readLoad(priority, now)
-	d := g.Decide(g.load, admission.Job{Work: r.Work, CriticalPath: r.CriticalPath, Target: target}, now)
+	job := admission.Job{Work: r.Work, CriticalPath: r.CriticalPath, Target: target, Advice: p.state.AdviceTime(r.Queue)}
+	load := g.load
+	if job.Advice == 0 {
+		load.InTimeAdvice, load.Advice = 0, 0
+	}
+	d := g.Decide(load, job, now)
 	if d.Admitted {
 		g.load.InTime, g.load.Waiting = g.load.InTime.Plus(r.Work), g.load.Waiting.Plus(r.Work)
+		g.load.InTimeAdvice, g.load.Advice = g.load.InTimeAdvice+job.Advice, g.load.Advice+job.Advice
 	}
 	return jaybarrow.Admission{Admitted: d.Admitted, Wait: d.Wait, RetryAfter: d.RetryAfter}
 }
@@ -76,6 +82,7 @@
 	p.tasks = g.load.Tasks
 	g.load.Tasks = int(p.waitingTasks.Add(int64(p.tasks - before)))
 	g.load.Coming, g.load.ComingIn = p.coming.Capacity, p.coming.In
+	g.load.InTimeAdvice, g.load.Advice = p.advice.backlog(priority)
 	g.load.StartsPerSecond = p.startsPerSecond()
 	return g
 }
@@ -141,9 +148,14 @@
 // congestedPools returns the pools whose waiting work takes longer than congestionWait, sorted.
 func (s *Scheduler) congestedPools(now time.Time) []jaybarrow.PoolID {
 	var out []jaybarrow.PoolID
+	advised := s.advisedPools()
 	s.pools.Each(func(id jaybarrow.PoolID, p *poolShard) {
 		p.locked(func() {
-			if p.readLoad(leastUrgent, now).load.Wait() > congestionWait {
+			load := p.readLoad(leastUrgent, now).load
+			if !advised[id] {
+				load.InTimeAdvice, load.Advice = 0, 0
+			}
+			if load.Wait() > congestionWait {
 				out = append(out, id)
 			}
 		})
@@ -152,6 +164,21 @@
 	return out
 }
 
+// advisedPools returns the pools of the queues with advice.
+func (s *Scheduler) advisedPools() map[jaybarrow.PoolID]bool {
+	c := s.deps.Catalog.Configuration()
+	if c == nil {
+		return nil
+	}
+	out := make(map[jaybarrow.PoolID]bool)
+	for n := range c.Queues {
+		if q := &c.Queues[n]; q.Advice != nil {
+			out[q.Pool] = true
+		}
+	}
+	return out
+}
+
 // writeCongestion replaces the record of what is congested under the leader's lease.
 func (s *Scheduler) writeCongestion(ctx context.Context, c leader.Congestion) error {
 	changes := jaybarrow.Commit{Expect: []jaybarrow.Expectation{{Key: jaybarrow.JobLeaderKey, Revision: s.deps.Term.Revision}}}
--- a/internal/scheduler/advising.go
+++ b/internal/scheduler/advising.go
@@ -21,11 +21,13 @@
 	calls   advice.Calls
 	turns   *advice.Turns
 	cancels map[advice.CallNumber]context.CancelFunc
+	waiting map[jaybarrow.PoolID][]advice.Backlog // as of the last plan of each pool
 }
 
 func newAdviceCalls(s *Scheduler) *adviceCalls {
 	return &adviceCalls{
 		scheduler: s, wake: make(chan struct{}, 1), turns: advice.NewTurns(), cancels: make(map[advice.CallNumber]context.CancelFunc),
+		waiting: make(map[jaybarrow.PoolID][]advice.Backlog),
 	}
 }
 
@@ -37,6 +39,30 @@
 	}
 }
 
+// planned records what waits for advice after a plan of the pool, and wakes the loop.
+func (a *adviceCalls) planned(pool jaybarrow.PoolID, backlog []advice.Backlog) {
+	a.lock.Lock()
+	a.waiting[pool] = backlog
+	a.lock.Unlock()
+	a.signal()
+}
+
+// backlog returns the adviser's time for the steps that come before those of a new job in a queue of the priority: of those that can meet their
+// target, and of all.
+func (a *adviceCalls) backlog(priority int) (inTime, all time.Duration) {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	for _, pool := range a.waiting {
+		for _, b := range pool {
+			all += b.All
+			if b.Priority <= priority {
+				inTime += b.InTime
+			}
+		}
+	}
+	return inTime, all
+}
+
 // maxAdvicePause is the longest time between two looks for a request to send; each plan of a pool that has one wakes the loop earlier.
 const maxAdvicePause = time.Second
 
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/advice"
 	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/notify"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
@@ -31,6 +32,7 @@
 	throughput   *budget.Throughput      // of the scheduler
 	startsSent   *atomic.Int64           // of all pools
 	advice       *adviceCalls            // of the scheduler
+	advised      bool                    // whether jobs waited for advice after the last plan; used by the planning loop only
 	group        *rungroup.Group         // a part that fails ends the term
 	senders      *rungroup.GoroutinePool // of the scheduler, for orders to workers
 	wake         chan struct{}           // has a value when the planning loop must plan again
@@ -187,18 +189,20 @@
 func (p *poolShard) planRound(ctx context.Context) error {
 	var round workload.Round
 	var advised bool
+	var waiting []advice.Backlog
 	if !p.locked(func() {
 		now := p.deps.Clock.Now()
 		room := p.orders.Room(now)
 		p.state.LimitOrders(room, room)
 		round = p.state.Plan(now, p.deps.Term.Valid())
-		advised = p.state.HasAdvised()
+		advised, waiting = p.state.HasAdvised(), p.state.AdviceBacklog()
 	}) {
 		return errFailed
 	}
-	if advised {
-		p.advice.signal()
+	if advised || p.advised {
+		p.advice.planned(p.id, waiting)
 	}
+	p.advised = advised
 	if round.Empty() {
 		return nil
 	}
--- a/internal/workload/adviceoffers.go
+++ b/internal/workload/adviceoffers.go
@@ -1,14 +1,14 @@
 package workload
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/advice"
 )
 
-// AdviceOffers returns, for each queue, the first step that the adviser may be asked about and that could start at once, and the first that waits
-// for room. Steps with a request under way are left out, and so is room that tasks of other requests will take, unless again is set.
+// AdviceOffers returns the first step of each flow that the adviser may be asked about. Steps with a request under way are left out, and so is room that tasks of other requests will take, unless again is set.
 func (p *Pool) AdviceOffers(now time.Time, again bool) []advice.Offer {
 	if len(p.advising.jobs) == 0 {
 		return nil
@@ -26,7 +26,7 @@
 	room := room{largest: largestFree(usable)}
 	offered := make(map[advice.Flow]bool)
 	for _, j := range p.advising.jobs {
-		flow := advice.Flow{Pool: p.id, Queue: j.spec.Queue}
+		flow := advice.Flow{Pool: p.id, Queue: j.spec.Queue, Late: j.order.rank == rankLate}
 		waits := flow
 		waits.Waits = true
 		if j.state.Ended() || j.policy.Advice == nil || offered[flow] && offered[waits] {
@@ -58,7 +58,16 @@
 }
 
 // AdviceBacklog returns the adviser's time for the steps that wait for it, by the priority of their queues; it is as of the last plan.
-func (p *Pool) AdviceBacklog() []advice.Backlog { return p.advising.backlog }
+func (p *Pool) AdviceBacklog() []advice.Backlog { return slices.Clone(p.advising.backlog) }
+
+// AdviceTime returns the adviser's expected time for a step of the queue; 0 when the queue has no adviser.
+func (p *Pool) AdviceTime(queue jaybarrow.QueueID) time.Duration {
+	policy, ok := p.policies(queue)
+	if !ok || policy.Advice == nil {
+		return 0
+	}
+	return p.advising.oddsOf(queue).StepTime(*policy.Advice)
+}
 
 // HasAdvised reports whether a job waited for advice after the last plan.
 func (p *Pool) HasAdvised() bool { return len(p.advising.jobs) > 0 }
@@ -69,7 +78,7 @@
 		return false
 	}
 	if a := s.advice; a != nil {
-		if a.vainPlan == p.advising.plan || now.Before(a.retryAt) || len(a.underWay) > 0 && !again {
+		if now.Before(a.retryAt) || !again && (a.vainPlan == p.advising.plan || len(a.underWay) > 0) {
 			return false
 		}
 		if p.canUseTickets(s, now) {
