Ask the adviser before an occurrence is due

Callers saw: each run of a scheduled job on a queue with advice began late by the adviser's queue and decision, although its time is known ahead.

Cause: an occurrence was opened, and its step asked about, when it was due.

Change: it is opened earlier by the time of two requests, at most half of a ticket's validity. Its tasks still start when it is due, and steps that can start at once are asked about first. The heap of due jobs is ordered by these times, and a job is put in anew when its policy changes.

TestTheAdviserIsAskedBeforeAnOccurrenceIsDue fails without the lead (it is asked when the occurrence is due).

--- a/internal/workload/advice_test.go
+++ b/internal/workload/advice_test.go
@@ -191,3 +191,27 @@
 	h.report("w00", nil, h.endReport(full[0], jaybarrow.EndDone))
 	assert.Equal(t, len(h.planAndStart(jaybarrow.StartDone)), 1)
 }
+
+// Guards against occurrences that start late by the time of their adviser, although it is known when they are due, and against ones that start early.
+func TestTheAdviserIsAskedBeforeAnOccurrenceIsDue(t *testing.T) {
+	h := newAdvised(t, 4)
+	h.advice.Decide, h.advice.Each = 100*time.Millisecond, 8*time.Millisecond
+	due := h.now.Add(10 * time.Second)
+	h.pool.AddJob(h.schedule("j", due, time.Minute, 3), nil, h.now)
+	asked := 0
+	for h.now.Before(due) {
+		assert.Equal(t, len(h.plan().Starts), 0, "%v early", due.Sub(h.now))
+		for _, q := range h.adviceRequests() {
+			asked++
+			early := due.Sub(h.now)
+			assert.Assert(t, early > 200*time.Millisecond && early < time.Second, "asked %v early", early)
+			h.advise(q, q.Workers...)
+		}
+		h.advance(20 * time.Millisecond)
+		for n := range 4 {
+			h.report(jaybarrow.WorkerID(fmt.Sprintf("w%02d", n)), nil)
+		}
+	}
+	assert.Equal(t, asked, 1)
+	assert.Equal(t, len(h.plan().Starts), 1)
+}
--- a/internal/workload/adviceoffers.go
+++ b/internal/workload/adviceoffers.go
@@ -43,7 +43,7 @@
 				continue
 			}
 			of := flow
-			of.Waits = !canStart
+			of.Waits = !canStart || !s.ready(now)
 			if offered[of] {
 				continue
 			}
@@ -74,7 +74,7 @@
 
 // needsAdvice reports whether the step waits for its adviser and nothing else, as far as a look at the step shows.
 func (p *Pool) needsAdvice(s *step, again bool, now time.Time) bool {
-	if s.unassigned == 0 || !s.ready(now) {
+	if s.unassigned == 0 || !s.ready(now.Add(s.job.adviceLead())) {
 		return false
 	}
 	if a := s.advice; a != nil {
--- a/internal/workload/due.go
+++ b/internal/workload/due.go
@@ -20,19 +20,37 @@
 	return time.UnixMilli(r.StartMs + int64(k)*r.IntervalMs)
 }
 
-// dueUnopened returns how many occurrences are due and were never opened.
+// The adviser is asked so early that it can decide on adviceLeadRequests requests for adviceLeadWorkers workers each before an occurrence is due.
+const (
+	adviceLeadRequests = 2
+	adviceLeadWorkers  = 30
+)
+
+// openTime returns when the occurrence is opened: when it is due, or so much earlier that its adviser can be asked before.
+func (j *job) openTime(k jaybarrow.Occurrence) time.Time { return j.dueTime(k).Add(-j.adviceLead()) }
+
+// adviceLead returns how long before an occurrence is due its adviser is asked; the tickets must be valid for longer.
+func (j *job) adviceLead() time.Duration {
+	if j.policy.Advice == nil || j.spec.Recurrence == nil {
+		return 0
+	}
+	lead := adviceLeadRequests * j.policy.Advice.Time(adviceLeadWorkers)
+	return max(0, min(lead, j.policy.Advice.Valid/2-adviceMargin))
+}
+
+// dueUnopened returns how many occurrences may be opened and never were.
 func (j *job) dueUnopened(now time.Time) int {
 	left := j.spec.Occurrences() - int(j.next)
-	if left <= 0 || now.Before(j.dueTime(j.next)) {
+	if left <= 0 || now.Before(j.openTime(j.next)) {
 		return 0
 	}
 	if r := j.spec.Recurrence; r != nil && r.IntervalMs > 0 {
-		left = int(min(int64(left), 1+now.Sub(j.dueTime(j.next)).Milliseconds()/r.IntervalMs))
+		left = int(min(int64(left), 1+now.Sub(j.openTime(j.next)).Milliseconds()/r.IntervalMs))
 	}
 	return left
 }
 
-// openDue opens occurrences that are due, as long as those that are open have begun or have few steps in all.
+// openDue opens occurrences whose time has come, as long as those that are open have begun or have few steps in all.
 func (p *Pool) openDue(j *job, now time.Time) {
 	due := j.dueUnopened(now)
 	if due == 0 {
@@ -80,7 +98,7 @@
 func (p *Pool) takeDue(now time.Time) {
 	for {
 		j, ok := p.due.First()
-		if !ok || now.Before(j.dueTime(j.next)) {
+		if !ok || now.Before(j.openTime(j.next)) {
 			return
 		}
 		p.removeDue(j)
@@ -92,7 +110,7 @@
 // newDue returns the jobs that wait for their next occurrence, the earliest first.
 func newDue() *heap.Heap[*job] {
 	return heap.New(
-		func(a, b *job) bool { return a.dueTime(a.next).Before(b.dueTime(b.next)) },
+		func(a, b *job) bool { return a.openTime(a.next).Before(b.openTime(b.next)) },
 		func(j *job, index int) { j.dueIndex = index },
 	)
 }
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -168,7 +168,12 @@
 		if !ok || policy == j.policy {
 			continue
 		}
+		waits := j.dueIndex != heap.Absent
+		p.removeDue(j) // which is ordered by times that depend on the policy
 		j.setPolicy(policy)
+		if waits {
+			p.addDue(j)
+		}
 		p.updateState(j, now)
 		p.placementsDue = true
 	}
