Name workers of one rack for a step that is to be on one rack

Callers would have seen: the tasks of a same_rack step spread over racks, where they take several times as long.

Change: the workers of the rack that can take most of the tasks come first. Where the data is, and where tasks of the step run, counted already.

TestTheAdviserIsAskedAboutWorkersThatSuit fails without either rule. Found by reading.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -160,6 +160,7 @@
 	promised bool // the room will be taken by others
 	known    int  // 0 when the adviser has allowed it before, 1 when it was not asked, 2 when it is being asked
 	affinity float64
+	onRack   int     // how many of the tasks the candidates of its rack can take together; 0 unless the step is to be on one rack
 	allowed  float64 // probability that the adviser allows it
 }
 
@@ -190,10 +191,13 @@
 		}
 		out = append(out, c)
 	}
+	if s.spec.SameRack {
+		countByRack(out, s.unassigned)
+	}
 	slices.SortStableFunc(out, func(a, b adviceCandidate) int {
 		return cmp.Or(
 			compareBool(a.promised, b.promised), cmp.Compare(a.known, b.known), cmp.Compare(b.affinity, a.affinity),
-			cmp.Compare(b.allowed, a.allowed), cmp.Compare(b.worker.free().CPU, a.worker.free().CPU),
+			cmp.Compare(b.onRack, a.onRack), a.compareRack(b), cmp.Compare(b.allowed, a.allowed), cmp.Compare(b.worker.free().CPU, a.worker.free().CPU),
 		)
 	})
 	if n := slices.IndexFunc(out, func(c adviceCandidate) bool { return c.promised }); n > 0 {
@@ -202,6 +206,27 @@
 	return out
 }
 
+// countByRack sets how many tasks, of so many, the candidates of each rack can take together.
+func countByRack(candidates []adviceCandidate, tasks int) {
+	counts := make(map[jaybarrow.RackID]int)
+	for _, c := range candidates {
+		if !c.promised {
+			counts[c.worker.entry.Rack] += c.tasks
+		}
+	}
+	for n := range candidates {
+		candidates[n].onRack = min(tasks, counts[candidates[n].worker.entry.Rack])
+	}
+}
+
+// compareRack keeps the candidates of a rack together where that counts.
+func (c adviceCandidate) compareRack(other adviceCandidate) int {
+	if c.onRack == 0 {
+		return 0
+	}
+	return cmp.Compare(c.worker.entry.Rack, other.worker.entry.Rack)
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/internal/workload/advice_test.go
+++ b/internal/workload/advice_test.go
@@ -215,3 +215,59 @@
 	assert.Equal(t, asked, 1)
 	assert.Equal(t, len(h.plan().Starts), 1)
 }
+
+// newRacked returns newAdvised with 12 workers on 4 racks, of which those with the most free CPU are on different ones.
+func newRacked(t *testing.T) *harness {
+	h := newAdvised(t, 0)
+	h.advice.Decide, h.advice.Each = 100*time.Millisecond, 8*time.Millisecond
+	for n := range 12 {
+		id := jaybarrow.WorkerID(fmt.Sprintf("w%02d", n))
+		h.pool.SetWorker(jaybarrow.Worker{
+			ID: id, Pool: "desk", Address: "192.0.2.1:80", State: jaybarrow.WorkerReady, Rack: rackOf(t, id),
+			Capacity: jaybarrow.Resources{CPU: jaybarrow.Millicores(10_000 + n), Memory: 10_000},
+		}, h.now)
+		h.clocks[id] = 1000
+		h.report(id, nil)
+	}
+	return h
+}
+
+// rackOf returns the rack of a worker of newRacked.
+func rackOf(t *testing.T, id jaybarrow.WorkerID) jaybarrow.RackID {
+	var n int
+	_, err := fmt.Sscanf(string(id), "w%d", &n)
+	assert.NilError(t, err)
+	return jaybarrow.RackID(fmt.Sprintf("r%d", n%4))
+}
+
+// Guards against a step that is spread over racks, or runs away from its data, because its adviser was asked about other workers.
+func TestTheAdviserIsAskedAboutWorkersThatSuit(t *testing.T) {
+	namedOn := func(q workload.AdviceRequest) map[jaybarrow.RackID]int {
+		out := make(map[jaybarrow.RackID]int)
+		for _, id := range q.Workers {
+			out[rackOf(t, id)]++
+		}
+		return out
+	}
+	t.Run("the rack of the data", func(t *testing.T) {
+		h := newRacked(t)
+		step := tasks(1, 1000)
+		step.DataRack = "r1"
+		h.addJob("j", step)
+		q := h.planAdvice()
+		assert.Equal(t, namedOn(q)["r1"], min(3, len(q.Workers)), "%v", q.Workers)
+	})
+	t.Run("one rack", func(t *testing.T) {
+		h := newRacked(t)
+		step := tasks(3, 9000)
+		step.SameRack = true
+		h.addJob("j", step)
+		q := h.planAdvice()
+		assert.Assert(t, len(q.Workers) >= 3)
+		most := 0
+		for _, n := range namedOn(q) {
+			most = max(most, n)
+		}
+		assert.Equal(t, most, 3, "%v", q.Workers)
+	})
+}
