--- a/internal/scheduler/advice_test.go
+++ b/internal/scheduler/advice_test.go
@@ -23,15 +23,23 @@
 
 // Guards against calls that are given up before their answer and asked again, so that the more jobs wait the fewer of them begin.
 func TestABurstOfAdvisedJobsBegins(t *testing.T) {
-	for _, workers := range []int{12, 48} {
+	for name, c := range map[string]struct {
+		jobs, workers int
+		pause         time.Duration
+		limit         time.Duration // for the last one to begin
+	}{
+		"12 workers":              {60, 12, 66 * time.Millisecond, 9 * time.Second},
+		"48 workers":              {60, 48, 66 * time.Millisecond, 12 * time.Second},
+		"ten times what it bears": {300, 48, 11 * time.Millisecond, 45 * time.Second},
+	} {
 		for _, skips := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%d workers, abandoned calls are skipped %v", workers, skips), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s, abandoned calls are skipped %v", name, skips), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					b := usualBurst
-					b.workers, b.skipsAbandoned = workers, skips
-					r := b.play(t, 30*time.Second)
+					b.jobs, b.workers, b.pause, b.skipsAbandoned = c.jobs, c.workers, c.pause, skips
+					r := b.play(t, 2*c.limit)
 					assert.Equal(t, r.begun, b.jobs)
-					assert.Assert(t, r.last < map[int]time.Duration{12: 9 * time.Second, 48: 12 * time.Second}[workers], "the last job began after %v", r.last)
+					assert.Assert(t, r.last < c.limit, "the last job began after %v", r.last)
 					assert.Equal(t, r.counts.Answers, r.counts.Calls, "%+v", r.counts)
 					assert.Equal(t, r.counts.Refused, 0)
 					assert.Assert(t, r.last-r.counts.Busy < 100*time.Millisecond, "the adviser was idle while jobs waited: %v of %v busy", r.counts.Busy, r.last)
