Repeat a read once when the store has closed its connection

Cause: the outage had closed the kept connections of the entry host, and the change met one of them before any other call did.

Change: a read is made again, over a new connection, when the other end has closed the one that it used. The first call is over then, and a read changes nothing. Writes are not repeated.

TestAReadAfterAnOutageUsesANewConnection and TestAnOperatorsChangeRightAfterAnOutage failed before.

--- a/internal/etcd/client.go
+++ b/internal/etcd/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -156,11 +157,20 @@
 	return c.call(ctx, fasthttp.MethodPost, path, body, result)
 }
 
-// read makes a call that changes nothing, so the effect of its errors is always notRun.
+// read makes a call that changes nothing, so the effect of its errors is always notRun. It is repeated once when the store has closed its
+// connection, as an outage does with those that are kept; the second call opens a new one.
 func (c *Client) read(ctx context.Context, method, path string, body, result any) error {
 	err := c.call(ctx, method, path, body, result)
+	if err != nil && connectionClosed(err) {
+		err = c.call(ctx, method, path, body, result)
+	}
 	if err == nil {
 		return nil
 	}
 	return jaybarrow.AsError(err).WithEffect(jaybarrow.EffectNotRun)
 }
+
+// connectionClosed reports whether the other end has closed the connection of a call, so that no answer can come any more.
+func connectionClosed(err error) bool {
+	return errors.Is(err, fasthttp.ErrConnectionClosed) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
--- a/internal/etcd/client_test.go
+++ b/internal/etcd/client_test.go
@@ -188,3 +188,17 @@
 	assert.NilError(t, err)
 	assert.Equal(t, outcome, etcd.OutcomeWritten)
 }
+
+// Guards against a read that fails although the store is back, because an outage has closed the connections that were kept.
+func TestAReadAfterAnOutageUsesANewConnection(t *testing.T) {
+	ctx, s := context.Background(), startStore(t, store.Timing{})
+	client := newClient(t, s, callTimeout)
+	_, err := client.CompareAndSwap(ctx, "/a", 0, []byte("v"), 0)
+	assert.NilError(t, err)
+	for n := range 20 {
+		assert.NilError(t, s.SetFaults(store.Faults{Outage: store.OutageRefuse}))
+		assert.NilError(t, s.SetFaults(store.Faults{}))
+		_, err := client.Get(ctx, "/a")
+		assert.NilError(t, err, "after outage %d", n)
+	}
+}
--- a/test/e2e/configuration_test.go
+++ b/test/e2e/configuration_test.go
@@ -248,3 +248,18 @@
 	w.assertInForce(restarted, w.change(c.entries[0]))
 	assert.NilError(t, checkInvariants(c.ledgers(), h.list(), c.plan.teams))
 }
+
+// Guards against an operator's change that fails although the store is back, since the entry host's kept connections were closed by the outage.
+func TestAnOperatorsChangeRightAfterAnOutage(t *testing.T) {
+	t.Parallel()
+	p := standardPlan()
+	p.workersPerPool = 1
+	c := newCluster(t, p)
+	w := c.shareWriter("trail")
+	w.assertInForce(c.entries[0], w.change(c.entries[0]))
+	for range 10 {
+		c.faults(store.Faults{Outage: store.OutageRefuse})
+		c.faults(store.Faults{})
+		w.change(c.entries[0])
+	}
+}
