Let the leader's last refusal stand while it does not answer

Cause: a leader with a link of 2 Mbit/s starts about 90 tasks a second and does not always answer in time whether a job is to be accepted.

Change: an entry host keeps the leader's last answer for each queue. If it was a refusal of the last 3 s, it stands for further jobs of the queue that the leader does not decide on. No message has changed.

--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -90,6 +90,7 @@
 	waves           waves
 	announcer       *announcer
 	admissions      *breaker // of questions to the leader whether a job is admitted
+	refusals        *refusals
 	client          *jobpeer.Client
 	server          *jobpeer.Server
 	activeScheduler atomic.Pointer[scheduler.Scheduler] // nil while this entry host does not lead
@@ -144,7 +145,7 @@
 	})
 	h.waves.operators = d.Platform.Operators
 	h.announcer = &announcer{host: h, log: logging.For(d.Log, "peer"), group: rungroup.New(d.OnFault)}
-	h.admissions = new(breaker)
+	h.admissions, h.refusals = new(breaker), newRefusals()
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
 	commands := command.Deps{
 		Clock: d.Clock, Store: fallbackStore{JobStore: d.Platform.Store, host: h, health: new(storeHealth), breaker: new(breaker)}, Authorizer: h.Authorizer,
--- a/internal/jobhost/leaderqueries.go
+++ b/internal/jobhost/leaderqueries.go
@@ -52,11 +52,25 @@
 		return jaybarrow.Admission{}, err
 	}
 	if !d.host.admissions.allow(d.host.deps.Clock.Now()) {
-		return jaybarrow.Admission{}, jaybarrow.Errorf(jaybarrow.KindPeerLost, "the leader did not answer lately")
+		return d.recallRefusal(r, jaybarrow.Errorf(jaybarrow.KindPeerLost, "the leader did not answer lately"))
 	}
 	a, err := d.host.client.Admit(ctx, leaderAddress, r)
-	d.host.admissions.record(d.host.deps.Clock.Now(), err == nil)
-	return a, err
+	now := d.host.deps.Clock.Now()
+	d.host.admissions.record(now, err == nil)
+	if err != nil {
+		return d.recallRefusal(r, err)
+	}
+	d.host.refusals.record(r.Queue, a, now)
+	return a, nil
+}
+
+// recallRefusal returns the leader's last refusal of a job of the queue, or else the error: a leader that is too busy to answer has not come to
+// carry more since.
+func (d jobDirectory) recallRefusal(r jaybarrow.AdmissionRequest, err error) (jaybarrow.Admission, error) {
+	if refused, ok := d.host.refusals.recall(r.Queue, d.host.deps.Clock.Now()); ok {
+		return refused, nil
+	}
+	return jaybarrow.Admission{}, err
 }
 
 // leaderAddress returns the peer address of the leader, or KindPeerLost when no other entry host is known to lead.
