Let the leader's lease outlive a page of a list on its link

Change: the lease, and the limit of a call for the lead, grow by the time of the largest page on the host's link (0.04 s at 200 Mbit/s, 0.8 s at 10, 4.2 s at 2), and the renewals become rarer with it. A host with a slow link that leads and ends without notice is replaced so much later; hosts with fast links campaign first, as before. The settings are put together in a function of their own.

TestTheLeadersLeaseOutlivesAPageOfAList fails without the change.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -44,6 +44,8 @@
 	// a second for the link. The other two bound the number of concurrent start orders.
 	startsPerMegabit    = 8
 	minConcurrentStarts = 40
+	// renewalsPerLease is how many renewals of the leader's lease fall into it.
+	renewalsPerLease    = 4
 	maxConcurrentStarts = 4000
 	// configurationAgeFraction is the fraction of the platform's limit on the age of the configuration above which requests are
 	// refused with KindStaleConfiguration.
@@ -92,22 +94,8 @@
 	return join(ctx, *file, s, *marks, log, metrics, onFault)
 }
 
-// join runs an entry host on the platform until ctx ends; onFault handles the failure of one of its background parts.
-func join(ctx context.Context, file string, s platform.Settings, progressByMarks bool, root zerolog.Logger, metrics *jobmetrics.Metrics, onFault rungroup.Handler) int {
-	log := logging.For(root, "join")
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
-	debug.SetGCPercent(gcPercent)
-	listeners, err := listenAll(s.Peers, s.Callers, s.Balancer)
-	if err != nil {
-		log.Error().Err(err).Msg("cannot listen; exiting")
-		return exitFailure
-	}
-	store := platform.NewStore(s.Store)
-	defer store.Close()
-	fleet := platform.NewFleet(s.Fleet, s.EntryID)
-	defer fleet.Close()
-	adviser := platform.NewAdviser(s.Adviser)
-	defer adviser.Close()
+// hostSettings returns the settings of an entry host on the platform, fitted to what its host can carry and to the platform's bounds.
+func hostSettings(s platform.Settings, progressByMarks bool) jobhost.Settings {
 	settings := jobhost.DefaultSettings()
 	settings.MaxConfigurationAge = time.Duration(configurationAgeFraction * float64(s.Bounds.ConfigurationDelay+s.Bounds.OutageDelay))
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.MaxWorkerLease)
@@ -125,11 +113,35 @@
 	settings.Scheduler.Commit.Delay += carrier.CallSlack()
 	settings.Scheduler.Commit.Timeout += carrier.CallSlack()
 	settings.Command.AdmissionTimeout += carrier.CallSlack()
+	// A renewal queues at the link behind the pages of the lists that a new leader reads.
+	settings.Leader.Lease += carrier.PageTime()
+	settings.Leader.CallTimeout += carrier.PageTime()
+	settings.Leader.RenewInterval = max(settings.Leader.RenewInterval, settings.Leader.Lease/renewalsPerLease)
 	if s.Link > 0 {
 		settings.Scheduler.MaxConcurrentStarts = max(minConcurrentStarts, int(min(startsPerMegabit*s.Link, maxConcurrentStarts)))
 	}
 	settings.Fleet.TakeoverDelay, settings.Fleet.MinOrderDuration = s.Bounds.HostOrderLease, s.Bounds.MinHostOrderTime
 	settings.Fleet.Plan.Lookahead = s.Bounds.HostMoveTime + settings.Fleet.Interval
+	return settings
+}
+
+// join runs an entry host on the platform until ctx ends; onFault handles the failure of one of its background parts.
+func join(ctx context.Context, file string, s platform.Settings, progressByMarks bool, root zerolog.Logger, metrics *jobmetrics.Metrics, onFault rungroup.Handler) int {
+	log := logging.For(root, "join")
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
+	debug.SetGCPercent(gcPercent)
+	listeners, err := listenAll(s.Peers, s.Callers, s.Balancer)
+	if err != nil {
+		log.Error().Err(err).Msg("cannot listen; exiting")
+		return exitFailure
+	}
+	store := platform.NewStore(s.Store)
+	defer store.Close()
+	fleet := platform.NewFleet(s.Fleet, s.EntryID)
+	defer fleet.Close()
+	adviser := platform.NewAdviser(s.Adviser)
+	defer adviser.Close()
+	settings := hostSettings(s, progressByMarks)
 	host := jobhost.New(jobhost.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: root, Entry: s.EntryID, Peers: listeners[0], Settings: settings, Metrics: metrics,
 		OnFault: onFault, LiveMemory: liveMemory,
--- a/cmd/jaybarrow/join_test.go
+++ b/cmd/jaybarrow/join_test.go
@@ -18,7 +18,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/standin/site"
+	"github.com/jaybarrow/jaybarrow/platform"
 )
 
 // joinTimeout bounds each wait of a test.
@@ -230,3 +232,17 @@
 	}
 	awaitAcceptance("0000000000000002")
 }
+
+// Guards against a leader that loses its lease because the renewals queue at its link behind the lists that it reads at a takeover, after which
+// the next one reads them from the start.
+func TestTheLeadersLeaseOutlivesAPageOfAList(t *testing.T) {
+	const pageBits = 8 << 20
+	for _, link := range []jaybarrow.MegabitsPerSecond{2, 10, 200} {
+		s := hostSettings(platform.Settings{Link: link}, false).Leader
+		page := time.Duration(pageBits / (float64(link) * 1e6) * float64(time.Second))
+		assert.Assert(t, s.Lease >= page+time.Second && s.Lease <= page+2*time.Second, "%v at %v Mbit/s", s.Lease, link)
+		assert.Assert(t, s.CallTimeout >= page, "%v at %v Mbit/s", s.CallTimeout, link)
+		assert.Assert(t, s.RenewInterval <= s.Lease/3, "%v at %v Mbit/s", s.RenewInterval, link)
+	}
+	assert.Equal(t, hostSettings(platform.Settings{}, false).Leader.Lease, time.Second)
+}
--- a/internal/budget/host.go
+++ b/internal/budget/host.go
@@ -46,3 +46,15 @@
 	}
 	return time.Duration(float64(callBacklog) / h.linkRate(1) * float64(time.Second))
 }
+
+// largestPage is the most that one answer of the store holds.
+const largestPage Bytes = 1 << 20
+
+// PageTime returns how long the largest page of a list takes on the link; the answers to other calls queue behind it. It is 0 when the link is
+// unknown.
+func (h Host) PageTime() time.Duration {
+	if h.Link <= 0 {
+		return 0
+	}
+	return time.Duration(float64(largestPage) / h.linkRate(1) * float64(time.Second))
+}
