Keep the query for advice free of changes, and drop a second comparison of booleans

Reading the diff: whether refusals are forgotten is decided when a plan is recorded, not in the query for offers, and candidates whose room is taken are kept apart in place of sorted and cut off.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -41,7 +41,7 @@
 	answeredAt time.Time
 	failures   int       // failed requests since the last answer
 	retryAt    time.Time // the step is not asked about earlier
-	vainPlan   int64     // number of the last plan after which no worker was left to ask about
+	vainPlan   int64     // number of the last plan after which no worker was left to ask about; 0 since the last answer
 }
 
 // advising is what a pool knows of its advisers.
@@ -104,6 +104,7 @@
 		a.jobs = append(a.jobs, j)
 		undecided := 0
 		for s := range j.steps() {
+			s.advice.forgetOldRefusals(now)
 			if s.unassigned > 0 && !s.mayHaveTicket(now) {
 				undecided++
 			}
@@ -114,6 +115,14 @@
 	}
 }
 
+// forgetOldRefusals lets a step be asked about from the start when every worker was refused and the last answer is long ago.
+func (a *stepAdvice) forgetOldRefusals(now time.Time) {
+	if a != nil && a.vainPlan != 0 && len(a.refused) > 0 && now.Sub(a.answeredAt) > adviceRestart {
+		clear(a.refused)
+		a.vainPlan = 0
+	}
+}
+
 // adviceTime returns the adviser's expected time for a step of the job.
 func (p *Pool) adviceTime(j *job) time.Duration {
 	return p.advising.oddsOf(j.spec.Queue).StepTime(*j.policy.Advice)
@@ -156,9 +165,8 @@
 // adviceCandidate is a worker that a request may name.
 type adviceCandidate struct {
 	worker   *worker
-	tasks    int  // how many of the step's tasks it can take
-	promised bool // the room will be taken by others
-	known    int  // 0 when the adviser has allowed it before, 1 when it was not asked, 2 when it is being asked
+	tasks    int // how many of the step's tasks it can take
+	known    int // 0 when the adviser has allowed it before, 1 when it was not asked, 2 when it is being asked
 	affinity float64
 	onRack   int     // how many of the tasks the candidates of its rack can take together; 0 unless the step is to be on one rack
 	allowed  float64 // probability that the adviser allows it
@@ -168,7 +176,7 @@
 // those that the adviser has allowed before, those that suit the task, and those that it probably allows. Workers whose room other requests will
 // take are left out if there are others.
 func (p *Pool) adviceCandidates(s *step, now time.Time) []adviceCandidate {
-	var out []adviceCandidate
+	var out, taken []adviceCandidate // with room of their own, and with room that other requests will take
 	odds := p.advising.oddsOf(s.job.spec.Queue)
 	next := s.newTask()
 	if len(s.tasks) > 0 {
@@ -186,23 +194,23 @@
 		free = free.Minus(p.advising.promised[w.entry.ID])
 		if fits := s.fits(w, free); fits > 0 {
 			c.tasks = fits
+			out = append(out, c)
 		} else {
-			c.promised = true
+			taken = append(taken, c)
 		}
-		out = append(out, c)
+	}
+	if len(out) == 0 {
+		out = taken
 	}
 	if s.spec.SameRack {
 		countByRack(out, s.unassigned)
 	}
 	slices.SortStableFunc(out, func(a, b adviceCandidate) int {
 		return cmp.Or(
-			compareBool(a.promised, b.promised), cmp.Compare(a.known, b.known), cmp.Compare(b.affinity, a.affinity),
+			cmp.Compare(a.known, b.known), cmp.Compare(b.affinity, a.affinity),
 			cmp.Compare(b.onRack, a.onRack), a.compareRack(b), cmp.Compare(b.allowed, a.allowed), cmp.Compare(b.worker.free().CPU, a.worker.free().CPU),
 		)
 	})
-	if n := slices.IndexFunc(out, func(c adviceCandidate) bool { return c.promised }); n > 0 {
-		out = out[:n]
-	}
 	return out
 }
 
@@ -210,9 +218,7 @@
 func countByRack(candidates []adviceCandidate, tasks int) {
 	counts := make(map[jaybarrow.RackID]int)
 	for _, c := range candidates {
-		if !c.promised {
-			counts[c.worker.entry.Rack] += c.tasks
-		}
+		counts[c.worker.entry.Rack] += c.tasks
 	}
 	for n := range candidates {
 		candidates[n].onRack = min(tasks, counts[candidates[n].worker.entry.Rack])
@@ -227,16 +233,6 @@
 	return cmp.Compare(c.worker.entry.Rack, other.worker.entry.Rack)
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // fits returns how many of the step's unassigned tasks fit into the free resources of the worker.
 func (s *step) fits(w *worker, free jaybarrow.Resources) int {
 	n := s.unassigned
@@ -325,7 +321,7 @@
 	p.advising.answered = append(p.advising.answered, q)
 	p.placementsDue = true
 	a := s.advice
-	a.answeredAt, a.failures, a.retryAt = now, 0, time.Time{}
+	a.answeredAt, a.failures, a.retryAt, a.vainPlan = now, 0, time.Time{}, 0
 	odds, useful := p.advising.oddsOf(q.Queue), false
 	for _, id := range q.Workers {
 		value, allowed := answer.Tickets[id]
--- a/internal/workload/adviceoffers.go
+++ b/internal/workload/adviceoffers.go
@@ -8,7 +8,9 @@
 	"github.com/jaybarrow/jaybarrow/internal/advice"
 )
 
-// AdviceOffers returns the first step of each flow that the adviser may be asked about. Steps with a request under way are left out, and so is room that tasks of other requests will take, unless again is set.
+// AdviceOffers returns the first step of each flow that the adviser may be asked about. Steps with a request under way are left out, and so is
+// room that tasks of other requests will take, unless again is set. A step without a worker to ask about is not looked at again before the next
+// plan.
 func (p *Pool) AdviceOffers(now time.Time, again bool) []advice.Offer {
 	if len(p.advising.jobs) == 0 {
 		return nil
@@ -36,7 +38,7 @@
 			if !p.needsAdvice(s, again, now) {
 				continue
 			}
-			canStart, found := p.findCandidate(s, usable, &room, again, now)
+			canStart, found := p.findCandidate(s, usable, &room, again)
 			if !found {
 				s.initAdvice()
 				s.advice.vainPlan = p.advising.plan
@@ -110,7 +112,7 @@
 const probableTickets = 0.5
 
 // findCandidate looks for a worker that the step may be asked about, and reports whether its tasks could start at once if all were allowed.
-func (p *Pool) findCandidate(s *step, usable []*worker, r *room, again bool, now time.Time) (canStart, found bool) {
+func (p *Pool) findCandidate(s *step, usable []*worker, r *room, again bool) (canStart, found bool) {
 	demand := s.demand()
 	if !s.spec.Lasting && !r.mayFit(demand) {
 		return false, false
@@ -144,8 +146,5 @@
 	if !hasRoom {
 		r.refuse(demand)
 	}
-	if a := s.advice; !found && a != nil && len(a.refused) > 0 && now.Sub(a.answeredAt) > adviceRestart {
-		clear(a.refused)
-	}
 	return false, found && (s.spec.Lasting || tasks > 0)
 }
