Ask about other workers while a request for the same step is under way

A silent adviser with one waiting step got the same question again, which it may still serve; a request for the step's other workers shows as well whether it answers, and is of use if it does. Only where all workers are named already the same ones are asked about again.

TestATrialNamesOtherWorkers fails without the change. Found by reading.

--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -166,7 +166,7 @@
 type adviceCandidate struct {
 	worker   *worker
 	tasks    int // how many of the step's tasks it can take
-	known    int // 0 when the adviser has allowed it before, 1 when it was not asked, 2 when it is being asked
+	known    int // 0 when the adviser has allowed it before, 1 when it was not asked
 	affinity float64
 	onRack   int     // how many of the tasks the candidates of its rack can take together; 0 unless the step is to be on one rack
 	allowed  float64 // probability that the adviser allows it
@@ -174,9 +174,9 @@
 
 // adviceCandidates returns the workers that could take a task of the step if they were allowed, in the order in which a request names them:
 // those that the adviser has allowed before, those that suit the task, and those that it probably allows. Workers whose room other requests will
-// take are left out if there are others.
+// take are left out if there are others, and so are those that a request under way names.
 func (p *Pool) adviceCandidates(s *step, now time.Time) []adviceCandidate {
-	var out, taken []adviceCandidate // with room of their own, and with room that other requests will take
+	var out, taken, named []adviceCandidate // with room of their own, with room that other requests will take, and that are being asked about
 	odds := p.advising.oddsOf(s.job.spec.Queue)
 	next := s.newTask()
 	if len(s.tasks) > 0 {
@@ -186,22 +186,29 @@
 		if !w.usable(now, p.settings.ReportGrace) || s.advice.refuses(w) || !p.mayBecomePlaceable(s, w) {
 			continue
 		}
-		c := adviceCandidate{worker: w, tasks: 1, known: s.advice.askOrder(w), affinity: p.affinity(next, w), allowed: odds.Allowed(w.entry.ID)}
+		c := adviceCandidate{worker: w, known: s.advice.askOrder(w), affinity: p.affinity(next, w), allowed: odds.Allowed(w.entry.ID)}
 		free := w.free()
 		if s.spec.Lasting {
 			free = w.entry.Capacity.Minus(w.lastingUsed)
 		}
 		free = free.Minus(p.advising.promised[w.entry.ID])
-		if fits := s.fits(w, free); fits > 0 {
-			c.tasks = fits
+		fits := s.fits(w, free)
+		c.tasks = max(1, fits)
+		switch {
+		case s.advice.isAsked(w):
+			named = append(named, c)
+		case fits > 0:
 			out = append(out, c)
-		} else {
+		default:
 			taken = append(taken, c)
 		}
 	}
 	if len(out) == 0 {
 		out = taken
 	}
+	if len(out) == 0 {
+		out = named
+	}
 	if s.spec.SameRack {
 		countByRack(out, s.unassigned)
 	}
@@ -289,14 +296,13 @@
 	return ok && refused == w.instance
 }
 
-// askOrder returns 0 for a worker whose present instance was allowed, 1 for one that the adviser was not asked about, and 2 for one that it is
-// being asked about.
+// isAsked reports whether a request under way names the worker.
+func (a *stepAdvice) isAsked(w *worker) bool {
+	return slices.ContainsFunc(a.underWay, func(q AdviceRequest) bool { return slices.Contains(q.Workers, w.entry.ID) })
+}
+
+// askOrder returns 0 for a worker whose present instance was allowed and 1 for one that the adviser was not asked about.
 func (a *stepAdvice) askOrder(w *worker) int {
-	for _, q := range a.underWay {
-		if _, named := q.instances[w.entry.ID]; named {
-			return 2
-		}
-	}
 	if t, ok := a.tickets[w.entry.ID]; ok && t.instance == w.instance {
 		return 0
 	}
--- a/internal/workload/advice_test.go
+++ b/internal/workload/advice_test.go
@@ -271,3 +271,25 @@
 		assert.Equal(t, most, 3, "%v", q.Workers)
 	})
 }
+
+// Guards against a question that is asked again while the call before may still be served, although another one would show as well whether the
+// adviser answers.
+func TestATrialNamesOtherWorkers(t *testing.T) {
+	h := newAdvised(t, 10)
+	h.advice.Decide, h.advice.Each = 100*time.Millisecond, 8*time.Millisecond
+	h.addJob("j", tasks(1, 1000))
+	named := make(map[jaybarrow.WorkerID]bool)
+	for _, id := range h.planAdvice().Workers {
+		named[id] = true
+	}
+	for len(named) < 10 {
+		offers := h.pool.AdviceOffers(h.now, true)
+		assert.Equal(t, len(offers), 1)
+		q, ok := h.pool.RequestAdvice(offers[0].Step, h.now)
+		assert.Assert(t, ok)
+		for _, id := range q.Workers {
+			assert.Assert(t, !named[id], "%s is named again", id)
+			named[id] = true
+		}
+	}
+}
