--- a/internal/scheduler/advice_test.go
+++ b/internal/scheduler/advice_test.go
@@ -63,30 +63,16 @@
 			return err == nil && worker < n
 		}
 	}
-	stall := func(begin, length time.Duration) func(*adviser.Adviser) {
+	// during sets a fault for so long, from a second after the beginning.
+	during := func(length time.Duration, set func(*adviser.Adviser, bool)) func(*adviser.Adviser) {
 		return func(a *adviser.Adviser) {
-			time.Sleep(begin)
-			a.SetStalled(true)
+			time.Sleep(s)
+			set(a, true)
 			time.Sleep(length)
-			a.SetStalled(false)
-		}
-	}
-	deaf := func(begin, length time.Duration) func(*adviser.Adviser) {
-		return func(a *adviser.Adviser) {
-			time.Sleep(begin)
-			a.SetDeaf(true)
-			time.Sleep(length)
-			a.SetDeaf(false)
-		}
-	}
-	lost := func(begin, length time.Duration) func(*adviser.Adviser) {
-		return func(a *adviser.Adviser) {
-			time.Sleep(begin)
-			a.SetLost(true)
-			time.Sleep(length)
-			a.SetLost(false)
+			set(a, false)
 		}
 	}
+	stalled, deaf, lost := (*adviser.Adviser).SetStalled, (*adviser.Adviser).SetDeaf, (*adviser.Adviser).SetLost
 	// The limits follow from the adviser's time for a request about a few workers for each job, the room, and 3 s after a fault has ended.
 	for name, c := range map[string]struct {
 		adjust func(*burst)
@@ -104,12 +90,12 @@
 		"the policy allows one of 48": {func(b *burst) { b.allows, b.workers, b.jobs, b.cpu = some(1), 48, 20, 400 }, 20 * s, 0},
 		"room for one on each":        {func(b *burst) { b.cpu, b.workers = 8000, 6 }, 12 * s, 0},
 		"room for one, full":          {func(b *burst) { b.cpu, b.workers, b.runs = 8000, 3, 3*s }, 65 * s, 0},
-		"stands still for 6 s":        {func(b *burst) { b.trouble = stall(s, 6*s) }, 15 * s, 0},
-		"stands still for 40 s":       {func(b *burst) { b.trouble = stall(s, 40*s) }, 50 * s, 20},
-		"answers nothing for 6 s":     {func(b *burst) { b.trouble = deaf(s, 6*s) }, 16 * s, 8},
-		"answers nothing for 40 s":    {func(b *burst) { b.trouble = deaf(s, 40*s) }, 50 * s, 30},
-		"refuses for 6 s":             {func(b *burst) { b.trouble = lost(s, 6*s) }, 15 * s, 20},
-		"one job, answers nothing":    {func(b *burst) { b.jobs, b.trouble = 1, deaf(0, 4*s) }, 7 * s, 4},
+		"stands still for 6 s":        {func(b *burst) { b.trouble = during(6*s, stalled) }, 15 * s, 0},
+		"stands still for 40 s":       {func(b *burst) { b.trouble = during(40*s, stalled) }, 50 * s, 20},
+		"answers nothing for 6 s":     {func(b *burst) { b.trouble = during(6*s, deaf) }, 16 * s, 8},
+		"answers nothing for 40 s":    {func(b *burst) { b.trouble = during(40*s, deaf) }, 50 * s, 30},
+		"refuses for 6 s":             {func(b *burst) { b.trouble = during(6*s, lost) }, 15 * s, 20},
+		"one job, answers nothing":    {func(b *burst) { b.jobs, b.delay, b.trouble = 1, 2*s, during(4*s, deaf) }, 8 * s, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/scheduler/advised_test.go
+++ b/internal/scheduler/advised_test.go
@@ -250,6 +250,7 @@
 type burst struct {
 	jobs, workers  int
 	cpu            jaybarrow.Millicores
+	delay          time.Duration // before the first job
 	pause, runs    time.Duration
 	announced      jaybarrow.AdviceSettings
 	actual         jaybarrow.AdviceSettings // announced unless it is set
@@ -283,8 +284,8 @@
 	defer beside.Wait()
 	if b.trouble != nil {
 		beside.Go(func() { b.trouble(a) })
-		time.Sleep(time.Millisecond)
 	}
+	time.Sleep(b.delay)
 	for n := range b.jobs {
 		f.submit(s, queue, jaybarrow.JobID(fmt.Sprintf("job-%03d", n)), 1, b.cpu, b.runs)
 		time.Sleep(b.pause)
