Name more workers for a step whose first ones were refused

Cause: the odds were those of the queue and of each worker, not of the step, whose policy may differ.

Change: refusals of a step lower the odds of its other workers.

--- a/internal/advice/odds.go
+++ b/internal/advice/odds.go
@@ -89,6 +89,10 @@
 	return time.Duration((float64(o.spent) + priorWeight*float64(s.Time(few))) / (o.useful + priorWeight))
 }
 
+// StepOdds returns by how much the answers on a step itself lower the odds of its other workers: its policy may differ from that of the queue's
+// other steps.
+func StepOdds(allowed, refused int) float64 { return float64(1+allowed) / float64(1+allowed+refused) }
+
 // Names returns how many of the workers, which have the odds, a request names: those with which a usable ticket costs the least time of the
 // adviser. More than needed tickets are of no use, and with all set fewer are not either.
 func Names(s jaybarrow.AdviceSettings, odds []float64, needed int, all bool) int {
--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -261,9 +261,10 @@
 func (p *Pool) names(s *step, candidates []adviceCandidate) int {
 	queueOdds := p.advising.oddsOf(s.job.spec.Queue)
 	odds := make([]float64, len(candidates))
+	own := advice.StepOdds(len(s.advice.tickets), len(s.advice.refused))
 	needed, tasks := 0, 0
 	for n, c := range candidates {
-		odds[n] = c.allowed
+		odds[n] = c.allowed * own
 		if c.known == 0 {
 			odds[n] = 1
 		}
--- a/internal/workload/advice_test.go
+++ b/internal/workload/advice_test.go
@@ -86,36 +86,48 @@
 	h.pool.HandleAdvice(q, advice, h.now, h.now)
 }
 
-// Guards against a job that is never started because its adviser is asked about the same workers again and again, and allows only another one.
+// Guards against a job that is never started because its adviser is asked about the same workers again and again, and allows only another one, and
+// against many requests for it: 80 workers take three of them, and one more where earlier answers mislead.
 func TestTheAdviserIsAskedAboutAllWorkersInTurn(t *testing.T) {
 	const workers = 80
-	h := newAdvised(t, workers)
-	h.advice.Decide, h.advice.Each = 100*time.Millisecond, 8*time.Millisecond
-	h.addJob("full", tasks(1, 5000))
-	q := h.planAdvice()
-	h.advise(q, q.Workers...)
-	assert.Equal(t, len(h.planAndStart(jaybarrow.StartDone)), 1)
-	h.addJob("j", tasks(1, 1000))
-	asked := make(map[jaybarrow.WorkerID]int)
-	var last jaybarrow.WorkerID
-	for len(asked) < workers {
-		assert.Equal(t, len(h.plan().Starts), 0)
-		requests := h.adviceRequests()
-		assert.Equal(t, len(requests), 1)
-		for _, id := range requests[0].Workers {
-			asked[id]++
-			last = id
-		}
-		if len(asked) < workers {
-			last = ""
-		}
-		h.advise(requests[0], last)
-	}
-	s := h.plan().Starts
-	assert.Equal(t, len(s), 1)
-	assert.Equal(t, s[0].Worker.ID, last)
-	for id, n := range asked {
-		assert.Equal(t, n, 1, "requests that name %s", id)
+	for name, c := range map[string]struct {
+		misled bool
+		most   int // requests
+	}{"nothing is known": {false, 3}, "earlier answers mislead": {true, 4}} {
+		t.Run(name, func(t *testing.T) {
+			h := newAdvised(t, workers)
+			h.advice.Decide, h.advice.Each = 100*time.Millisecond, 8*time.Millisecond
+			if c.misled {
+				h.addJob("full", tasks(1, 5000))
+				q := h.planAdvice()
+				h.advise(q, q.Workers...)
+				assert.Equal(t, len(h.planAndStart(jaybarrow.StartDone)), 1)
+			}
+			h.addJob("j", tasks(1, 1000))
+			asked, sent := make(map[jaybarrow.WorkerID]int), 0
+			var last jaybarrow.WorkerID // is the only one that is allowed
+			for len(asked) < workers {
+				assert.Equal(t, len(h.plan().Starts), 0)
+				requests := h.adviceRequests()
+				assert.Equal(t, len(requests), 1)
+				sent++
+				for _, id := range requests[0].Workers {
+					asked[id]++
+					last = id
+				}
+				if len(asked) < workers {
+					last = ""
+				}
+				h.advise(requests[0], last)
+			}
+			s := h.plan().Starts
+			assert.Equal(t, len(s), 1)
+			assert.Equal(t, s[0].Worker.ID, last)
+			for id, n := range asked {
+				assert.Equal(t, n, 1, "requests that name %s", id)
+			}
+			assert.Assert(t, sent <= c.most, "%d requests", sent)
+		})
 	}
 }
 
@@ -130,11 +142,18 @@
 		h.advise(q, q.Workers[0])
 		out := h.plan()
 		assert.Equal(t, len(out.Starts), 10)
-		requests := h.adviceRequests()
-		assert.Equal(t, len(requests), 1)
-		for _, id := range requests[0].Workers {
-			assert.Assert(t, !slices.Contains(q.Workers, id), "%s is named again", id)
+		named := slices.Clone(q.Workers)
+		for len(named) < 40 {
+			requests := h.adviceRequests()
+			assert.Equal(t, len(requests), 1)
+			for _, id := range requests[0].Workers {
+				assert.Assert(t, !slices.Contains(named, id), "%s is named again", id)
+			}
+			named = append(named, requests[0].Workers...)
+			h.advise(requests[0])
+			h.plan()
 		}
+		assert.Equal(t, len(h.adviceRequests()), 0)
 	})
 	t.Run("a worker has started again", func(t *testing.T) {
 		h := newAdvised(t, 1)
