Send the team with a question about admission, and define the call for refused jobs

Cause: admission cannot weigh teams that it is not told of, and the leader hears nothing of the jobs that entry hosts refuse. Change: AdmitRequest gets the optional field team, which nothing reads yet; the call Refused is defined and not served, so that callers get an unknown call, as from older builds.

--- a/admitting.go
+++ b/admitting.go
@@ -24,6 +24,7 @@
 type AdmissionRequest struct {
 	Queue        QueueID
 	Pool         PoolID
+	Team         TeamID // empty on a queue open to all, and from builds that do not send it
 	Work         Work
 	CriticalPath time.Duration // estimated run time of the longest chain of steps
 	Unhurried    bool          // the job is scheduled or lasting, and is never too late
@@ -37,3 +38,11 @@
 	// ShortOfMemory means that no job is admitted, since the scheduler's host could not hold it.
 	ShortOfMemory bool
 }
+
+// RefusedJob is a job that an entry host has refused and whose caller may hand it in again.
+type RefusedJob struct {
+	ID   JobID
+	Pool PoolID
+	Age  time.Duration // since the caller's first attempt
+	Work Work          // estimated
+}
--- a/internal/command/job/accept.go
+++ b/internal/command/job/accept.go
@@ -69,7 +69,7 @@
 	if err := validateJob(in, h.deps.Settings.MaxValueBytes); err != nil {
 		return "", err
 	}
-	if err := h.admit(ctx, in); err != nil {
+	if err := h.admit(ctx, in, team); err != nil {
 		return "", err
 	}
 	policy := in.Queue.Policy()
--- a/internal/command/job/admit.go
+++ b/internal/command/job/admit.go
@@ -10,11 +10,11 @@
 // admit returns KindDeadlineUnattainable, with the time to return, for a job that the scheduler expects to complete too late to be of
 // use, and KindQueueFull for any job while the scheduler is short of memory. A job that is stored already is admitted, since its caller only
 // repeats a request whose answer was lost. So is every job while no scheduler answers.
-func (h *AcceptHandler) admit(ctx context.Context, in Accept) error {
+func (h *AcceptHandler) admit(ctx context.Context, in Accept, team jaybarrow.TeamID) error {
 	unhurried := in.Recurrence != nil || isLasting(in.Steps)
 	askCtx, cancel := context.WithTimeout(ctx, h.deps.Settings.AdmissionTimeout)
 	a, err := h.deps.Directory.Admit(askCtx, jaybarrow.AdmissionRequest{
-		Queue: in.Queue.ID, Pool: in.Queue.Pool, Work: workOf(in.Steps), CriticalPath: criticalPath(in.Queue.Policy(), in.Steps), Unhurried: unhurried,
+		Queue: in.Queue.ID, Pool: in.Queue.Pool, Team: team, Work: workOf(in.Steps), CriticalPath: criticalPath(in.Queue.Policy(), in.Steps), Unhurried: unhurried,
 	})
 	cancel()
 	if err != nil || a.Admitted || unhurried && !a.ShortOfMemory {
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -78,7 +78,7 @@
 // Admit decides on a job that a caller of the peer wants to hand in.
 func (s *Server) Admit(ctx context.Context, in *jobpb.AdmitRequest) (*jobpb.AdmitAnswer, error) {
 	a, err := s.handler.Admit(ctx, jaybarrow.AdmissionRequest{
-		Queue: jaybarrow.QueueID(in.Queue), Pool: jaybarrow.PoolID(in.Pool), CriticalPath: time.Duration(in.CriticalPathMs) * time.Millisecond,
+		Queue: jaybarrow.QueueID(in.Queue), Pool: jaybarrow.PoolID(in.Pool), Team: jaybarrow.TeamID(in.Team), CriticalPath: time.Duration(in.CriticalPathMs) * time.Millisecond,
 		Work: jaybarrow.Work{CPU: in.Cpu, Memory: in.Memory, Accelerators: in.Accelerators},
 	})
 	return &jobpb.AdmitAnswer{
