Probe the store by reads while it accepts no writes

Cause: while the store accepts no writes, an entry host sent one job in 0.2 s to find out whether it is back. The outcome of such a write is often unknown, so its caller gets 504 and cannot send the job again. After the outage all writes went out at once. Change: internal/outage decides which writes are tried. After 300 ms of failures none is; the host reads the leader's record every 200 ms, or asks the leader for its configuration, which counts when the store has confirmed it since the last failed write. After an answered read 4 writes go out at once and one more for each that succeeds; 20 successes, or 2 s without a write, end the trial. A failed write or read ends it too; after a failed write the next one comes 0.4 to 3.2 s later. The stand-in site can reset the connections of its store. The breaker of questions to the leader stays as it was. Result: with the store down for 4 s and 16 callers at two entry hosts, no job is tried and every answer is 503. The tests of outage, jobhost, command/job, standin and platform pass.

--- a/internal/jobhost/fallbackstore.go
+++ b/internal/jobhost/fallbackstore.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/outage"
 )
 
 const (
@@ -22,19 +24,29 @@
 // not answer them. Its writes must be idempotent, since both ways may carry out the same write.
 type fallbackStore struct {
 	jaybarrow.JobStore
-	host    *Host
-	health  *storeHealth
-	breaker *breaker
+	host   *Host
+	health *storeHealth
+	gate   *outage.Gate
 }
 
-// Commit writes to the store, or through the leader when a direct call fails or is likely to fail. While no write succeeds, all
-// writes but a few probes are refused without an attempt, with effect notRun.
+// Commit writes to the store, or through the leader when a direct call fails or is likely to fail. While no write succeeds, writes are refused
+// without an attempt, with effect notRun.
 func (s fallbackStore) Commit(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
-	if !s.breaker.allow(s.host.deps.Clock.Now()) {
+	pass, allowed := s.gate.Enter(s.host.deps.Clock.Now())
+	if !allowed {
+		s.host.deps.Metrics.Count("outage.refused")
 		return 0, jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "the store accepts no writes").WithEffect(jaybarrow.EffectNotRun)
 	}
+	outcome := outage.Failed
+	defer func() { s.gate.Leave(s.host.deps.Clock.Now(), pass, outcome) }()
 	revision, err := s.write(ctx, changes)
-	s.breaker.record(s.host.deps.Clock.Now(), err == nil || jaybarrow.IsKind(err, jaybarrow.KindConflict))
+	switch {
+	case err == nil || jaybarrow.IsKind(err, jaybarrow.KindConflict):
+		outcome = outage.Stored
+	case errors.Is(ctx.Err(), context.Canceled):
+		// A repeat of the same write has ended before.
+		outcome = outage.Unobserved
+	}
 	return revision, err
 }
 
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -19,6 +19,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
+	"github.com/jaybarrow/jaybarrow/internal/outage"
 	query "github.com/jaybarrow/jaybarrow/internal/query/job"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/scheduler"
@@ -89,7 +90,8 @@
 	leader          *leader.Leader
 	waves           waves
 	announcer       *announcer
-	admissions      *breaker // of questions to the leader whether a job is admitted
+	gate            *outage.Gate // of callers' writes to the store
+	admissions      *breaker     // of questions to the leader whether a job is admitted
 	refusals        *refusals
 	client          *jobpeer.Client
 	server          *jobpeer.Server
@@ -145,10 +147,11 @@
 	})
 	h.waves.operators = d.Platform.Operators
 	h.announcer = &announcer{host: h, log: logging.For(d.Log, "peer"), group: rungroup.New(d.OnFault)}
-	h.admissions, h.refusals = new(breaker), newRefusals()
+	h.admissions, h.refusals, h.gate = new(breaker), newRefusals(), outage.New()
+	d.Metrics.Gauge("outage.lastedMs", func() int64 { return h.gate.Status(d.Clock.Now()).Lasted.Milliseconds() })
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
 	commands := command.Deps{
-		Clock: d.Clock, Store: fallbackStore{JobStore: d.Platform.Store, host: h, health: new(storeHealth), breaker: new(breaker)}, Authorizer: h.Authorizer,
+		Clock: d.Clock, Store: fallbackStore{JobStore: d.Platform.Store, host: h, health: new(storeHealth), gate: h.gate}, Authorizer: h.Authorizer,
 		Directory: jobDirectory{h}, Settings: d.Settings.Command,
 	}
 	h.Accept, h.Cancel = command.NewAccept(commands), command.NewCancel(commands)
@@ -161,6 +164,7 @@
 	})
 	h.server = jobpeer.NewServer(logging.For(d.Log, "peer"), d.Peers, peerService{h}, d.OnFault)
 	h.group.Keep(ctx, "operators", func() error { h.followOperators(ctx); return nil })
+	h.group.Keep(ctx, "probe of the store", func() error { h.probeStore(ctx, logging.For(d.Log, "store")); return nil })
 	h.group.Keep(ctx, "configuration of the leader", func() error { h.refreshFromLeader(ctx); return nil })
 	return h
 }
--- a/internal/jobhost/leaderqueries.go
+++ b/internal/jobhost/leaderqueries.go
@@ -163,6 +163,14 @@
 	}
 }
 
+// configurationVersion returns the version of the configuration in force; 0 while there is none.
+func (h *Host) configurationVersion() jaybarrow.ConfigurationVersion {
+	if c := h.catalog.Configuration(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // fetchConfiguration applies the configuration of the leader if it is newer, and confirms it as of the time of the request less
 // the age that the leader reports.
 func (h *Host) fetchConfiguration(ctx context.Context) error {
@@ -172,10 +180,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.deps.Settings.Operators.Slack)
 	defer cancel()
-	version := jaybarrow.ConfigurationVersion(0)
-	if c := h.catalog.Configuration(); c != nil {
-		version = c.Version
-	}
+	version := h.configurationVersion()
 	requestedAt := h.deps.Clock.Now()
 	data, ageMs, err := h.client.NewerConfiguration(ctx, leaderAddress, version)
 	if err != nil {
--- a/internal/standin/site/http.go
+++ b/internal/standin/site/http.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -37,9 +38,10 @@
 
 // server is an HTTP server on its own loopback port.
 type server struct {
-	address string
-	http    *http.Server
-	group   conc.WaitGroup
+	address  string
+	http     *http.Server
+	listener *outageListener
+	group    conc.WaitGroup
 }
 
 func newServer(handler http.Handler) *server {
@@ -47,14 +49,76 @@
 	if err != nil {
 		panic(err) // without a loopback port no test can run
 	}
-	s := &server{address: l.Addr().String(), http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
+	outages := &outageListener{Listener: l, open: make(map[*trackedConn]bool)}
+	s := &server{address: l.Addr().String(), listener: outages, http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
 	s.group.Go(func() {
 		// Serve only fails when the server is closed.
-		_ = s.http.Serve(l)
+		_ = s.http.Serve(outages)
 	})
 	return s
 }
 
+// outageListener resets its connections while it is down.
+type outageListener struct {
+	net.Listener
+	lock sync.Mutex
+	down bool
+	open map[*trackedConn]bool
+}
+
+// trackedConn is a connection that an outageListener can reset.
+type trackedConn struct {
+	net.Conn
+	listener *outageListener
+}
+
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	c.listener.lock.Lock()
+	delete(c.listener.open, c)
+	c.listener.lock.Unlock()
+	return c.Conn.Close()
+}
+
+// Accept returns the next connection that is made while the listener is not down.
+func (l *outageListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.lock.Lock()
+		if !l.down {
+			c := &trackedConn{conn, l}
+			l.open[c] = true
+			l.lock.Unlock()
+			return c, nil
+		}
+		l.lock.Unlock()
+		reset(conn)
+	}
+}
+
+// setDown begins or ends an outage, at whose begin all connections are reset.
+func (l *outageListener) setDown(down bool) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.down = down
+	for c := range l.open {
+		if down {
+			reset(c.Conn)
+		}
+	}
+}
+
+// reset closes the connection without waiting for what was sent.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // an error means that the connection is closed already
+	}
+	_ = c.Close()
+}
+
 // headerTimeout closes a connection on which no request arrives.
 const headerTimeout = 10 * time.Second
 
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -84,6 +84,9 @@
 // StoreAddress returns the address of the store.
 func (s *Site) StoreAddress() string { return s.storeServer.address }
 
+// SetStoreDown begins or ends an outage of the store: while it lasts, its connections are reset.
+func (s *Site) SetStoreDown(down bool) { s.storeServer.listener.setDown(down) }
+
 // FleetAddress returns the address of the machine endpoints.
 func (s *Site) FleetAddress() string { return s.machineServer.address }
 
