Judge the store by its recent answers, and bound the writes for other entry hosts

Cause: an entry host wrote through the leader after 100 ms without an answer. While the store takes 292 ms for every call, all entry hosts did so, and the leader, whose 24 connections were used up, became the bottleneck. Change: the store counts as unresponsive when no call ends within three times the time within which most of its recent answers arrived, from 100 ms to 1 s. Writes for other entry hosts use at most half of the connections; one that gets none within 100 ms is refused with effect notRun, and the entry host tries the direct way. Failed before: TestAStoreThatIsSlowForAllIsNotUnresponsive, TestTheLeaderBoundsTheWritesForOthers.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -97,6 +97,7 @@
 // hostSettings returns the settings of an entry host on the platform, fitted to what its host can carry and to the platform's bounds.
 func hostSettings(s platform.Settings, progressByMarks bool) jobhost.Settings {
 	settings := jobhost.DefaultSettings()
+	settings.MaxForwardedWrites = platform.StoreConnections / 2
 	settings.MaxConfigurationAge = time.Duration(configurationAgeFraction * float64(s.Bounds.ConfigurationDelay+s.Bounds.OutageDelay))
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.MaxWorkerLease)
 	settings.Scheduler.Workload.MaxValueBytes, settings.Command.MaxValueBytes = s.MaxValueBytes, s.MaxValueBytes
--- a/internal/jobhost/fallbackstore.go
+++ b/internal/jobhost/fallbackstore.go
@@ -3,22 +3,14 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/outage"
 )
 
-const (
-	// leaderWriteTimeout bounds a write through the leader, so that time is left for a direct attempt.
-	leaderWriteTimeout = 400 * time.Millisecond
-	// unresponsiveAfter is how long the store may take for one answer before writes go through the leader: twenty times its usual
-	// time.
-	unresponsiveAfter = 100 * time.Millisecond
-	// failureCooldown is how long writes go through the leader after a direct call has failed.
-	failureCooldown = 2 * time.Second
-)
+// leaderWriteTimeout bounds a write through the leader, so that time is left for a direct attempt.
+const leaderWriteTimeout = 400 * time.Millisecond
 
 // fallbackStore is a store whose writes fall back to the leader when the platform rejects the calls of this entry host or does
 // not answer them. Its writes must be idempotent, since both ways may carry out the same write.
@@ -96,39 +88,3 @@
 	}
 	return s.host.client.Commit(ctx, leaderAddress, changes)
 }
-
-// storeHealth tracks whether the store answers the direct calls of this entry host.
-type storeHealth struct {
-	lock         sync.Mutex
-	inFlight     int       // calls without an answer yet
-	lastProgress time.Time // when the first of them started, or the last call ended
-	lastFailure  time.Time // time of the last failed call
-	failing      bool      // whether the call that ended last has failed
-}
-
-// isSuspect reports whether a direct call is likely to fail or to stay unanswered.
-func (h *storeHealth) isSuspect(now time.Time) bool {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	return h.failing && now.Sub(h.lastFailure) < failureCooldown || h.inFlight > 0 && now.Sub(h.lastProgress) > unresponsiveAfter
-}
-
-// startCall counts a call as in flight; the returned function must be called with its outcome.
-func (h *storeHealth) startCall(now time.Time) func(now time.Time, ok bool) {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	if h.inFlight == 0 {
-		h.lastProgress = now
-	}
-	h.inFlight++
-	return func(now time.Time, ok bool) {
-		h.lock.Lock()
-		defer h.lock.Unlock()
-		h.inFlight--
-		h.lastProgress = now
-		h.failing = !ok
-		if !ok {
-			h.lastFailure = now
-		}
-	}
-}
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -41,12 +41,15 @@
 	MaxConfigurationAge time.Duration
 	// MaxReadyAge is the largest age of the configuration at which the host reports that it is ready.
 	MaxReadyAge time.Duration
-	Operators   follow.Settings
-	Leader      leader.Settings
-	Scheduler   scheduler.Settings
-	Fleet       fleetkeeper.Settings
-	Command     command.Settings
-	Query       query.Settings
+	// MaxForwardedWrites bounds the writes in progress that this host makes for other entry hosts, at least 1: half of its connections to the
+	// store.
+	MaxForwardedWrites int
+	Operators          follow.Settings
+	Leader             leader.Settings
+	Scheduler          scheduler.Settings
+	Fleet              fleetkeeper.Settings
+	Command            command.Settings
+	Query              query.Settings
 }
 
 // DefaultSettings returns the settings for normal operation.
@@ -55,12 +58,14 @@
 		MaxConfigurationAge: 4 * time.Second,
 		// Longer than one unanswered call for changes, shorter than two.
 		MaxReadyAge: 2500 * time.Millisecond,
-		Operators:   follow.Settings{Wait: time.Second, Slack: 500 * time.Millisecond, RetryDelay: 100 * time.Millisecond},
-		Leader:      leader.DefaultSettings(),
-		Scheduler:   scheduler.DefaultSettings(),
-		Fleet:       fleetkeeper.DefaultSettings(),
-		Command:     command.DefaultSettings(),
-		Query:       query.DefaultSettings(),
+		// Half of the 24 connections of the platform's store client.
+		MaxForwardedWrites: 12,
+		Operators:          follow.Settings{Wait: time.Second, Slack: 500 * time.Millisecond, RetryDelay: 100 * time.Millisecond},
+		Leader:             leader.DefaultSettings(),
+		Scheduler:          scheduler.DefaultSettings(),
+		Fleet:              fleetkeeper.DefaultSettings(),
+		Command:            command.DefaultSettings(),
+		Query:              query.DefaultSettings(),
 	}
 }
 
@@ -91,7 +96,8 @@
 	waves           waves
 	announcer       *announcer
 	gate            *outage.Gate // of callers' writes to the store
-	admissions      *breaker     // of questions to the leader whether a job is admitted
+	forwarded       *forwardedWrites
+	admissions      *breaker // of questions to the leader whether a job is admitted
 	refusals        *refusals
 	client          *jobpeer.Client
 	server          *jobpeer.Server
@@ -150,8 +156,12 @@
 	h.admissions, h.refusals, h.gate = new(breaker), newRefusals(), outage.New()
 	d.Metrics.Gauge("outage.lastedMs", func() int64 { return h.gate.Status(d.Clock.Now()).Lasted.Milliseconds() })
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
+	health := newStoreHealth()
+	d.Metrics.Gauge("store.unresponsiveAfterMs", func() int64 { return unresponsiveAfter(health.answers.Usual(d.Clock.Now())).Milliseconds() })
+	h.forwarded = newForwardedWrites(d.Clock, d.Settings.MaxForwardedWrites)
+	d.Metrics.Gauge("store.forwarding", func() int64 { return int64(len(h.forwarded.slots)) })
 	commands := command.Deps{
-		Clock: d.Clock, Store: fallbackStore{JobStore: d.Platform.Store, host: h, health: new(storeHealth), gate: h.gate}, Authorizer: h.Authorizer,
+		Clock: d.Clock, Store: fallbackStore{JobStore: d.Platform.Store, host: h, health: health, gate: h.gate}, Authorizer: h.Authorizer,
 		Directory: jobDirectory{h}, Settings: d.Settings.Command,
 	}
 	h.Accept, h.Cancel = command.NewAccept(commands), command.NewCancel(commands)
--- a/internal/jobhost/leaderqueries.go
+++ b/internal/jobhost/leaderqueries.go
@@ -111,6 +111,13 @@
 }
 
 func (p peerService) Commit(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
+	end, ok := p.host.forwarded.begin(ctx)
+	if !ok {
+		p.host.deps.Metrics.Count("store.forwarded.refused")
+		return 0, jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "too many writes of entry hosts wait for the store").WithEffect(jaybarrow.EffectNotRun)
+	}
+	defer end()
+	p.host.deps.Metrics.Count("store.forwarded")
 	revision, err := p.host.deps.Platform.Store.Commit(ctx, changes)
 	if err == nil {
 		p.host.announcer.announce(changes, revision)
