Count the target of a refused job from its caller's first attempt

Cause: after an outage a job that its caller has sent again and again for seconds looked like a new one. It was placed among the jobs that can still be in time, and most of these became late too. Change: entry hosts remember the jobs that they refuse with 429 or 503 (internal/refusal: at most 2,000 jobs, 15 s after the last refusal) and report them to the leader by the call Refused: one call in 250 ms, at most 500 jobs each, all of them again to a new term. The leader counts the target from the earliest first attempt that it knows, for the order of waiting jobs; the job's record and AcceptedMs stay. Reports and accepted jobs may come in any order and from different entry hosts. An answer Unimplemented counts as an answer, and the call pauses for 5 s.

--- a/admitting.go
+++ b/admitting.go
@@ -39,6 +39,12 @@
 	ShortOfMemory bool
 }
 
+// RefusalRecorder remembers the jobs that are refused and whose callers may hand them in again.
+type RefusalRecorder interface {
+	// Record remembers that the job was refused now; the age is not used. It must not block.
+	Record(job RefusedJob)
+}
+
 // RefusedJob is a job that an entry host has refused and whose caller may hand it in again.
 type RefusedJob struct {
 	ID   JobID
--- a/internal/command/job/accept.go
+++ b/internal/command/job/accept.go
@@ -25,6 +25,7 @@
 	Store      jaybarrow.JobStore
 	Authorizer *Authorizer
 	Directory  jaybarrow.JobDirectory
+	Refusals   jaybarrow.RefusalRecorder // nil records nothing
 	Settings   Settings
 }
 
@@ -69,6 +70,13 @@
 	if err := validateJob(in, h.deps.Settings.MaxValueBytes); err != nil {
 		return "", err
 	}
+	id, err := h.accept(ctx, in, team)
+	h.recordRefusal(in, err)
+	return id, err
+}
+
+// accept stores a valid job of the team.
+func (h *AcceptHandler) accept(ctx context.Context, in Accept, team jaybarrow.TeamID) (jaybarrow.JobID, error) {
 	if err := h.admit(ctx, in, team); err != nil {
 		return "", err
 	}
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -21,6 +21,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/logging"
 	"github.com/jaybarrow/jaybarrow/internal/outage"
 	query "github.com/jaybarrow/jaybarrow/internal/query/job"
+	"github.com/jaybarrow/jaybarrow/internal/refusal"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/scheduler"
 )
@@ -99,6 +100,8 @@
 	forwarded       *forwardedWrites
 	admissions      *breaker // of questions to the leader whether a job is admitted
 	refusals        *refusals
+	refused         *refusal.Memory
+	terms           atomic.Int64 // that this entry host has led
 	client          *jobpeer.Client
 	server          *jobpeer.Server
 	activeScheduler atomic.Pointer[scheduler.Scheduler] // nil while this entry host does not lead
@@ -158,11 +161,20 @@
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
 	health := newStoreHealth()
 	d.Metrics.Gauge("store.unresponsiveAfterMs", func() int64 { return unresponsiveAfter(health.answers.Usual(d.Clock.Now())).Milliseconds() })
+	h.refused = refusal.NewMemory(d.Clock)
+	d.Metrics.Gauge("refusal.remembered", func() int64 { n, _ := h.refused.Size(); return int64(n) })
+	d.Metrics.Gauge("refusal.dropped", func() int64 { _, dropped := h.refused.Size(); return dropped })
+	d.Metrics.Gauge("refusal.known", func() int64 {
+		if s := h.activeScheduler.Load(); s != nil {
+			return int64(s.RefusedJobs())
+		}
+		return 0
+	})
 	h.forwarded = newForwardedWrites(d.Clock, d.Settings.MaxForwardedWrites)
 	d.Metrics.Gauge("store.forwarding", func() int64 { return int64(len(h.forwarded.slots)) })
 	commands := command.Deps{
 		Clock: d.Clock, Store: fallbackStore{JobStore: d.Platform.Store, host: h, health: health, gate: h.gate}, Authorizer: h.Authorizer,
-		Directory: jobDirectory{h}, Settings: d.Settings.Command,
+		Directory: jobDirectory{h}, Refusals: h.refused, Settings: d.Settings.Command,
 	}
 	h.Accept, h.Cancel = command.NewAccept(commands), command.NewCancel(commands)
 	queries := query.Deps{Directory: jobDirectory{h}, Store: d.Platform.Store, Settings: d.Settings.Query}
@@ -175,6 +187,7 @@
 	h.server = jobpeer.NewServer(logging.For(d.Log, "peer"), d.Peers, peerService{h}, d.OnFault)
 	h.group.Keep(ctx, "operators", func() error { h.followOperators(ctx); return nil })
 	h.group.Keep(ctx, "probe of the store", func() error { h.probeStore(ctx, logging.For(d.Log, "store")); return nil })
+	h.group.Keep(ctx, "reports of refused jobs", func() error { h.reportRefusals(ctx, logging.For(d.Log, "peer")); return nil })
 	h.group.Keep(ctx, "configuration of the leader", func() error { h.refreshFromLeader(ctx); return nil })
 	return h
 }
@@ -227,6 +240,7 @@
 		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: observer{log, h.deps.Metrics}, Term: term, LiveMemory: h.deps.LiveMemory,
 		Settings: h.deps.Settings.Scheduler,
 	})
+	h.terms.Add(1)
 	h.activeScheduler.Store(s)
 	select {
 	case <-ctx.Done():
--- a/internal/jobhost/leaderqueries.go
+++ b/internal/jobhost/leaderqueries.go
@@ -134,6 +134,15 @@
 	return nil
 }
 
+func (p peerService) Refused(jobs []jaybarrow.RefusedJob) error {
+	s := p.host.activeScheduler.Load()
+	if s == nil {
+		return notLeadingError()
+	}
+	s.Refused(jobs)
+	return nil
+}
+
 func (p peerService) NewerConfiguration(_ context.Context, version jaybarrow.ConfigurationVersion) ([]byte, int64, error) {
 	c := p.host.catalog.Configuration()
 	age, known := p.host.catalog.Age(p.host.deps.Clock.Now())
--- a/internal/jobhost/refusals.go
+++ b/internal/jobhost/refusals.go
@@ -12,20 +12,20 @@
 
 // refusals are the leader's last answers on new jobs, by queue. It is safe for concurrent use.
 type refusals struct {
-	last *shard.Map[jaybarrow.QueueID, refusal]
+	last *shard.Map[jaybarrow.QueueID, lastAnswer]
 }
 
-// refusal is an answer of the leader and when it came.
-type refusal struct {
+// lastAnswer is an answer of the leader and when it came.
+type lastAnswer struct {
 	answer jaybarrow.Admission
 	at     time.Time
 }
 
-func newRefusals() *refusals { return &refusals{last: shard.New[jaybarrow.QueueID, refusal]()} }
+func newRefusals() *refusals { return &refusals{last: shard.New[jaybarrow.QueueID, lastAnswer]()} }
 
 // record keeps an answer of the leader.
 func (r *refusals) record(queue jaybarrow.QueueID, answer jaybarrow.Admission, now time.Time) {
-	r.last.Set(queue, refusal{answer, now})
+	r.last.Set(queue, lastAnswer{answer, now})
 }
 
 // recall returns the leader's last answer on a job of the queue if that was a refusal and is recent.
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -7,7 +7,9 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer/jobpb"
@@ -88,6 +90,9 @@
 	}
 }
 
+// IsUnknownCall reports whether the error is the answer of an earlier build, which does not know the call.
+func IsUnknownCall(err error) bool { return status.Code(err) == codes.Unimplemented }
+
 // call runs use on the connection to the address. An error is of kind peerLost, and the call may have taken effect.
 func call[T any](c *Client, address jaybarrow.Address, use func(jobpb.JobsClient) (T, error)) (T, error) {
 	var none T
@@ -96,7 +101,7 @@
 		return none, jaybarrow.Errorf(jaybarrow.KindPeerLost, "connect to %s: %w", address, err)
 	}
 	answer, err := use(jobpb.NewJobsClient(conn))
-	c.recordOutcome(conn, err == nil)
+	c.recordOutcome(conn, err == nil || IsUnknownCall(err))
 	if err != nil {
 		return none, jaybarrow.Errorf(jaybarrow.KindPeerLost, "call %s: %w", address, err)
 	}
@@ -170,6 +175,21 @@
 	return decodeFault(answer.Fault)
 }
 
+// Refused tells the peer of refused jobs.
+func (c *Client) Refused(ctx context.Context, to jaybarrow.Address, jobs []jaybarrow.RefusedJob) error {
+	in := &jobpb.RefusedRequest{Jobs: make([]*jobpb.RefusedJob, 0, len(jobs))}
+	for _, j := range jobs {
+		in.Jobs = append(in.Jobs, &jobpb.RefusedJob{
+			Id: string(j.ID), Pool: string(j.Pool), AgeMs: j.Age.Milliseconds(), Cpu: j.Work.CPU, Memory: j.Work.Memory, Accelerators: j.Work.Accelerators,
+		})
+	}
+	answer, err := call(c, to, func(p jobpb.JobsClient) (*jobpb.RefusedAnswer, error) { return p.Refused(ctx, in) })
+	if err != nil {
+		return err
+	}
+	return decodeFault(answer.Fault)
+}
+
 // NewerConfiguration asks the peer for its encoded configuration if it is newer than the version, and for the age in ms of the
 // last confirmation of the configuration there.
 func (c *Client) NewerConfiguration(ctx context.Context, to jaybarrow.Address, version jaybarrow.ConfigurationVersion) ([]byte, int64, error) {
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer/jobpb"
+	"github.com/jaybarrow/jaybarrow/internal/refusal"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
 
@@ -20,6 +21,8 @@
 	Commit(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error)
 	// Announce applies a record that another entry host has just stored.
 	Announce(record jaybarrow.Record) error
+	// Refused takes the jobs that another entry host has refused.
+	Refused(jobs []jaybarrow.RefusedJob) error
 	// NewerConfiguration returns the encoded configuration if it is newer than the version, and the age of its last confirmation
 	// in ms.
 	NewerConfiguration(ctx context.Context, version jaybarrow.ConfigurationVersion) ([]byte, int64, error)
@@ -105,6 +108,23 @@
 	return &jobpb.AnnounceAnswer{Fault: encodeFault(err)}, nil
 }
 
+// Refused takes the jobs that the caller has refused; those beyond the largest report of this build are left out.
+func (s *Server) Refused(_ context.Context, in *jobpb.RefusedRequest) (*jobpb.RefusedAnswer, error) {
+	jobs := make([]jaybarrow.RefusedJob, 0, min(len(in.Jobs), refusal.MaxReportJobs))
+	for _, j := range in.Jobs[:min(len(in.Jobs), refusal.MaxReportJobs)] {
+		jobs = append(jobs, jaybarrow.RefusedJob{
+			ID: jaybarrow.JobID(j.GetId()), Pool: jaybarrow.PoolID(j.GetPool()), Age: milliseconds(j.GetAgeMs()),
+			Work: jaybarrow.Work{CPU: j.GetCpu(), Memory: j.GetMemory(), Accelerators: j.GetAccelerators()},
+		})
+	}
+	return &jobpb.RefusedAnswer{Fault: encodeFault(s.handler.Refused(jobs))}, nil
+}
+
+// milliseconds returns the duration; one that is out of range is replaced by the nearest within a day.
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(min(max(0, ms), (24*time.Hour).Milliseconds())) * time.Millisecond
+}
+
 // Configuration returns a configuration newer than that of the caller, if there is one, and the age of its last confirmation.
 func (s *Server) Configuration(ctx context.Context, in *jobpb.ConfigurationRequest) (*jobpb.ConfigurationAnswer, error) {
 	data, age, err := s.handler.NewerConfiguration(ctx, jaybarrow.ConfigurationVersion(in.Version))
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -156,8 +156,15 @@
 	if stored != nil {
 		p.writer.setRevision(id, progress.Revision)
 	}
-	p.locked(func() { p.state.AddJob(spec, stored, now) })
+	p.locked(func() {
+		p.state.AddJob(spec, stored, now)
+		s.countFromFirstAttempt(p, id, now)
+	})
 	s.jobPools.Set(id, spec.Pool)
+	if at, reported := s.refused.FirstAttempt(now, p.id, id); reported {
+		// A report that came before the job was known here has left it alone.
+		p.locked(func() { p.state.CountFromFirstAttempt(id, at) })
+	}
 	changedPools[p] = true
 }
 
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -29,6 +29,7 @@
 	started      bool                 // whether a run was ever assigned
 	cancelled    bool
 	accepted     time.Time
+	since        time.Time     // from which the target counts: the acceptance, or the caller's first attempt
 	targetTime   time.Time     // when the job should be completed to meet the queue's target
 	work         float64       // estimated core-seconds of the whole job
 	wholePath    time.Duration // estimated time of the longest chain of steps
@@ -80,6 +81,7 @@
 		spec: spec, state: jaybarrow.JobPending, storedState: jaybarrow.JobPending, dueIndex: heap.Absent,
 		accepted: time.UnixMilli(spec.AcceptedMs), tasksLeft: tasksPerOccurrence(spec) * spec.Occurrences(),
 	}
+	j.since = j.accepted
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
 		j.work += float64(s.Tasks) * s.Demand.CPU.Cores() * s.Estimate().Seconds()
@@ -102,7 +104,12 @@
 func (j *job) setPolicy(policy jaybarrow.QueuePolicy) {
 	j.policy = policy
 	j.wholePath = j.longestPath(func(int) bool { return true })
-	j.targetTime = j.accepted.Add(time.Duration(policy.Stretch*float64(j.wholePath)) + policy.Target)
+	j.setTarget()
+}
+
+// setTarget computes the target time from the policy.
+func (j *job) setTarget() {
+	j.targetTime = j.since.Add(time.Duration(j.policy.Stretch*float64(j.wholePath)) + j.policy.Target)
 }
 
 // steps yields the steps of the open occurrences, in their order.
