Add refused work to the demand for hosts

Cause: the leader learnt of refused work only when it was accepted, and moved hosts only then, which takes 1.5 s. Change: the load of a pool has the work that was reported as refused within the last second, each job once and without accepted ones. It adds to the used and waiting resources as well as to the offered ones, since neither holds any of it.

--- a/internal/fleetkeeper/view.go
+++ b/internal/fleetkeeper/view.go
@@ -27,12 +27,12 @@
 }
 
 // hostsFor returns how many hosts the load needs: for the used and the waiting resources and a part of the late ones, or for the
-// lasting and the offered ones, whichever is more.
+// lasting and the offered ones, whichever is more. Refused work adds to both, since neither holds any of it.
 func (k *Keeper) hostsFor(id jaybarrow.PoolID, l workload.Load) float64 {
 	hostSize := k.hostSize(id)
 	plan := k.deps.Settings.Plan
-	all := l.Used.Plus(l.Waiting)
-	return max(hostsFilled(all, hostSize)+plan.LateWorkFraction*hostsFilled(l.Late, hostSize), hostsFilled(l.Lasting.Plus(l.Offered), hostSize)) / plan.TargetUtilization
+	all := l.Used.Plus(l.Waiting).Plus(l.Refused)
+	return max(hostsFilled(all, hostSize)+plan.LateWorkFraction*hostsFilled(l.Late, hostSize), hostsFilled(l.Lasting.Plus(l.Offered).Plus(l.Refused), hostSize)) / plan.TargetUtilization
 }
 
 // labelNeeds returns how many hosts with each label the pool needs for the work that requires the label.
--- a/internal/scheduler/refused.go
+++ b/internal/scheduler/refused.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
 // refusedLogInterval is the least time between two log lines about refused jobs.
@@ -42,3 +43,20 @@
 	n, _ := s.refused.Size(s.deps.Clock.Now())
 	return n
 }
+
+// addRefused adds the refused work to the loads of the pools. A pool without workers and jobs is added if it is configured: refused work may be all
+// that it has.
+func (s *Scheduler) addRefused(loads map[jaybarrow.PoolID]workload.Load, now time.Time) {
+	accepted := func(id jaybarrow.JobID) bool {
+		_, known := s.jobPools.Get(id)
+		return known
+	}
+	for id, demand := range s.refused.Demand(now, accepted) {
+		load, used := loads[id]
+		if _, configured := s.deps.Catalog.Pool(id); !used && !configured {
+			continue
+		}
+		load.Refused = demand
+		loads[id] = load
+	}
+}
--- a/internal/scheduler/refused_test.go
+++ b/internal/scheduler/refused_test.go
@@ -67,3 +67,31 @@
 		s.Close()
 	})
 }
+
+// Load pattern: a queue's demand rises while jobs are refused. The refused work must count as demand at once, each job once and no accepted one, and a
+// report that names a pool which is not configured must create none.
+func TestRefusedWorkIsDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := refusedTerm()
+		defer s.Close()
+		time.Sleep(time.Second)
+		assert.Equal(t, s.load().Refused, jaybarrow.Resources{}, "nothing is refused")
+		work := jaybarrow.Work{CPU: 3000, Memory: 100}
+		jobs := []jaybarrow.RefusedJob{
+			{ID: "00000000000000b1", Pool: "desk", Work: work},
+			{ID: "00000000000000b2", Pool: "desk", Work: work},
+			{ID: "00000000000000b3", Pool: "lab", Work: work},
+			{ID: "00000000000000b4", Pool: "unconfigured", Work: work},
+		}
+		s.Refused(jobs)
+		s.Refused(jobs)
+		assert.Equal(t, s.load().Refused, jaybarrow.Resources{CPU: 6000, Memory: 200})
+		assert.Equal(t, s.Loads(time.Now())["lab"].Refused.CPU, jaybarrow.Millicores(3000), "a pool without workers")
+		_, known := s.Loads(time.Now())["unconfigured"]
+		assert.Assert(t, !known)
+		s.Announce(waitingRecord(t, "00000000000000b1"))
+		assert.Equal(t, s.load().Refused.CPU, jaybarrow.Millicores(3000), "an accepted job")
+		time.Sleep(1100 * time.Millisecond)
+		assert.Equal(t, s.load().Refused, jaybarrow.Resources{}, "after the last second")
+	})
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -299,6 +299,7 @@
 		defer p.lock.Unlock()
 		out[id] = p.state.Load(now)
 	})
+	s.addRefused(out, now)
 	return out
 }
 
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -27,6 +27,7 @@
 	Waiting jaybarrow.Resources                     // demand of tasks that could start now, of jobs that can still meet their target
 	Late    jaybarrow.Resources                     // demand of tasks that could start now, of jobs that can no longer meet it
 	Offered jaybarrow.Resources                     // average demand if jobs keep arriving at the recent rate
+	Refused jaybarrow.Resources                     // average demand of the work that entry hosts have refused within the last second
 	Labels  map[jaybarrow.Label]jaybarrow.Resources // demand of running and waiting tasks that require a label
 }
 
