Spread the callers that are refused during an outage

Cause: a caller that is refused while the store accepts no writes was told to return after 1 s, however long the outage had lasted. All callers came back each second, and at once when it was over. Change: while writes fail, a refusal without a time of its own carries one of the whole seconds from 1 to the length of the outage so far, at most 4, in turn. Result: with the store down for 4 s callers are told 1, 2, 3 and 4 s. Without an outage the header stays as it was. Failed before: TestNoJobIsTriedWhileTheStoreIsDown (its check of Retry-After) and TestTheTimeToReturnGrowsWithTheOutage.

--- a/internal/jobhost/storeprobe.go
+++ b/internal/jobhost/storeprobe.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// RetryAfter returns when the caller of a refused request may return during an outage of the store; 0 without one.
+func (h *Host) RetryAfter() time.Duration { return h.gate.RetryAfter(h.deps.Clock.Now()) }
+
 // readThrough reports whether the store answers a read, here or at the leader: either may carry out a write. The leader's answer counts if the
 // store has confirmed the leader's configuration since the last failed write.
 func (h *Host) readThrough(ctx context.Context, lastFailure time.Time) bool {
--- a/internal/outage/gate.go
+++ b/internal/outage/gate.go
@@ -11,8 +11,9 @@
 type Gate struct {
 	changed *notify.Notifier // signalled when reads begin to be needed
 
-	lock  sync.Mutex
-	state state
+	lock    sync.Mutex
+	state   state
+	refused int // callers that were told when to return
 }
 
 // New returns a Gate that lets every write out.
