--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -185,9 +185,10 @@
 		Settings: d.Settings.Leader, Eligible: h.knowsConfiguration, Lead: h.lead,
 	})
 	h.server = jobpeer.NewServer(logging.For(d.Log, "peer"), d.Peers, peerService{h}, d.OnFault)
+	reporter := &refusalReporter{clock: d.Clock, log: logging.For(d.Log, "peer"), metrics: d.Metrics, jobs: h.refused, target: h.reportTarget}
 	h.group.Keep(ctx, "operators", func() error { h.followOperators(ctx); return nil })
 	h.group.Keep(ctx, "probe of the store", func() error { h.probeStore(ctx, logging.For(d.Log, "store")); return nil })
-	h.group.Keep(ctx, "reports of refused jobs", func() error { h.reportRefusals(ctx, logging.For(d.Log, "peer")); return nil })
+	h.group.Keep(ctx, "reports of refused jobs", func() error { reporter.run(ctx); return nil })
 	h.group.Keep(ctx, "configuration of the leader", func() error { h.refreshFromLeader(ctx); return nil })
 	return h
 }
--- a/internal/jobhost/refusalreports.go
+++ b/internal/jobhost/refusalreports.go
@@ -7,6 +7,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer"
 	"github.com/jaybarrow/jaybarrow/internal/refusal"
 )
@@ -14,66 +16,82 @@
 // reportTimeout bounds one report; a report without an answer is made again.
 const reportTimeout = 300 * time.Millisecond
 
-// reportRefusals reports the refused jobs to the leader; it blocks until ctx ends.
-func (h *Host) reportRefusals(ctx context.Context, log zerolog.Logger) {
-	pace := new(refusal.Pace)
+// refusalReporter reports the refused jobs of an entry host to the leader.
+type refusalReporter struct {
+	clock   jaybarrow.Clock
+	log     zerolog.Logger
+	metrics *jobmetrics.Metrics
+	jobs    *refusal.Memory
+	pace    refusal.Pace
+	// target returns the present term; false while no leader is known.
+	target func() (reportTarget, bool)
+}
+
+// reportTarget is a term of a leader and how reports reach it.
+type reportTarget struct {
+	term refusal.Term
+	send func(context.Context, []jaybarrow.RefusedJob) error
+}
+
+// run reports until ctx ends.
+func (r *refusalReporter) run(ctx context.Context) {
 	for {
-		changed := h.refused.Changed()
-		if n, _ := h.refused.Size(); n == 0 {
+		changed := r.jobs.Changed()
+		if n, _ := r.jobs.Size(); n == 0 {
 			select {
 			case <-ctx.Done():
 				return
 			case <-changed:
 			}
 		}
-		h.reportOnce(ctx, pace, log)
+		r.reportOnce(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-h.deps.Clock.After(refusal.ReportInterval):
+		case <-r.clock.After(refusal.ReportInterval):
 		}
 	}
 }
 
 // reportOnce makes one report, if there is a leader and something to report.
-func (h *Host) reportOnce(ctx context.Context, pace *refusal.Pace, log zerolog.Logger) {
-	term, send, ok := h.reportTarget()
+func (r *refusalReporter) reportOnce(ctx context.Context) {
+	to, ok := r.target()
 	if !ok {
 		return
 	}
-	report := h.refused.Unreported(term)
-	if len(report.Jobs) == 0 || !pace.Due(h.deps.Clock.Now(), term) {
+	report := r.jobs.Unreported(to.term)
+	if len(report.Jobs) == 0 || !r.pace.Due(r.clock.Now(), to.term) {
 		return
 	}
 	limited, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	switch err := send(limited, report); {
+	switch err := to.send(limited, report.Jobs); {
 	case err == nil:
-		h.deps.Metrics.Count("refusal.reports")
-		h.refused.Reported(report, term)
+		r.metrics.Count("refusal.reports")
+		r.jobs.Reported(report, to.term)
 	case jobpeer.IsUnknownCall(err):
-		h.deps.Metrics.Count("refusal.reports.unknown")
-		pace.Unknown(h.deps.Clock.Now())
-		log.Info().Msg("the build of the leader takes no reports of refused jobs")
+		r.metrics.Count("refusal.reports.unknown")
+		r.pace.Unknown(r.clock.Now())
+		r.log.Info().Msg("the build of the leader takes no reports of refused jobs")
 	default:
-		h.deps.Metrics.Count("refusal.reports.failed")
-		log.Debug().Err(err).Msg("refused jobs are reported again")
+		r.metrics.Count("refusal.reports.failed")
+		r.log.Debug().Err(err).Int("jobs", len(report.Jobs)).Msg("refused jobs are reported again")
 	}
 }
 
-// reportTarget returns the present term and how to report to it; false while no leader is known.
-func (h *Host) reportTarget() (refusal.Term, func(context.Context, refusal.Report) error, bool) {
+// reportTarget returns the scheduler of this entry host while it leads, and the leader otherwise. A process that leads again has another term.
+func (h *Host) reportTarget() (reportTarget, bool) {
 	if s := h.activeScheduler.Load(); s != nil {
-		return refusal.Term(fmt.Sprintf("own term %d", h.terms.Load())), func(_ context.Context, r refusal.Report) error {
-			s.Refused(r.Jobs)
+		return reportTarget{refusal.Term(fmt.Sprintf("own term %d", h.terms.Load())), func(_ context.Context, jobs []jaybarrow.RefusedJob) error {
+			s.Refused(jobs)
 			return nil
-		}, true
+		}}, true
 	}
-	leaderAddress, err := h.leaderAddress()
-	if err != nil {
-		return "", nil, false
+	holder, held := h.leader.Holder()
+	if !held || holder.Entry == h.deps.Entry {
+		return reportTarget{}, false
 	}
-	holder, _ := h.leader.Holder()
-	term := refusal.Term(fmt.Sprintf("%s %d", holder.Entry, holder.Lease))
-	return term, func(ctx context.Context, r refusal.Report) error { return h.client.Refused(ctx, leaderAddress, r.Jobs) }, true
+	return reportTarget{refusal.Term(fmt.Sprintf("%s %d", holder.Entry, holder.Lease)), func(ctx context.Context, jobs []jaybarrow.RefusedJob) error {
+		return h.client.Refused(ctx, holder.Address, jobs)
+	}}, true
 }
