--- a/internal/jobhost/fallbackstore.go
+++ b/internal/jobhost/fallbackstore.go
@@ -2,39 +2,43 @@
 
 import (
 	"context"
-	"sync"
+	"errors"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/outage"
 )
 
-const (
-	// leaderWriteTimeout bounds a write through the leader, so that time is left for a direct attempt.
-	leaderWriteTimeout = 400 * time.Millisecond
-	// unresponsiveAfter is how long the store may take for one answer before writes go through the leader: twenty times its usual
-	// time.
-	unresponsiveAfter = 100 * time.Millisecond
-	// failureCooldown is how long writes go through the leader after a direct call has failed.
-	failureCooldown = 2 * time.Second
-)
+// leaderWriteTimeout bounds a write through the leader, so that time is left for a direct attempt.
+const leaderWriteTimeout = 400 * time.Millisecond
 
 // fallbackStore is a store whose writes fall back to the leader when the platform rejects the calls of this entry host or does
 // not answer them. Its writes must be idempotent, since both ways may carry out the same write.
 type fallbackStore struct {
 	jaybarrow.JobStore
-	host    *Host
-	health  *storeHealth
-	breaker *breaker
+	host   *Host
+	health *storeHealth
+	gate   *outage.Gate
 }
 
-// Commit writes to the store, or through the leader when a direct call fails or is likely to fail. While no write succeeds, all
-// writes but a few probes are refused without an attempt, with effect notRun.
+// Commit writes to the store, or through the leader when a direct call fails or is likely to fail. While no write succeeds, writes are refused
+// without an attempt, with effect notRun.
 func (s fallbackStore) Commit(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
-	if !s.breaker.allow(s.host.deps.Clock.Now()) {
+	pass, allowed := s.gate.Enter(s.host.deps.Clock.Now())
+	if !allowed {
+		s.host.deps.Metrics.Count("outage.refused")
 		return 0, jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "the store accepts no writes").WithEffect(jaybarrow.EffectNotRun)
 	}
+	outcome := outage.Failed
+	defer func() { s.gate.Leave(s.host.deps.Clock.Now(), pass, outcome) }()
 	revision, err := s.write(ctx, changes)
-	s.breaker.record(s.host.deps.Clock.Now(), err == nil || jaybarrow.IsKind(err, jaybarrow.KindConflict))
+	switch {
+	case err == nil || jaybarrow.IsKind(err, jaybarrow.KindConflict):
+		outcome = outage.Stored
+	case errors.Is(ctx.Err(), context.Canceled):
+		// A repeat of the same write has ended before.
+		outcome = outage.Unobserved
+	}
 	return revision, err
 }
 
@@ -84,39 +88,3 @@
 	}
 	return s.host.client.Commit(ctx, leaderAddress, changes)
 }
-
-// storeHealth tracks whether the store answers the direct calls of this entry host.
-type storeHealth struct {
-	lock         sync.Mutex
-	inFlight     int       // calls without an answer yet
-	lastProgress time.Time // when the first of them started, or the last call ended
-	lastFailure  time.Time // time of the last failed call
-	failing      bool      // whether the call that ended last has failed
-}
-
-// isSuspect reports whether a direct call is likely to fail or to stay unanswered.
-func (h *storeHealth) isSuspect(now time.Time) bool {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	return h.failing && now.Sub(h.lastFailure) < failureCooldown || h.inFlight > 0 && now.Sub(h.lastProgress) > unresponsiveAfter
-}
-
-// startCall counts a call as in flight; the returned function must be called with its outcome.
-func (h *storeHealth) startCall(now time.Time) func(now time.Time, ok bool) {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	if h.inFlight == 0 {
-		h.lastProgress = now
-	}
-	h.inFlight++
-	return func(now time.Time, ok bool) {
-		h.lock.Lock()
-		defer h.lock.Unlock()
-		h.inFlight--
-		h.lastProgress = now
-		h.failing = !ok
-		if !ok {
-			h.lastFailure = now
-		}
-	}
-}
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -19,7 +19,9 @@
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
+	"github.com/jaybarrow/jaybarrow/internal/outage"
 	query "github.com/jaybarrow/jaybarrow/internal/query/job"
+	"github.com/jaybarrow/jaybarrow/internal/refusal"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/scheduler"
 )
@@ -40,12 +42,15 @@
 	MaxConfigurationAge time.Duration
 	// MaxReadyAge is the largest age of the configuration at which the host reports that it is ready.
 	MaxReadyAge time.Duration
-	Operators   follow.Settings
-	Leader      leader.Settings
-	Scheduler   scheduler.Settings
-	Fleet       fleetkeeper.Settings
-	Command     command.Settings
-	Query       query.Settings
+	// MaxForwardedWrites bounds the writes in progress that this host makes for other entry hosts, at least 1: half of its connections to the
+	// store.
+	MaxForwardedWrites int
+	Operators          follow.Settings
+	Leader             leader.Settings
+	Scheduler          scheduler.Settings
+	Fleet              fleetkeeper.Settings
+	Command            command.Settings
+	Query              query.Settings
 }
 
 // DefaultSettings returns the settings for normal operation.
@@ -54,12 +59,14 @@
 		MaxConfigurationAge: 4 * time.Second,
 		// Longer than one unanswered call for changes, shorter than two.
 		MaxReadyAge: 2500 * time.Millisecond,
-		Operators:   follow.Settings{Wait: time.Second, Slack: 500 * time.Millisecond, RetryDelay: 100 * time.Millisecond},
-		Leader:      leader.DefaultSettings(),
-		Scheduler:   scheduler.DefaultSettings(),
-		Fleet:       fleetkeeper.DefaultSettings(),
-		Command:     command.DefaultSettings(),
-		Query:       query.DefaultSettings(),
+		// Half of the 24 connections of the platform's store client.
+		MaxForwardedWrites: 12,
+		Operators:          follow.Settings{Wait: time.Second, Slack: 500 * time.Millisecond, RetryDelay: 100 * time.Millisecond},
+		Leader:             leader.DefaultSettings(),
+		Scheduler:          scheduler.DefaultSettings(),
+		Fleet:              fleetkeeper.DefaultSettings(),
+		Command:            command.DefaultSettings(),
+		Query:              query.DefaultSettings(),
 	}
 }
 
@@ -89,8 +96,12 @@
 	leader          *leader.Leader
 	waves           waves
 	announcer       *announcer
+	gate            *outage.Gate // of callers' writes to the store
+	forwarded       *forwardedWrites
 	admissions      *breaker // of questions to the leader whether a job is admitted
 	refusals        *refusals
+	refused         *refusal.Memory
+	terms           atomic.Int64 // that this entry host has led
 	client          *jobpeer.Client
 	server          *jobpeer.Server
 	activeScheduler atomic.Pointer[scheduler.Scheduler] // nil while this entry host does not lead
@@ -145,11 +156,25 @@
 	})
 	h.waves.operators = d.Platform.Operators
 	h.announcer = &announcer{host: h, log: logging.For(d.Log, "peer"), group: rungroup.New(d.OnFault)}
-	h.admissions, h.refusals = new(breaker), newRefusals()
+	h.admissions, h.refusals, h.gate = new(breaker), newRefusals(), outage.New()
+	d.Metrics.Gauge("outage.lastedMs", func() int64 { return h.gate.Status(d.Clock.Now()).Lasted.Milliseconds() })
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
+	health := newStoreHealth()
+	d.Metrics.Gauge("store.unresponsiveAfterMs", func() int64 { return unresponsiveAfter(health.answers.Usual(d.Clock.Now())).Milliseconds() })
+	h.refused = refusal.NewMemory(d.Clock)
+	d.Metrics.Gauge("refusal.remembered", func() int64 { n, _ := h.refused.Size(); return int64(n) })
+	d.Metrics.Gauge("refusal.dropped", func() int64 { _, dropped := h.refused.Size(); return dropped })
+	d.Metrics.Gauge("refusal.known", func() int64 {
+		if s := h.activeScheduler.Load(); s != nil {
+			return int64(s.RefusedJobs())
+		}
+		return 0
+	})
+	h.forwarded = newForwardedWrites(d.Clock, d.Settings.MaxForwardedWrites)
+	d.Metrics.Gauge("store.forwarding", func() int64 { return int64(len(h.forwarded.slots)) })
 	commands := command.Deps{
-		Clock: d.Clock, Store: fallbackStore{JobStore: d.Platform.Store, host: h, health: new(storeHealth), breaker: new(breaker)}, Authorizer: h.Authorizer,
-		Directory: jobDirectory{h}, Settings: d.Settings.Command,
+		Clock: d.Clock, Store: fallbackStore{JobStore: d.Platform.Store, host: h, health: health, gate: h.gate}, Authorizer: h.Authorizer,
+		Directory: jobDirectory{h}, Refusals: h.refused, Settings: d.Settings.Command,
 	}
 	h.Accept, h.Cancel = command.NewAccept(commands), command.NewCancel(commands)
 	queries := query.Deps{Directory: jobDirectory{h}, Store: d.Platform.Store, Settings: d.Settings.Query}
@@ -160,7 +185,10 @@
 		Settings: d.Settings.Leader, Eligible: h.knowsConfiguration, Lead: h.lead,
 	})
 	h.server = jobpeer.NewServer(logging.For(d.Log, "peer"), d.Peers, peerService{h}, d.OnFault)
+	reporter := &refusalReporter{clock: d.Clock, log: logging.For(d.Log, "peer"), metrics: d.Metrics, jobs: h.refused, target: h.reportTarget}
 	h.group.Keep(ctx, "operators", func() error { h.followOperators(ctx); return nil })
+	h.group.Keep(ctx, "probe of the store", func() error { h.probeStore(ctx, logging.For(d.Log, "store")); return nil })
+	h.group.Keep(ctx, "reports of refused jobs", func() error { reporter.run(ctx); return nil })
 	h.group.Keep(ctx, "configuration of the leader", func() error { h.refreshFromLeader(ctx); return nil })
 	return h
 }
@@ -213,6 +241,7 @@
 		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: observer{log, h.deps.Metrics}, Term: term, LiveMemory: h.deps.LiveMemory,
 		Settings: h.deps.Settings.Scheduler,
 	})
+	h.terms.Add(1)
 	h.activeScheduler.Store(s)
 	select {
 	case <-ctx.Done():
--- a/internal/jobhost/leaderqueries.go
+++ b/internal/jobhost/leaderqueries.go
@@ -111,6 +111,13 @@
 }
 
 func (p peerService) Commit(ctx context.Context, changes jaybarrow.Commit) (jaybarrow.Revision, error) {
+	end, ok := p.host.forwarded.begin(ctx)
+	if !ok {
+		p.host.deps.Metrics.Count("store.forwarded.refused")
+		return 0, jaybarrow.Errorf(jaybarrow.KindStoreUnavailable, "too many writes of entry hosts wait for the store").WithEffect(jaybarrow.EffectNotRun)
+	}
+	defer end()
+	p.host.deps.Metrics.Count("store.forwarded")
 	revision, err := p.host.deps.Platform.Store.Commit(ctx, changes)
 	if err == nil {
 		p.host.announcer.announce(changes, revision)
@@ -127,6 +134,15 @@
 	return nil
 }
 
+func (p peerService) Refused(jobs []jaybarrow.RefusedJob) error {
+	s := p.host.activeScheduler.Load()
+	if s == nil {
+		return notLeadingError()
+	}
+	s.Refused(jobs)
+	return nil
+}
+
 func (p peerService) NewerConfiguration(_ context.Context, version jaybarrow.ConfigurationVersion) ([]byte, int64, error) {
 	c := p.host.catalog.Configuration()
 	age, known := p.host.catalog.Age(p.host.deps.Clock.Now())
@@ -163,6 +179,14 @@
 	}
 }
 
+// configurationVersion returns the version of the configuration in force; 0 while there is none.
+func (h *Host) configurationVersion() jaybarrow.ConfigurationVersion {
+	if c := h.catalog.Configuration(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // fetchConfiguration applies the configuration of the leader if it is newer, and confirms it as of the time of the request less
 // the age that the leader reports.
 func (h *Host) fetchConfiguration(ctx context.Context) error {
@@ -172,10 +196,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.deps.Settings.Operators.Slack)
 	defer cancel()
-	version := jaybarrow.ConfigurationVersion(0)
-	if c := h.catalog.Configuration(); c != nil {
-		version = c.Version
-	}
+	version := h.configurationVersion()
 	requestedAt := h.deps.Clock.Now()
 	data, ageMs, err := h.client.NewerConfiguration(ctx, leaderAddress, version)
 	if err != nil {
