Decide on hosts without waiting for the store

Cause: the fleet keeper read, stored and reported the progress of waves between two decisions on hosts, and each of these calls waits for the store for up to 1 s. While the store was slow, hosts moved once in more than a second instead of ten times a second.

Change: the calls for a wave are made in the background, one at a time for each wave, and a wave with calls in progress is skipped until they end. The progress is still stored before the state is reported, and the report is left out once the lead may have ended.

TestDecisionsOnHostsDoNotWaitForTheStore failed before. TestTheProgressOfAWaveIsStoredInOrderBeforeItIsReported passes before and after; it fails when calls for one wave may overlap and when the last progress is not stored before the report.

--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -25,6 +25,7 @@
 	hosts      []jaybarrow.FleetHost
 	unanswered atomic.Pointer[chan struct{}] // a call for the list waits until the channel is closed; nil when it does not wait
 	answerTime atomic.Int64                  // of a call for a page of hosts, in ns
+	lists      atomic.Int64                  // calls for the first page of hosts
 	faulty     atomic.Bool                   // orders panic
 	lock       sync.Mutex
 	orders     map[jaybarrow.HostID]order
@@ -56,6 +57,9 @@
 	case <-time.After(time.Duration(f.answerTime.Load())):
 	}
 	first, _ := strconv.Atoi(string(page))
+	if first == 0 {
+		f.lists.Add(1)
+	}
 	if end := first + pageSize; end < len(f.hosts) {
 		return f.hosts[first:end], jaybarrow.PageToken(strconv.Itoa(end)), nil
 	}
@@ -236,6 +240,11 @@
 
 // newKeeper returns a keeper of the hosts and pools; the pool named reserve is the spare pool.
 func newKeeper(settings fleetkeeper.Settings, hosts []jaybarrow.FleetHost, p *pools, knownWaves fleetkeeper.Waves) *keeper {
+	return newKeeperOn(emptyStore{}, settings, hosts, p, knownWaves)
+}
+
+// newKeeperOn returns a keeper like newKeeper with its progress in the store.
+func newKeeperOn(store jaybarrow.JobStore, settings fleetkeeper.Settings, hosts []jaybarrow.FleetHost, p *pools, knownWaves fleetkeeper.Waves) *keeper {
 	configuration := &jaybarrow.Configuration{Version: 1, Pools: []jaybarrow.JobPool{{ID: "reserve", Spare: true}}}
 	for id := range p.byPool() {
 		configuration.Pools = append(configuration.Pools, jaybarrow.JobPool{ID: id})
@@ -245,7 +254,7 @@
 	f := &fleet{orders: make(map[jaybarrow.HostID]order), hosts: hosts}
 	resigned, lapsed, faults := new(atomic.Bool), new(atomic.Bool), new(atomic.Int64)
 	return &keeper{startedAt: time.Now(), fleet: f, resigned: resigned, lapsed: lapsed, faults: faults, Keeper: fleetkeeper.New(fleetkeeper.Deps{
-		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Fleet: f, Store: emptyStore{}, Catalog: known, Settings: settings, Pools: p, Waves: knownWaves,
+		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Fleet: f, Store: store, Catalog: known, Settings: settings, Pools: p, Waves: knownWaves,
 		Term: leader.Term{Fence: 1, Valid: func() bool { return !lapsed.Load() }, Resign: func(string) { resigned.Store(true) }},
 		OnFault: func(rungroup.Fault) {
 			if resigned.Load() {
--- a/internal/fleetkeeper/state.go
+++ b/internal/fleetkeeper/state.go
@@ -34,6 +34,7 @@
 type wave struct {
 	KnownWave
 	loaded           bool                                         // whether the stored progress was read
+	calling          bool                                         // whether calls to the store are in progress for it
 	maintenanceBegun map[jaybarrow.HostID]bool                    // hosts whose maintenance has begun or is not due
 	storedCount      int                                          // hosts in the stored progress
 	obstacles        map[jaybarrow.HostID]jaybarrow.DrainObstacle // of hosts that could not be emptied at the last try; empty for the others
--- a/internal/fleetkeeper/waves.go
+++ b/internal/fleetkeeper/waves.go
@@ -22,7 +22,7 @@
 	return jaybarrow.JobWavePrefix + jaybarrow.Key(strconv.FormatInt(int64(id), 10))
 }
 
-// loadWaves adds new waves and reads their stored progress; a failed read is retried at the next call.
+// loadWaves adds new waves and begins to read their stored progress; a failed read is retried at the next call.
 func (k *Keeper) loadWaves(ctx context.Context) {
 	for _, known := range k.deps.Waves.Waves() {
 		k.state.lock.Lock()
@@ -34,25 +34,47 @@
 			}
 			k.state.waves[known.ID] = w
 		}
-		loaded := w.loaded
+		due := !w.loaded
 		k.state.lock.Unlock()
-		if loaded {
-			continue
-		}
-		begun, err := k.readWave(ctx, known.ID)
-		if err != nil {
-			k.deps.Log.Warn().Err(err).Int64("wave", int64(known.ID)).Msg("cannot read the progress of a wave; trying again")
-			continue
+		if due {
+			k.callForWave(ctx, w, k.loadWave)
 		}
+	}
+}
+
+// callForWave makes calls to the store for the wave in the background, unless earlier ones for it are still in progress. The decisions on
+// hosts never wait for the store, which may take a second, and the writes of one wave stay in order.
+func (k *Keeper) callForWave(ctx context.Context, w *wave, call func(context.Context, *wave)) {
+	k.state.lock.Lock()
+	busy := w.calling
+	w.calling = true
+	k.state.lock.Unlock()
+	if busy {
+		return
+	}
+	k.group.Go("progress of a wave", func() {
+		call(ctx, w)
 		k.state.lock.Lock()
-		for _, id := range begun {
-			w.maintenanceBegun[id] = true
-		}
-		w.loaded, w.storedCount = true, len(begun)
-		k.state.lock.Unlock()
-		k.deps.Log.Info().Int64("wave", int64(known.ID)).Int("hosts", len(known.Hosts)).Int("begun", len(begun)).Int("atOnce", known.AtOnce).
-			Int64("withinMs", known.Within.Milliseconds()).Msg("wave")
+		defer k.state.lock.Unlock()
+		w.calling = false
+	})
+}
+
+// loadWave reads the stored progress of the wave.
+func (k *Keeper) loadWave(ctx context.Context, w *wave) {
+	begun, err := k.readWave(ctx, w.ID)
+	if err != nil {
+		k.deps.Log.Warn().Err(err).Int64("wave", int64(w.ID)).Msg("cannot read the progress of a wave; trying again")
+		return
 	}
+	k.state.lock.Lock()
+	for _, id := range begun {
+		w.maintenanceBegun[id] = true
+	}
+	w.loaded, w.storedCount = true, len(begun)
+	k.state.lock.Unlock()
+	k.deps.Log.Info().Int64("wave", int64(w.ID)).Int("hosts", len(w.Hosts)).Int("begun", len(begun)).Int("atOnce", w.AtOnce).
+		Int64("withinMs", w.Within.Milliseconds()).Msg("wave")
 }
 
 // readWave returns the hosts whose maintenance has begun according to the wave's record; none when there is no record.
@@ -73,19 +95,24 @@
 	return record.Begun, nil
 }
 
-// reportWaves stores the progress of the waves and reports their states to operators.
+// reportWaves begins to store the progress of the waves and to report their states to operators, where either has changed.
 func (k *Keeper) reportWaves(ctx context.Context) {
+	now := k.deps.Clock.Now()
 	k.state.lock.Lock()
-	waves := slices.Collect(maps.Values(k.state.waves))
-	k.state.lock.Unlock()
-	for _, w := range waves {
-		if w.loaded {
-			k.reportWave(ctx, w)
+	var due []*wave
+	for _, w := range k.state.waves {
+		if w.loaded && (w.storedCount != len(w.maintenanceBegun) || w.needsReport(k.waveStatus(w), now)) {
+			due = append(due, w)
 		}
 	}
+	k.state.lock.Unlock()
+	for _, w := range due {
+		k.callForWave(ctx, w, k.reportWave)
+	}
 }
 
-// reportWave stores the progress of a wave if it has changed, and then reports the state of the wave if it has changed.
+// reportWave stores the progress of a wave if it has changed, and then reports the state of the wave if it has changed. The state is that of
+// the progress that was stored, so that no wave is reported as completed before its progress is stored.
 func (k *Keeper) reportWave(ctx context.Context, w *wave) {
 	k.state.lock.Lock()
 	begun := slices.Sorted(maps.Keys(w.maintenanceBegun))
@@ -103,7 +130,7 @@
 		w.storedCount = len(begun)
 		k.state.lock.Unlock()
 	}
-	if !unreported {
+	if !unreported || !k.deps.Term.Valid() {
 		return
 	}
 	if err := k.deps.Waves.ReportWave(limited, w.ID, status); err != nil {
