Repeat a write after a delay that follows the store's answers

Cause: a write without an answer was repeated after 80 or 120 ms, up to three calls in all. A store that took 292 ms for every call got each write two or three times, which used up the connections to it.

Change: the delay is twice the time within which most recent writes were answered, at least the delay of the settings and at most half of the call's time limit. Each single call to the store is timed, below the repetition, so that a cancelled call is not counted. Writes of progress beyond 22 wait before their time limit begins, since a write that waits for one of the 24 connections was repeated as if it were lost.

--- a/internal/command/job/accept.go
+++ b/internal/command/job/accept.go
@@ -7,6 +7,7 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/hedge"
+	"github.com/jaybarrow/jaybarrow/internal/latency"
 )
 
 // Accept requests that a job be accepted.
@@ -25,7 +26,9 @@
 	Store      jaybarrow.JobStore
 	Authorizer *Authorizer
 	Directory  jaybarrow.JobDirectory
-	Settings   Settings
+	// CommitTimes tells how long the store takes for a write; nil when that is not known, and writes are repeated after a fixed delay.
+	CommitTimes *latency.Estimator
+	Settings    Settings
 }
 
 // Settings are the timeouts of the commands.
@@ -34,7 +37,7 @@
 	ReadTimeout      time.Duration  // for one read of the store
 	AdmissionTimeout time.Duration  // for the scheduler's decision on a new job, which is accepted without one
 	MaxValueBytes    int            // largest value that the store accepts
-	Write            hedge.Settings // each write is conditional, so a duplicate has no effect
+	Write            hedge.Settings // with the least delay; each write is conditional, so a duplicate has no effect
 }
 
 // DefaultSettings returns the default timeouts.
@@ -93,7 +96,8 @@
 // means that they are stored.
 func writeOnce(ctx context.Context, d Deps, changes jaybarrow.Commit) error {
 	isStored := func(err error) bool { return jaybarrow.IsKind(err, jaybarrow.KindConflict) }
-	_, err := hedge.Do(ctx, d.Clock, d.Settings.Write, func(ctx context.Context) (jaybarrow.Revision, error) {
+	hedged := d.Settings.Write.Following(d.CommitTimes.Usual(d.Clock.Now()))
+	_, err := hedge.Do(ctx, d.Clock, hedged, func(ctx context.Context) (jaybarrow.Revision, error) {
 		return d.Store.Commit(ctx, changes)
 	}, isStored)
 	if isStored(err) {
--- a/internal/command/job/admit_test.go
+++ b/internal/command/job/admit_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -11,6 +14,7 @@
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
 	command "github.com/jaybarrow/jaybarrow/internal/command/job"
+	"github.com/jaybarrow/jaybarrow/internal/latency"
 )
 
 // store is a JobStore that holds the keys of accepted jobs.
@@ -45,6 +49,10 @@
 	err    error
 }
 
+func (d directory) JobStatus(context.Context, jaybarrow.JobID) (jaybarrow.JobStatus, error) {
+	return jaybarrow.JobStatus{Known: true}, nil
+}
+
 func (d directory) Admit(context.Context, jaybarrow.AdmissionRequest) (jaybarrow.Admission, error) {
 	return d.answer, d.err
 }
@@ -96,3 +104,47 @@
 		})
 	}
 }
+
+// slowWrites is a store that takes a time for each write and counts the calls.
+type slowWrites struct {
+	store
+	answerTime time.Duration
+	calls      atomic.Int64
+}
+
+func (s *slowWrites) Commit(ctx context.Context, _ jaybarrow.Commit) (jaybarrow.Revision, error) {
+	s.calls.Add(1)
+	select {
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	case <-time.After(s.answerTime):
+		return 1, nil
+	}
+}
+
+// Load pattern: callers hand in and cancel jobs while the store takes 292 ms for each write. No answer is lost, so each job must take one call once
+// the store's speed is known.
+func TestASlowStoreGetsOneCallForEachAcceptedAndCancelledJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const known, jobs = 4, 20
+		s := &slowWrites{answerTime: 292 * time.Millisecond}
+		clock, commits := jaybarrow.SystemClock{}, latency.New()
+		deps := command.Deps{
+			Clock: clock, Store: latency.NewStore(s, clock, commits, nil), Authorizer: command.NewAuthorizer(clock, catalog.New(clock.Now()), time.Hour),
+			Directory: directory{answer: jaybarrow.Admission{Admitted: true}}, CommitTimes: commits, Settings: command.DefaultSettings(),
+		}
+		accept, cancel := command.NewAccept(deps), command.NewCancel(deps)
+		queue := &jaybarrow.JobQueue{ID: "match", Pool: "desk", Open: true}
+		for n := range known + jobs {
+			if n == known {
+				s.calls.Store(0)
+			}
+			id := jaybarrow.JobID(fmt.Sprintf("%016x", n))
+			_, err := accept.Handle(context.Background(), command.Accept{Queue: queue, ID: id, Steps: []jaybarrow.Step{{Tasks: 2, EstimateMs: 100}}})
+			assert.NilError(t, err)
+			_, err = cancel.Handle(context.Background(), command.Cancel{Queue: queue, ID: id})
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, s.calls.Load(), int64(2*jobs))
+	})
+}
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -17,6 +17,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/identity"
 	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer"
+	"github.com/jaybarrow/jaybarrow/internal/latency"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
 	query "github.com/jaybarrow/jaybarrow/internal/query/job"
@@ -86,6 +87,7 @@
 	leaving atomic.Bool
 
 	catalog         *catalog.Catalog
+	commits         *commitTimes
 	leader          *leader.Leader
 	waves           waves
 	announcer       *announcer
@@ -107,7 +109,8 @@
 func New(d Deps) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{deps: d, cancel: cancel, group: rungroup.New(d.OnFault), catalog: catalog.New(d.Clock.Now()), client: jobpeer.NewClient()}
-	h.deps.Platform.Store = countedStore{d.Platform.Store, d.Metrics}
+	h.commits = newCommitTimes(d.Clock, logging.For(d.Log, "store"), d.Settings.Scheduler.Commit)
+	h.deps.Platform.Store = countedStore{latency.NewStore(d.Platform.Store, d.Clock, h.commits.times, h.commits.note), d.Metrics}
 	d = h.deps
 	if d.OnLead == nil {
 		h.deps.OnLead = func(bool) {}
@@ -128,6 +131,8 @@
 		}
 		return 0
 	})
+	d.Metrics.Gauge("store.commitMs", func() int64 { return h.commits.usual().Milliseconds() })
+	d.Metrics.Gauge("store.commitRepeatMs", func() int64 { return h.commits.repeatDelay().Milliseconds() })
 	if d.LiveMemory != nil {
 		d.Metrics.Gauge("memory.liveBytes", func() int64 { return int64(d.LiveMemory()) })
 	}
@@ -149,7 +154,7 @@
 	h.Authorizer = command.NewAuthorizer(d.Clock, h.catalog, d.Settings.MaxConfigurationAge)
 	commands := command.Deps{
 		Clock: d.Clock, Store: fallbackStore{JobStore: d.Platform.Store, host: h, health: new(storeHealth), breaker: new(breaker)}, Authorizer: h.Authorizer,
-		Directory: jobDirectory{h}, Settings: d.Settings.Command,
+		Directory: jobDirectory{h}, CommitTimes: h.commits.times, Settings: d.Settings.Command,
 	}
 	h.Accept, h.Cancel = command.NewAccept(commands), command.NewCancel(commands)
 	queries := query.Deps{Directory: jobDirectory{h}, Store: d.Platform.Store, Settings: d.Settings.Query}
@@ -211,7 +216,7 @@
 	s := scheduler.New(scheduler.Deps{
 		Clock: h.deps.Clock, Log: log, Store: h.deps.Platform.Store, Register: h.deps.Platform.Register,
 		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: observer{log, h.deps.Metrics}, Term: term, LiveMemory: h.deps.LiveMemory,
-		Settings: h.deps.Settings.Scheduler,
+		CommitTimes: h.commits.times, Settings: h.deps.Settings.Scheduler,
 	})
 	h.activeScheduler.Store(s)
 	select {
--- a/internal/latency/estimator.go
+++ b/internal/latency/estimator.go
@@ -44,8 +44,11 @@
 	e.next++
 }
 
-// Usual returns the time within which most recent answers arrived; 0 while there are none.
+// Usual returns the time within which most recent answers arrived; 0 while there are none. A nil Estimator knows no answers.
 func (e *Estimator) Usual(now time.Time) time.Duration {
+	if e == nil {
+		return 0
+	}
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	var times [window]time.Duration
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -59,7 +59,7 @@
 	p := &poolShard{
 		deps: d, id: id, ctx: s.ctx, log: log, group: rungroup.New(rungroup.EndTerm(log, d.Term.Resign)),
 		writer: &writer{
-			clock: d.Clock, log: d.Log, store: d.Store, settings: d.Settings, leaderRevision: d.Term.Revision,
+			clock: d.Clock, log: d.Log, store: d.Store, settings: d.Settings, commitTimes: d.CommitTimes, slots: s.commitSlots, leaderRevision: d.Term.Revision,
 			revisions: make(map[jaybarrow.JobID]jaybarrow.Revision),
 		},
 		forgetJob: s.jobPools.Delete, startSlots: s.startSlots, orders: s.orders, senders: s.senders, waitingTasks: &s.waitingTasks,
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
 	"github.com/jaybarrow/jaybarrow/internal/follow"
+	"github.com/jaybarrow/jaybarrow/internal/latency"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 	"github.com/jaybarrow/jaybarrow/internal/shard"
@@ -31,7 +32,9 @@
 	Term     leader.Term
 	// LiveMemory returns the size of the live data of this process; nil when it is not known.
 	LiveMemory func() budget.Bytes
-	Settings   Settings
+	// CommitTimes tells how long the store takes for a write; nil when that is not known, and writes are repeated after a fixed delay.
+	CommitTimes *latency.Estimator
+	Settings    Settings
 }
 
 // Scheduler schedules the jobs of all pools during one term of the leader.
@@ -54,6 +57,7 @@
 	memory       *budget.Memory    // used by announceCongestion only
 	memoryShort  atomic.Bool       // whether new jobs are refused for want of memory
 	startSlots   chan struct{}     // has a value for each start order that waits for an answer
+	commitSlots  chan struct{}     // has a value for each write of progress that is in progress
 	advice       *adviceCalls
 	pageRead     chan struct{} // has a value when a page of the register or of the stored jobs was read
 }
@@ -68,7 +72,7 @@
 		deps: d, group: rungroup.New(rungroup.EndTerm(d.Log, d.Term.Resign)), teams: newTeams(d.Catalog.Limit, d.Catalog.Share), ctx: ctx, cancel: cancel,
 		pools: shard.New[jaybarrow.PoolID, *poolShard](), jobPools: shard.New[jaybarrow.JobID, jaybarrow.PoolID](),
 		workerPools: shard.New[jaybarrow.WorkerID, jaybarrow.PoolID](), loaded: make(chan struct{}),
-		pageRead: make(chan struct{}, 1), startSlots: make(chan struct{}, d.Settings.MaxConcurrentStarts),
+		pageRead: make(chan struct{}, 1), startSlots: make(chan struct{}, d.Settings.MaxConcurrentStarts), commitSlots: make(chan struct{}, d.Settings.MaxConcurrentCommits),
 		orders: budget.NewOrders(d.Settings.Host, d.Clock.Now()), memory: budget.NewMemory(d.Settings.Host),
 	}
 	s.advice = newAdviceCalls(s)
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -28,10 +28,12 @@
 	HoldRetryDelay time.Duration
 	// MaxStoreWait is the longest delay of a worker's next hold order until the ends that it reported are stored.
 	MaxStoreWait time.Duration
-	// Commit bounds one attempt at a write, including its hedged calls; CommitRetry is the delay before the next attempt, which
-	// doubles up to three times.
+	// Commit bounds one attempt at a write, including its hedged calls; its delay is the least one, which grows with the time that the store
+	// takes. CommitRetryDelay is the delay before the next attempt, which doubles up to three times.
 	Commit           hedge.Settings
 	CommitRetryDelay time.Duration
+	// MaxConcurrentCommits bounds the writes of progress in progress, of all pools.
+	MaxConcurrentCommits int
 	// TakeoverSlack is how much longer than the overlapping calls for one page a takeover may read nothing before the term ends.
 	TakeoverSlack time.Duration
 	// Input and Register configure the followers of accepted jobs and of the register of workers.
@@ -54,7 +56,9 @@
 		// The hedging delay is ten times the store's usual response time; a slow store still responds within the timeout.
 		Commit:           hedge.Settings{Delay: 80 * time.Millisecond, MaxCalls: 3, Timeout: 1500 * time.Millisecond},
 		CommitRetryDelay: 30 * time.Millisecond,
-		TakeoverSlack:    time.Second,
+		// Of the 24 connections to the store some are left for the renewals of the leader's lease, for callers and for repeated writes.
+		MaxConcurrentCommits: 22,
+		TakeoverSlack:        time.Second,
 		// Accepted jobs are also announced, so the pause only batches what the announcements have brought already.
 		Input: follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, Pause: 50 * time.Millisecond, RetryDelay: 50 * time.Millisecond},
 		// Workers renew their entries continually; the pause batches the changes into a few calls a second.
--- /dev/null
+++ b/internal/scheduler/slowstore_test.go
@@ -0,0 +1,158 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/latency"
+	"github.com/jaybarrow/jaybarrow/internal/leader"
+)
+
+// storeConnections is the number of connections that a host keeps to the store, each with one call at a time.
+const storeConnections = 24
+
+// pacedStore is a store whose conditions hold and that takes a time for each commit, over a limited number of connections.
+type pacedStore struct {
+	*advisedFleet
+	records     *memoryStore
+	connections chan struct{}
+
+	lock       sync.Mutex
+	answerTime time.Duration
+	calls      int // commits that were sent
+	writes     int // commits that took effect
+}
+
+func newPacedStore(f *advisedFleet) *pacedStore {
+	return &pacedStore{advisedFleet: f, records: newMemoryStore(), connections: make(chan struct{}, storeConnections)}
+}
+
+func (s *pacedStore) Commit(ctx context.Context, c jaybarrow.Commit) (jaybarrow.Revision, error) {
+	select {
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	case s.connections <- struct{}{}:
+	}
+	defer func() { <-s.connections }()
+	s.lock.Lock()
+	s.calls++
+	took := s.answerTime
+	s.lock.Unlock()
+	// The changes are made half-way, so that a call which is cancelled later has taken effect.
+	var at jaybarrow.Revision
+	var err error
+	for half := range 2 {
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(took / 2):
+		}
+		if half == 0 {
+			if at, err = s.records.Commit(ctx, c); err == nil {
+				s.lock.Lock()
+				s.writes++
+				s.lock.Unlock()
+			}
+		}
+	}
+	return at, err
+}
+
+func (s *pacedStore) setAnswerTime(d time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.answerTime = d
+}
+
+func (s *pacedStore) counts() (calls, writes int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.calls, s.writes
+}
+
+// slowTurn is what a scheduler did during a turn of demand on a slow store.
+type slowTurn struct {
+	calls, writes, starts int
+}
+
+// playSlowTurn lets jobs of four tasks of 0.2 s arrive at three times the rate that their pools carry, while the store answers in 292 ms instead of
+// 4 ms, and returns what happened from a second after the store became slow. Unless the scheduler follows the store, writes are repeated after a fixed
+// delay, also those that wait for a connection.
+func playSlowTurn(t *testing.T, follows bool) slowTurn {
+	var out slowTurn
+	synctest.Test(t, func(*testing.T) {
+		const workers, runs, settling, turn = 40, 200 * time.Millisecond, time.Second, 5 * time.Second
+		queues := []advisedQueue{{id: "match", pool: "desk"}, {id: "grind", pool: "mill"}, {id: "sell", pool: "shop"}}
+		f := newAdvisedFleet(nil, workers, queues...)
+		store := newPacedStore(f)
+		store.setAnswerTime(4 * time.Millisecond)
+		settings := DefaultSettings()
+		var commits *latency.Estimator
+		if follows {
+			commits = latency.New()
+		} else {
+			settings.MaxConcurrentCommits = 1000
+		}
+		s := New(Deps{
+			Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Register: f, Agents: f, Catalog: f.catalog, Observer: f,
+			Store: measured(store, commits), CommitTimes: commits, Settings: settings,
+			Term: leader.Term{Fence: 1, Revision: 1, Valid: func() bool { return true }, Resign: func(string) {}},
+		})
+		time.Sleep(2 * time.Second)
+		f.beginNow()
+		const tasks = 4
+		perS := 3 * workers * advisedCores / 1000 * int(time.Second/runs) / tasks // of each queue
+		tick := 10 * time.Millisecond
+		submitted := 0
+		var before slowTurn
+		for at := time.Duration(0); at < turn; at += tick {
+			if at == settling {
+				store.setAnswerTime(292 * time.Millisecond)
+			}
+			if at == 2*settling {
+				before.calls, before.writes = store.counts()
+				before.starts = f.startCount()
+			}
+			for ; submitted < int(at.Seconds()*float64(perS)); submitted++ {
+				for _, q := range queues {
+					f.submit(s, q, jaybarrow.JobID(fmt.Sprintf("%s-%05d", q.id, submitted)), tasks, 1000, runs)
+				}
+			}
+			time.Sleep(tick)
+		}
+		out.calls, out.writes = store.counts()
+		out.calls, out.writes, out.starts = out.calls-before.calls, out.writes-before.writes, f.startCount()-before.starts
+		s.Close()
+	})
+	return out
+}
+
+// measured returns the store with the times of its commits recorded, if there is an estimator.
+func measured(s jaybarrow.JobStore, commits *latency.Estimator) jaybarrow.JobStore {
+	if commits == nil {
+		return s
+	}
+	return latency.NewStore(s, jaybarrow.SystemClock{}, commits, nil)
+}
+
+// startsVariation is the part by which the starts of two plays of the same load differ at most; the order in which the pools write varies.
+const startsVariation = 0.2
+
+// Load pattern: the store answers in 292 ms instead of 4 ms while demand is several times what the pools run at once. Nothing is lost, so each write
+// must take one call, and the leader must not start less than it does with a fixed delay.
+func TestASlowStoreGetsNoRepeatedWritesUnderLoad(t *testing.T) {
+	fixed, following := playSlowTurn(t, false), playSlowTurn(t, true)
+	t.Logf("with a fixed delay %+v, with one that follows the store %+v", fixed, following)
+	assert.Assert(t, fixed.calls > fixed.writes+storeConnections, "the load does not show the fault: %+v", fixed)
+	// The calls that were sent and had not taken effect at either end of the time differ by at most the number of connections.
+	assert.Assert(t, following.calls <= following.writes+storeConnections, "%d calls for %d writes", following.calls, following.writes)
+	assert.Assert(t, float64(following.starts) >= (1-startsVariation)*float64(fixed.starts), "%d starts, with a fixed delay %d", following.starts, fixed.starts)
+}
--- a/internal/scheduler/writer.go
+++ b/internal/scheduler/writer.go
@@ -13,6 +13,7 @@
 
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/hedge"
+	"github.com/jaybarrow/jaybarrow/internal/latency"
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
@@ -23,6 +24,8 @@
 	log            zerolog.Logger
 	store          jaybarrow.JobStore
 	settings       Settings
+	commitTimes    *latency.Estimator
+	slots          chan struct{}      // of the scheduler; has a value for each write in progress
 	leaderRevision jaybarrow.Revision // of this term's leader record
 
 	lock      sync.Mutex                             // guards revisions
@@ -104,7 +107,15 @@
 // tryCommit makes one attempt with the puts, which begin with those of the records; it must be retried after every error other than errDeposed.
 func (w *writer) tryCommit(ctx context.Context, records []workload.JobRecord, puts []jaybarrow.Put) error {
 	changes := jaybarrow.Commit{Expect: w.expectations(records), Puts: puts}
-	revision, err := hedge.Do(ctx, w.clock, w.settings.Commit, func(ctx context.Context) (jaybarrow.Revision, error) {
+	// The time limit of the calls begins when there is a connection for them; a write that only waits for one must not be repeated.
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case w.slots <- struct{}{}:
+	}
+	defer func() { <-w.slots }()
+	hedged := w.settings.Commit.Following(w.commitTimes.Usual(w.clock.Now()))
+	revision, err := hedge.Do(ctx, w.clock, hedged, func(ctx context.Context) (jaybarrow.Revision, error) {
 		return w.store.Commit(ctx, changes)
 	}, func(err error) bool { return jaybarrow.IsKind(err, jaybarrow.KindConflict) })
 	var conflict *jaybarrow.ConflictError
--- a/internal/scheduler/writer_test.go
+++ b/internal/scheduler/writer_test.go
@@ -120,7 +120,7 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	return &writer{
-		clock: jaybarrow.SystemClock{}, log: zerolog.Nop(), store: s, settings: settings,
+		clock: jaybarrow.SystemClock{}, log: zerolog.Nop(), store: s, settings: settings, slots: make(chan struct{}, settings.MaxConcurrentCommits),
 		leaderRevision: s.records[jaybarrow.JobLeaderKey].Revision, revisions: make(map[jaybarrow.JobID]jaybarrow.Revision),
 	}
 }
