Count the wait for the store once for each step of a job

Cause: the order of jobs and admission counted the run times of a job's steps but not the time that passes between the assignment of a step's tasks and their start orders. While the store is slow that is longer than a short task runs, so jobs were placed and accepted as in time that could not be.

A job's remaining path has it once for each step that is left. Entry hosts name the number of steps of a job's longest chain when they ask the leader; without it a job is judged as before. The demand for hosts does not count it, since hosts do not make the store faster.

Measured: with a store that answers in 292 ms, a job of 20 steps of 10 ms, which must be completed in 4.2 s to be of use, is refused; one of a single step is admitted, and with a store that answers in 4 ms both are.

--- a/admitting.go
+++ b/admitting.go
@@ -26,6 +26,7 @@
 	Pool         PoolID
 	Work         Work
 	CriticalPath time.Duration // estimated run time of the longest chain of steps
+	PathSteps    int           // steps of that chain; 0 when an older build asks
 	Unhurried    bool          // the job is scheduled or lasting, and is never too late
 }
 
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -9,7 +9,7 @@
 // Job is a job that is to be handed in.
 type Job struct {
 	Work         jaybarrow.Work
-	CriticalPath time.Duration // estimated run time of the longest chain of steps
+	CriticalPath time.Duration // estimated time of the longest chain of steps, from the assignment of its first tasks
 	Target       time.Duration // within which the job should be completed
 	Advice       time.Duration // the adviser's expected time for the job; 0 when it needs no advice
 }
--- a/internal/command/job/admit.go
+++ b/internal/command/job/admit.go
@@ -12,9 +12,10 @@
 // repeats a request whose answer was lost. So is every job while no scheduler answers.
 func (h *AcceptHandler) admit(ctx context.Context, in Accept) error {
 	unhurried := in.Recurrence != nil || isLasting(in.Steps)
+	path, pathSteps := criticalPath(in.Queue.Policy(), in.Steps)
 	askCtx, cancel := context.WithTimeout(ctx, h.deps.Settings.AdmissionTimeout)
 	a, err := h.deps.Directory.Admit(askCtx, jaybarrow.AdmissionRequest{
-		Queue: in.Queue.ID, Pool: in.Queue.Pool, Work: workOf(in.Steps), CriticalPath: criticalPath(in.Queue.Policy(), in.Steps), Unhurried: unhurried,
+		Queue: in.Queue.ID, Pool: in.Queue.Pool, Work: workOf(in.Steps), CriticalPath: path, PathSteps: pathSteps, Unhurried: unhurried,
 	})
 	cancel()
 	if err != nil || a.Admitted || unhurried && !a.ShortOfMemory {
@@ -56,17 +57,29 @@
 	return out
 }
 
-// criticalPath returns the estimated time of the longest chain of steps; a step only comes after earlier ones.
-func criticalPath(policy jaybarrow.QueuePolicy, steps []jaybarrow.Step) time.Duration {
-	ends := make([]time.Duration, len(steps))
-	var longest time.Duration
+// criticalPath returns the estimated time of the longest chain of steps and the number of its steps, the largest one where chains are equally
+// long; a step only comes after earlier ones.
+func criticalPath(policy jaybarrow.QueuePolicy, steps []jaybarrow.Step) (time.Duration, int) {
+	type chain struct {
+		takes time.Duration
+		steps int
+	}
+	longer := func(a, b chain) chain {
+		if a.takes > b.takes || a.takes == b.takes && a.steps > b.steps {
+			return a
+		}
+		return b
+	}
+	ends := make([]chain, len(steps))
+	var longest chain
 	for i := range steps {
 		s := &steps[i]
 		for _, before := range s.After {
-			ends[i] = max(ends[i], ends[before])
+			ends[i] = longer(ends[i], ends[before])
 		}
-		ends[i] += policy.StepTime(s)
-		longest = max(longest, ends[i])
+		ends[i].takes += policy.StepTime(s)
+		ends[i].steps++
+		longest = longer(longest, ends[i])
 	}
-	return longest
+	return longest.takes, longest.steps
 }
--- a/internal/command/job/admit_test.go
+++ b/internal/command/job/admit_test.go
@@ -47,13 +47,17 @@
 	jaybarrow.JobDirectory
 	answer jaybarrow.Admission
 	err    error
+	asked  *jaybarrow.AdmissionRequest // set by the last call; nil records nothing
 }
 
 func (d directory) JobStatus(context.Context, jaybarrow.JobID) (jaybarrow.JobStatus, error) {
 	return jaybarrow.JobStatus{Known: true}, nil
 }
 
-func (d directory) Admit(context.Context, jaybarrow.AdmissionRequest) (jaybarrow.Admission, error) {
+func (d directory) Admit(_ context.Context, r jaybarrow.AdmissionRequest) (jaybarrow.Admission, error) {
+	if d.asked != nil {
+		*d.asked = r
+	}
 	return d.answer, d.err
 }
 
@@ -148,3 +152,38 @@
 		assert.Equal(t, s.calls.Load(), int64(2*jobs))
 	})
 }
+
+// Guards against a job that is judged by the steps of another chain than its longest one, or by all of its steps.
+func TestTheStepsOfTheLongestChainAreAskedAbout(t *testing.T) {
+	step := func(ms int64, after ...jaybarrow.StepIndex) jaybarrow.Step {
+		return jaybarrow.Step{Tasks: 1, EstimateMs: ms, After: after}
+	}
+	cases := []struct {
+		name  string
+		steps []jaybarrow.Step
+		path  time.Duration
+		count int
+	}{
+		{"one step", []jaybarrow.Step{step(200)}, 200 * time.Millisecond, 1},
+		{"a chain", []jaybarrow.Step{step(200), step(100, 0), step(300, 1)}, 600 * time.Millisecond, 3},
+		{"steps beside each other", []jaybarrow.Step{step(200), step(100), step(300)}, 300 * time.Millisecond, 1},
+		{"a long step beside a chain of short ones", []jaybarrow.Step{step(50), step(50, 0), step(50, 1), step(400), step(100, 3)}, 500 * time.Millisecond, 2},
+		{"two chains of one length", []jaybarrow.Step{step(200), step(100), step(100, 1)}, 200 * time.Millisecond, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			clock := jaybarrow.SystemClock{}
+			var asked jaybarrow.AdmissionRequest
+			accept := command.NewAccept(command.Deps{
+				Clock: clock, Store: &store{accepted: make(map[jaybarrow.Key]bool)}, Authorizer: command.NewAuthorizer(clock, catalog.New(clock.Now()), time.Hour),
+				Directory: directory{answer: jaybarrow.Admission{Admitted: true}, asked: &asked}, Settings: command.DefaultSettings(),
+			})
+			_, err := accept.Handle(context.Background(), command.Accept{
+				Queue: &jaybarrow.JobQueue{ID: "match", Pool: "desk", Open: true}, ID: "00000000000000aa", Steps: c.steps,
+			})
+			assert.NilError(t, err)
+			assert.Equal(t, asked.CriticalPath, c.path)
+			assert.Equal(t, asked.PathSteps, c.count)
+		})
+	}
+}
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -148,6 +148,12 @@
 		}
 		return 0
 	})
+	d.Metrics.Gauge("dispatch.delayMs", func() int64 {
+		if s := h.activeScheduler.Load(); s != nil {
+			return s.DispatchDelay().Milliseconds()
+		}
+		return 0
+	})
 	h.waves.operators = d.Platform.Operators
 	h.announcer = &announcer{host: h, log: logging.For(d.Log, "peer"), group: rungroup.New(d.OnFault)}
 	h.admissions, h.refusals = new(breaker), newRefusals()
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -131,7 +131,7 @@
 func (c *Client) Admit(ctx context.Context, to jaybarrow.Address, r jaybarrow.AdmissionRequest) (jaybarrow.Admission, error) {
 	answer, err := call(c, to, func(p jobpb.JobsClient) (*jobpb.AdmitAnswer, error) {
 		return p.Admit(ctx, &jobpb.AdmitRequest{
-			Queue: string(r.Queue), Pool: string(r.Pool), CriticalPathMs: r.CriticalPath.Milliseconds(),
+			Queue: string(r.Queue), Pool: string(r.Pool), CriticalPathMs: r.CriticalPath.Milliseconds(), PathSteps: int64(r.PathSteps),
 			Cpu: r.Work.CPU, Memory: r.Work.Memory, Accelerators: r.Work.Accelerators,
 		})
 	})
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -79,7 +79,8 @@
 func (s *Server) Admit(ctx context.Context, in *jobpb.AdmitRequest) (*jobpb.AdmitAnswer, error) {
 	a, err := s.handler.Admit(ctx, jaybarrow.AdmissionRequest{
 		Queue: jaybarrow.QueueID(in.Queue), Pool: jaybarrow.PoolID(in.Pool), CriticalPath: time.Duration(in.CriticalPathMs) * time.Millisecond,
-		Work: jaybarrow.Work{CPU: in.Cpu, Memory: in.Memory, Accelerators: in.Accelerators},
+		PathSteps: int(in.PathSteps),
+		Work:      jaybarrow.Work{CPU: in.Cpu, Memory: in.Memory, Accelerators: in.Accelerators},
 	})
 	return &jobpb.AdmitAnswer{
 		Admitted: a.Admitted, WaitMs: a.Wait.Milliseconds(), RetryAfterMs: a.RetryAfter.Milliseconds(), Fault: encodeFault(err),
--- a/internal/jobpeer/server_test.go
+++ b/internal/jobpeer/server_test.go
@@ -1,6 +1,7 @@
 package jobpeer_test
 
 import (
+	"context"
 	"errors"
 	"net"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
@@ -51,3 +53,32 @@
 	s.Close()
 	assert.Equal(t, len(faults), 0)
 }
+
+// directory records the last question whether a job is admitted.
+type directory struct {
+	jobpeer.Handler
+	asked jaybarrow.AdmissionRequest
+}
+
+func (d *directory) Admit(_ context.Context, r jaybarrow.AdmissionRequest) (jaybarrow.Admission, error) {
+	d.asked = r
+	return jaybarrow.Admission{Admitted: true}, nil
+}
+
+// Guards against a question to the leader that loses what the decision rests on.
+func TestAQuestionWhetherAJobIsAdmittedArrivesWhole(t *testing.T) {
+	asked := jaybarrow.AdmissionRequest{
+		Queue: "match", Pool: "desk", CriticalPath: 700 * time.Millisecond, PathSteps: 4, Work: jaybarrow.Work{CPU: 1, Memory: 2, Accelerators: 3},
+	}
+	l, d := listener(t), new(directory)
+	s := jobpeer.NewServer(zerolog.Nop(), l, d, nil)
+	defer s.Close()
+	c := jobpeer.NewClient()
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), faultTimeout)
+	defer cancel()
+	a, err := c.Admit(ctx, jaybarrow.Address(l.Addr().String()), asked)
+	assert.NilError(t, err)
+	assert.Assert(t, a.Admitted)
+	assert.DeepEqual(t, d.asked, asked)
+}
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -10,6 +10,7 @@
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/admission"
 	"github.com/jaybarrow/jaybarrow/internal/budget"
+	"github.com/jaybarrow/jaybarrow/internal/dispatch"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
 )
 
@@ -53,7 +54,8 @@
 		return jaybarrow.Admission{Admitted: true}
 	}
 	g := p.readLoad(priority, now)
-	job := admission.Job{Work: r.Work, CriticalPath: r.CriticalPath, Target: target, Advice: p.state.AdviceTime(r.Queue)}
+	path := dispatch.Path(r.CriticalPath, r.PathSteps, p.state.DispatchDelay(now))
+	job := admission.Job{Work: r.Work, CriticalPath: path, Target: target, Advice: p.state.AdviceTime(r.Queue)}
 	load := g.load
 	if job.Advice == 0 {
 		load.InTimeAdvice, load.Advice = 0, 0
@@ -130,6 +132,7 @@
 		case <-s.deps.Clock.After(congestionInterval):
 		}
 		s.sampleMemory()
+		s.logDispatch(s.deps.Clock.Now())
 		congested := leader.Congestion{Pools: s.congestedPools(s.deps.Clock.Now()), ShortOfMemory: s.ShortOfMemory()}
 		if congested.Equal(announced) || !s.deps.Term.Valid() {
 			continue
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -46,7 +46,8 @@
 	gates     map[int]*gate               // decide which new jobs the pool takes on, by the priority of their queues
 	tasks     int                         // waiting tasks that waitingTasks counts for this pool
 	coming    Coming                      // what the fleet can add to the pool
-	failed    bool                        // whether a panic may have left state inconsistent
+	dispatch  dispatchLog
+	failed    bool // whether a panic may have left state inconsistent
 }
 
 // errFailed means that the state of the pool may be inconsistent, so nothing may be decided from it.
--- a/internal/scheduler/slowstore_test.go
+++ b/internal/scheduler/slowstore_test.go
@@ -156,3 +156,46 @@
 	assert.Assert(t, following.calls <= following.writes+storeConnections, "%d calls for %d writes", following.calls, following.writes)
 	assert.Assert(t, float64(following.starts) >= (1-startsVariation)*float64(fixed.starts), "%d starts, with a fixed delay %d", following.starts, fixed.starts)
 }
+
+// Load pattern: jobs of many short steps are handed in while the store answers in 292 ms. A job that cannot be of use any more because each of its
+// steps waits for the store must be refused, and one of a single step must not; with a store that answers in 4 ms, or when the steps are not known,
+// as from an older build, both are admitted.
+func TestTheStoresTimeForEachStepCountsInAdmission(t *testing.T) {
+	chain := jaybarrow.AdmissionRequest{Queue: "match", Pool: "desk", CriticalPath: 200 * time.Millisecond, PathSteps: 20}
+	single, unknown := chain, chain
+	single.PathSteps, unknown.PathSteps = 1, 0
+	cases := []struct {
+		answerTime time.Duration
+		asked      jaybarrow.AdmissionRequest
+		admitted   bool
+	}{
+		{4 * time.Millisecond, chain, true},
+		{292 * time.Millisecond, chain, false},
+		{292 * time.Millisecond, single, true},
+		{292 * time.Millisecond, unknown, true},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%d steps at %v", c.asked.PathSteps, c.answerTime), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				queue := advisedQueue{id: "match", pool: "desk"}
+				f := newAdvisedFleet(nil, 10, queue)
+				store, commits := newPacedStore(f), latency.New()
+				store.setAnswerTime(c.answerTime)
+				s := New(Deps{
+					Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Register: f, Agents: f, Catalog: f.catalog, Observer: f,
+					Store: measured(store, commits), CommitTimes: commits, Settings: DefaultSettings(),
+					Term: leader.Term{Fence: 1, Revision: 1, Valid: func() bool { return true }, Resign: func(string) {}},
+				})
+				defer s.Close()
+				time.Sleep(2 * time.Second)
+				for n := range 100 {
+					f.submit(s, queue, jaybarrow.JobID(fmt.Sprintf("past-%03d", n)), 2, 1000, 100*time.Millisecond)
+					time.Sleep(30 * time.Millisecond)
+				}
+				a, err := s.Admit(c.asked)
+				assert.NilError(t, err)
+				assert.Equal(t, a.Admitted, c.admitted)
+			})
+		})
+	}
+}
--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -11,6 +11,7 @@
 // add is left out. Of the jobs that can meet their target those count as InTime whose queue is at least as urgent as the priority.
 func (p *Pool) Backlog(priority int, now time.Time) admission.Load {
 	var out admission.Load
+	delay := p.dispatch.Value(now)
 	for _, w := range p.sortedWorkers() {
 		if w.willTakeTasks() {
 			out.Capacity = out.Capacity.Plus(w.entry.Capacity.Minus(w.lastingUsed))
@@ -34,7 +35,7 @@
 		}
 		waiting = waiting.Times(p.runTimes.factor(j.spec.Queue))
 		out.Waiting = out.Waiting.Plus(waiting)
-		if j.rank(now) == rankInTime && j.policy.Priority <= priority {
+		if j.rank(now, delay) == rankInTime && j.policy.Priority <= priority {
 			out.InTime = out.InTime.Plus(waiting)
 			out.InTimeTasks += out.Tasks - before
 		}
@@ -42,6 +43,9 @@
 	return out
 }
 
+// DispatchDelay returns how long the pool's tasks lately wait for their start orders; 0 while that is not noticeable.
+func (p *Pool) DispatchDelay(now time.Time) time.Duration { return p.dispatch.Value(now) }
+
 // Target returns within which time a job with the critical path should be completed, and the priority of its queue; false when the queue is
 // not configured.
 func (p *Pool) Target(queue jaybarrow.QueueID, criticalPath time.Duration) (target time.Duration, priority int, known bool) {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/dispatch"
 	"github.com/jaybarrow/jaybarrow/internal/heap"
 )
 
@@ -33,6 +34,8 @@
 	work         float64       // estimated core-seconds of the whole job
 	wholePath    time.Duration // estimated time of the longest chain of steps
 	criticalPath time.Duration // the same for the steps that are not done
+	dispatch     time.Duration // of each step in dispatchPath; 0 when that is not known
+	dispatchPath time.Duration // criticalPath with the dispatch of each step
 	order        placementOrder
 }
 
@@ -101,7 +104,7 @@
 // setPolicy replaces the policy by which the job is scheduled.
 func (j *job) setPolicy(policy jaybarrow.QueuePolicy) {
 	j.policy = policy
-	j.wholePath = j.longestPath(func(int) bool { return true })
+	j.wholePath = j.longestPath(0, func(int) bool { return true })
 	j.targetTime = j.accepted.Add(time.Duration(policy.Stretch*float64(j.wholePath)) + policy.Target)
 }
 
@@ -176,8 +179,9 @@
 	return &task{ref: ref, done: true, stray: true, step: j.newOccurrence(ref.Occurrence).steps[ref.Step]}
 }
 
-// longestPath returns the estimated time of the longest chain of those steps that count; a step only comes after steps of lower index.
-func (j *job) longestPath(counts func(i int) bool) time.Duration {
+// longestPath returns the estimated time of the longest chain of those steps that count, each with its dispatch; a step only comes after steps of
+// lower index.
+func (j *job) longestPath(delay time.Duration, counts func(i int) bool) time.Duration {
 	steps := j.spec.Steps
 	ends := make([]time.Duration, len(steps))
 	var longest time.Duration
@@ -186,7 +190,7 @@
 			ends[i] = max(ends[i], ends[dependency])
 		}
 		if counts(i) {
-			ends[i] += j.policy.StepTime(&steps[i])
+			ends[i] += dispatch.Path(j.policy.StepTime(&steps[i]), 1, delay)
 		}
 		longest = max(longest, ends[i])
 	}
@@ -195,14 +199,33 @@
 
 // updateCriticalPath computes the longest chain of steps that are not done.
 func (j *job) updateCriticalPath() {
+	j.criticalPath, j.dispatch = j.pathOfStepsLeft(0), 0
+}
+
+// pathOfStepsLeft returns the estimated time of the longest chain of steps that are not done, each with its dispatch.
+func (j *job) pathOfStepsLeft(delay time.Duration) time.Duration {
 	if int(j.next) < j.spec.Occurrences() {
-		j.criticalPath = j.wholePath
-		return
+		if delay == 0 {
+			return j.wholePath
+		}
+		return j.longestPath(delay, func(int) bool { return true })
 	}
-	j.criticalPath = 0
+	var longest time.Duration
 	for _, o := range j.open {
-		j.criticalPath = max(j.criticalPath, j.longestPath(func(i int) bool { return o.steps[i].tasksLeft > 0 }))
+		longest = max(longest, j.longestPath(delay, func(i int) bool { return o.steps[i].tasksLeft > 0 }))
+	}
+	return longest
+}
+
+// pathLeft returns the job's critical path with the dispatch of each step.
+func (j *job) pathLeft(delay time.Duration) time.Duration {
+	if delay == 0 {
+		return j.criticalPath
+	}
+	if j.dispatch != delay {
+		j.dispatch, j.dispatchPath = delay, j.pathOfStepsLeft(delay)
 	}
+	return j.dispatchPath
 }
 
 // newOccurrence returns an occurrence whose tasks have not begun.
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -129,9 +129,9 @@
 		}
 		waiting = append(waiting, j)
 	}
-	overShare := p.teamsOverShare(waiting)
+	overShare, delay := p.teamsOverShare(waiting), p.dispatch.Value(now)
 	for _, j := range waiting {
-		j.order = placementOrder{rank: j.rank(now), priority: j.policy.Priority, overShare: overShare[j.spec.Team]}
+		j.order = placementOrder{rank: j.rank(now, delay), priority: j.policy.Priority, overShare: overShare[j.spec.Team]}
 	}
 	slices.SortFunc(waiting, func(a, b *job) int {
 		return cmp.Or(
@@ -155,12 +155,12 @@
 	rankLate
 )
 
-// rank returns the job's rank; a lower one is placed first.
-func (j *job) rank(now time.Time) int {
+// rank returns the job's rank, given how long the dispatch of a step takes; a lower one is placed first.
+func (j *job) rank(now time.Time, delay time.Duration) int {
 	switch {
 	case j.spec.Lasting():
 		return rankLasting
-	case now.Add(j.criticalPath).Before(j.targetTime):
+	case now.Add(j.pathLeft(delay)).Before(j.targetTime):
 		return rankInTime
 	}
 	return rankLate
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -292,6 +292,7 @@
 	}
 	s.Order.Expires = w.leaseExpiry(now, p.settings.Lease)
 	w.extendLease(s.Order.Expires, now)
+	p.dispatch.Observe(now, now.Sub(r.phaseSince))
 	p.setPhase(r, runSent, now)
 	r.progressedAt = now
 	return s, true
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/dispatch"
 	"github.com/jaybarrow/jaybarrow/internal/heap"
 )
 
@@ -64,8 +65,9 @@
 	delayedSince  time.Time                          // when the oldest delayed write was requested
 	arrivals      arrivals
 	runTimes      runTimes
-	assignments   int64     // number of the last assignment
-	unknownRuns   []StopRun // runs that workers report but the pool does not know; the next plan stops them
+	dispatch      dispatch.Delay // from the assignment of tasks to their start orders
+	assignments   int64          // number of the last assignment
+	unknownRuns   []StopRun      // runs that workers report but the pool does not know; the next plan stops them
 
 	// Indexes, so that a plan visits only what has changed.
 	due            *heap.Heap[*job]                         // jobs that wait for their next occurrence, the earliest first
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -60,7 +60,7 @@
 
 // addWaiting adds the demand of the job's tasks that could start now.
 func (p *Pool) addWaiting(out *Load, j *job, now time.Time) {
-	late := j.rank(now) == rankLate
+	late := j.rank(now, 0) == rankLate // by what hosts change, which the dispatch of its tasks is not
 	add := func(s *jaybarrow.Step, tasks int) {
 		demand := s.Demand.Times(tasks)
 		if label := s.Requires; label != "" {
