--- a/admitting.go
+++ b/admitting.go
@@ -27,6 +27,7 @@
 	Team         TeamID // empty on a queue open to all, and from builds that do not send it
 	Work         Work
 	CriticalPath time.Duration // estimated run time of the longest chain of steps
+	PathSteps    int           // steps of that chain; 0 when an older build asks
 	Unhurried    bool          // the job is scheduled or lasting, and is never too late
 }
 
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -17,6 +17,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/identity"
 	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer"
+	"github.com/jaybarrow/jaybarrow/internal/latency"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
 	"github.com/jaybarrow/jaybarrow/internal/outage"
@@ -93,6 +94,7 @@
 	leaving atomic.Bool
 
 	catalog         *catalog.Catalog
+	commits         *commitTimes
 	leader          *leader.Leader
 	waves           waves
 	announcer       *announcer
@@ -118,7 +120,8 @@
 func New(d Deps) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{deps: d, cancel: cancel, group: rungroup.New(d.OnFault), catalog: catalog.New(d.Clock.Now()), client: jobpeer.NewClient()}
-	h.deps.Platform.Store = countedStore{d.Platform.Store, d.Metrics}
+	h.commits = newCommitTimes(d.Clock, logging.For(d.Log, "store"), d.Settings.Scheduler.Commit)
+	h.deps.Platform.Store = countedStore{latency.NewStore(d.Platform.Store, d.Clock, h.commits.times, h.commits.note), d.Metrics}
 	d = h.deps
 	if d.OnLead == nil {
 		h.deps.OnLead = func(bool) {}
@@ -139,6 +142,8 @@
 		}
 		return 0
 	})
+	d.Metrics.Gauge("store.commitMs", func() int64 { return h.commits.usual().Milliseconds() })
+	d.Metrics.Gauge("store.commitRepeatMs", func() int64 { return h.commits.repeatDelay().Milliseconds() })
 	if d.LiveMemory != nil {
 		d.Metrics.Gauge("memory.liveBytes", func() int64 { return int64(d.LiveMemory()) })
 	}
@@ -154,6 +159,12 @@
 		}
 		return 0
 	})
+	d.Metrics.Gauge("dispatch.delayMs", func() int64 {
+		if s := h.activeScheduler.Load(); s != nil {
+			return s.DispatchDelay().Milliseconds()
+		}
+		return 0
+	})
 	h.waves.operators = d.Platform.Operators
 	h.announcer = &announcer{host: h, log: logging.For(d.Log, "peer"), group: rungroup.New(d.OnFault)}
 	h.admissions, h.refusals, h.gate = new(breaker), newRefusals(), outage.New()
@@ -174,7 +185,7 @@
 	d.Metrics.Gauge("store.forwarding", func() int64 { return int64(len(h.forwarded.slots)) })
 	commands := command.Deps{
 		Clock: d.Clock, Store: fallbackStore{JobStore: d.Platform.Store, host: h, health: health, gate: h.gate}, Authorizer: h.Authorizer,
-		Directory: jobDirectory{h}, Refusals: h.refused, Settings: d.Settings.Command,
+		Directory: jobDirectory{h}, Refusals: h.refused, CommitTimes: h.commits.times, Settings: d.Settings.Command,
 	}
 	h.Accept, h.Cancel = command.NewAccept(commands), command.NewCancel(commands)
 	queries := query.Deps{Directory: jobDirectory{h}, Store: d.Platform.Store, Settings: d.Settings.Query}
@@ -239,7 +250,7 @@
 	s := scheduler.New(scheduler.Deps{
 		Clock: h.deps.Clock, Log: log, Store: h.deps.Platform.Store, Register: h.deps.Platform.Register,
 		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: observer{log, h.deps.Metrics}, Term: term, LiveMemory: h.deps.LiveMemory,
-		Settings: h.deps.Settings.Scheduler,
+		CommitTimes: h.commits.times, Settings: h.deps.Settings.Scheduler,
 	})
 	h.terms.Add(1)
 	h.activeScheduler.Store(s)
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -137,7 +137,8 @@
 	answer, err := call(c, to, func(p jobpb.JobsClient) (*jobpb.AdmitAnswer, error) {
 		return p.Admit(ctx, &jobpb.AdmitRequest{
 			Queue: string(r.Queue), Pool: string(r.Pool), Team: string(r.Team), CriticalPathMs: r.CriticalPath.Milliseconds(),
-			Cpu: r.Work.CPU, Memory: r.Work.Memory, Accelerators: r.Work.Accelerators,
+			PathSteps: int64(r.PathSteps),
+			Cpu:       r.Work.CPU, Memory: r.Work.Memory, Accelerators: r.Work.Accelerators,
 		})
 	})
 	if err != nil {
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -46,7 +46,8 @@
 	gates     map[int]*gate               // decide which new jobs the pool takes on, by the priority of their queues
 	tasks     int                         // waiting tasks that waitingTasks counts for this pool
 	coming    Coming                      // what the fleet can add to the pool
-	failed    bool                        // whether a panic may have left state inconsistent
+	dispatch  dispatchLog
+	failed    bool // whether a panic may have left state inconsistent
 }
 
 // errFailed means that the state of the pool may be inconsistent, so nothing may be decided from it.
@@ -59,7 +60,7 @@
 	p := &poolShard{
 		deps: d, id: id, ctx: s.ctx, log: log, group: rungroup.New(rungroup.EndTerm(log, d.Term.Resign)),
 		writer: &writer{
-			clock: d.Clock, log: d.Log, store: d.Store, settings: d.Settings, leaderRevision: d.Term.Revision,
+			clock: d.Clock, log: d.Log, store: d.Store, settings: d.Settings, commitTimes: d.CommitTimes, slots: s.commitSlots, leaderRevision: d.Term.Revision,
 			revisions: make(map[jaybarrow.JobID]jaybarrow.Revision),
 		},
 		forgetJob: s.jobPools.Delete, startSlots: s.startSlots, orders: s.orders, senders: s.senders, waitingTasks: &s.waitingTasks,
