Start nothing in a data centre that is being evacuated

Cause: an operator's key op/evacuate/NAME was ignored, so tasks went on being started in the data centre NAME. Change: platform/ decodes the keys and their removal. internal/evacuation holds the set of evacuations and the time of its last reading, which is when the call was sent. internal/jobhost feeds it; a host leads only after a recent complete reading of its own. The leader starts nothing in an evacuated data centre, and nothing at all once its reading is older than 70% of bounds.evacuate_ms; both are checked when a task is assigned, after the write of its assignment, and before its start is sent. Evacuated workers are no capacity for admission, shares, drains and moves of hosts; their idle hosts return to the spare pool and their runs go on. Warm workers come before cold ones, by cold_left_ms of the register. Log lines, two gauges and a counter show evacuations.

--- a/agents.go
+++ b/agents.go
@@ -25,6 +25,8 @@
 	Rack       RackID
 	Labels     []Label // includes the rack's name
 	StartedMs  int64   // wall clock of the process's start; a restarted process may keep the worker's id
+	// ColdLeft is how much longer the worker is slow after its start, from when the entry was received.
+	ColdLeft time.Duration
 }
 
 // StartOrder is an order to a worker to start one run of a task.
@@ -53,6 +55,7 @@
 	StartInvalid      StartOutcome = "invalid"   // the worker rejected the order as invalid
 	StartReplaced     StartOutcome = "replaced"  // a worker with another id answers at the address
 	StartUnknown      StartOutcome = "unknown"   // no answer: the run may have started or may still start
+	StartWithheld     StartOutcome = "withheld"  // not sent: the worker's data centre is being evacuated, or whether it is has not been read lately
 )
 
 // StartAnswer is a worker's answer to a StartOrder with the reading of its clock, which is 0 when the answer has none.
--- a/cmd/jaybarrow/demo_test.go
+++ b/cmd/jaybarrow/demo_test.go
@@ -20,10 +20,10 @@
 // Guards against invalid platform settings that are accepted, and against a list of faults that stops at the first one.
 func TestJoinListsEveryFaultOfItsSettings(t *testing.T) {
 	file := t.TempDir() + "/boot.toml"
-	writeFile(t, file, "node = \"\"\nip = \"x\"\ncontrol_mode = \"heartbeat\"\n[limits]\nlink_mbps = -1\n[platform]\nvalue_bytes = 100\n")
+	writeFile(t, file, "node = \"\"\nip = \"x\"\ncontrol_mode = \"heartbeat\"\n[limits]\nlink_mbps = -1\n[platform]\nvalue_bytes = 100\n[bounds]\nevacuate_ms = -1\n")
 	var stdout, stderr bytes.Buffer
 	assert.Equal(t, run(context.Background(), []string{"join", "-settings", file}, &stdout, &stderr), exitUsage)
-	for _, want := range []string{"node", "ip", "control_mode", "listen.front", "platform.address", "cloud.address", "port_range", "bounds.hold_max_ms", "limits.link_mbps", "platform.value_bytes"} {
+	for _, want := range []string{"node", "ip", "control_mode", "listen.front", "platform.address", "cloud.address", "port_range", "bounds.hold_max_ms", "limits.link_mbps", "platform.value_bytes", "bounds.evacuate_ms"} {
 		assert.Assert(t, strings.Contains(stderr.String(), file+": "+want+" = "), "%s in %s", want, stderr.String())
 	}
 }
--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -98,6 +98,7 @@
 func hostSettings(s platform.Settings, progressByMarks bool) jobhost.Settings {
 	settings := jobhost.DefaultSettings()
 	settings.MaxConfigurationAge = time.Duration(configurationAgeFraction * float64(s.Bounds.ConfigurationDelay+s.Bounds.OutageDelay))
+	settings.EvacuationDelay = s.Bounds.EvacuationDelay
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.MaxWorkerLease)
 	settings.Scheduler.Workload.MaxValueBytes, settings.Command.MaxValueBytes = s.MaxValueBytes, s.MaxValueBytes
 	settings.Scheduler.Workload.ProgressByMarks = progressByMarks
--- a/following.go
+++ b/following.go
@@ -27,10 +27,17 @@
 	WorkerChanges(ctx context.Context, after Revision, wait time.Duration) ([]WorkerChange, Revision, error)
 }
 
-// OperatorInput holds a configuration and waves that operators have written.
+// OperatorInput holds what operators have written.
 type OperatorInput struct {
 	Configuration *Configuration // nil when there is no new one
 	Waves         []Wave
+	Evacuations   []EvacuationChange // in the order in which they were written
+}
+
+// EvacuationChange is the begin or the end of the evacuation of a data centre. In a list every evacuation in force has one.
+type EvacuationChange struct {
+	DataCentre DataCentreID
+	Ended      bool
 }
 
 // WaveState is the state of a wave that operators see.
@@ -48,10 +55,10 @@
 	Waiting map[HostID]DrainObstacle // hosts that could not be emptied when it was last tried
 }
 
-// Operators reads the configurations and waves that operators write, and reports the state of waves to them.
+// Operators reads what operators write, and reports the state of waves to them.
 type Operators interface {
-	// List returns a page of the newest configuration and all waves, with one item for its entries; after is empty at the beginning of
-	// the list.
+	// List returns a page of the newest configuration, all waves and all evacuations, with one item for its entries; after is empty at the
+	// beginning of the list.
 	List(ctx context.Context, after Key) (Page[OperatorInput], error)
 	// Changes waits up to wait for changes after the revision, with the errors of JobStore.Changes.
 	Changes(ctx context.Context, after Revision, wait time.Duration) (OperatorInput, Revision, error)
--- /dev/null
+++ b/internal/evacuation/recent.go
@@ -0,0 +1,34 @@
+package evacuation
+
+import "time"
+
+// maxAgePercent is the part of the platform's bound up to which a reading may be used. The rest covers the time between the decision on a
+// start and its arrival at the worker.
+const maxAgePercent = 70
+
+// maxAge returns the largest age of a reading by which tasks may be started; 0 when the platform sets no bound.
+func maxAge(bound time.Duration) time.Duration { return bound * maxAgePercent / 100 }
+
+// MaxWait returns how long a call for changes of the operators' keys may wait for one: at most the usual time, and a third of the largest age
+// of a reading, so that one lost call does not stop the starts.
+func MaxWait(bound, usual time.Duration) time.Duration {
+	if bound <= 0 {
+		return usual
+	}
+	return min(usual, maxAge(bound)/3)
+}
+
+// mayStart reports whether tasks may be started by a reading.
+//
+// Load pattern: the store or its watch is silent while an operator begins an evacuation, so that the last reading says nothing about it.
+func mayStart(known bool, age, bound time.Duration) bool {
+	return bound <= 0 || known && age <= maxAge(bound)
+}
+
+// mayLead reports whether a host may begin to lead by a reading; usual is the largest age where the platform sets no bound.
+func mayLead(known bool, age, bound, usual time.Duration) bool {
+	if bound > 0 {
+		usual = maxAge(bound)
+	}
+	return known && age <= usual
+}
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -85,16 +85,18 @@
 
 // Deps are what a Keeper depends on.
 type Deps struct {
-	Clock    jaybarrow.Clock
-	Log      zerolog.Logger
-	Fleet    jaybarrow.Fleet
-	Store    jaybarrow.JobStore
-	Pools    Pools
-	Waves    Waves
-	Catalog  *catalog.Catalog
-	Term     leader.Term
-	Settings Settings
-	OnFault  rungroup.Handler // called when a part fails, after the term has been resigned; nil crashes the process
+	Clock   jaybarrow.Clock
+	Log     zerolog.Logger
+	Fleet   jaybarrow.Fleet
+	Store   jaybarrow.JobStore
+	Pools   Pools
+	Waves   Waves
+	Catalog *catalog.Catalog
+	// Evacuated reports whether a data centre is being evacuated; nil when none ever is. It must not block.
+	Evacuated func(jaybarrow.DataCentreID) bool
+	Term      leader.Term
+	Settings  Settings
+	OnFault   rungroup.Handler // called when a part fails, after the term has been resigned; nil crashes the process
 }
 
 // Keeper moves and maintains hosts during one term of the leader.
@@ -107,6 +109,9 @@
 
 // New returns a running Keeper.
 func New(d Deps) *Keeper {
+	if d.Evacuated == nil {
+		d.Evacuated = func(jaybarrow.DataCentreID) bool { return false }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{deps: d, cancel: cancel, group: rungroup.New(d.handleFault), state: newState()}
 	k.group.Keep(ctx, "decisions on hosts", func() error { k.decideLoop(ctx); return nil })
--- a/internal/fleetkeeper/view.go
+++ b/internal/fleetkeeper/view.go
@@ -102,14 +102,18 @@
 		w, workerKnown := workers[h.Worker]
 		o := k.state.orders[h.ID]
 		known[h.Pool] = true
-		if o != nil && o.to != "" {
+		evacuated := k.deps.Evacuated(h.DataCentre)
+		switch {
+		case evacuated:
+			// It gets no tasks where it arrives, so it joins nothing.
+		case o != nil && o.to != "":
 			joining[o.to] = append(joining[o.to], h)
-		} else if o == nil && (h.State == jaybarrow.FleetHostMoving || h.State == jaybarrow.FleetHostUp && !workerKnown) && !k.isSpare(h.Pool) {
+		case o == nil && (h.State == jaybarrow.FleetHostMoving || h.State == jaybarrow.FleetHostUp && !workerKnown) && !k.isSpare(h.Pool):
 			joining[h.Pool] = append(joining[h.Pool], h)
 		}
 		out.Hosts = append(out.Hosts, fleetplan.Host{
 			FleetHost: h, Known: workerKnown, Usable: w.Usable, Reserved: w.Reserved, Ordered: o != nil, Runs: w.Runs, Lasting: w.Lasting,
-			Obstacle: w.Obstacle, MayHaveBeenOrdered: takingOver && k.mayHaveBeenOrdered(h.ID, w, now),
+			Obstacle: w.Obstacle, Evacuated: evacuated, MayHaveBeenOrdered: takingOver && k.mayHaveBeenOrdered(h.ID, w, now),
 		})
 	}
 	for id := range loads {
--- a/internal/fleetplan/available.go
+++ b/internal/fleetplan/available.go
@@ -12,7 +12,7 @@
 	idle := make(map[jaybarrow.PoolID]int)
 	all := 0
 	for _, h := range s.Hosts {
-		if h.idle(spare[h.Pool]) {
+		if !h.Evacuated && h.idle(spare[h.Pool]) {
 			idle[h.Pool]++
 			all++
 		}
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -55,8 +55,10 @@
 	Ordered  bool // an order for it is in progress
 	// MayHaveBeenOrdered means that a previous leader may have given an order for the host so recently that another order must wait.
 	MayHaveBeenOrdered bool
-	Runs               int // running tasks
-	Lasting            int // running tasks that last until their job is cancelled
+	// Evacuated means that the host's data centre is being evacuated: it gets no tasks and does not count as capacity.
+	Evacuated bool
+	Runs      int // running tasks
+	Lasting   int // running tasks that last until their job is cancelled
 	// Obstacle is why the host cannot be emptied at present; it is tried again once this is empty.
 	Obstacle jaybarrow.DrainObstacle
 }
@@ -68,7 +70,7 @@
 
 // serving reports whether the host accepts new tasks.
 func (h Host) serving() bool {
-	return h.State == jaybarrow.FleetHostUp && h.Usable && !h.Reserved && !h.Ordered
+	return h.State == jaybarrow.FleetHostUp && h.Usable && !h.Reserved && !h.Ordered && !h.Evacuated
 }
 
 // Pool is a pool with the number of hosts that it needs.
@@ -131,11 +133,13 @@
 		d.pools[p.ID] = p
 	}
 	for _, h := range in.Hosts {
-		d.hostsOf[h.Pool]++
+		if !h.Evacuated {
+			d.hostsOf[h.Pool]++
+		}
 		if h.serving() {
 			d.countServing(h, 1)
 		}
-		if h.Lasting > 0 {
+		if h.Lasting > 0 && !h.Evacuated { // lasting tasks of an evacuated data centre stay there
 			d.lastingHosts[h.Pool]++
 		}
 		if h.Obstacle == jaybarrow.ObstacleNoRoom || h.Obstacle == jaybarrow.ObstacleOthersAway {
@@ -159,7 +163,7 @@
 	state          State
 	taken          map[jaybarrow.HostID]bool // hosts with an order in this decision
 	pools          map[jaybarrow.PoolID]Pool
-	hostsOf        map[jaybarrow.PoolID]int // hosts, in whatever state
+	hostsOf        map[jaybarrow.PoolID]int // hosts, in whatever state, that are not evacuated
 	servingHosts   map[jaybarrow.PoolID]int // hosts that accept tasks
 	lastingHosts   map[jaybarrow.PoolID]int // hosts with lasting tasks
 	lacksRoom      map[jaybarrow.PoolID]int // 1 for a pool with hosts that cannot be emptied for want of room for their lasting tasks
@@ -248,7 +252,7 @@
 // canSpare reports whether the host's pool meets its recent need without the host.
 func (d *decision) canSpare(h Host) bool {
 	p, known := d.pools[h.Pool]
-	return !known || p.Spare || p.RecentPeak+1 <= float64(d.servingHosts[p.ID])
+	return !known || p.Spare || h.Evacuated || p.RecentPeak+1 <= float64(d.servingHosts[p.ID])
 }
 
 // planMoves moves idle hosts to the pools with a shortage and returns surplus hosts to the spare pool. Shortages of labelled hosts
@@ -347,7 +351,7 @@
 func (d *decision) findSources() {
 	byPool := make(map[jaybarrow.PoolID]*source)
 	for _, h := range d.state.Hosts {
-		if d.taken[h.ID] || !h.idle(d.isSpare(h.Pool)) {
+		if d.taken[h.ID] || h.Evacuated || !h.idle(d.isSpare(h.Pool)) {
 			continue
 		}
 		from := byPool[h.Pool]
@@ -382,7 +386,8 @@
 	return float64(d.servingHosts[id]-d.settings.Headroom) - p.RecentPeak
 }
 
-// returnSurplus moves idle hosts to the spare pool from pools that have had a surplus for ReturnAfter.
+// returnSurplus moves idle hosts to the spare pool: those of evacuated data centres, and others from pools that have had a surplus for
+// ReturnAfter.
 func (d *decision) returnSurplus() {
 	spareIndex := slices.IndexFunc(d.state.Pools, func(p Pool) bool { return p.Spare })
 	if spareIndex < 0 {
@@ -390,7 +395,14 @@
 	}
 	for _, h := range d.state.Hosts {
 		p, known := d.pools[h.Pool]
-		if !known || p.Spare || d.taken[h.ID] || !h.idle(false) || d.neededForLabel(h) {
+		if !known || p.Spare || d.taken[h.ID] || !h.idle(false) {
+			continue
+		}
+		if h.Evacuated {
+			d.move(h, d.state.Pools[spareIndex].ID, "its data centre is being evacuated")
+			continue
+		}
+		if d.neededForLabel(h) {
 			continue
 		}
 		if float64(d.servingHosts[p.ID]-d.settings.Headroom)-p.LongTermPeak >= 1 {
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -12,6 +12,7 @@
 	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
 	command "github.com/jaybarrow/jaybarrow/internal/command/job"
+	"github.com/jaybarrow/jaybarrow/internal/evacuation"
 	"github.com/jaybarrow/jaybarrow/internal/fleetkeeper"
 	"github.com/jaybarrow/jaybarrow/internal/follow"
 	"github.com/jaybarrow/jaybarrow/internal/identity"
@@ -40,12 +41,15 @@
 	MaxConfigurationAge time.Duration
 	// MaxReadyAge is the largest age of the configuration at which the host reports that it is ready.
 	MaxReadyAge time.Duration
-	Operators   follow.Settings
-	Leader      leader.Settings
-	Scheduler   scheduler.Settings
-	Fleet       fleetkeeper.Settings
-	Command     command.Settings
-	Query       query.Settings
+	// EvacuationDelay is the time from the acknowledgement of an evacuation within which the last task must have started in its data centre; 0 when the
+	// platform sets none.
+	EvacuationDelay time.Duration
+	Operators       follow.Settings
+	Leader          leader.Settings
+	Scheduler       scheduler.Settings
+	Fleet           fleetkeeper.Settings
+	Command         command.Settings
+	Query           query.Settings
 }
 
 // DefaultSettings returns the settings for normal operation.
@@ -88,6 +92,7 @@
 	catalog         *catalog.Catalog
 	leader          *leader.Leader
 	waves           waves
+	evacuations     *evacuation.Set
 	announcer       *announcer
 	admissions      *breaker // of questions to the leader whether a job is admitted
 	refusals        *refusals
@@ -107,6 +112,8 @@
 func New(d Deps) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{deps: d, cancel: cancel, group: rungroup.New(d.OnFault), catalog: catalog.New(d.Clock.Now()), client: jobpeer.NewClient()}
+	h.deps.Settings.Operators.Wait = evacuation.MaxWait(d.Settings.EvacuationDelay, d.Settings.Operators.Wait)
+	h.evacuations = evacuation.New(evacuation.Settings{Bound: d.Settings.EvacuationDelay, MaxLeadAge: d.Settings.MaxConfigurationAge})
 	h.deps.Platform.Store = countedStore{d.Platform.Store, d.Metrics}
 	d = h.deps
 	if d.OnLead == nil {
@@ -131,6 +138,7 @@
 	if d.LiveMemory != nil {
 		d.Metrics.Gauge("memory.liveBytes", func() int64 { return int64(d.LiveMemory()) })
 	}
+	h.registerEvacuationGauges()
 	d.Metrics.Gauge("memory.short", func() int64 {
 		if s := h.activeScheduler.Load(); s != nil && s.ShortOfMemory() {
 			return 1
@@ -157,7 +165,7 @@
 	h.leader = leader.New(leader.Deps{
 		Clock: d.Clock, Log: logging.For(d.Log, "leader"), Store: d.Platform.Store, NewChange: identity.NewChangeID,
 		Self:     leader.Holder{Entry: d.Entry, Address: jaybarrow.Address(d.Peers.Addr().String())},
-		Settings: d.Settings.Leader, Eligible: h.knowsConfiguration, Lead: h.lead,
+		Settings: d.Settings.Leader, Eligible: h.mayLead, Lead: h.lead,
 	})
 	h.server = jobpeer.NewServer(logging.For(d.Log, "peer"), d.Peers, peerService{h}, d.OnFault)
 	h.group.Keep(ctx, "operators", func() error { h.followOperators(ctx); return nil })
@@ -197,6 +205,12 @@
 	return known && age <= h.deps.Settings.MaxConfigurationAge
 }
 
+// mayLead reports whether this entry host knows what operators have written, and recently enough, to lead by it. Unlike the configuration,
+// evacuations are not learnt from another leader.
+func (h *Host) mayLead() bool {
+	return h.knowsConfiguration() && h.evacuations.MayLead(h.deps.Clock.Now())
+}
+
 // Leading reports whether this entry host leads, and so schedules jobs.
 func (h *Host) Leading() bool { return h.activeScheduler.Load() != nil }
 
@@ -210,7 +224,8 @@
 	startedAt := h.deps.Clock.Now()
 	s := scheduler.New(scheduler.Deps{
 		Clock: h.deps.Clock, Log: log, Store: h.deps.Platform.Store, Register: h.deps.Platform.Register,
-		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: observer{log, h.deps.Metrics}, Term: term, LiveMemory: h.deps.LiveMemory,
+		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: newObserver(log, h.deps.Metrics), Term: term,
+		Evacuations: h.evacuations, LiveMemory: h.deps.LiveMemory,
 		Settings: h.deps.Settings.Scheduler,
 	})
 	h.activeScheduler.Store(s)
@@ -218,10 +233,11 @@
 	case <-ctx.Done():
 		h.activeScheduler.Store(nil)
 	case <-s.Loaded():
+		h.logEvacuationsInForce(log, s)
 		h.deps.Metrics.Record("leader.takeover", h.deps.Clock.Now().Sub(startedAt))
 		keeper := fleetkeeper.New(fleetkeeper.Deps{
 			Clock: h.deps.Clock, Log: logging.For(h.deps.Log, "fleet"), Fleet: h.deps.Platform.Fleet, Store: h.deps.Platform.Store,
-			Pools: s, Waves: &h.waves, Catalog: h.catalog, Term: term, Settings: h.deps.Settings.Fleet, OnFault: h.deps.OnFault,
+			Pools: s, Waves: &h.waves, Catalog: h.catalog, Evacuated: h.evacuations.InForce, Term: term, Settings: h.deps.Settings.Fleet, OnFault: h.deps.OnFault,
 		})
 		<-ctx.Done()
 		h.activeScheduler.Store(nil)
@@ -230,16 +246,22 @@
 	s.Close()
 }
 
-// followOperators keeps the configuration and the waves of operators up to date; it blocks until ctx ends.
+// followOperators keeps the configuration, the waves and the evacuations of operators up to date; it blocks until ctx ends.
 func (h *Host) followOperators(ctx context.Context) {
 	log := logging.For(h.deps.Log, "operators")
+	var asked time.Time // when the last call for changes was sent: its answer holds what the store had acknowledged by then
 	follow.Run(ctx, follow.Deps{Clock: h.deps.Clock, Log: log, Settings: h.deps.Settings.Operators}, follow.Source[jaybarrow.OperatorInput]{
 		Name: "operators", List: h.deps.Platform.Operators.List,
 		Changes: func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) ([]jaybarrow.OperatorInput, jaybarrow.Revision, error) {
+			asked = h.deps.Clock.Now()
 			update, at, err := h.deps.Platform.Operators.Changes(ctx, after, wait)
 			return []jaybarrow.OperatorInput{update}, at, err
 		},
-		Apply: func(updates []jaybarrow.OperatorInput, _ bool, received time.Time) {
+		Apply: func(updates []jaybarrow.OperatorInput, complete bool, received time.Time) {
+			if complete {
+				asked = received // of a list, when its first page was requested
+			}
+			h.applyEvacuations(log, updates, complete, asked)
 			for _, u := range updates {
 				h.applyConfiguration(log, u.Configuration)
 				h.waves.add(u.Waves, received)
--- a/internal/jobhost/observer.go
+++ b/internal/jobhost/observer.go
@@ -11,8 +11,20 @@
 
 // observer logs and counts the decisions of the scheduler; it implements workload.Observer.
 type observer struct {
-	log     zerolog.Logger
-	metrics *jobmetrics.Metrics
+	log      zerolog.Logger
+	withheld zerolog.Logger // of starts that are withheld; limited, since an evacuation can concern hundreds at once
+	metrics  *jobmetrics.Metrics
+}
+
+const (
+	// maxWithheldLines bounds the log lines about withheld starts in each withheldLinesPeriod; the counter has all of them.
+	maxWithheldLines    = 10
+	withheldLinesPeriod = time.Second
+)
+
+func newObserver(log zerolog.Logger, metrics *jobmetrics.Metrics) observer {
+	limited := log.Sample(&zerolog.BurstSampler{Burst: maxWithheldLines, Period: withheldLinesPeriod})
+	return observer{log: log, withheld: limited, metrics: metrics}
 }
 
 // JobStarted logs the first start of a job and records how long the job waited for it.
@@ -68,6 +80,12 @@
 	o.log.Warn().Str("worker", string(worker)).Str("reason", reason).Msg("worker receives no new tasks for a while")
 }
 
+// StartWithheld logs and counts that a start that was decided was not sent because of an evacuation.
+func (o observer) StartWithheld(task jaybarrow.TaskRef, run jaybarrow.RunNumber, worker jaybarrow.WorkerID) {
+	o.metrics.Count("evacuation.startsWithheld")
+	o.withheld.Info().Str("task", task.String()).Int64("run", int64(run)).Str("worker", string(worker)).Msg("start is not sent, since its data centre is being evacuated or may be")
+}
+
 // AdviceEnded counts how calls to advisers ended and records how long the answers took.
 func (o observer) AdviceEnded(queue jaybarrow.QueueID, outcome jaybarrow.AdviceOutcome, took time.Duration) {
 	o.metrics.Count("advice." + string(outcome))
--- a/internal/scheduler/faults_test.go
+++ b/internal/scheduler/faults_test.go
@@ -108,6 +108,9 @@
 func (f platformWithFault) WorkerEjected(jaybarrow.WorkerID, string)                {}
 func (f platformWithFault) HoldGivenUp(jaybarrow.WorkerID, jaybarrow.DrainObstacle) {}
 
+func (f platformWithFault) StartWithheld(jaybarrow.TaskRef, jaybarrow.RunNumber, jaybarrow.WorkerID) {
+}
+
 func (f platformWithFault) AdviceEnded(jaybarrow.QueueID, jaybarrow.AdviceOutcome, time.Duration) {}
 
 // pause waits for d; it returns ctx's error when ctx ends first.
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -57,11 +57,14 @@
 	}
 }
 
-// sendStart sends a start order if this term may still be the present one.
+// sendStart sends a start order if this term may still be the present one and the worker may still get tasks.
 func (p *poolShard) sendStart(ctx context.Context, s workload.StartRun) (jaybarrow.StartAnswer, error) {
 	if !p.deps.Term.Valid() {
 		return jaybarrow.StartAnswer{Outcome: jaybarrow.StartUnhealthy}, errLeadEnded
 	}
+	if err := p.withheld(s); err != nil {
+		return jaybarrow.StartAnswer{Outcome: jaybarrow.StartWithheld}, err
+	}
 	p.startsSent.Add(1)
 	answer, err := p.deps.Agents.Start(withDeadline(ctx, p.deps.Settings.StartTimeout), s.Worker, s.Order)
 	p.noteAnswer(answer.Outcome != jaybarrow.StartUnknown)
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -66,6 +66,7 @@
 		wake: make(chan struct{}, 1), jobsLoaded: make(chan struct{}), written: notify.New(),
 		state: workload.New(workload.Deps{
 			Settings: d.Settings.Workload, ID: id, Fence: d.Term.Fence, Teams: s.teams, Observer: d.Observer, Policies: s.policy,
+			Evacuated: d.Evacuations.InForce,
 		}),
 		holdLoops: make(map[jaybarrow.WorkerID]bool), gates: make(map[int]*gate), throughput: &s.throughput, startsSent: &s.startsSent, advice: s.advice,
 	}
@@ -194,7 +195,7 @@
 		now := p.deps.Clock.Now()
 		room := p.orders.Room(now)
 		p.state.LimitOrders(room, room)
-		round = p.state.Plan(now, p.deps.Term.Valid())
+		round = p.state.Plan(now, p.mayStart(now))
 		advised, waiting = p.state.HasAdvised(), p.state.AdviceBacklog()
 	}) {
 		return errFailed
@@ -249,7 +250,7 @@
 // sendableStarts returns the starts that may still be sent, with the lease of each filled in and a start slot taken for it. Starts beyond
 // the free slots and the budget of orders stay planned and are part of the next round. The lock is held.
 func (p *poolShard) sendableStarts(starts []workload.StartRun) []workload.StartRun {
-	if !p.deps.Term.Valid() {
+	if !p.mayStart(p.deps.Clock.Now()) {
 		return nil
 	}
 	var out []workload.StartRun
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
+	"github.com/jaybarrow/jaybarrow/internal/evacuation"
 	"github.com/jaybarrow/jaybarrow/internal/follow"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
@@ -29,6 +30,8 @@
 	Catalog  *catalog.Catalog
 	Observer workload.Observer
 	Term     leader.Term
+	// Evacuations are the data centres whose workers get no tasks; nil when there are never any.
+	Evacuations *evacuation.Set
 	// LiveMemory returns the size of the live data of this process; nil when it is not known.
 	LiveMemory func() budget.Bytes
 	Settings   Settings
@@ -63,6 +66,9 @@
 
 // New returns a running Scheduler. It reads the register of workers first and then the stored jobs; it plans once both are loaded.
 func New(d Deps) *Scheduler {
+	if d.Evacuations == nil {
+		d.Evacuations = evacuation.New(evacuation.Settings{})
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Scheduler{
 		deps: d, group: rungroup.New(rungroup.EndTerm(d.Log, d.Term.Resign)), teams: newTeams(d.Catalog.Limit, d.Catalog.Share), ctx: ctx, cancel: cancel,
@@ -84,6 +90,10 @@
 		s.followConfiguration(ctx)
 		return nil
 	})
+	s.group.Keep(ctx, "evacuations", func() error {
+		s.followEvacuations(ctx)
+		return nil
+	})
 	s.group.Keep(ctx, "throughput of starts", func() error {
 		s.watchThroughput(ctx)
 		return nil
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -12,6 +12,7 @@
 type Settings struct {
 	Pools   map[string]int // workers by pool
 	Spare   string         // the pool whose machines run no worker, or empty
+	Zones   []string       // of the machines, in turn; empty: all in z1
 	Queues  []Queue
 	Tenants []Tenant
 }
@@ -48,7 +49,7 @@
 }
 
 // machine is up, or down in the state "moving" or "upkeep".
-type machine struct{ pool, state string }
+type machine struct{ pool, state, zone string }
 
 // machineDowntime is how long a machine is down for a move or for maintenance.
 const machineDowntime = 100 * time.Millisecond
@@ -113,11 +114,19 @@
 	s.lock.Lock()
 	s.lastID++
 	id := fmt.Sprintf("m-%d", s.lastID)
-	s.machines[id] = &machine{pool: pool, state: "up"}
+	s.machines[id] = &machine{pool: pool, state: "up", zone: s.nextZone()}
 	s.lock.Unlock()
 	s.startWorker(id)
 }
 
+// nextZone returns the zone of the next machine. The lock is held.
+func (s *Site) nextZone() string {
+	if len(s.settings.Zones) == 0 {
+		return "z1"
+	}
+	return s.settings.Zones[len(s.machines)%len(s.settings.Zones)]
+}
+
 // startWorker marks the machine as up and starts a worker on it, unless its pool is the spare pool or the site is closed.
 func (s *Site) startWorker(id string) {
 	s.lock.Lock()
@@ -132,7 +141,7 @@
 		return
 	}
 	s.lastID++
-	w := newWorker(s, fmt.Sprintf("i-%d", s.lastID), m.pool, id)
+	w := newWorker(s, fmt.Sprintf("i-%d", s.lastID), m.pool, id, m.zone)
 	s.workers[id] = w
 	s.lock.Unlock()
 	w.register()
@@ -205,7 +214,7 @@
 	rows := []any{}
 	for id, m := range s.machines {
 		row := map[string]any{
-			"machine": id, "pool": m.pool, "state": m.state, "zone": "z1", "labels": []string{"a", "r1"}, "capacity": capacity, "id": "",
+			"machine": id, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{"a", "r1"}, "capacity": capacity, "id": "",
 		}
 		if worker := s.workers[id]; worker != nil {
 			row["id"] = worker.ID
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -21,7 +21,7 @@
 // Worker runs tasks. The spec of a task is its run time, such as "50ms"; a task with the spec "fail" fails at once, and one
 // with the spec "last" runs until it is stopped.
 type Worker struct {
-	ID        string
+	ID, Zone  string
 	site      *Site
 	http      *server
 	startedAt time.Time // origin of the clock of the worker
@@ -41,10 +41,10 @@
 	closed    bool
 }
 
-func newWorker(s *Site, id, pool, machine string) *Worker {
+func newWorker(s *Site, id, pool, machine, zone string) *Worker {
 	w := &Worker{
 		ID: id, site: s, startedAt: time.Now(), running: make(map[string]*Run), lastEnded: make(map[string]int64), firstEnd: 1,
-		state: "ready", pool: pool, machine: machine,
+		state: "ready", pool: pool, machine: machine, Zone: zone,
 	}
 	w.changed = sync.NewCond(&w.lock)
 	w.http = newServer(w)
@@ -65,7 +65,7 @@
 // register writes the entry of the worker in the register.
 func (w *Worker) register() {
 	w.site.Store.Put("servers/"+w.ID, map[string]any{
-		"service": w.pool, "address": w.http.address, "zone": "z1", "state": w.state, "slots": 8,
+		"service": w.pool, "address": w.http.address, "zone": w.Zone, "state": w.state, "slots": 8,
 		"capacity": capacity, "labels": []string{"a", "r1"}, "born": w.startedAt.UnixMilli(), "sequence": 1,
 	})
 }
--- a/internal/workload/advice.go
+++ b/internal/workload/advice.go
@@ -186,7 +186,7 @@
 		if !w.usable(now, p.settings.ReportGrace) || s.advice.refuses(w) || !p.mayBecomePlaceable(s, w) {
 			continue
 		}
-		c := adviceCandidate{worker: w, known: s.advice.askOrder(w), affinity: p.affinity(next, w), allowed: odds.Allowed(w.entry.ID)}
+		c := adviceCandidate{worker: w, known: s.advice.askOrder(w), affinity: p.affinity(next, w, now), allowed: odds.Allowed(w.entry.ID)}
 		free := w.free()
 		if s.spec.Lasting {
 			free = w.entry.Capacity.Minus(w.lastingUsed)
--- a/internal/workload/drain.go
+++ b/internal/workload/drain.go
@@ -130,13 +130,16 @@
 // isLastWithLabel reports whether the worker is the only usable one with a label that running or waiting work requires, while others with
 // the label exist that come back first.
 func (p *Pool) isLastWithLabel(w *worker, now time.Time) bool {
+	if w.evacuated() {
+		return false // nothing can be started on it anyway
+	}
 	for _, label := range w.entry.Labels {
 		if !p.requires(label, now) {
 			continue
 		}
 		others, usable := 0, 0
 		for _, other := range p.workers {
-			if other == w || other.gone || !slices.Contains(other.entry.Labels, label) {
+			if other == w || other.gone || other.evacuated() || !slices.Contains(other.entry.Labels, label) {
 				continue
 			}
 			others++
@@ -200,7 +203,7 @@
 			p.giveUpHold(w, obstacle, now.Add(drainRetry))
 			continue
 		}
-		if now.Sub(w.emptyingSince) >= maxObstructedHold {
+		if now.Sub(w.emptyingSince) >= maxObstructedHold && !w.evacuated() {
 			held = append(held, w)
 		}
 	}
--- a/internal/workload/fixture_test.go
+++ b/internal/workload/fixture_test.go
@@ -34,6 +34,8 @@
 	ends         map[jaybarrow.WorkerID]jaybarrow.EndNumber
 	finished     map[jaybarrow.JobID]jaybarrow.JobState
 	roomReports  int // calls of RoomHeld
+	withheld     int // calls of StartWithheld
+	evacuated    map[jaybarrow.DataCentreID]bool
 	givenUp      []givenUpHold
 	missed       []jaybarrow.WorkerID // workers whose reports are missed
 	quiet        jaybarrow.WorkerID   // worker whose reports are late
@@ -55,6 +57,7 @@
 func (h *harness) newPool() *workload.Pool {
 	return workload.New(workload.Deps{
 		Settings: h.settings, ID: "desk", Fence: ownFence, Teams: h, Observer: h,
+		Evacuated: func(id jaybarrow.DataCentreID) bool { return h.evacuated[id] },
 		Policies: func(id jaybarrow.QueueID) (jaybarrow.QueuePolicy, bool) {
 			advice := h.advice
 			if one := h.advices[id]; one != nil {
@@ -118,6 +121,10 @@
 
 func (h *harness) WorkerEjected(jaybarrow.WorkerID, string) {}
 
+func (h *harness) StartWithheld(jaybarrow.TaskRef, jaybarrow.RunNumber, jaybarrow.WorkerID) {
+	h.withheld++
+}
+
 func (h *harness) AdviceEnded(jaybarrow.QueueID, jaybarrow.AdviceOutcome, time.Duration) {}
 
 func (h *harness) JobEnded(job *jaybarrow.Job, state jaybarrow.JobState, _ time.Duration, _ int) {
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -283,7 +283,7 @@
 		if _, ok := t.step.ticketFor(w, now); !ok {
 			continue
 		}
-		if score := p.score(t, w); best == nil || score > bestScore {
+		if score := p.score(t, w, now); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
@@ -313,16 +313,17 @@
 	weightSameRack       = 10   // so do the tasks of a step that is spread over racks
 	weightMaintenanceDue = -30  // a lasting task would soon have to move again
 	weightInterference   = -5   // background work slows down tasks with a latency bound on the same worker
+	weightCold           = -2   // slow for a while after its start; more than the used fraction, which only says how tasks are packed
 	weightUtilization    = 1
 )
 
 // score rates the worker for the task; the highest score is chosen.
-func (p *Pool) score(t *task, w *worker) float64 {
-	return weightUtilization*float64(w.used.CPU)/float64(max(1, w.entry.Capacity.CPU)) + p.affinity(t, w)
+func (p *Pool) score(t *task, w *worker, now time.Time) float64 {
+	return weightUtilization*float64(w.used.CPU)/float64(max(1, w.entry.Capacity.CPU)) + p.affinity(t, w, now)
 }
 
 // affinity rates how well the worker suits the task, whatever else it runs for others.
-func (p *Pool) affinity(t *task, w *worker) float64 {
+func (p *Pool) affinity(t *task, w *worker, now time.Time) float64 {
 	s := t.step.spec
 	score := 0.0
 	if t.avoidWorker == w.entry.ID {
@@ -334,6 +335,9 @@
 	if s.Lasting && w.maintenanceDue {
 		score += weightMaintenanceDue
 	}
+	if now.Before(w.coldUntil) {
+		score += weightCold
+	}
 	if s.SameRack && t.step.onRack(w.entry.Rack) {
 		score += weightSameRack
 	}
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -62,6 +62,7 @@
 		out.Throttles = p.throttle(now)
 		p.placementsDue = true
 	}
+	p.withholdStarts(now)
 	p.takeDue(now)
 	p.stopEndedJobs(now)
 	out.Expired = p.expireJobs(now)
@@ -286,6 +287,10 @@
 	if r == nil || r.phase != runPlanned {
 		return s, false
 	}
+	if w.evacuated() {
+		p.withholdStart(r, now)
+		return s, false
+	}
 	if r.task.step.job.state.Ended() || !w.acceptsOrders() || w.instance != r.instance {
 		p.endRun(r, jaybarrow.EndStopped, "", now)
 		return s, false
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -42,6 +42,8 @@
 	HoldGivenUp(worker jaybarrow.WorkerID, obstacle jaybarrow.DrainObstacle)
 	// WorkerEjected reports that a worker temporarily receives no new tasks, and why.
 	WorkerEjected(worker jaybarrow.WorkerID, reason string)
+	// StartWithheld reports that a start that was decided is not sent, since the worker's data centre is being evacuated or may be.
+	StartWithheld(task jaybarrow.TaskRef, run jaybarrow.RunNumber, worker jaybarrow.WorkerID)
 	// AdviceEnded reports how a call to a queue's adviser ended, and how long it took.
 	AdviceEnded(queue jaybarrow.QueueID, outcome jaybarrow.AdviceOutcome, took time.Duration)
 }
@@ -54,6 +56,8 @@
 	teams    Teams
 	observer Observer
 	policies func(jaybarrow.QueueID) (jaybarrow.QueuePolicy, bool)
+	// evacuated reports whether a data centre is being evacuated; its workers get no tasks and are no capacity.
+	evacuated func(jaybarrow.DataCentreID) bool
 
 	jobs          map[jaybarrow.JobID]*job
 	endedJobs     map[jaybarrow.JobID]endedJob
@@ -106,12 +110,17 @@
 	Teams    Teams
 	Observer Observer
 	Policies func(jaybarrow.QueueID) (jaybarrow.QueuePolicy, bool) // false when the queue is no longer configured
+	// Evacuated reports whether a data centre is being evacuated; nil when none ever is. It must not block.
+	Evacuated func(jaybarrow.DataCentreID) bool
 }
 
 // New returns an empty Pool.
 func New(d Deps) *Pool {
+	if d.Evacuated == nil {
+		d.Evacuated = func(jaybarrow.DataCentreID) bool { return false }
+	}
 	return &Pool{
-		settings: d.Settings, id: d.ID, fence: d.Fence, teams: d.Teams, observer: d.Observer, policies: d.Policies,
+		settings: d.Settings, id: d.ID, fence: d.Fence, teams: d.Teams, observer: d.Observer, policies: d.Policies, evacuated: d.Evacuated,
 		jobs: make(map[jaybarrow.JobID]*job), endedJobs: make(map[jaybarrow.JobID]endedJob),
 		workers: make(map[jaybarrow.WorkerID]*worker), endedWorkers: make(map[jaybarrow.WorkerID]endedWorker), urgentWrites: make(map[*job]bool), delayedWrites: make(map[*job]bool),
 		waiting: make(map[*job]bool), ended: make(map[*job]bool), planned: make(map[*run]bool), stopping: make(map[*run]bool),
@@ -192,7 +201,7 @@
 	w := p.workers[stored.Worker]
 	if w == nil {
 		// The worker is not in the register. Cut off from the store, it may still run its tasks until its lease ends.
-		w = newWorker(jaybarrow.Worker{ID: stored.Worker, Pool: p.id, State: jaybarrow.WorkerDraining})
+		w = p.newWorker(jaybarrow.Worker{ID: stored.Worker, Pool: p.id, State: jaybarrow.WorkerDraining})
 		w.gone, w.missedReports = true, 1
 		p.addWorker(w)
 	}
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -18,7 +18,7 @@
 	}
 	w := p.workers[entry.ID]
 	if w == nil {
-		w = newWorker(entry)
+		w = p.newWorker(entry)
 		p.addWorker(w)
 	}
 	p.sweepDue = true
@@ -27,7 +27,7 @@
 		w.reported = false
 	}
 	before := w.entry.StartedMs
-	w.entry, w.gone = entry, false
+	w.entry, w.gone, w.coldUntil = entry, false, now.Add(entry.ColdLeft)
 	p.registerInstance(w, before, entry.StartedMs, now)
 	return true
 }
@@ -297,6 +297,8 @@
 	w := r.worker
 	p.endRun(r, jaybarrow.EndStopped, "", now)
 	switch outcome {
+	case jaybarrow.StartWithheld:
+		p.observer.StartWithheld(s.Task, s.Run, w.entry.ID)
 	case jaybarrow.StartNoTicket:
 		if a := r.task.step.advice; a != nil {
 			delete(a.tickets, w.entry.ID)
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -46,6 +46,11 @@
 		}
 		out.Workers = append(out.Workers, l)
 		out.Used = out.Used.Plus(w.used)
+		if w.evacuated() {
+			// Lasting tasks stay there, so they need no room elsewhere; short ones are followed by others that do.
+			out.Used = out.Used.Minus(w.lastingUsed)
+			continue
+		}
 		out.Lasting = out.Lasting.Plus(w.lastingUsed)
 	}
 	out.Offered = p.arrivals.offered(now)
--- a/internal/workload/share.go
+++ b/internal/workload/share.go
@@ -14,12 +14,13 @@
 	for _, j := range waiting {
 		used[j.spec.Team] = p.teamUsed[j.spec.Team]
 	}
+	p.leaveOutEvacuated(used)
 	if len(used) < 2 {
 		return nil
 	}
 	var capacity jaybarrow.Resources
 	for _, w := range p.workers {
-		if w.reported && !w.gone {
+		if w.reported && !w.gone && !w.evacuated() {
 			capacity = capacity.Plus(w.entry.Capacity)
 		}
 	}
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -42,6 +42,8 @@
 	drainRetryAt    time.Time
 	drainWantedAt   time.Time // when it was first to be emptied for the wave that its host awaits
 	maintenanceDue  bool      // its host awaits maintenance in a wave
+	coldUntil       time.Time // when it ceases to be slow after its start
+	isEvacuated     func(jaybarrow.DataCentreID) bool
 }
 
 type runKey struct {
@@ -89,14 +91,15 @@
 	throttledAt     time.Time            // when the throttle was last changed
 }
 
-func newWorker(entry jaybarrow.Worker) *worker {
-	return &worker{entry: entry, runs: make(map[runKey]*run)}
+// newWorker returns a worker of the pool without runs.
+func (p *Pool) newWorker(entry jaybarrow.Worker) *worker {
+	return &worker{entry: entry, runs: make(map[runKey]*run), isEvacuated: p.evacuated}
 }
 
 // usable reports whether the worker may receive new tasks.
 func (w *worker) usable(now time.Time, grace time.Duration) bool {
 	return w.reported && !w.gone && !w.reserved && w.missedReports == 0 && w.entry.State == jaybarrow.WorkerReady &&
-		w.reportsOnTime(now, grace) && !now.Before(w.backoffUntil)
+		w.reportsOnTime(now, grace) && !now.Before(w.backoffUntil) && !w.evacuated()
 }
 
 // acceptsOrders reports whether a start may still be sent to the worker. The write before it can take seconds, in which the worker may have
@@ -108,7 +111,7 @@
 // willTakeTasks reports whether the worker is one that receives new tasks, or will in a moment: a first report that is still on its way, one that
 // is late or one that was missed says little about the seconds for which a new job may wait.
 func (w *worker) willTakeTasks() bool {
-	return !w.gone && !w.reserved && w.missedReports <= 1 && w.entry.State == jaybarrow.WorkerReady
+	return !w.gone && !w.reserved && w.missedReports <= 1 && w.entry.State == jaybarrow.WorkerReady && !w.evacuated()
 }
 
 // reportsOnTime reports whether the worker's next report is not overdue by more than the grace.
