--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -236,6 +236,11 @@
 
 // newKeeper returns a keeper of the hosts and pools; the pool named reserve is the spare pool.
 func newKeeper(settings fleetkeeper.Settings, hosts []jaybarrow.FleetHost, p *pools, knownWaves fleetkeeper.Waves) *keeper {
+	return newKeeperDuring(nil, settings, hosts, p, knownWaves)
+}
+
+// newKeeperDuring is newKeeper during evacuations.
+func newKeeperDuring(evacuated func(jaybarrow.DataCentreID) bool, settings fleetkeeper.Settings, hosts []jaybarrow.FleetHost, p *pools, knownWaves fleetkeeper.Waves) *keeper {
 	configuration := &jaybarrow.Configuration{Version: 1, Pools: []jaybarrow.JobPool{{ID: "reserve", Spare: true}}}
 	for id := range p.byPool() {
 		configuration.Pools = append(configuration.Pools, jaybarrow.JobPool{ID: id})
@@ -245,7 +250,7 @@
 	f := &fleet{orders: make(map[jaybarrow.HostID]order), hosts: hosts}
 	resigned, lapsed, faults := new(atomic.Bool), new(atomic.Bool), new(atomic.Int64)
 	return &keeper{startedAt: time.Now(), fleet: f, resigned: resigned, lapsed: lapsed, faults: faults, Keeper: fleetkeeper.New(fleetkeeper.Deps{
-		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Fleet: f, Store: emptyStore{}, Catalog: known, Settings: settings, Pools: p, Waves: knownWaves,
+		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Fleet: f, Store: emptyStore{}, Catalog: known, Settings: settings, Pools: p, Waves: knownWaves, Evacuated: evacuated,
 		Term: leader.Term{Fence: 1, Valid: func() bool { return !lapsed.Load() }, Resign: func(string) { resigned.Store(true) }},
 		OnFault: func(rungroup.Fault) {
 			if resigned.Load() {
--- a/internal/scheduler/evacuations_test.go
+++ b/internal/scheduler/evacuations_test.go
@@ -112,7 +112,9 @@
 				time.Sleep(time.Second)
 				assert.Equal(t, z.started("z1")+z.started("z2"), c.want)
 				p := s.pool("desk")
-				p.locked(func() { assert.Assert(t, !p.state.HasUnsentRuns(), "tasks are assigned to workers that may be evacuated") })
+				p.locked(func() {
+					assert.Assert(t, !p.state.HasUnsentRuns(), "tasks are assigned to workers that may be evacuated")
+				})
 				e.Apply(nil, time.Now())
 				time.Sleep(300 * time.Millisecond)
 				assert.Equal(t, z.started("z1")+z.started("z2"), 2)
@@ -138,7 +140,10 @@
 		assert.Equal(t, z.started("z2"), 0)
 		assert.Equal(t, s.RunsLeft("z1"), 1)
 		assert.Equal(t, s.RunsLeft("z2"), 0)
-		assert.Equal(t, z.withheld.Load(), int64(1), "its task is assigned there again and again")
+		assert.Equal(t, z.withheld.Load(), int64(1))
+		for _, w := range s.Loads(time.Now())["desk"].Workers {
+			assert.Equal(t, w.Usable, w.ID == "w-z1", "its task would be assigned there again and again")
+		}
 		e.Apply([]jaybarrow.EvacuationChange{{DataCentre: "z2", Ended: true}}, time.Now())
 		z.writeDelay.Store(0)
 		time.Sleep(1500 * time.Millisecond)
