--- a/cmd/jaybarrow/join_test.go
+++ b/cmd/jaybarrow/join_test.go
@@ -246,3 +246,10 @@
 	}
 	assert.Equal(t, hostSettings(platform.Settings{}, false).Leader.Lease, time.Second)
 }
+
+// Guards against an entry host that does not know the platform's bound on evacuations, or has one where the platform sets none.
+func TestTheBoundOnEvacuationsIsThePlatforms(t *testing.T) {
+	for _, bound := range []time.Duration{0, 5 * time.Second} {
+		assert.Equal(t, hostSettings(platform.Settings{Bounds: platform.Bounds{EvacuationDelay: bound}}, false).EvacuationDelay, bound)
+	}
+}
--- a/internal/evacuation/recent.go
+++ b/internal/evacuation/recent.go
@@ -9,13 +9,14 @@
 // maxAge returns the largest age of a reading by which tasks may be started; 0 when the platform sets no bound.
 func maxAge(bound time.Duration) time.Duration { return bound * maxAgePercent / 100 }
 
-// MaxWait returns how long a call for changes of the operators' keys may wait for one: at most the usual time, and a third of the largest age
-// of a reading, so that one lost call does not stop the starts.
+// MaxWait returns how long a call for changes of the operators' keys may wait for one: at most the usual time, and a quarter of the largest age of a
+// reading. A reading counts from when its call was sent, so that it is one wait old when it arrives and two before the next one does, and three
+// where a call is lost in between; the last quarter is for the time limit of that call.
 func MaxWait(bound, usual time.Duration) time.Duration {
 	if bound <= 0 {
 		return usual
 	}
-	return min(usual, maxAge(bound)/3)
+	return min(usual, maxAge(bound)/4)
 }
 
 // mayStart reports whether tasks may be started by a reading.
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -249,8 +249,13 @@
 // followOperators keeps the configuration, the waves and the evacuations of operators up to date; it blocks until ctx ends.
 func (h *Host) followOperators(ctx context.Context) {
 	log := logging.For(h.deps.Log, "operators")
+	follow.Run(ctx, follow.Deps{Clock: h.deps.Clock, Log: log, Settings: h.deps.Settings.Operators}, h.operatorSource(log))
+}
+
+// operatorSource returns the source of what operators write; one goroutine follows it.
+func (h *Host) operatorSource(log zerolog.Logger) follow.Source[jaybarrow.OperatorInput] {
 	var asked time.Time // when the last call for changes was sent: its answer holds what the store had acknowledged by then
-	follow.Run(ctx, follow.Deps{Clock: h.deps.Clock, Log: log, Settings: h.deps.Settings.Operators}, follow.Source[jaybarrow.OperatorInput]{
+	return follow.Source[jaybarrow.OperatorInput]{
 		Name: "operators", List: h.deps.Platform.Operators.List,
 		Changes: func(ctx context.Context, after jaybarrow.Revision, wait time.Duration) ([]jaybarrow.OperatorInput, jaybarrow.Revision, error) {
 			asked = h.deps.Clock.Now()
@@ -258,17 +263,18 @@
 			return []jaybarrow.OperatorInput{update}, at, err
 		},
 		Apply: func(updates []jaybarrow.OperatorInput, complete bool, received time.Time) {
+			readAt := asked
 			if complete {
-				asked = received // of a list, when its first page was requested
+				readAt = received // of a list, when its first page was requested
 			}
-			h.applyEvacuations(log, updates, complete, asked)
+			h.applyEvacuations(log, updates, complete, readAt)
 			for _, u := range updates {
 				h.applyConfiguration(log, u.Configuration)
 				h.waves.add(u.Waves, received)
 			}
 			h.catalog.Confirm(received)
 		},
-	})
+	}
 }
 
 // applyConfiguration puts the configuration in force if it is newer; nil means no change.
--- a/internal/workload/evacuate_test.go
+++ b/internal/workload/evacuate_test.go
@@ -132,12 +132,11 @@
 	}
 }
 
-// Guards against other decisions where nothing is being evacuated: without the query, with an empty set, and with data centres that no worker has.
+// Guards against other decisions where nothing is being evacuated: with an empty set, and with data centres that no worker has.
 func TestWithoutEvacuationsNothingChanges(t *testing.T) {
 	none := dayOfEvacuations(t, func(time.Duration) []jaybarrow.DataCentreID { return nil })
 	foreign := dayOfEvacuations(t, func(time.Duration) []jaybarrow.DataCentreID { return []jaybarrow.DataCentreID{"z", "z9", "Z1"} })
 	assert.DeepEqual(t, none, foreign)
-	// One that names no data centre, as workers of an earlier leader's records have, must not match either.
 	for _, second := range none[1:17] {
 		assert.Assert(t, second["z1"]+second["z2"]+second["z3"] > 0)
 	}
