--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/jaybarrow/jaybarrow"
 	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/catalog"
+	"github.com/jaybarrow/jaybarrow/internal/evacuation"
 	"github.com/jaybarrow/jaybarrow/internal/follow"
 	"github.com/jaybarrow/jaybarrow/internal/latency"
 	"github.com/jaybarrow/jaybarrow/internal/leader"
@@ -31,6 +32,8 @@
 	Catalog  *catalog.Catalog
 	Observer workload.Observer
 	Term     leader.Term
+	// Evacuations are the data centres whose workers get no tasks; nil when there are never any.
+	Evacuations *evacuation.Set
 	// LiveMemory returns the size of the live data of this process; nil when it is not known.
 	LiveMemory func() budget.Bytes
 	// CommitTimes tells how long the store takes for a write; nil when that is not known, and writes are repeated after a fixed delay.
@@ -70,6 +73,9 @@
 
 // New returns a running Scheduler. It reads the register of workers first and then the stored jobs; it plans once both are loaded.
 func New(d Deps) *Scheduler {
+	if d.Evacuations == nil {
+		d.Evacuations = evacuation.New(evacuation.Settings{})
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Scheduler{
 		deps: d, group: rungroup.New(rungroup.EndTerm(d.Log, d.Term.Resign)), teams: newTeams(d.Catalog.Limit, d.Catalog.Share), ctx: ctx, cancel: cancel,
@@ -91,6 +97,10 @@
 		s.followConfiguration(ctx)
 		return nil
 	})
+	s.group.Keep(ctx, "evacuations", func() error {
+		s.followEvacuations(ctx)
+		return nil
+	})
 	s.group.Keep(ctx, "throughput of starts", func() error {
 		s.watchThroughput(ctx)
 		return nil
