Divide congested pools among teams by their shares, in admission and in the order of jobs

Cause: admission looked at the pool alone. While one team sends 7.5 times its usual load, or three large ones four times, whoever sends most is served most; jobs of teams within their share are refused, or late behind a backlog of the others. Teams that ask for no more than their part are judged by the work that comes before theirs; the others wait for it at the rate of their part, and their refused callers return in a line of their own. The order of waiting jobs is made from the same division. An entry host applies a silent leader's refusal to the same team only. Without the flag, without a team, with one team and without congestion, decisions are as before.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -59,11 +59,12 @@
 	port := flags.Uint("metrics", 0, "port of the metrics at path /metrics; 0: none")
 	level := flags.String("log", "info", "least level of log lines: debug, info, warn or error")
 	marks := flags.Bool("progress-by-marks", false, "leave out what is done when the progress of jobs is stored; every entry host must run a build with this flag")
+	teams := flags.Bool("team-admission", false, "divide congested pools among teams by their shares when new jobs are admitted and waiting ones are ordered")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
 	if *file == "" || flags.NArg() > 0 {
-		fmt.Fprintln(stderr, "usage: jaybarrow join [-settings FILE] [-log LEVEL] [-metrics PORT] [-progress-by-marks]")
+		fmt.Fprintln(stderr, "usage: jaybarrow join [-settings FILE] [-log LEVEL] [-metrics PORT] [-progress-by-marks] [-team-admission]")
 		return exitUsage
 	}
 	s, faults := platform.ReadSettings(*file)
@@ -91,7 +92,7 @@
 		}
 		defer server.close()
 	}
-	return join(ctx, *file, s, *marks, log, metrics, onFault)
+	return join(ctx, *file, s, *marks, *teams, log, metrics, onFault)
 }
 
 // hostSettings returns the settings of an entry host on the platform, fitted to what its host can carry and to the platform's bounds.
@@ -126,7 +127,7 @@
 }
 
 // join runs an entry host on the platform until ctx ends; onFault handles the failure of one of its background parts.
-func join(ctx context.Context, file string, s platform.Settings, progressByMarks bool, root zerolog.Logger, metrics *jobmetrics.Metrics, onFault rungroup.Handler) int {
+func join(ctx context.Context, file string, s platform.Settings, progressByMarks, teamAdmission bool, root zerolog.Logger, metrics *jobmetrics.Metrics, onFault rungroup.Handler) int {
 	log := logging.For(root, "join")
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	debug.SetGCPercent(gcPercent)
@@ -142,6 +143,7 @@
 	adviser := platform.NewAdviser(s.Adviser)
 	defer adviser.Close()
 	settings := hostSettings(s, progressByMarks)
+	settings.Scheduler.TeamAdmission = teamAdmission
 	host := jobhost.New(jobhost.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: root, Entry: s.EntryID, Peers: listeners[0], Settings: settings, Metrics: metrics,
 		OnFault: onFault, LiveMemory: liveMemory,
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -27,6 +27,7 @@
 	teamIDs       map[jaybarrow.KeyHash]jaybarrow.TeamID
 	teamsByID     map[jaybarrow.TeamID]jaybarrow.JobTeam
 	pools         map[jaybarrow.PoolID]jaybarrow.JobPool
+	leastShare    jaybarrow.Share
 }
 
 // New returns an empty Catalog, which stores its times relative to now.
@@ -127,6 +128,14 @@
 	return i.teamsByID[team].Share
 }
 
+// LeastShare returns the smallest positive share of a team, or 0 when no team has one.
+func (c *Catalog) LeastShare() jaybarrow.Share {
+	if i := c.current.Load(); i != nil {
+		return i.leastShare
+	}
+	return 0
+}
+
 // Pool returns a pool by its id.
 func (c *Catalog) Pool(id jaybarrow.PoolID) (jaybarrow.JobPool, bool) {
 	i := c.current.Load()
@@ -153,6 +162,9 @@
 	}
 	for _, t := range c.Teams {
 		i.teamsByID[t.ID] = t
+		if t.Share > 0 && (i.leastShare == 0 || t.Share < i.leastShare) {
+			i.leastShare = t.Share
+		}
 		for _, k := range t.Keys {
 			i.teamIDs[k] = t.ID
 		}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -61,3 +61,13 @@
 	assert.Assert(t, known)
 	assert.Equal(t, age, time.Second)
 }
+
+// Guards against teams without a share that count for more, or less, than any team that has one.
+func TestLeastShareIsTheSmallestConfiguredOne(t *testing.T) {
+	c := catalog.New(time.Now())
+	assert.Equal(t, c.LeastShare(), jaybarrow.Share(0))
+	configured := configuration(1)
+	configured.Teams = []jaybarrow.JobTeam{{ID: "a", Share: 3}, {ID: "b"}, {ID: "c", Share: 0.5}, {ID: "d", Share: -1}}
+	c.Apply(configured)
+	assert.Equal(t, c.LeastShare(), jaybarrow.Share(0.5))
+}
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -211,7 +211,8 @@
 	s := scheduler.New(scheduler.Deps{
 		Clock: h.deps.Clock, Log: log, Store: h.deps.Platform.Store, Register: h.deps.Platform.Register,
 		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: observer{log, h.deps.Metrics}, Term: term, LiveMemory: h.deps.LiveMemory,
-		Settings: h.deps.Settings.Scheduler,
+		Admissions: observer{log, h.deps.Metrics},
+		Settings:   h.deps.Settings.Scheduler,
 	})
 	h.activeScheduler.Store(s)
 	select {
--- a/internal/jobhost/leaderqueries.go
+++ b/internal/jobhost/leaderqueries.go
@@ -60,14 +60,19 @@
 	if err != nil {
 		return d.recallRefusal(r, err)
 	}
-	d.host.refusals.record(r.Queue, a, now)
+	d.host.refusals.record(d.refusalKey(r), a, now)
 	return a, nil
 }
 
+// refusalKey returns what the leader's refusal of the job stands for.
+func (d jobDirectory) refusalKey(r jaybarrow.AdmissionRequest) refusalKey {
+	return keyOf(r, d.host.deps.Settings.Scheduler.TeamAdmission)
+}
+
 // recallRefusal returns the leader's last refusal of a job of the queue, or else the error: a leader that is too busy to answer has not come to
 // carry more since.
 func (d jobDirectory) recallRefusal(r jaybarrow.AdmissionRequest, err error) (jaybarrow.Admission, error) {
-	if refused, ok := d.host.refusals.recall(r.Queue, d.host.deps.Clock.Now()); ok {
+	if refused, ok := d.host.refusals.recall(d.refusalKey(r), d.host.deps.Clock.Now()); ok {
 		return refused, nil
 	}
 	return jaybarrow.Admission{}, err
--- a/internal/jobhost/observer.go
+++ b/internal/jobhost/observer.go
@@ -6,10 +6,11 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/admission"
 	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
 )
 
-// observer logs and counts the decisions of the scheduler; it implements workload.Observer.
+// observer logs and counts the decisions of the scheduler; it implements workload.Observer and scheduler.AdmissionObserver.
 type observer struct {
 	log     zerolog.Logger
 	metrics *jobmetrics.Metrics
@@ -76,6 +77,25 @@
 	}
 }
 
+// JobJudged counts the decisions on new jobs by team and reason.
+func (o observer) JobJudged(team jaybarrow.TeamID, admitted bool, reason admission.Reason) {
+	outcome := "refused"
+	if admitted {
+		outcome = "admitted"
+	}
+	o.metrics.Count("admission." + outcome + "." + string(reason) + ".team." + string(team))
+}
+
+// TeamLimited logs and counts that a team begins or ceases to be limited to its part of a congested pool.
+func (o observer) TeamLimited(pool jaybarrow.PoolID, team jaybarrow.TeamID, limited bool) {
+	if !limited {
+		o.log.Info().Str("pool", string(pool)).Str("team", string(team)).Msg("team is no longer limited to its share of the pool")
+		return
+	}
+	o.metrics.Count("admission.limited.team." + string(team))
+	o.log.Info().Str("pool", string(pool)).Str("team", string(team)).Msg("team is limited to its share of the pool")
+}
+
 func (o observer) record(name string, job *jaybarrow.Job, d time.Duration) {
 	o.metrics.Record(name+".team."+string(job.Team), d)
 	o.metrics.Record(name+".queue."+string(job.Queue), d)
--- a/internal/jobhost/refusals.go
+++ b/internal/jobhost/refusals.go
@@ -1,6 +1,7 @@
 package jobhost
 
 import (
+	"sync"
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
@@ -10,9 +11,15 @@
 // refusalMemory is how long the leader's refusal of a job stands for further jobs of the queue while the leader does not answer.
 const refusalMemory = 3 * time.Second
 
-// refusals are the leader's last answers on new jobs, by queue. It is safe for concurrent use.
+// refusalKey names what a refusal stands for: a queue, or one team's jobs in it while admission weighs teams.
+type refusalKey string
+
+// refusals are the leader's last refusals of new jobs. It is safe for concurrent use.
 type refusals struct {
-	last *shard.Map[jaybarrow.QueueID, refusal]
+	last *shard.Map[refusalKey, refusal]
+	lock sync.Mutex
+	// sweptAt is when refusals that stand no more were last forgotten.
+	sweptAt time.Time
 }
 
 // refusal is an answer of the leader and when it came.
@@ -21,16 +28,44 @@
 	at     time.Time
 }
 
-func newRefusals() *refusals { return &refusals{last: shard.New[jaybarrow.QueueID, refusal]()} }
+func newRefusals() *refusals { return &refusals{last: shard.New[refusalKey, refusal]()} }
+
+// keyOf returns the key for a job. One team's refusal says nothing about the others when each has its part of the pool.
+func keyOf(r jaybarrow.AdmissionRequest, byTeam bool) refusalKey {
+	if byTeam {
+		return refusalKey(string(r.Queue) + "/" + string(r.Team))
+	}
+	return refusalKey(r.Queue)
+}
 
 // record keeps an answer of the leader.
-func (r *refusals) record(queue jaybarrow.QueueID, answer jaybarrow.Admission, now time.Time) {
-	r.last.Set(queue, refusal{answer, now})
+func (r *refusals) record(key refusalKey, answer jaybarrow.Admission, now time.Time) {
+	if answer.Admitted {
+		r.last.Delete(key)
+	} else {
+		r.last.Set(key, refusal{answer, now})
+	}
+	r.sweep(now)
+}
+
+// sweep forgets the refusals that stand no more; teams and queues come and go.
+func (r *refusals) sweep(now time.Time) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if now.Sub(r.sweptAt) <= refusalMemory {
+		return
+	}
+	r.sweptAt = now
+	r.last.Each(func(key refusalKey, _ refusal) {
+		r.last.Update(key, func(last refusal, present bool) (refusal, bool) {
+			return last, present && now.Sub(last.at) <= refusalMemory
+		})
+	})
 }
 
-// recall returns the leader's last answer on a job of the queue if that was a refusal and is recent.
-func (r *refusals) recall(queue jaybarrow.QueueID, now time.Time) (jaybarrow.Admission, bool) {
-	last, ok := r.last.Get(queue)
+// recall returns the leader's last answer on a job with the key if that was a refusal and is recent.
+func (r *refusals) recall(key refusalKey, now time.Time) (jaybarrow.Admission, bool) {
+	last, ok := r.last.Get(key)
 	if !ok || last.answer.Admitted || now.Sub(last.at) > refusalMemory {
 		return jaybarrow.Admission{}, false
 	}
--- a/internal/jobhost/refusals_test.go
+++ b/internal/jobhost/refusals_test.go
@@ -29,3 +29,19 @@
 	_, ok = r.recall("match", now.Add(time.Second))
 	assert.Assert(t, !ok, "a later job was admitted")
 }
+
+// Guards against a team within its share whose jobs are refused, while the leader is silent, since another team's were; and against refusals
+// that are kept for teams that are gone.
+func TestARefusalStandsForItsTeamOnly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newRefusals()
+	large, small := jaybarrow.AdmissionRequest{Queue: "match", Team: "large"}, jaybarrow.AdmissionRequest{Queue: "match", Team: "small"}
+	assert.Equal(t, keyOf(large, false), keyOf(small, false), "teams are not weighed")
+	r.record(keyOf(large, true), jaybarrow.Admission{Wait: 8 * time.Second}, now)
+	_, ok := r.recall(keyOf(large, true), now)
+	assert.Assert(t, ok)
+	_, ok = r.recall(keyOf(small, true), now)
+	assert.Assert(t, !ok)
+	r.record(keyOf(small, true), jaybarrow.Admission{Admitted: true}, now.Add(2*refusalMemory))
+	assert.Equal(t, r.last.Len(), 0)
+}
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -19,8 +19,11 @@
 // gate admits the jobs of one pool and priority; the pool's lock guards it.
 type gate struct {
 	admission.Gate
-	load   admission.Load
-	readAt time.Time
+	load     admission.Load
+	readAt   time.Time
+	division *admission.Division // limits no team unless admission weighs teams
+	teams    teamGates
+	known    int // teams in the division
 }
 
 // leastUrgent is a priority that no queue comes after.
@@ -53,12 +56,15 @@
 		return jaybarrow.Admission{Admitted: true}
 	}
 	g := p.readLoad(priority, now)
+	if p.noteAsker(g, r.Team, now) {
+		g = p.readLoad(priority, now)
+	}
 	job := admission.Job{Work: r.Work, CriticalPath: r.CriticalPath, Target: target, Advice: p.state.AdviceTime(r.Queue)}
 	load := g.load
 	if job.Advice == 0 {
 		load.InTimeAdvice, load.Advice = 0, 0
 	}
-	d := g.Decide(load, job, now)
+	d := p.decide(g, r, load, job, now)
 	if d.Admitted {
 		g.load.InTime, g.load.Waiting = g.load.InTime.Plus(r.Work), g.load.Waiting.Plus(r.Work)
 		g.load.InTimeAdvice, g.load.Advice = g.load.InTimeAdvice+job.Advice, g.load.Advice+job.Advice
@@ -70,13 +76,15 @@
 func (p *poolShard) readLoad(priority int, now time.Time) *gate {
 	g := p.gates[priority]
 	if g == nil {
-		g = new(gate)
+		g = &gate{teams: make(teamGates)}
 		p.gates[priority] = g
 	}
 	if !g.readAt.IsZero() && now.Sub(g.readAt) <= backlogAge {
 		return g
 	}
-	g.load, g.readAt = p.state.Backlog(priority, now), now
+	var byTeam teamLoads
+	g.load, byTeam = p.readBacklog(priority, now)
+	g.readAt = now
 	// All pools share the rate of starts, so the tasks of the others wait for it too.
 	before := p.tasks
 	p.tasks = g.load.Tasks
@@ -84,6 +92,8 @@
 	g.load.Coming, g.load.ComingIn = p.coming.Capacity, p.coming.In
 	g.load.InTimeAdvice, g.load.Advice = p.advice.backlog(priority)
 	g.load.StartsPerSecond = p.startsPerSecond()
+	g.division, g.known = p.divide(g.load, byTeam, now), len(byTeam)
+	g.dropIdleGates(now)
 	return g
 }
 
@@ -115,8 +125,8 @@
 const (
 	// congestionInterval is the time between two looks at the pools for congested ones.
 	congestionInterval = 250 * time.Millisecond
-	// congestionWait is the wait from which a pool counts as congested. Below it no job is refused, since no target is shorter.
-	congestionWait = 500 * time.Millisecond
+	// congestionWait is the wait from which a pool counts as congested.
+	congestionWait = admission.CongestedWait
 )
 
 // announceCongestion keeps the record of what is congested up to date until ctx ends. Without it entry hosts admit every job, so that a
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -156,7 +156,10 @@
 	if stored != nil {
 		p.writer.setRevision(id, progress.Revision)
 	}
-	p.locked(func() { p.state.AddJob(spec, stored, now) })
+	p.locked(func() {
+		p.state.AddJob(spec, stored, now)
+		p.noteSubmitted(spec, now)
+	})
 	s.jobPools.Set(id, spec.Pool)
 	changedPools[p] = true
 }
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -46,6 +46,7 @@
 	gates     map[int]*gate               // decide which new jobs the pool takes on, by the priority of their queues
 	tasks     int                         // waiting tasks that waitingTasks counts for this pool
 	coming    Coming                      // what the fleet can add to the pool
+	teams     *teamAdmission              // nil unless admission weighs teams
 	failed    bool                        // whether a panic may have left state inconsistent
 }
 
@@ -69,6 +70,9 @@
 		}),
 		holdLoops: make(map[jaybarrow.WorkerID]bool), gates: make(map[int]*gate), throughput: &s.throughput, startsSent: &s.startsSent, advice: s.advice,
 	}
+	if d.Settings.TeamAdmission {
+		p.teams = newTeamAdmission()
+	}
 	select {
 	case <-s.loaded:
 		p.startPlanning()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -28,7 +28,9 @@
 	Adviser  jaybarrow.Adviser
 	Catalog  *catalog.Catalog
 	Observer workload.Observer
-	Term     leader.Term
+	// Admissions is notified of decisions on new jobs; nil notifies nothing.
+	Admissions AdmissionObserver
+	Term       leader.Term
 	// LiveMemory returns the size of the live data of this process; nil when it is not known.
 	LiveMemory func() budget.Bytes
 	Settings   Settings
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -22,6 +22,8 @@
 	MaxConcurrentStarts int
 	// Host is what the leader's host can carry; it bounds orders and reports.
 	Host budget.Host
+	// TeamAdmission divides congested pools among teams by their shares, in admission and in the order of waiting jobs.
+	TeamAdmission bool
 	// MaxReportInterval is the longest time for which a worker with running tasks may hold back its report.
 	MaxReportInterval time.Duration
 	// HoldRetryDelay is the delay after a failed hold order; it doubles twice with further failures.
--- a/internal/workload/arrivals.go
+++ b/internal/workload/arrivals.go
@@ -19,8 +19,8 @@
 	work jaybarrow.Work
 }
 
-// workOf returns the estimated work of a job; lasting and scheduled jobs count as none.
-func workOf(spec *jaybarrow.Job) jaybarrow.Work {
+// WorkOf returns the estimated work of a job; lasting and scheduled jobs count as none.
+func WorkOf(spec *jaybarrow.Job) jaybarrow.Work {
 	var out jaybarrow.Work
 	if spec.Lasting() || spec.Recurrence != nil {
 		return out
@@ -33,7 +33,7 @@
 }
 
 func (a *arrivals) add(spec *jaybarrow.Job, at time.Time) {
-	*a = append(*a, arrival{at: at, work: workOf(spec)})
+	*a = append(*a, arrival{at: at, work: WorkOf(spec)})
 }
 
 // offered returns the offered load: the work that arrived per second, which equals the average demand if the rate continues. For
--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -10,6 +10,41 @@
 // Backlog returns what waits in the pool and the capacity of its workers, with those that take no tasks for a moment; what the fleet can
 // add is left out. Of the jobs that can meet their target those count as InTime whose queue is at least as urgent as the priority.
 func (p *Pool) Backlog(priority int, now time.Time) admission.Load {
+	return p.backlog(priority, now, func(*job, jaybarrow.Work, int, bool) {})
+}
+
+// TeamBacklogs returns the same with what each team has waiting and running in the pool.
+func (p *Pool) TeamBacklogs(priority int, now time.Time) (admission.Load, map[jaybarrow.TeamID]*admission.TeamLoad) {
+	teams := make(map[jaybarrow.TeamID]*admission.TeamLoad, len(p.teamUsed))
+	of := func(id jaybarrow.TeamID) *admission.TeamLoad {
+		t := teams[id]
+		if t == nil {
+			t = new(admission.TeamLoad)
+			teams[id] = t
+		}
+		return t
+	}
+	for id, used := range p.teamUsed {
+		of(id).Used = used
+	}
+	load := p.backlog(priority, now, func(j *job, waiting jaybarrow.Work, tasks int, inTime bool) {
+		t := of(j.spec.Team)
+		t.Waiting = t.Waiting.Plus(waiting)
+		if inTime && j.policy.Priority == priority {
+			t.InTime, t.InTimeTasks = t.InTime.Plus(waiting), t.InTimeTasks+tasks
+		}
+	})
+	return load, teams
+}
+
+// SetDivision sets how the pool is divided among its teams, by which jobs are ordered; one that limits no team leaves that to the shares.
+func (p *Pool) SetDivision(d *admission.Division) { p.division = d }
+
+// RunTimeFactor returns by how much the estimates of the queue's jobs must be multiplied.
+func (p *Pool) RunTimeFactor(queue jaybarrow.QueueID) float64 { return p.runTimes.factor(queue) }
+
+// backlog calls visit for each job with waiting work.
+func (p *Pool) backlog(priority int, now time.Time, visit func(j *job, waiting jaybarrow.Work, tasks int, inTime bool)) admission.Load {
 	var out admission.Load
 	for _, w := range p.sortedWorkers() {
 		if w.willTakeTasks() {
@@ -34,10 +69,12 @@
 		}
 		waiting = waiting.Times(p.runTimes.factor(j.spec.Queue))
 		out.Waiting = out.Waiting.Plus(waiting)
-		if j.rank(now) == rankInTime && j.policy.Priority <= priority {
+		inTime := j.rank(now) == rankInTime
+		if inTime && j.policy.Priority <= priority {
 			out.InTime = out.InTime.Plus(waiting)
 			out.InTimeTasks += out.Tasks - before
 		}
+		visit(j, waiting, out.Tasks-before, inTime)
 	}
 	return out
 }
--- /dev/null
+++ b/internal/workload/division_test.go
@@ -0,0 +1,49 @@
+package workload_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/admission"
+)
+
+// Guards against an order of the waiting jobs that does not agree with admission: a job of a team within its share is admitted because those of
+// the limited team are placed after it, though they were accepted before, and though its own team uses more than its share for a moment.
+func TestADividedPoolPlacesTheJobsOfLimitedTeamsLast(t *testing.T) {
+	for _, divided := range []bool{false, true} {
+		t.Run(fmt.Sprint("divided ", divided), func(t *testing.T) {
+			h := newHarness(t)
+			h.shares = map[jaybarrow.TeamID]jaybarrow.Share{"large": 9, "small": 1}
+			h.addWorker("w1")
+			h.addJobOf("small", "s-0", tasks(1, 5000))
+			running := h.planAndStart(jaybarrow.StartDone)
+			assert.Equal(t, len(running), 1)
+			for n := range 40 {
+				h.addJobOf("large", jaybarrow.JobID(fmt.Sprintf("l-%02d", n)), tasks(1, 5000))
+			}
+			if divided {
+				// What runs counts as the largest job of the team, which is not held against it.
+				load, teams := h.pool.TeamBacklogs(0, h.now)
+				teams["small"].Share, teams["small"].LargestPeak, teams["large"].Share = 1, jaybarrow.Resources{CPU: 5000}, 9
+				d := admission.Divide(load, teams, 1)
+				assert.Assert(t, d.Limited("large") && !d.Limited("small"))
+				h.pool.SetDivision(&d)
+			}
+			h.advance(200 * time.Millisecond)
+			h.addJobOf("small", "s-1", tasks(1, 5000))
+			h.advance(1020 * time.Millisecond) // it must begin within 0.45 s to be in time, and the others within 0.25 s
+			h.report("w1", runReports(running, "w1", 50))
+			starts := h.planAndStart(jaybarrow.StartDone)
+			assert.Equal(t, len(starts), 1)
+			want := jaybarrow.JobID("l-00")
+			if divided {
+				want = "s-1"
+			}
+			assert.Equal(t, starts[0].Task.Job, want)
+		})
+	}
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -34,6 +34,8 @@
 	wholePath    time.Duration // estimated time of the longest chain of steps
 	criticalPath time.Duration // the same for the steps that are not done
 	order        placementOrder
+	ordered      bool // whether the job was ever ordered in a divided pool
+	promised     bool // whether its team was not limited when it first was
 }
 
 // occurrence is one run of all steps of a job.
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -129,9 +129,25 @@
 		}
 		waiting = append(waiting, j)
 	}
-	overShare := p.teamsOverShare(waiting)
+	p.order(waiting, now)
+	return waiting
+}
+
+// order sorts the jobs. While admission limits teams to their parts of the pool, the order is the one that admission counts on.
+func (p *Pool) order(waiting []*job, now time.Time) {
+	divided := p.division != nil && p.division.Divided()
+	var overShare map[jaybarrow.TeamID]int
+	if !divided {
+		overShare = p.teamsOverShare(waiting)
+	}
 	for _, j := range waiting {
 		j.order = placementOrder{rank: j.rank(now), priority: j.policy.Priority, overShare: overShare[j.spec.Team]}
+		if divided {
+			if !j.ordered {
+				j.ordered, j.promised = true, !p.division.Limited(j.spec.Team)
+			}
+			j.order.overShare = p.division.Place(j.spec.Team, j.promised, p.teamUsed[j.spec.Team], j.slack(now))
+		}
 	}
 	slices.SortFunc(waiting, func(a, b *job) int {
 		return cmp.Or(
@@ -142,7 +158,6 @@
 			cmp.Compare(a.spec.ID, b.spec.ID),
 		)
 	})
-	return waiting
 }
 
 // placementOrder is a job's place among the waiting jobs of a plan; lower values come first.
@@ -166,6 +181,9 @@
 	return rankLate
 }
 
+// slack returns by how much later than now the job could go on and still meet its target.
+func (j *job) slack(now time.Time) time.Duration { return j.targetTime.Sub(now) - j.criticalPath }
+
 // placeStep assigns the step's tasks until one of them cannot be placed.
 func (p *Pool) placeStep(s *step, candidates []*worker, room *room, now time.Time) {
 	if s.spec.Gang {
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/admission"
 	"github.com/jaybarrow/jaybarrow/internal/heap"
 )
 
@@ -87,8 +88,9 @@
 	heldReportedAt time.Time     // when the observer was last told of it
 	placementsDue  bool          // whether a task may have become placeable since the last plan
 	advising       advising
-	sweepDue       bool      // whether the next plan must check every worker and run
-	sweptAt        time.Time // when a plan last checked every worker and run
+	division       *admission.Division // of the pool among its teams; nil when admission does not weigh teams
+	sweepDue       bool                // whether the next plan must check every worker and run
+	sweptAt        time.Time           // when a plan last checked every worker and run
 }
 
 // endedJob is what is kept of an ended job until its records are removed.
