--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -261,11 +261,12 @@
 	defer h.deps.OnLead(false)
 	h.deps.Metrics.Count("leader.terms")
 	startedAt := h.deps.Clock.Now()
+	reporter := newObserver(log, h.deps.Metrics)
 	s := scheduler.New(scheduler.Deps{
 		Clock: h.deps.Clock, Log: log, Store: h.deps.Platform.Store, Register: h.deps.Platform.Register,
-		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: newObserver(log, h.deps.Metrics), Term: term,
+		Agents: h.deps.Platform.Agents, Adviser: h.deps.Platform.Adviser, Catalog: h.catalog, Observer: reporter, Term: term,
 		Evacuations: h.evacuations, LiveMemory: h.deps.LiveMemory, CommitTimes: h.commits.times,
-		Settings: h.deps.Settings.Scheduler,
+		Admissions: reporter, Settings: h.deps.Settings.Scheduler,
 	})
 	h.terms.Add(1)
 	h.activeScheduler.Store(s)
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -159,6 +159,7 @@
 	p.locked(func() {
 		p.state.AddJob(spec, stored, now)
 		s.countFromFirstAttempt(p, id, now)
+		p.noteSubmitted(spec, now)
 	})
 	s.jobPools.Set(id, spec.Pool)
 	if at, reported := s.refused.FirstAttempt(now, p.id, id); reported {
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -47,7 +47,8 @@
 	tasks     int                         // waiting tasks that waitingTasks counts for this pool
 	coming    Coming                      // what the fleet can add to the pool
 	dispatch  dispatchLog
-	failed    bool // whether a panic may have left state inconsistent
+	teams     *teamAdmission // nil unless admission weighs teams
+	failed    bool           // whether a panic may have left state inconsistent
 }
 
 // errFailed means that the state of the pool may be inconsistent, so nothing may be decided from it.
@@ -71,6 +72,9 @@
 		}),
 		holdLoops: make(map[jaybarrow.WorkerID]bool), gates: make(map[int]*gate), throughput: &s.throughput, startsSent: &s.startsSent, advice: s.advice,
 	}
+	if d.Settings.TeamAdmission {
+		p.teams = newTeamAdmission()
+	}
 	select {
 	case <-s.loaded:
 		p.startPlanning()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -31,7 +31,9 @@
 	Adviser  jaybarrow.Adviser
 	Catalog  *catalog.Catalog
 	Observer workload.Observer
-	Term     leader.Term
+	// Admissions is notified of decisions on new jobs; nil notifies nothing.
+	Admissions AdmissionObserver
+	Term       leader.Term
 	// Evacuations are the data centres whose workers get no tasks; nil when there are never any.
 	Evacuations *evacuation.Set
 	// LiveMemory returns the size of the live data of this process; nil when it is not known.
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -38,6 +38,8 @@
 	dispatch     time.Duration // of each step in dispatchPath; 0 when that is not known
 	dispatchPath time.Duration // criticalPath with the dispatch of each step
 	order        placementOrder
+	ordered      bool // whether the job was ever ordered in a divided pool
+	promised     bool // whether its team was not limited when it first was
 }
 
 // occurrence is one run of all steps of a job.
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -129,9 +129,26 @@
 		}
 		waiting = append(waiting, j)
 	}
-	overShare, delay := p.teamsOverShare(waiting), p.dispatch.Value(now)
+	p.order(waiting, now)
+	return waiting
+}
+
+// order sorts the jobs. While admission limits teams to their parts of the pool, the order is the one that admission counts on.
+func (p *Pool) order(waiting []*job, now time.Time) {
+	delay := p.dispatch.Value(now)
+	divided := p.division != nil && p.division.Divided()
+	var overShare map[jaybarrow.TeamID]int
+	if !divided {
+		overShare = p.teamsOverShare(waiting)
+	}
 	for _, j := range waiting {
 		j.order = placementOrder{rank: j.rank(now, delay), priority: j.policy.Priority, overShare: overShare[j.spec.Team]}
+		if divided {
+			if !j.ordered {
+				j.ordered, j.promised = true, !p.division.Limited(j.spec.Team)
+			}
+			j.order.overShare = p.division.Place(j.spec.Team, j.promised, p.teamUsed[j.spec.Team], j.slack(now, delay))
+		}
 	}
 	slices.SortFunc(waiting, func(a, b *job) int {
 		return cmp.Or(
@@ -142,7 +159,6 @@
 			cmp.Compare(a.spec.ID, b.spec.ID),
 		)
 	})
-	return waiting
 }
 
 // placementOrder is a job's place among the waiting jobs of a plan; lower values come first.
@@ -166,6 +182,11 @@
 	return rankLate
 }
 
+// slack returns by how much later than now the job could go on and still meet its target.
+func (j *job) slack(now time.Time, delay time.Duration) time.Duration {
+	return j.targetTime.Sub(now) - j.pathLeft(delay)
+}
+
 // placeStep assigns the step's tasks until one of them cannot be placed.
 func (p *Pool) placeStep(s *step, candidates []*worker, room *room, now time.Time) {
 	if s.spec.Gang {
