Write up to four rounds of a pool beside each other while the store is slow

Cause: a pool planned again only when the write of its last round had returned. While the store took 292 ms, a task that ended waited for the round in progress and then for its own.

Change: the next round is planned when the last one is written or has been in progress for 50 ms, with at most four of a pool in progress. A job whose record is being written is left out of later rounds, and its changes wait. A round sends only the starts that it has stored, or that were stored before. Each change of a job has a number, and a worker's ends are acknowledged in their order, up to the first one whose job is not stored as of its change. The first write that finds another leader's record ends the starts of all pools. The time limit of a call in a test of the repeated writes is now counted under a lock.

With a store that answers in 4 or 40 ms rounds do not overlap.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -112,6 +112,7 @@
 	// repeats every record that it names.
 	settings.Scheduler.Commit.Delay += carrier.CallSlack()
 	settings.Scheduler.Commit.Timeout += carrier.CallSlack()
+	settings.Scheduler.OverlapAfter += carrier.CallSlack()
 	settings.Command.AdmissionTimeout += carrier.CallSlack()
 	// A renewal queues at the link behind the pages of the lists that a new leader reads.
 	settings.Leader.Lease += carrier.PageTime()
--- a/internal/hedge/delay_test.go
+++ b/internal/hedge/delay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,15 +35,19 @@
 type store struct {
 	jaybarrow.JobStore
 	answerTime func() time.Duration
-	calls      int
+
+	lock  sync.Mutex // guards calls, and is held while answerTime is called
+	calls int
 }
 
 func (s *store) Commit(ctx context.Context, _ jaybarrow.Commit) (jaybarrow.Revision, error) {
+	s.lock.Lock()
 	s.calls++
 	var answer <-chan time.Time
 	if d := s.answerTime(); d > 0 {
 		answer = time.After(d)
 	}
+	s.lock.Unlock()
 	select {
 	case <-ctx.Done():
 		return 0, ctx.Err()
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -148,6 +148,12 @@
 		}
 		return 0
 	})
+	d.Metrics.Gauge("rounds.inProgress", func() int64 {
+		if s := h.activeScheduler.Load(); s != nil {
+			return int64(s.RoundsInProgress())
+		}
+		return 0
+	})
 	d.Metrics.Gauge("dispatch.delayMs", func() int64 {
 		if s := h.activeScheduler.Load(); s != nil {
 			return s.DispatchDelay().Milliseconds()
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -59,7 +59,7 @@
 
 // sendStart sends a start order if this term may still be the present one.
 func (p *poolShard) sendStart(ctx context.Context, s workload.StartRun) (jaybarrow.StartAnswer, error) {
-	if !p.deps.Term.Valid() {
+	if p.deposed.Load() || !p.deps.Term.Valid() {
 		return jaybarrow.StartAnswer{Outcome: jaybarrow.StartUnhealthy}, errLeadEnded
 	}
 	p.startsSent.Add(1)
--- a/internal/scheduler/poolshard.go
+++ b/internal/scheduler/poolshard.go
@@ -17,28 +17,30 @@
 	"github.com/jaybarrow/jaybarrow/internal/workload"
 )
 
-// poolShard schedules one pool. One loop plans, stores the decisions and sends the orders; for each worker, another loop renews
-// the worker's lease and collects its reports.
+// poolShard schedules one pool. One loop plans; each round of decisions is stored, and its orders are then sent, in a goroutine of its own. For each
+// worker, another loop renews the worker's lease and collects its reports.
 type poolShard struct {
-	deps         Deps
-	id           jaybarrow.PoolID
-	ctx          context.Context
-	log          zerolog.Logger
-	writer       *writer
-	forgetJob    func(jaybarrow.JobID)   // called when a job's records have been removed
-	startSlots   chan struct{}           // of the scheduler
-	orders       *budget.Orders          // of the scheduler
-	waitingTasks *atomic.Int64           // of all pools
-	throughput   *budget.Throughput      // of the scheduler
-	startsSent   *atomic.Int64           // of all pools
-	advice       *adviceCalls            // of the scheduler
-	advised      bool                    // whether jobs waited for advice after the last plan; used by the planning loop only
-	group        *rungroup.Group         // a part that fails ends the term
-	senders      *rungroup.GoroutinePool // of the scheduler, for orders to workers
-	wake         chan struct{}           // has a value when the planning loop must plan again
-	jobsLoaded   chan struct{}           // closed once the stored jobs are loaded
-	loadOnce     sync.Once               // closes jobsLoaded
-	written      *notify.Notifier        // signalled after each write of decisions
+	deps             Deps
+	id               jaybarrow.PoolID
+	ctx              context.Context
+	log              zerolog.Logger
+	writer           *writer
+	forgetJob        func(jaybarrow.JobID)   // called when a job's records have been removed
+	startSlots       chan struct{}           // of the scheduler
+	orders           *budget.Orders          // of the scheduler
+	waitingTasks     *atomic.Int64           // of all pools
+	throughput       *budget.Throughput      // of the scheduler
+	startsSent       *atomic.Int64           // of all pools
+	deposed          *atomic.Bool            // of the scheduler; whether a write has shown that another one leads
+	roundsInProgress *atomic.Int64           // of all pools
+	advice           *adviceCalls            // of the scheduler
+	advised          bool                    // whether jobs waited for advice after the last plan; used by the planning loop only
+	group            *rungroup.Group         // a part that fails ends the term
+	senders          *rungroup.GoroutinePool // of the scheduler, for orders to workers
+	wake             chan struct{}           // has a value when the planning loop must plan again
+	jobsLoaded       chan struct{}           // closed once the stored jobs are loaded
+	loadOnce         sync.Once               // closes jobsLoaded
+	written          *notify.Notifier        // signalled after each write of decisions
 
 	lock      sync.Mutex // guards the fields below; never held across I/O
 	state     *workload.Pool
@@ -68,7 +70,7 @@
 		state: workload.New(workload.Deps{
 			Settings: d.Settings.Workload, ID: id, Fence: d.Term.Fence, Teams: s.teams, Observer: d.Observer, Policies: s.policy,
 		}),
-		holdLoops: make(map[jaybarrow.WorkerID]bool), gates: make(map[int]*gate), throughput: &s.throughput, startsSent: &s.startsSent, advice: s.advice,
+		holdLoops: make(map[jaybarrow.WorkerID]bool), gates: make(map[int]*gate), throughput: &s.throughput, startsSent: &s.startsSent, deposed: &s.deposed, roundsInProgress: &s.roundsInProgress, advice: s.advice,
 	}
 	select {
 	case <-s.loaded:
@@ -142,22 +144,24 @@
 		return nil
 	case <-p.jobsLoaded:
 	}
+	rounds := newRounds(p)
 	for {
 		plannedAt := p.deps.Clock.Now()
-		if err := p.planRound(ctx); err != nil {
-			if errors.Is(err, errDeposed) {
-				// Another leader is no fault of this process.
-				p.deps.Term.Resign("the store holds another leader's record")
-				<-ctx.Done()
-			}
+		round, err := p.plan()
+		if err != nil {
 			return err
 		}
-		select {
-		case <-ctx.Done():
+		if !round.Empty() {
+			rounds.start(ctx, round)
+		}
+		if err := rounds.awaitTurn(ctx); err != nil {
+			return err
+		}
+		if err := rounds.awaitChange(ctx, plannedAt); err != nil {
+			return err
+		}
+		if ctx.Err() != nil {
 			return nil
-		case <-p.wake:
-			p.sleep(ctx, p.planInterval()-p.deps.Clock.Now().Sub(plannedAt))
-		case <-p.deps.Clock.After(p.untilNextPlan()):
 		}
 	}
 }
@@ -186,8 +190,8 @@
 	return limit
 }
 
-// planRound plans once. It sends stops and throttle orders immediately, and starts only after their records are stored.
-func (p *poolShard) planRound(ctx context.Context) error {
+// plan decides what to do now.
+func (p *poolShard) plan() (workload.Round, error) {
 	var round workload.Round
 	var advised bool
 	var waiting []advice.Backlog
@@ -198,28 +202,41 @@
 		round = p.state.Plan(now, p.deps.Term.Valid())
 		advised, waiting = p.state.HasAdvised(), p.state.AdviceBacklog()
 	}) {
-		return errFailed
+		return workload.Round{}, errFailed
 	}
 	if advised || p.advised {
 		p.advice.planned(p.id, waiting)
 	}
 	p.advised = advised
-	if round.Empty() {
-		return nil
-	}
+	return round, nil
+}
+
+// sendUnwritten sends those orders of a round that need not wait for its records.
+func (p *poolShard) sendUnwritten(ctx context.Context, round workload.Round) {
 	for _, s := range round.Stops {
 		p.senders.Go("stop order", func() { p.stopRun(ctx, s) })
 	}
 	for _, s := range round.Throttles {
 		p.group.Go("throttle order", func() { p.throttleRun(ctx, s) })
 	}
+}
+
+// finishRound stores the records of a round and then sends its starts.
+func (p *poolShard) finishRound(ctx context.Context, round workload.Round) error {
 	if err := p.writer.write(ctx, round.Records); err != nil {
+		if errors.Is(err, errDeposed) {
+			// Another leader is no fault of this process.
+			p.deposed.Store(true)
+			p.deps.Term.Resign("the store holds another leader's record")
+		}
 		return err
 	}
 	var starts []workload.StartRun
+	var due bool
 	if !p.locked(func() {
 		p.state.MarkWritten(round)
 		starts = p.sendableStarts(round.Starts)
+		due = p.state.HasWritesDue()
 	}) {
 		return errFailed
 	}
@@ -230,6 +247,10 @@
 	if len(round.Expired) > 0 {
 		p.group.Go("removal of records", func() { p.removeRecords(ctx, round.Expired) })
 	}
+	if due {
+		// Changes of the round's jobs have waited for it.
+		p.signal()
+	}
 	return nil
 }
 
@@ -250,7 +271,7 @@
 // sendableStarts returns the starts that may still be sent, with the lease of each filled in and a start slot taken for it. Starts beyond
 // the free slots and the budget of orders stay planned and are part of the next round. The lock is held.
 func (p *poolShard) sendableStarts(starts []workload.StartRun) []workload.StartRun {
-	if !p.deps.Term.Valid() {
+	if p.deposed.Load() || !p.deps.Term.Valid() {
 		return nil
 	}
 	var out []workload.StartRun
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -34,6 +34,10 @@
 	CommitRetryDelay time.Duration
 	// MaxConcurrentCommits bounds the writes of progress in progress, of all pools.
 	MaxConcurrentCommits int
+	// OverlapAfter is how long a round may be in progress before the next one is planned beside it, and MaxRounds how many of a pool may be in
+	// progress; 1 is one after the other.
+	OverlapAfter time.Duration
+	MaxRounds    int
 	// TakeoverSlack is how much longer than the overlapping calls for one page a takeover may read nothing before the term ends.
 	TakeoverSlack time.Duration
 	// Input and Register configure the followers of accepted jobs and of the register of workers.
@@ -58,7 +62,11 @@
 		CommitRetryDelay: 30 * time.Millisecond,
 		// Of the 24 connections to the store some are left for the renewals of the leader's lease, for callers and for repeated writes.
 		MaxConcurrentCommits: 22,
-		TakeoverSlack:        time.Second,
+		// Ten times the store's usual response time: rounds overlap only while the store is slow, since each of them collects the changes that
+		// come meanwhile. Four of them use the time of an answer of 0.3 s.
+		OverlapAfter:  50 * time.Millisecond,
+		MaxRounds:     4,
+		TakeoverSlack: time.Second,
 		// Accepted jobs are also announced, so the pause only batches what the announcements have brought already.
 		Input: follow.Settings{Wait: 2 * time.Second, Slack: 600 * time.Millisecond, Pause: 50 * time.Millisecond, RetryDelay: 50 * time.Millisecond},
 		// Workers renew their entries continually; the pause batches the changes into a few calls a second.
--- a/internal/scheduler/slowstore_test.go
+++ b/internal/scheduler/slowstore_test.go
@@ -29,6 +29,8 @@
 	answerTime time.Duration
 	calls      int // commits that were sent
 	writes     int // commits that took effect
+	inProgress int // commits of progress
+	most       int // of them at once
 }
 
 func newPacedStore(f *advisedFleet) *pacedStore {
@@ -45,6 +47,15 @@
 	s.lock.Lock()
 	s.calls++
 	took := s.answerTime
+	if _, progress := jaybarrow.ParseJobStateKey(c.Puts[0].Key); progress {
+		s.inProgress++
+		s.most = max(s.most, s.inProgress)
+		defer func() {
+			s.lock.Lock()
+			defer s.lock.Unlock()
+			s.inProgress--
+		}()
+	}
 	s.lock.Unlock()
 	// The changes are made half-way, so that a call which is cancelled later has taken effect.
 	var at jaybarrow.Revision
@@ -85,8 +96,8 @@
 
 // playSlowTurn lets jobs of four tasks of 0.2 s arrive at three times the rate that their pools carry, while the store answers in 292 ms instead of
 // 4 ms, and returns what happened from a second after the store became slow. Unless the scheduler follows the store, writes are repeated after a fixed
-// delay, also those that wait for a connection.
-func playSlowTurn(t *testing.T, follows bool) slowTurn {
+// delay, also those that wait for a connection. So many rounds of a pool may be in progress.
+func playSlowTurn(t *testing.T, follows bool, rounds int) slowTurn {
 	var out slowTurn
 	synctest.Test(t, func(*testing.T) {
 		const workers, runs, settling, turn = 40, 200 * time.Millisecond, time.Second, 5 * time.Second
@@ -95,6 +106,7 @@
 		store := newPacedStore(f)
 		store.setAnswerTime(4 * time.Millisecond)
 		settings := DefaultSettings()
+		settings.MaxRounds = rounds
 		var commits *latency.Estimator
 		if follows {
 			commits = latency.New()
@@ -143,18 +155,48 @@
 	return latency.NewStore(s, jaybarrow.SystemClock{}, commits, nil)
 }
 
-// startsVariation is the part by which the starts of two plays of the same load differ at most; the order in which the pools write varies.
-const startsVariation = 0.2
-
 // Load pattern: the store answers in 292 ms instead of 4 ms while demand is several times what the pools run at once. Nothing is lost, so each write
-// must take one call, and the leader must not start less than it does with a fixed delay.
+// must take one call, and the leader must start more than with a fixed delay and one round after the other.
 func TestASlowStoreGetsNoRepeatedWritesUnderLoad(t *testing.T) {
-	fixed, following := playSlowTurn(t, false), playSlowTurn(t, true)
-	t.Logf("with a fixed delay %+v, with one that follows the store %+v", fixed, following)
-	assert.Assert(t, fixed.calls > fixed.writes+storeConnections, "the load does not show the fault: %+v", fixed)
+	off := playSlowTurn(t, false, 1)
+	on := playSlowTurn(t, true, DefaultSettings().MaxRounds)
+	t.Logf("with a fixed delay and one round after the other %+v, else %+v", off, on)
+	assert.Assert(t, off.calls > off.writes+storeConnections, "the load does not show the fault: %+v", off)
 	// The calls that were sent and had not taken effect at either end of the time differ by at most the number of connections.
-	assert.Assert(t, following.calls <= following.writes+storeConnections, "%d calls for %d writes", following.calls, following.writes)
-	assert.Assert(t, float64(following.starts) >= (1-startsVariation)*float64(fixed.starts), "%d starts, with a fixed delay %d", following.starts, fixed.starts)
+	assert.Assert(t, on.calls <= on.writes+storeConnections, "%d calls for %d writes", on.calls, on.writes)
+	assert.Assert(t, on.starts > off.starts, "%d starts, %d without", on.starts, off.starts)
+}
+
+// Guards against rounds that overlap while the store answers as usual, which makes more and smaller writes, and against more rounds in progress than
+// the bound, or none beside another, while it is slow. Each round has few jobs, so that it is one commit.
+func TestRoundsOverlapOnlyWhileTheStoreIsSlow(t *testing.T) {
+	for _, answerTime := range []time.Duration{4 * time.Millisecond, 40 * time.Millisecond, 292 * time.Millisecond} {
+		t.Run(answerTime.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				queue := advisedQueue{id: "match", pool: "desk"}
+				f := newAdvisedFleet(nil, 10, queue)
+				store, commits, settings := newPacedStore(f), latency.New(), DefaultSettings()
+				store.setAnswerTime(answerTime)
+				settings.Commit.Delay = time.Second // no write is repeated, so that each commit in progress is another round
+				s := New(Deps{
+					Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Register: f, Agents: f, Catalog: f.catalog, Observer: f,
+					Store: store, CommitTimes: commits, Settings: settings,
+					Term: leader.Term{Fence: 1, Revision: 1, Valid: func() bool { return true }, Resign: func(string) {}},
+				})
+				time.Sleep(2 * time.Second)
+				for n := range 200 {
+					f.submit(s, queue, jaybarrow.JobID(fmt.Sprintf("job-%03d", n)), 1, 1000, 100*time.Millisecond)
+					time.Sleep(100 * time.Millisecond)
+				}
+				s.Close()
+				if answerTime < 50*time.Millisecond {
+					assert.Equal(t, store.most, 1)
+					return
+				}
+				assert.Assert(t, store.most > 1 && store.most <= settings.MaxRounds, "%d rounds in progress", store.most)
+			})
+		})
+	}
 }
 
 // Load pattern: jobs of many short steps are handed in while the store answers in 292 ms. A job that cannot be of use any more because each of its
--- a/internal/workload/index.go
+++ b/internal/workload/index.go
@@ -88,6 +88,7 @@
 	}
 	p.teams.Release(job.spec.Team, r.charged)
 	delete(p.planned, r)
+	delete(p.unsent, r)
 	delete(p.stopping, r)
 	p.placementsDue = true
 }
@@ -107,6 +108,7 @@
 	switch r.phase {
 	case runPlanned:
 		delete(p.planned, r)
+		delete(p.unsent, r)
 	case runStopping:
 		delete(p.stopping, r)
 	}
@@ -142,5 +144,5 @@
 // HasPlacementsDue reports whether tasks may be placeable that the last plan did not place.
 func (p *Pool) HasPlacementsDue() bool { return p.placementsDue && len(p.waiting) > 0 }
 
-// HasUnsentRuns reports whether assigned runs wait for their start orders.
-func (p *Pool) HasUnsentRuns() bool { return len(p.planned) > 0 }
+// HasUnsentRuns reports whether runs whose assignment is stored wait for their start orders.
+func (p *Pool) HasUnsentRuns() bool { return len(p.unsent) > 0 }
--- a/internal/workload/instance.go
+++ b/internal/workload/instance.go
@@ -35,6 +35,7 @@
 	}
 	w.restarted = w.restarted || w.reported
 	w.processedEnds, w.storedEnds, w.firstListed, w.reported, w.clock, w.faults = 0, 0, 0, false, 0, 0
+	w.unstoredEnds = nil
 	delete(p.unstoredEnds, w)
 	p.sweepDue = true
 	if uncertain > 0 {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -34,6 +34,9 @@
 	work         float64       // estimated core-seconds of the whole job
 	wholePath    time.Duration // estimated time of the longest chain of steps
 	criticalPath time.Duration // the same for the steps that are not done
+	change       changeNumber  // the last one
+	storedChange changeNumber  // the last one that the store holds
+	writtenIn    roundNumber   // the round in progress that writes the record; 0 when none does
 	dispatch     time.Duration // of each step in dispatchPath; 0 when that is not known
 	dispatchPath time.Duration // criticalPath with the dispatch of each step
 	order        placementOrder
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -208,7 +208,7 @@
 
 // markStarted records that runs of the job were assigned; the record is written without the batch delay.
 func (p *Pool) markStarted(j *job, now time.Time) {
-	p.urgentWrites[j] = true
+	p.markUrgent(j, now)
 	j.state = jaybarrow.JobRunning
 	if !j.started {
 		j.started = true
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -32,23 +32,18 @@
 
 // Round is the result of one Plan. Stops and throttles may be sent immediately, starts only after the records are written.
 type Round struct {
-	Records       []JobRecord
-	Starts        []StartRun // in the order of their assignment
-	Stops         []StopRun
-	Throttles     []ThrottleRun
-	Expired       []jaybarrow.JobID // jobs whose retention is over; their records may be removed
-	processedEnds map[jaybarrow.WorkerID]endPosition
-}
-
-// endPosition is the last processed end of an instance of a worker; it may be acknowledged once the round is written.
-type endPosition struct {
-	instance instanceNumber
-	number   jaybarrow.EndNumber
+	Records   []JobRecord
+	Starts    []StartRun // in the order of their assignment
+	Stops     []StopRun
+	Throttles []ThrottleRun
+	Expired   []jaybarrow.JobID // jobs whose retention is over; their records may be removed
+	number    roundNumber
+	change    changeNumber // the last one of a job that the records hold
 }
 
 // Empty reports whether there is nothing to do.
 func (r Round) Empty() bool {
-	return len(r.Records)+len(r.Starts)+len(r.Stops)+len(r.Throttles)+len(r.Expired) == 0 && len(r.processedEnds) == 0
+	return len(r.Records)+len(r.Starts)+len(r.Stops)+len(r.Throttles)+len(r.Expired) == 0
 }
 
 // Plan decides what to do now. No task is started unless starting is true.
@@ -140,7 +135,9 @@
 				}
 			}
 		case j.storedState == j.state && !j.stubStored:
-			p.markChanged(j, now)
+			if j.writtenIn == 0 {
+				p.markChanged(j, now)
+			}
 		case j.storedState == j.state:
 			delete(p.jobs, j.spec.ID)
 			delete(p.ended, j)
@@ -206,37 +203,32 @@
 	return out
 }
 
-// collectWrites adds the records to write, the starts that depend on them and the ends that they cover, if a write is due.
+// collectWrites adds the records to write and the starts that may be sent then, if any are due. A job whose record an earlier round is writing is
+// in neither: its changes wait until that is done.
 func (p *Pool) collectWrites(out *Round, now time.Time) {
+	p.rounds++
+	out.number, out.change = p.rounds, p.changes
 	batchDue := len(p.delayedWrites) == 0 || now.Sub(p.delayedSince) >= p.batchDelay
-	if len(p.urgentWrites) == 0 && (!batchDue || len(p.delayedWrites)+len(p.unstoredEnds)+len(p.planned) == 0) {
+	if len(p.urgentWrites) == 0 && (!batchDue || len(p.delayedWrites)+len(p.unsent) == 0) {
 		return
 	}
 	if batchDue {
 		maps.Copy(p.urgentWrites, p.delayedWrites)
 	}
 	for _, j := range slices.SortedFunc(maps.Keys(p.urgentWrites), byID) {
-		out.Records = append(out.Records, j.jobRecord(p.settings.ProgressByMarks))
-		delete(p.delayedWrites, j)
+		p.beginWrite(j, out)
 	}
 	clear(p.urgentWrites)
 	p.collectStarts(out)
-	if len(p.delayedWrites) > 0 {
-		// The changes that wait may include an end that would be acknowledged.
-		return
-	}
-	for w := range p.unstoredEnds {
-		if out.processedEnds == nil {
-			out.processedEnds = make(map[jaybarrow.WorkerID]endPosition, len(p.unstoredEnds))
-		}
-		out.processedEnds[w.entry.ID] = endPosition{instance: w.instance, number: w.processedEnds}
-	}
 }
 
-// collectStarts adds the starts of the planned runs. A start remains planned when it was not sent after its write.
+// collectStarts adds the starts of the planned runs whose assignment the round writes or the store holds already. The latter were not sent after
+// their write.
 func (p *Pool) collectStarts(out *Round) {
 	for _, r := range slices.SortedFunc(maps.Keys(p.planned), func(a, b *run) int { return cmp.Compare(a.assignment, b.assignment) }) {
-		out.Starts = append(out.Starts, p.startOrder(r))
+		if r.task.step.job.writtenIn == out.number || p.unsent[r] {
+			out.Starts = append(out.Starts, p.startOrder(r))
+		}
 	}
 }
 
@@ -259,24 +251,28 @@
 	}}
 }
 
-// MarkWritten records that the round's records are stored: Status returns the new states and the ends may be acknowledged.
+// MarkWritten records that the round's records are stored: Status returns the new states, the starts may be sent and the ends may be acknowledged.
+// Rounds may be written in any order.
 func (p *Pool) MarkWritten(round Round) {
 	for _, s := range round.Records {
 		if j := p.jobs[s.Job]; j != nil {
 			j.storedState, j.stubStored = s.Record.State, s.Accepted != nil
+			p.endWrite(j, round)
 		}
 	}
-	for id, n := range round.processedEnds {
-		if w := p.workers[id]; w != nil && w.instance == n.instance {
-			w.storedEnds = max(w.storedEnds, n.number)
-			if w.storedEnds >= w.processedEnds {
-				delete(p.unstoredEnds, w)
+	for _, s := range round.Starts {
+		if w := p.workers[s.Worker.ID]; w != nil {
+			if r := w.runs[runKey{s.Task, s.Run}]; r != nil && r.phase == runPlanned {
+				p.unsent[r] = true
 			}
 		}
 	}
+	for w := range p.unstoredEnds {
+		p.settleEnds(w)
+	}
 }
 
-// MarkSent marks a planned run as sent and adds the lease to its order; false when it must not be sent any more.
+// MarkSent marks a planned run whose assignment is stored as sent and adds the lease to its order; false when it must not be sent.
 func (p *Pool) MarkSent(s StartRun, now time.Time) (StartRun, bool) {
 	w := p.workers[s.Worker.ID]
 	if w == nil {
@@ -290,6 +286,9 @@
 		p.endRun(r, jaybarrow.EndStopped, "", now)
 		return s, false
 	}
+	if !p.unsent[r] {
+		return s, false
+	}
 	s.Order.Expires = w.leaseExpiry(now, p.settings.Lease)
 	w.extendLease(s.Order.Expires, now)
 	p.dispatch.Observe(now, now.Sub(r.phaseSince))
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -63,6 +63,9 @@
 	urgentWrites  map[*job]bool                      // changed jobs that the next plan writes; starts or answers wait for the write
 	delayedWrites map[*job]bool                      // changed jobs whose write may wait for the batch delay
 	delayedSince  time.Time                          // when the oldest delayed write was requested
+	blockedWrites map[*job]blockedWrite              // changed jobs whose records are being written
+	changes       changeNumber                       // of jobs, so far
+	rounds        roundNumber                        // so far
 	arrivals      arrivals
 	runTimes      runTimes
 	dispatch      dispatch.Delay // from the assignment of tasks to their start orders
@@ -74,6 +77,7 @@
 	waiting        map[*job]bool                            // holds every job with unassigned tasks, and jobs that no longer have any
 	ended          map[*job]bool                            // ended jobs whose runs are not all stopped, or whose state is not stored
 	planned        map[*run]bool                            // runs in the phase runPlanned
+	unsent         map[*run]bool                            // those of planned whose assignment is stored
 	stopping       map[*run]bool                            // runs in the phase runStopping
 	unstoredEnds   map[*worker]bool                         // workers with ends that are processed and not stored
 	teamUsed       map[jaybarrow.TeamID]jaybarrow.Resources // in use by runs of tasks that do not last
@@ -116,6 +120,7 @@
 		settings: d.Settings, id: d.ID, fence: d.Fence, teams: d.Teams, observer: d.Observer, policies: d.Policies,
 		jobs: make(map[jaybarrow.JobID]*job), endedJobs: make(map[jaybarrow.JobID]endedJob),
 		workers: make(map[jaybarrow.WorkerID]*worker), endedWorkers: make(map[jaybarrow.WorkerID]endedWorker), urgentWrites: make(map[*job]bool), delayedWrites: make(map[*job]bool),
+		blockedWrites: make(map[*job]blockedWrite), unsent: make(map[*run]bool),
 		waiting: make(map[*job]bool), ended: make(map[*job]bool), planned: make(map[*run]bool), stopping: make(map[*run]bool),
 		unstoredEnds: make(map[*worker]bool), teamUsed: make(map[jaybarrow.TeamID]jaybarrow.Resources),
 		labelUsed: make(map[jaybarrow.Label]jaybarrow.Resources), renewInterval: d.Settings.RenewInterval,
@@ -267,14 +272,6 @@
 	p.updateState(j, now)
 }
 
-// markChanged schedules a batched write of the job's record.
-func (p *Pool) markChanged(j *job, now time.Time) {
-	if len(p.delayedWrites) == 0 {
-		p.delayedSince = now
-	}
-	p.delayedWrites[j] = true
-}
-
 // markDone marks a task as done, and with it the rest of its gang.
 func (p *Pool) markDone(t *task) {
 	if !t.step.spec.Gang {
@@ -344,7 +341,7 @@
 	if j.state == before {
 		return
 	}
-	p.urgentWrites[j] = true
+	p.markUrgent(j, now)
 	if j.state.Ended() {
 		j.endedMs = now.UnixMilli()
 		p.ended[j] = true
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -126,7 +126,7 @@
 	if !wasUsable && w.usable(received, p.settings.ReportGrace) {
 		p.placementsDue = true
 	}
-	return p.placementsDue || len(p.unknownRuns)+len(p.stopping)+len(p.unstoredEnds) > 0
+	return p.placementsDue || len(p.unknownRuns)+len(p.stopping) > 0 || p.HasWritesDue()
 }
 
 // processEnds applies listed ends, except those of earlier reports: a worker lists an end until it is acknowledged.
@@ -136,7 +136,6 @@
 			continue
 		}
 		w.processedEnds = e.Number
-		p.unstoredEnds[w] = true
 		r := w.runs[runKey{e.Task, e.Run}]
 		if r != nil {
 			p.endRun(r, e.Kind, e.Checkpoint, now)
@@ -144,7 +143,9 @@
 		if e.Kind == jaybarrow.EndDone && (r == nil || r.task.stray) {
 			p.adoptDone(e, now)
 		}
+		p.addUnstoredEnd(w, e)
 	}
+	p.settleEnds(w)
 }
 
 // adoptDone marks a task as done whose run was given up before its end was known: its worker was silent until its lease had ended, and
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -31,6 +31,7 @@
 	firstListed     jaybarrow.EndNumber // the lowest end that the last report listed; 0 when it listed none
 	processedEnds   jaybarrow.EndNumber // ends up to this number are processed
 	storedEnds      jaybarrow.EndNumber // ends up to this number are also stored
+	unstoredEnds    []unstoredEnd       // the processed ones after them
 	// backoffUntil is when the worker may receive new tasks again after it refused a start or was ejected.
 	backoffUntil    time.Time
 	faults          int // runs that failed or stalled, and invalid starts, since the last success
