--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -60,7 +60,7 @@
 	if p.noteAsker(g, r.Team, now) {
 		g = p.readLoad(priority, now)
 	}
-	path := dispatch.Path(r.CriticalPath, r.PathSteps, p.state.DispatchDelay(now))
+	path := dispatch.Path(r.CriticalPath, r.PathSteps, p.dispatchDelay(now))
 	job := admission.Job{Work: r.Work, CriticalPath: path, Target: target, Advice: p.state.AdviceTime(r.Queue)}
 	load := g.load
 	if job.Advice == 0 {
--- a/internal/scheduler/dispatching.go
+++ b/internal/scheduler/dispatching.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/dispatch"
 )
 
-// dispatchLogInterval is the least time between two lines on the dispatch of one pool's tasks.
+// dispatchLogInterval is the least time between two lines on the dispatch of steps.
 const dispatchLogInterval = 5 * time.Second
 
-// dispatchLog is what was last logged of the dispatch of a pool's tasks.
+// dispatchLog is what was last logged of the dispatch of steps.
 type dispatchLog struct {
 	slow bool
 	at   time.Time
@@ -24,31 +24,23 @@
 	return true
 }
 
-// DispatchDelay returns how long tasks lately wait for their start orders after their assignment, in the pool where it takes longest; 0 while that
-// is not noticeable anywhere.
+// DispatchDelay returns how long the dispatch of each step takes; 0 while that is not noticeable.
 func (s *Scheduler) DispatchDelay() time.Duration {
-	now := s.deps.Clock.Now()
-	var longest time.Duration
-	s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) {
-		p.locked(func() { longest = max(longest, p.state.DispatchDelay(now)) })
-	})
-	return longest
+	return dispatch.Delay(s.deps.CommitTimes.Usual(s.deps.Clock.Now()))
 }
 
-// logDispatch logs for which pools the delay of starts begins and ceases to count in the order of jobs and in admission.
+// dispatchDelay returns how long the dispatch of each step takes.
+func (p *poolShard) dispatchDelay(now time.Time) time.Duration {
+	return dispatch.Delay(p.deps.CommitTimes.Usual(now))
+}
+
+// logDispatch logs when the dispatch of steps begins and ceases to count in the order of jobs and in admission.
 func (s *Scheduler) logDispatch(now time.Time) {
-	s.pools.Each(func(_ jaybarrow.PoolID, p *poolShard) {
-		var delay time.Duration
-		var due bool
-		p.locked(func() {
-			delay = p.state.DispatchDelay(now)
-			due = p.dispatch.due(delay > 0, now)
-		})
-		switch {
-		case due && delay > 0:
-			p.log.Warn().Int64("delayMs", delay.Milliseconds()).Msg("starts wait long after their assignment; the wait counts for each step of a job")
-		case due:
-			p.log.Info().Msg("starts follow their assignment at once again")
-		}
-	})
+	delay := s.DispatchDelay()
+	switch due := s.dispatch.due(delay > 0, now); {
+	case due && delay > 0:
+		s.deps.Log.Warn().Int64("delayMs", delay.Milliseconds()).Msg("starts wait long for the store; the wait counts for each step of a job")
+	case due:
+		s.deps.Log.Info().Msg("starts follow their assignment at once again")
+	}
 }
--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -46,7 +46,7 @@
 // backlog calls visit for each job with waiting work.
 func (p *Pool) backlog(priority int, now time.Time, visit func(j *job, waiting jaybarrow.Work, tasks int, inTime bool)) admission.Load {
 	var out admission.Load
-	delay := p.dispatch.Value(now)
+	delay := p.dispatchDelay
 	for _, w := range p.sortedWorkers() {
 		if w.willTakeTasks() {
 			out.Capacity = out.Capacity.Plus(w.entry.Capacity.Minus(w.lastingUsed))
@@ -80,8 +80,8 @@
 	return out
 }
 
-// DispatchDelay returns how long the pool's tasks lately wait for their start orders; 0 while that is not noticeable.
-func (p *Pool) DispatchDelay(now time.Time) time.Duration { return p.dispatch.Value(now) }
+// SetDispatchDelay sets how long the dispatch of each step takes, beside the run times of its tasks.
+func (p *Pool) SetDispatchDelay(d time.Duration) { p.dispatchDelay = d }
 
 // Target returns within which time a job with the critical path should be completed, and the priority of its queue; false when the queue is
 // not configured.
--- a/internal/workload/evacuate_test.go
+++ b/internal/workload/evacuate_test.go
@@ -160,6 +160,7 @@
 			h.evacuate("z2")
 			next := h.pool.Plan(h.now, true)
 			assert.DeepEqual(h, startedOn(next.Starts), []jaybarrow.WorkerID{"w9"})
+			h.pool.MarkWritten(next)
 		}},
 		{"just before it is sent", func(h *harness, round workload.Round) {
 			h.pool.MarkWritten(round)
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -135,7 +135,7 @@
 
 // order sorts the jobs. While admission limits teams to their parts of the pool, the order is the one that admission counts on.
 func (p *Pool) order(waiting []*job, now time.Time) {
-	delay := p.dispatch.Value(now)
+	delay := p.dispatchDelay
 	divided := p.division != nil && p.division.Divided()
 	var overShare map[jaybarrow.TeamID]int
 	if !divided {
@@ -229,7 +229,7 @@
 
 // markStarted records that runs of the job were assigned; the record is written without the batch delay.
 func (p *Pool) markStarted(j *job, now time.Time) {
-	p.urgentWrites[j] = true
+	p.markUrgent(j, now)
 	j.state = jaybarrow.JobRunning
 	if !j.started {
 		j.started = true
