Bound what clients can make an entry host hold

Cause: bodies were read whole, up to 1 MiB each, before anything checked them, on any number of connections; the configured max_body_bytes was not applied; compressed bodies and wide JSON were decoded without a bound; messages between entry hosts and answers of servers had a bound of their own only; and nothing kept descriptors for the calls to the store and the workers.

Change: internal/clientlimit counts over all connections of a process the bytes of bodies (from before they are read until the request is answered), of incomplete or running calls of other entry hosts and of large answers, and bounds the connections of each listener. A full listener closes the connection that has waited longest without a request, never one whose request is in progress. A body over the limit is refused by its headers. Room for a body is taken before a byte of it is read; a body that has been arriving for 500 ms gives way to a waiting one, and a request without room gets 503 noRoom, which is true: nothing was accepted. Headers of max_header_bytes are served. Times without a request, for headers, bodies and answers are bounded.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -83,15 +83,16 @@
 	onFault := rungroup.EndProcess(logging.For(log, "join"), out.Close, func() { os.Exit(exitFailure) })
 	metrics := jobmetrics.New()
 	metrics.Gauge("log.dropped", out.Dropped)
+	limits := newClientLimits(planClientLimits(budget.Bytes(s.MemoryBytes), s.MaxDescriptors), logging.For(log, "limits"), metrics.Count)
 	if *port > 0 {
-		server, err := serveMetrics(net.JoinHostPort(s.IP, strconv.FormatUint(uint64(*port), 10)), metrics, logging.For(log, "metrics"), onFault)
+		server, err := serveMetrics(net.JoinHostPort(s.IP, strconv.FormatUint(uint64(*port), 10)), limits, metrics, logging.For(log, "metrics"), onFault)
 		if err != nil {
 			log.Error().Err(err).Msg("cannot serve the metrics; exiting")
 			return exitFailure
 		}
 		defer server.close()
 	}
-	return join(ctx, *file, s, *marks, log, metrics, onFault)
+	return join(ctx, *file, s, *marks, limits, log, metrics, onFault)
 }
 
 // hostSettings returns the settings of an entry host on the platform, fitted to what its host can carry and to the platform's bounds.
@@ -126,7 +127,7 @@
 }
 
 // join runs an entry host on the platform until ctx ends; onFault handles the failure of one of its background parts.
-func join(ctx context.Context, file string, s platform.Settings, progressByMarks bool, root zerolog.Logger, metrics *jobmetrics.Metrics, onFault rungroup.Handler) int {
+func join(ctx context.Context, file string, s platform.Settings, progressByMarks bool, limits *clientLimits, root zerolog.Logger, metrics *jobmetrics.Metrics, onFault rungroup.Handler) int {
 	log := logging.For(root, "join")
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	debug.SetGCPercent(gcPercent)
@@ -135,15 +136,19 @@
 		log.Error().Err(err).Msg("cannot listen; exiting")
 		return exitFailure
 	}
-	store := platform.NewStore(s.Store)
+	peers, callers := limits.peers(listeners[0], limits.limits.Calls, false), limits.http(listeners[1], "callers", limits.limits.Callers)
+	balancer := limits.http(listeners[2], "balancer", limits.limits.Balancer)
+	limits.addGauges(metrics, callers)
+	answers := platform.WithAnswers(limits.answers)
+	store := platform.NewStore(s.Store, answers)
 	defer store.Close()
-	fleet := platform.NewFleet(s.Fleet, s.EntryID)
+	fleet := platform.NewFleet(s.Fleet, s.EntryID, answers)
 	defer fleet.Close()
-	adviser := platform.NewAdviser(s.Adviser)
+	adviser := platform.NewAdviser(s.Adviser, answers)
 	defer adviser.Close()
 	settings := hostSettings(s, progressByMarks)
 	host := jobhost.New(jobhost.Deps{
-		Clock: jaybarrow.SystemClock{}, Log: root, Entry: s.EntryID, Peers: listeners[0], Settings: settings, Metrics: metrics,
+		Clock: jaybarrow.SystemClock{}, Log: root, Entry: s.EntryID, Peers: peers, Settings: settings, Metrics: metrics,
 		OnFault: onFault, LiveMemory: liveMemory,
 		OnLead: func(leads bool) {
 			if leads {
@@ -154,10 +159,10 @@
 		},
 		Platform: jobhost.Platform{
 			Store: store, Register: platform.NewRegister(logging.For(root, "register"), store),
-			Operators: platform.NewOperators(logging.For(root, "operators"), store), Agents: platform.NewAgents(), Fleet: fleet, Adviser: adviser,
+			Operators: platform.NewOperators(logging.For(root, "operators"), store), Agents: platform.NewAgents(answers), Fleet: fleet, Adviser: adviser,
 		},
 	})
-	front := platform.NewFront(logging.For(root, "front"), listeners[1], listeners[2], host, metrics, onFault)
+	front := platform.NewFront(logging.For(root, "front"), callers, balancer, host, metrics, onFault)
 	log.Info().Str("entry", string(s.EntryID)).Str("callers", string(s.Callers)).Str("version", version).Msg("joined")
 	recheckOnHangup(ctx, file, log)
 	log.Info().Msg("stopping")
--- a/cmd/jaybarrow/metrics.go
+++ b/cmd/jaybarrow/metrics.go
@@ -8,6 +8,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/clientlimit"
+	"github.com/jaybarrow/jaybarrow/internal/clientlimit/fiberlimit"
 	"github.com/jaybarrow/jaybarrow/internal/jobmetrics"
 	"github.com/jaybarrow/jaybarrow/internal/listen"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
@@ -22,13 +24,15 @@
 }
 
 // serveMetrics starts a server of the metrics at the address and returns it; a server that stops before close is reported to onFault.
-func serveMetrics(address string, metrics *jobmetrics.Metrics, log zerolog.Logger, onFault rungroup.Handler) (*metricsServer, error) {
+func serveMetrics(address string, limits *clientLimits, metrics *jobmetrics.Metrics, log zerolog.Logger, onFault rungroup.Handler) (*metricsServer, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &metricsServer{app: fiber.New(), listener: listen.New(jaybarrow.SystemClock{}, log, l), cancel: cancel, group: rungroup.New(onFault)}
+	l = limits.http(l, "metrics", limits.limits.Metrics)
+	s := &metricsServer{app: fiber.New(fiberlimit.Config(fiber.Config{})), listener: listen.New(jaybarrow.SystemClock{}, log, l), cancel: cancel, group: rungroup.New(onFault)}
+	fiberlimit.Guard(s.app, func() int { return 0 }, clientlimit.BodyTimeout)
 	s.app.Get("/metrics", func(c fiber.Ctx) error {
 		_, err := metrics.WriteTo(c.Response().BodyWriter())
 		return err
--- a/cmd/jaybarrow/serve.go
+++ b/cmd/jaybarrow/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"flag"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/budget"
 	"github.com/jaybarrow/jaybarrow/internal/entry"
 	"github.com/jaybarrow/jaybarrow/internal/etcd"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
@@ -46,6 +48,9 @@
 	return serve(ctx, s, log)
 }
 
+// bodyFraction is the part of the memory that bodies of waiting and running requests may take: one in so many bytes.
+const bodyFraction = 4
+
 // serve runs an entry host until ctx ends or a newer process has taken its id.
 func serve(ctx context.Context, s settings.Settings, root zerolog.Logger) int {
 	log := logging.For(root, "serve")
@@ -54,11 +59,20 @@
 		log.Error().Err(err).Msg("cannot listen; exiting")
 		return exitFailure
 	}
+	counters := new(expvar.Map).Init()
+	memory := budget.Bytes(s.Limits.MemoryMB) << 20
+	plan := planClientLimits(memory, s.Limits.Descriptors)
+	// Bodies are held until their requests are answered, and one of the largest size must find room.
+	plan.Bodies = max(memory/bodyFraction, 2*budget.Bytes(s.Queues.MaxBodyBytes))
+	limits := newClientLimits(plan, logging.For(root, "limits"), func(name string) { counters.Add(name, 1) })
+	callers = limits.http(callers, "callers", limits.limits.Callers)
+	// A forwarded request is a call until it is answered, and as many of them may wait as requests of own callers.
+	peers = limits.peers(peers, max(limits.limits.Calls, s.Queues.MaxWaiting), true)
 	client := etcd.New(entry.PlatformSettings(s, s.Platform.StoreAddress))
 	defer client.Close()
 	e := entry.New(entry.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: root, Platform: client, Settings: s,
-		Callers: callers, Peers: peers, Times: entry.DefaultTimes(),
+		Callers: callers, Peers: peers, Times: entry.DefaultTimes(), ClientLimits: counters,
 		OnFault: rungroup.EndProcess(log, func() {}, func() { os.Exit(exitFailure) }), // the log is not queued
 	})
 	log.Info().Str("callers", callers.Addr().String()).Str("peers", peers.Addr().String()).Msg("serving")
--- a/errors.go
+++ b/errors.go
@@ -21,6 +21,7 @@
 	KindNotFound             ErrorKind = "notFound"
 	KindNeverRunnable        ErrorKind = "neverRunnable"
 	KindQueueFull            ErrorKind = "queueFull"
+	KindNoRoom               ErrorKind = "noRoom"
 	KindDeadlineUnattainable ErrorKind = "deadlineUnattainable"
 	KindDeadlinePassed       ErrorKind = "deadlinePassed"
 	KindNoPermit             ErrorKind = "noPermit"
@@ -67,6 +68,7 @@
 	KindNotFound:             {http.StatusNotFound, EffectNotRun, false},
 	KindNeverRunnable:        {http.StatusUnprocessableEntity, EffectNotRun, false},
 	KindQueueFull:            {http.StatusTooManyRequests, EffectNotRun, true},
+	KindNoRoom:               {http.StatusServiceUnavailable, EffectNotRun, true},
 	KindDeadlineUnattainable: {http.StatusTooManyRequests, EffectNotRun, true},
 	KindDeadlinePassed:       {http.StatusGatewayTimeout, EffectNotRun, true},
 	KindNoPermit:             {http.StatusTooManyRequests, EffectNotRun, true},
--- /dev/null
+++ b/internal/clientlimit/fiberlimit/doc.go
@@ -0,0 +1,2 @@
+// Package fiberlimit applies the limits of clientlimit to an HTTP front end of fiber.
+package fiberlimit
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"expvar"
 	"net"
 	"time"
 
@@ -37,6 +38,8 @@
 	Peers    net.Listener
 	Times    Times
 	OnFault  rungroup.Handler // called when a background part fails; nil crashes the process
+	// ClientLimits counts how often the limits for clients were reached; nil when there are none.
+	ClientLimits expvar.Var
 }
 
 // Times are the intervals of an entry host, and the settings of its parts that the settings file does not set.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,6 +85,9 @@
 	e.records = directory.NewWriteThrough(deps.Platform, e.directory)
 	e.journal = journal.New(deps.Clock, journalEntries)
 	e.meter = metrics.New(deps.Clock, maxTeams)
+	if deps.ClientLimits != nil {
+		e.meter.Publish("clientLimits", deps.ClientLimits)
+	}
 	e.startPlatform()
 	e.startScheduler()
 	e.startPeers()
--- a/internal/httpapi/caller.go
+++ b/internal/httpapi/caller.go
@@ -63,8 +63,8 @@
 		},
 		AnswerWithin: time.Duration(d.number(HeaderAnswerWithin)) * time.Millisecond,
 		Declared:     time.Duration(d.number(HeaderRunTime)) * time.Millisecond,
-		// The body is opaque; fiber's Body would decompress it.
-		Body: append([]byte(nil), c.BodyRaw()...),
+		// The body is opaque; fiber's Body would decompress it. No other request uses its memory.
+		Body: c.BodyRaw(),
 	}
 	if id := c.Get(HeaderRequestID); id != "" {
 		in.ID = d.requestID(id)
--- a/internal/httpapi/errors.go
+++ b/internal/httpapi/errors.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/clientlimit/fiberlimit"
 )
 
 // ErrorResponse is the JSON body of an error.
@@ -22,6 +23,7 @@
 // writeError sends the response for the error's kind; the connection of a body that is too large lingers, so that the caller
 // receives the response.
 func (s *Server) writeError(c fiber.Ctx, err error) error {
+	fiberlimit.CountRefusal(c, err)
 	e := jaybarrow.AsError(withKind(err))
 	if e.Kind == jaybarrow.KindBodyTooLarge {
 		lingerOnClose(c.RequestCtx().Conn())
@@ -39,6 +41,8 @@
 	switch f.Code {
 	case fasthttp.StatusRequestEntityTooLarge:
 		return jaybarrow.Errorf(jaybarrow.KindBodyTooLarge, "the body is larger than this entry host accepts")
+	case fasthttp.StatusServiceUnavailable: // fiberlimit.ErrNoRoom
+		return jaybarrow.Errorf(jaybarrow.KindNoRoom, "%s", f.Message)
 	case fasthttp.StatusNotFound, fasthttp.StatusMethodNotAllowed:
 		return jaybarrow.Errorf(jaybarrow.KindNotFound, "this entry host has no such path and method")
 	// Fiber reports a read that timed out or failed with one of these two; the request is incomplete.
--- a/internal/httpapi/linger.go
+++ b/internal/httpapi/linger.go
@@ -37,6 +37,9 @@
 	once     sync.Once
 }
 
+// NetConn returns the connection that was accepted.
+func (c *lingeringConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection. A lingering connection is closed in the background: for writing at once, and for reading when
 // the caller has stopped sending or lingerTimeout has passed.
 func (c *lingeringConn) Close() error {
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/clientlimit/fiberlimit"
 	"github.com/jaybarrow/jaybarrow/internal/command"
 	"github.com/jaybarrow/jaybarrow/internal/command/request"
 	"github.com/jaybarrow/jaybarrow/internal/listen"
@@ -45,9 +46,11 @@
 const (
 	// IdleTimeout is the time after which an idle connection is closed, so that a graceful shutdown does not wait for it.
 	IdleTimeout = 30 * time.Second
-	// ReadTimeout bounds the time for receiving a request, so that a body that stops arriving neither holds memory nor delays a
-	// graceful shutdown.
-	ReadTimeout = 30 * time.Second
+	// BodyTimeout bounds the time for receiving a body, so that one that stops arriving neither holds memory nor delays a graceful
+	// shutdown.
+	BodyTimeout = 30 * time.Second
+	// WriteTimeout bounds the time in which a caller takes an answer.
+	WriteTimeout = 30 * time.Second
 )
 
 // New starts a Server on the listener; Close stops it. A server that stops earlier is reported to onFault.
@@ -57,9 +60,10 @@
 		settings: settings, handlers: handlers, log: log, stop: cancel, group: rungroup.New(onFault),
 		listener: &lingeringListener{Listener: listen.New(jaybarrow.SystemClock{}, log, listener), group: rungroup.New(onFault)},
 	}
-	s.app = fiber.New(fiber.Config{
-		BodyLimit: settings.MaxBody, ErrorHandler: s.writeError, IdleTimeout: IdleTimeout, ReadTimeout: ReadTimeout,
-	})
+	s.app = fiber.New(fiberlimit.Config(fiber.Config{
+		BodyLimit: settings.MaxBody, ErrorHandler: s.writeError, IdleTimeout: IdleTimeout, WriteTimeout: WriteTimeout,
+	}))
+	fiberlimit.Guard(s.app, func() int { return settings.MaxBody }, BodyTimeout)
 	s.app.Use(s.closeConnectionOnShutdown)
 	s.app.Get("/healthz", s.healthz)
 	s.app.Post("/v1/queues/:queue/requests", s.submit)
--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -191,6 +191,14 @@
 	return known && age <= h.deps.Settings.MaxReadyAge && !h.leaving.Load()
 }
 
+// MaxBody returns the largest body of a request by the configuration in force, in bytes; 0 when it sets no limit or is not known yet.
+func (h *Host) MaxBody() int {
+	if c := h.catalog.Configuration(); c != nil {
+		return c.MaxBody
+	}
+	return 0
+}
+
 // knowsConfiguration reports whether the configuration is known and recent enough to decide on jobs by it.
 func (h *Host) knowsConfiguration() bool {
 	age, known := h.catalog.Age(h.deps.Clock.Now())
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/clientlimit"
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer/jobpb"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
@@ -40,9 +41,9 @@
 // NewServer returns a Server that serves on the listener until Close. A server that stops earlier is reported to onFault.
 func NewServer(log zerolog.Logger, listener net.Listener, handler Handler, onFault rungroup.Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{handler: handler, cancel: cancel, group: rungroup.New(onFault), grpc: grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes), grpc.NumStreamWorkers(streamWorkers),
-	)}
+	options := append(clientlimit.ServerOptions(listener),
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes), grpc.NumStreamWorkers(streamWorkers))
+	s := &Server{handler: handler, cancel: cancel, group: rungroup.New(onFault), grpc: grpc.NewServer(options...)}
 	jobpb.RegisterJobsServer(s.grpc, s)
 	s.group.Keep(ctx, "peer server", func() error {
 		err := s.grpc.Serve(listener)
--- a/internal/jobpeer/server_test.go
+++ b/internal/jobpeer/server_test.go
@@ -1,14 +1,18 @@
 package jobpeer_test
 
 import (
+	"context"
 	"errors"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/clientlimit"
 	"github.com/jaybarrow/jaybarrow/internal/jobpeer"
 	"github.com/jaybarrow/jaybarrow/internal/logging"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
@@ -51,3 +55,37 @@
 	s.Close()
 	assert.Equal(t, len(faults), 0)
 }
+
+// answeringHandler answers the calls of the test.
+type answeringHandler struct{ jobpeer.Handler }
+
+func (answeringHandler) JobsWaiting(context.Context, jaybarrow.QueueID) (int, error) { return 7, nil }
+
+func (answeringHandler) Announce(jaybarrow.Record) error { return nil }
+
+// Guards against bytes of handled calls that stay counted, so that the connection of a busy entry host would be closed after a while.
+func TestHandledCallsAreNotCounted(t *testing.T) {
+	const callers, calls, valueBytes = 8, 200, 20_000
+	limited := clientlimit.New(listener(t), clientlimit.Settings{Name: "peers", MaxConnections: 10, Messages: 8 << 20, Calls: 100})
+	s := jobpeer.NewServer(zerolog.Nop(), limited, answeringHandler{}, nil)
+	defer s.Close()
+	client := jobpeer.NewClient()
+	defer client.Close()
+	address := jaybarrow.Address(limited.Addr().String())
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for range calls {
+				n, err := client.JobsWaiting(t.Context(), address, "match")
+				assert.Check(t, err)
+				assert.Check(t, n == 7)
+				assert.Check(t, client.Announce(t.Context(), address, jaybarrow.Record{Key: "k", Value: make([]byte, valueBytes)}))
+			}
+		})
+	}
+	group.Wait()
+	assert.Equal(t, limited.Open(), int64(1))
+	for end := time.Now().Add(10 * time.Second); limited.PendingBytes() > 4<<10; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%d bytes are still counted", limited.PendingBytes())
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -86,6 +86,9 @@
 	return received
 }
 
+// Publish adds a variable to Vars; it is called before Vars is.
+func (m *Metrics) Publish(name string, v expvar.Var) { m.vars.Set(name, v) }
+
 // Vars returns all measurements as JSON, in expvar's form.
 func (m *Metrics) Vars() []byte { return []byte(m.vars.String()) }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/jaybarrow/jaybarrow"
+	"github.com/jaybarrow/jaybarrow/internal/clientlimit"
 	"github.com/jaybarrow/jaybarrow/internal/peer/peerpb"
 	"github.com/jaybarrow/jaybarrow/internal/rungroup"
 )
@@ -43,12 +44,12 @@
 func NewServer(clock jaybarrow.Clock, log zerolog.Logger, listener net.Listener, local jaybarrow.Runner, config ChangeSource, gossip *Gossip, onFault rungroup.Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{cancel: cancel, group: rungroup.New(onFault), clock: clock, local: local, config: config, gossip: gossip}
-	s.grpc = grpc.NewServer(
+	s.grpc = grpc.NewServer(append(clientlimit.ServerOptions(listener),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.InitialWindowSize(flowControlWindowBytes), grpc.InitialConnWindowSize(flowControlWindowBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
-	)
+	)...)
 	peerpb.RegisterPeerServer(s.grpc, s)
 	s.group.Keep(ctx, "peer server", func() error {
 		err := s.grpc.Serve(listener)
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -48,6 +48,8 @@
 	oneOf("moves", "automatic", []string{"true", "false"}, func(s *Settings, v string) { s.Moves.Automatic = v == "true" }),
 	number("moves", "economyPercent", 0, 100, func(s *Settings) *int { return &s.Moves.EconomyPercent }),
 	millis("shutdown", "graceMs", 0, 86400000, func(s *Settings) *time.Duration { return &s.Shutdown.Grace }),
+	number("limits", "memoryMb", 128, 1<<20, func(s *Settings) *int { return &s.Limits.MemoryMB }),
+	number("limits", "descriptors", 300, 1<<20, func(s *Settings) *int { return &s.Limits.Descriptors }),
 }
 
 func set[T ~string](target *T, value string) { *target = T(value) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,13 @@
 	Claims   Claims
 	Moves    Moves
 	Shutdown Shutdown
+	Limits   Limits
+}
+
+// Limits are what clients outside the limits must not exceed; see package clientlimit.
+type Limits struct {
+	MemoryMB    int // that the process may take
+	Descriptors int // that the process may open; 0 means as many as the operating system allows
 }
 
 // Entry identifies this entry host and sets its addresses and logging.
@@ -102,5 +109,6 @@
 		Moves:  Moves{Automatic: true, EconomyPercent: 50},
 		// Slow requests that must finish by the morning run for hours, and a planned stop must not interrupt any request.
 		Shutdown: Shutdown{Grace: 12 * time.Hour},
+		Limits:   Limits{MemoryMB: 256},
 	}
 }
