Give one answer a quarter of the room for answers

Cause: an answer of unknown length grows in the library's buffer, which leaves its earlier sizes behind; with half of the room for one answer an entry host of 184 MB reached 151 MB in a run beside three busy processes. The clients of `jaybarrow serve` had no bound on an answer.

Change: one answer has at most a quarter of the room, which holds at least eight of the store's largest values.

--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -38,6 +38,8 @@
 	// drainDelay is how long open connections are served after the signal to stop. The load balancer notices within two of its
 	// health checks, which it makes every second, and responses on open connections ask the callers to close them.
 	drainDelay = 2500 * time.Millisecond
+	// valuesInAnswers is for how many of the store's largest values the answers of all servers have room at least.
+	valuesInAnswers = 8
 	// closeTimeout bounds how long the last responses may take after drainDelay.
 	closeTimeout = 2 * time.Second
 	// startsPerMegabit is the number of concurrent start orders for each Mbit/s of the host's link. Orders of 1.5 KB then wait a tenth of
@@ -83,7 +85,10 @@
 	onFault := rungroup.EndProcess(logging.For(log, "join"), out.Close, func() { os.Exit(exitFailure) })
 	metrics := jobmetrics.New()
 	metrics.Gauge("log.dropped", out.Dropped)
-	limits := newClientLimits(planClientLimits(budget.Bytes(s.MemoryBytes), s.MaxDescriptors), logging.For(log, "limits"), metrics.Count)
+	plan := planClientLimits(budget.Bytes(s.MemoryBytes), s.MaxDescriptors)
+	// An answer holds a value in base64; clientlimit.Answers lets one answer take a quarter.
+	plan.Answers = max(plan.Answers, valuesInAnswers*budget.Bytes(s.MaxValueBytes))
+	limits := newClientLimits(plan, logging.For(log, "limits"), metrics.Count)
 	if *port > 0 {
 		server, err := serveMetrics(net.JoinHostPort(s.IP, strconv.FormatUint(uint64(*port), 10)), limits, metrics, logging.For(log, "metrics"), onFault)
 		if err != nil {
--- a/internal/clientlimit/answers.go
+++ b/internal/clientlimit/answers.go
@@ -29,8 +29,12 @@
 	return &Answers{total: int64(total), reporter: reporter}
 }
 
+// largestFraction is the part of the total that one answer may take: one in so many bytes. While an answer of unknown length grows, the library
+// holds several copies of it.
+const largestFraction = 4
+
 // Largest returns the size of the largest answer that is received.
-func (a *Answers) Largest() int { return int(a.total / 2) }
+func (a *Answers) Largest() int { return int(a.total / largestFraction) }
 
 // Used returns the number of bytes that are counted.
 func (a *Answers) Used() int64 { return a.used.Load() }
--- a/internal/etcd/client.go
+++ b/internal/etcd/client.go
@@ -41,6 +41,9 @@
 // the server is closing; the outcome of such a write is unknown.
 const idleTimeout = 5 * time.Second
 
+// maxAnswerBytes is the size of the largest answer to a call; a list of all records of a large fleet takes a few MB.
+const maxAnswerBytes = 64 << 20
+
 // New returns a Client that connects on its first call.
 func New(settings Settings) *Client {
 	dialer := &net.Dialer{Timeout: settings.DialTimeout}
@@ -51,6 +54,7 @@
 			MaxConns:            settings.Connections,
 			MaxConnWaitTimeout:  settings.CallTimeout,
 			MaxIdleConnDuration: idleTimeout,
+			MaxResponseBodySize: maxAnswerBytes,
 			// The library's own retries could apply a write twice.
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
--- a/internal/task/client.go
+++ b/internal/task/client.go
@@ -107,11 +107,15 @@
 	})
 }
 
+// maxAnswerBytes is the size of the largest answer of a worker. Entry hosts forward answers of at most 16 MiB to each other.
+const maxAnswerBytes = 64 << 20
+
 func (c *Client) newHTTP(address jaybarrow.Address, connections int) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                string(address),
 		MaxConns:            connections,
 		MaxIdleConnDuration: 5 * time.Second,
+		MaxResponseBodySize: maxAnswerBytes,
 		Dial: func(addr string) (net.Conn, error) {
 			return net.DialTimeout("tcp", addr, c.settings.DialTimeout)
 		},
