--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -15,6 +15,7 @@
 	Zones   []string       // of the machines, in turn; empty: all in z1
 	Queues  []Queue
 	Tenants []Tenant
+	Limits  map[string]int // the limits of the manifest that callers keep, or nil for a manifest without them
 }
 
 // Queue is a route of the manifest.
@@ -110,7 +111,11 @@
 	for _, t := range tenants {
 		tenantEntries = append(tenantEntries, map[string]any{"name": t.Name, "api_keys": t.Keys, "weight": 10, "cap": map[string]any{"cpu": t.CPU}})
 	}
-	s.Store.Put("op/config", map[string]any{"version": manifestVersion, "routes": routes, "services": services, "tenants": tenantEntries})
+	manifest := map[string]any{"version": manifestVersion, "routes": routes, "services": services, "tenants": tenantEntries}
+	if s.settings.Limits != nil {
+		manifest["limits"] = s.settings.Limits
+	}
+	s.Store.Put("op/config", manifest)
 }
 
 func (s *Site) addMachine(pool string) {
