Leave the rotation when neither the store nor the leader answers

Cause: in a cut of a data centre its entry hosts refuse every job, and stayed in the balancer's rotation until their configuration was 2.5 s old. Change: the probe of a host that refuses all writes asks the store and the leader beside each other; if neither answers, the host is not ready. A store that is down for everybody changes nothing.

--- a/internal/jobhost/jobhost.go
+++ b/internal/jobhost/jobhost.go
@@ -241,7 +241,7 @@
 // Ready reports whether the balancer should send new callers here.
 func (h *Host) Ready() bool {
 	age, known := h.catalog.Age(h.deps.Clock.Now())
-	return known && age <= h.deps.Settings.MaxReadyAge && !h.leaving.Load()
+	return known && age <= h.deps.Settings.MaxReadyAge && !h.leaving.Load() && h.gate.ServesCallers()
 }
 
 // MaxBody returns the largest body of a request by the configuration in force, in bytes; 0 when it sets no limit or is not known yet.
--- a/internal/outage/decide.go
+++ b/internal/outage/decide.go
@@ -55,6 +55,7 @@
 	trialSince   time.Time
 	nextTrial    time.Time
 	failedTrials int
+	cutOff       bool // as the last probe found
 }
 
 // enter reports whether a write may be tried now, and counts it.
@@ -116,8 +117,26 @@
 	}
 }
 
+// Probe is what the reads found that are to show whether writes may succeed.
+type Probe string
+
+// The findings.
+const (
+	ProbeAnswered Probe = "answered" // the store answers here or at the leader
+	ProbeFailed   Probe = "failed"   // it does not, and the leader is unknown or answers: other entry hosts serve no caller better
+	ProbeCutOff   Probe = "cutOff"   // neither the store nor the leader answers here, so that other entry hosts may serve callers
+)
+
+// servesCallers reports whether new callers are served here as well as elsewhere.
+//
+// Load pattern: a data centre that is cut off for some seconds. Its callers would be refused again and again by each of its entry hosts, until the
+// balancer sends them to those of another one.
+func (s *state) servesCallers() bool { return s.phase != PhaseRefusing || !s.cutOff }
+
 // probed applies the outcome of a read.
-func (s *state) probed(now time.Time, ok bool) {
+func (s *state) probed(now time.Time, found Probe) {
+	ok := found == ProbeAnswered
+	s.cutOff = found == ProbeCutOff
 	switch {
 	case s.phase == PhaseRefusing && ok && !now.Before(s.nextTrial):
 		s.begin(now)
--- a/internal/outage/gate.go
+++ b/internal/outage/gate.go
@@ -42,11 +42,18 @@
 	}
 }
 
-// Probed records whether a read that changes nothing was answered.
-func (g *Gate) Probed(now time.Time, ok bool) {
+// Probed records what reads have found that change nothing.
+func (g *Gate) Probed(now time.Time, found Probe) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	g.state.probed(now, ok)
+	g.state.probed(now, found)
+}
+
+// ServesCallers reports whether new callers are served here as well as by entry hosts elsewhere.
+func (g *Gate) ServesCallers() bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.state.servesCallers()
 }
 
 // wantsReads reports whether reads have to find out whether the store answers.
--- a/internal/outage/gate_test.go
+++ b/internal/outage/gate_test.go
@@ -31,7 +31,7 @@
 func (g *gate) fail(d time.Duration) {
 	for end := g.now.Add(d); g.now.Before(end); g.now = g.now.Add(10 * time.Millisecond) {
 		g.write(outage.Failed)
-		g.Probed(g.now, false)
+		g.Probed(g.now, outage.ProbeFailed)
 	}
 }
 
@@ -44,12 +44,12 @@
 		if g.write(outage.Failed) && g.now.Sub(began) > 300*time.Millisecond {
 			tried++
 		}
-		g.Probed(g.now, false)
+		g.Probed(g.now, outage.ProbeFailed)
 	}
 	assert.Equal(t, tried, 0)
 	assert.Equal(t, g.Status(g.now).Phase, outage.PhaseRefusing)
 	assert.Equal(t, g.Status(g.now).Lasted, 5*time.Second)
-	g.Probed(g.now, true)
+	g.Probed(g.now, outage.ProbeAnswered)
 	var passes []outage.Pass
 	for range 100 {
 		if p, allowed := g.Enter(g.now); allowed {
@@ -88,7 +88,7 @@
 		if g.write(outage.Failed) {
 			tried++
 		}
-		g.Probed(g.now, true)
+		g.Probed(g.now, outage.ProbeAnswered)
 	}
 	assert.Assert(t, tried >= 5 && tried <= 12, "%d writes were tried", tried)
 }
@@ -99,13 +99,13 @@
 	g := newGate(t)
 	early, _ := g.Enter(g.now)
 	g.fail(time.Second)
-	g.Probed(g.now, true)
+	g.Probed(g.now, outage.ProbeAnswered)
 	g.Leave(g.now, early, outage.Failed)
 	assert.Equal(t, g.Status(g.now).Phase, outage.PhaseTrial)
 	assert.Assert(t, g.write(outage.Unobserved))
 	assert.Equal(t, g.Status(g.now).Phase, outage.PhaseTrial)
 	g.now = g.now.Add(3 * time.Second)
-	g.Probed(g.now, true)
+	g.Probed(g.now, outage.ProbeAnswered)
 	assert.Equal(t, g.Status(g.now).Phase, outage.PhaseOpen)
 }
 
@@ -113,10 +113,10 @@
 func TestAFailedReadEndsATrial(t *testing.T) {
 	g := newGate(t)
 	g.fail(time.Second)
-	g.Probed(g.now, true)
+	g.Probed(g.now, outage.ProbeAnswered)
 	p, allowed := g.Enter(g.now)
 	assert.Assert(t, allowed)
-	g.Probed(g.now, false)
+	g.Probed(g.now, outage.ProbeFailed)
 	assert.Assert(t, !g.write(outage.Stored))
 	g.Leave(g.now, p, outage.Failed)
 	assert.Equal(t, g.Status(g.now).Phase, outage.PhaseRefusing)
@@ -130,7 +130,7 @@
 	assert.Assert(t, wanted)
 	for range 4 {
 		g.now = g.now.Add(200 * time.Millisecond)
-		g.Probed(g.now, true)
+		g.Probed(g.now, outage.ProbeAnswered)
 	}
 	wanted, _ = g.WantsReads()
 	assert.Assert(t, !wanted)
@@ -145,7 +145,7 @@
 	assert.Assert(t, g.write(outage.Failed))
 	for range 10 {
 		g.now = g.now.Add(200 * time.Millisecond)
-		g.Probed(g.now, true)
+		g.Probed(g.now, outage.ProbeAnswered)
 	}
 	assert.Assert(t, !g.write(outage.Failed))
 	g.Leave(g.now, waiting, outage.Failed)
@@ -178,3 +178,28 @@
 		t.Error("the channel is not closed")
 	}
 }
+
+// Load pattern: a data centre is cut off for some seconds. Guards against an entry host there that stays in the rotation while it refuses every
+// job, against all hosts leaving the rotation while the store is down for everybody, and against a host that stays out of it afterwards.
+func TestACutOffHostServesNoNewCallers(t *testing.T) {
+	refuse := func(found outage.Probe) *gate {
+		g := newGate(t)
+		assert.Assert(t, g.ServesCallers())
+		for range 50 {
+			g.write(outage.Failed)
+			g.Probed(g.now, found)
+			g.now = g.now.Add(10 * time.Millisecond)
+		}
+		assert.Equal(t, g.Status(g.now).Phase, outage.PhaseRefusing)
+		return g
+	}
+	assert.Assert(t, refuse(outage.ProbeFailed).ServesCallers(), "the store is down for everybody")
+	g := refuse(outage.ProbeCutOff)
+	assert.Assert(t, !g.ServesCallers(), "cut off")
+	g.Probed(g.now, outage.ProbeFailed)
+	assert.Assert(t, g.ServesCallers(), "the leader answers again")
+	g.Probed(g.now, outage.ProbeCutOff)
+	assert.Assert(t, !g.ServesCallers())
+	g.Probed(g.now, outage.ProbeAnswered)
+	assert.Assert(t, g.ServesCallers(), "the store answers again")
+}
