Keep ends and ended jobs until what they say is stored

Cause, found by review: an end that completes a task whose later run still exists was acknowledged while only the leader's memory held that, and an ended job was dropped while its record was being written, so that ends waiting for that write, and all later ones of their worker, were never acknowledged. The latter came with overlapping rounds. Change: such an end waits until its task is done and stored; an ended job is dropped once its last change is stored. Checkpoints of runs that were given up change nothing. Result: TestAnEndThatCompletesARestartedTaskIsKeptUntilThatIsStored and TestAnEndedJobIsKeptWhileItsRecordIsBeingWritten pass and failed before.

--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -135,10 +135,10 @@
 					p.stopRun(t.current, now)
 				}
 			}
+		case j.writtenIn != 0 || j.storedChange < j.change:
+			// Ends of the job wait for the write of its last change, which is in progress or scheduled.
 		case j.storedState == j.state && !j.stubStored:
-			if j.writtenIn == 0 {
-				p.markChanged(j, now)
-			}
+			p.markChanged(j, now)
 		case j.storedState == j.state:
 			delete(p.jobs, j.spec.ID)
 			delete(p.ended, j)
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -180,7 +180,7 @@
 		return
 	}
 	r.instance, r.listed, r.listedIn = w.instance, true, w.reports
-	if r.keepCheckpoint(report.Checkpoint) {
+	if r.keepCheckpoint(report.Checkpoint) && !r.task.stray && !r.task.step.job.state.Ended() {
 		p.markChanged(r.task.step.job, now)
 	}
 	if r.phase == runSent || r.phase == runUnconfirmed {
--- a/internal/workload/writes.go
+++ b/internal/workload/writes.go
@@ -24,10 +24,20 @@
 	number jaybarrow.EndNumber
 	job    *job // nil for a job that the pool does not know
 	change changeNumber
+	// adopted is the task that the end completes once its later run has ended; nil for other ends. Until then only this process knows.
+	adopted *task
 }
 
 // stored reports whether nothing is lost if the worker forgets the end.
-func (e unstoredEnd) stored() bool { return e.job == nil || e.job.storedChange >= e.change }
+func (e *unstoredEnd) stored() bool {
+	if t := e.adopted; t != nil && !e.job.state.Ended() {
+		if !t.done {
+			return false
+		}
+		e.adopted, e.change = nil, e.job.change
+	}
+	return e.job == nil || e.job.storedChange >= e.change
+}
 
 // markChanged schedules a batched write of the job's record.
 func (p *Pool) markChanged(j *job, now time.Time) { p.scheduleWrite(j, false, now) }
@@ -93,6 +103,9 @@
 	end := unstoredEnd{number: e.Number}
 	if j := p.jobs[e.Task.Job]; j != nil {
 		end.job, end.change = j, j.change
+		if t := j.task(e.Task); t != nil && t.doneBefore && !t.done {
+			end.adopted = t
+		}
 	}
 	w.unstoredEnds = append(w.unstoredEnds, end)
 	p.unstoredEnds[w] = true
--- a/internal/workload/writes_test.go
+++ b/internal/workload/writes_test.go
@@ -106,3 +106,58 @@
 	assert.Assert(t, h.pool.EndsStored("w1"))
 	assert.Equal(t, h.report("w1", nil, endA, endB).Acknowledged, endB.Number)
 }
+
+// loseRun starts job "j" on w1, lets w1 be silent until its lease has ended, and returns the lost run and the one that has taken its place on w2.
+func (h *harness) loseRun() (lost, later workload.StartRun) {
+	h.Helper()
+	h.addWorker("w1")
+	h.addJob("j", tasks(1, 1000))
+	lost = h.planAndStart(jaybarrow.StartDone)[0]
+	h.addWorker("w2")
+	for end := h.now.Add(2 * h.settings.Lease); h.now.Before(end); {
+		h.missReport("w1")
+		h.report("w2", nil)
+		h.advance(h.settings.RenewInterval)
+	}
+	later = h.planAndStart(jaybarrow.StartDone)[0]
+	assert.Equal(h, later.Worker.ID, jaybarrow.WorkerID("w2"))
+	return lost, later
+}
+
+// Guards against an end that is acknowledged while only this process knows that it completes its task: after a takeover the task would run again.
+func TestAnEndThatCompletesARestartedTaskIsKeptUntilThatIsStored(t *testing.T) {
+	h := newHarness(t)
+	lost, later := h.loseRun()
+	done := h.endReport(lost, jaybarrow.EndDone)
+	h.report("w1", nil, done)
+	assert.Equal(t, h.report("w1", nil, done).Acknowledged, jaybarrow.EndNumber(0), "its later run still exists")
+	h.plan()
+	h.report("w2", nil, h.endReport(later, jaybarrow.EndStopped))
+	round := h.beginRound()
+	assert.Equal(t, h.report("w1", nil, done).Acknowledged, jaybarrow.EndNumber(0), "not stored yet")
+	h.pool.MarkWritten(round)
+	assert.Equal(t, h.report("w1", nil, done).Acknowledged, done.Number)
+	assert.Equal(t, h.pool.Status("j").State, jaybarrow.JobCompleted)
+}
+
+// Guards against an ended job that is dropped while its record is being written: ends that wait for the write, and all later ones of their worker,
+// would never be acknowledged.
+func TestAnEndedJobIsKeptWhileItsRecordIsBeingWritten(t *testing.T) {
+	h := newHarness(t)
+	lost, later := h.loseRun()
+	done := h.endReport(later, jaybarrow.EndDone)
+	h.report("w2", nil, done)
+	stub := h.beginRound()
+	assert.DeepEqual(t, recordsOf(stub), []jaybarrow.JobID{"j"})
+	h.report("w1", runReports([]workload.StartRun{lost}, "w1", 50))
+	h.report("w1", []jaybarrow.RunReport{{Task: lost.Task, Run: lost.Run, Checkpoint: "new", Progress: 60}})
+	h.pool.MarkWritten(stub)
+	end := h.endReport(lost, jaybarrow.EndStopped)
+	h.report("w1", nil, end)
+	for range 4 {
+		h.plan()
+	}
+	assert.Equal(t, h.report("w1", nil, end).Acknowledged, end.Number)
+	h.report("w2", nil, done)
+	assert.Assert(t, h.pool.EndsStored("w1") && h.pool.EndsStored("w2"))
+}
