Count only the writes of a trial for it

Cause, found by review: answers to writes from before the outage counted as successes of the trial, and 20 of them ended it. A host that was found to be cut off stayed out of the rotation when a trial began without a probe. Change: successes count for their own trial only; a trial clears what the last probe found. Result: TestLateAnswersDoNotEndATrial passes and failed before.

--- a/internal/outage/decide.go
+++ b/internal/outage/decide.go
@@ -98,10 +98,11 @@
 		s.firstFailure = time.Time{}
 	case outcome == Stored && s.phase == PhaseRefusing:
 		s.begin(now)
-	case outcome == Stored:
+	case outcome == Stored && ofTrial:
 		if s.successes++; s.successes >= trialSuccesses {
 			s.end()
 		}
+	case outcome == Stored:
 	case s.phase == PhaseOpen:
 		s.lastFailure = now
 		if s.firstFailure.IsZero() {
@@ -157,7 +158,7 @@
 // begin begins a trial.
 func (s *state) begin(now time.Time) {
 	s.setPhase(PhaseTrial)
-	s.inFlight, s.successes, s.trialSince = 0, 0, now
+	s.inFlight, s.successes, s.trialSince, s.cutOff = 0, 0, now, false
 }
 
 // end ends the outage.
--- a/internal/outage/gate_test.go
+++ b/internal/outage/gate_test.go
@@ -203,3 +203,28 @@
 	g.Probed(g.now, outage.ProbeAnswered)
 	assert.Assert(t, g.ServesCallers(), "the store answers again")
 }
+
+// Guards against a trial that ends by answers to writes from before the outage, so that all writes go out at once to a store that may not take them.
+func TestLateAnswersDoNotEndATrial(t *testing.T) {
+	g := newGate(t)
+	var early []outage.Pass
+	for range 40 {
+		p, allowed := g.Enter(g.now)
+		assert.Assert(t, allowed)
+		early = append(early, p)
+	}
+	g.fail(time.Second)
+	g.Probed(g.now, outage.ProbeAnswered)
+	assert.Equal(t, g.Status(g.now).Phase, outage.PhaseTrial)
+	for _, p := range early {
+		g.Leave(g.now, p, outage.Stored)
+	}
+	assert.Equal(t, g.Status(g.now).Phase, outage.PhaseTrial)
+	tried := 0
+	for range 100 {
+		if _, allowed := g.Enter(g.now); allowed {
+			tried++
+		}
+	}
+	assert.Equal(t, tried, 4)
+}
--- a/internal/outage/retryafter.go
+++ b/internal/outage/retryafter.go
@@ -19,7 +19,7 @@
 	return time.Duration(1+n%choices) * minRetryAfter
 }
 
-// RetryAfter returns when the next refused caller may return; 0 while there is no outage.
+// RetryAfter returns when the next refused caller may return; 0 while no write has failed since the last one that succeeded.
 func (g *Gate) RetryAfter(now time.Time) time.Duration {
 	g.lock.Lock()
 	defer g.lock.Unlock()
