Plan the next round 50 ms after the last one began, and correct comments

Cause, found by review: the time of overlap began anew with each plan, also with those that decided nothing, so that a task's end could wait up to 100 ms. Change: it counts from the start of the newest round.

--- a/internal/scheduler/dispatching.go
+++ b/internal/scheduler/dispatching.go
@@ -26,12 +26,14 @@
 
 // DispatchDelay returns how long the dispatch of each step takes; 0 while that is not noticeable.
 func (s *Scheduler) DispatchDelay() time.Duration {
-	return dispatch.Delay(s.deps.CommitTimes.Usual(s.deps.Clock.Now()))
+	return dispatchDelay(s.deps, s.deps.Clock.Now())
 }
 
-// dispatchDelay returns how long the dispatch of each step takes.
-func (p *poolShard) dispatchDelay(now time.Time) time.Duration {
-	return dispatch.Delay(p.deps.CommitTimes.Usual(now))
+// dispatchDelay returns how long the dispatch of each step takes; 0 while that is not noticeable.
+func (p *poolShard) dispatchDelay(now time.Time) time.Duration { return dispatchDelay(p.deps, now) }
+
+func dispatchDelay(d Deps, now time.Time) time.Duration {
+	return dispatch.Delay(d.CommitTimes.Usual(now))
 }
 
 // logDispatch logs when the dispatch of steps begins and ceases to count in the order of jobs and in admission.
--- a/internal/scheduler/rounds.go
+++ b/internal/scheduler/rounds.go
@@ -18,6 +18,7 @@
 	ended      chan roundEnd
 	inProgress int
 	newest     int64 // number of the round that was started last
+	newestAt   time.Time
 	newestDone bool
 }
 
@@ -38,7 +39,7 @@
 	r.inProgress++
 	p.roundsInProgress.Add(1)
 	r.newest++
-	r.newestDone = false
+	r.newestAt, r.newestDone = p.deps.Clock.Now(), false
 	number := r.newest
 	p.group.Go("round", func() { r.ended <- roundEnd{number, p.finishRound(ctx, round)} })
 }
@@ -59,7 +60,8 @@
 func (r *rounds) awaitTurn(ctx context.Context) error {
 	var overlap <-chan time.Time
 	if !r.newestDone {
-		overlap = r.shard.deps.Clock.After(r.shard.deps.Settings.OverlapAfter)
+		clock := r.shard.deps.Clock
+		overlap = clock.After(max(0, r.shard.deps.Settings.OverlapAfter-clock.Now().Sub(r.newestAt)))
 	}
 	for waits := true; r.inProgress >= r.shard.deps.Settings.MaxRounds || waits && !r.newestDone; {
 		select {
