Switch team admission on by a variable that older builds ignore

Cause: the deploy file is one for all builds of a rolling restart, and a build without the flag ends at it with a usage error. Result: TestTheDefaultOfTeamAdmissionIsChecked; it needs the variable, so it could not fail before.

--- a/cmd/jaybarrow/demo_test.go
+++ b/cmd/jaybarrow/demo_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"os"
 	"strings"
 	"testing"
@@ -32,3 +33,17 @@
 	t.Helper()
 	assert.NilError(t, os.WriteFile(path, []byte(content), 0o600))
 }
+
+// Guards against a deploy file that switches team admission on with a value that is taken for off.
+func TestTheDefaultOfTeamAdmissionIsChecked(t *testing.T) {
+	for value, want := range map[string]bool{"": false, "true": true, "1": true, "false": false} {
+		t.Setenv(teamAdmissionVariable, value)
+		on, err := flagDefault(teamAdmissionVariable)
+		assert.NilError(t, err)
+		assert.Equal(t, on, want, value)
+	}
+	t.Setenv(teamAdmissionVariable, "perhaps")
+	var stderr strings.Builder
+	assert.Equal(t, runJoin(t.Context(), []string{"-settings", "none"}, io.Discard, &stderr), exitUsage)
+	assert.Assert(t, strings.Contains(stderr.String(), `JAYBARROW_TEAM_ADMISSION = "perhaps": want true or false`), stderr.String())
+}
--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -54,6 +54,23 @@
 	configurationAgeFraction = 0.7
 )
 
+// teamAdmissionVariable is the environment variable that sets the default of -team-admission. A variable can be set in a deploy file that builds
+// without the flag run by too, as in a rolling restart; they would end at an unknown flag.
+const teamAdmissionVariable = "JAYBARROW_TEAM_ADMISSION"
+
+// flagDefault returns the value of a boolean environment variable; false when it is not set.
+func flagDefault(variable string) (bool, error) {
+	value := os.Getenv(variable)
+	if value == "" {
+		return false, nil
+	}
+	on, err := strconv.ParseBool(value)
+	if err != nil {
+		return false, fmt.Errorf("%s = %q: want true or false", variable, value)
+	}
+	return on, nil
+}
+
 func runJoin(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet("join", flag.ContinueOnError)
 	flags.SetOutput(stderr)
@@ -61,7 +78,12 @@
 	port := flags.Uint("metrics", 0, "port of the metrics at path /metrics; 0: none")
 	level := flags.String("log", "info", "least level of log lines: debug, info, warn or error")
 	marks := flags.Bool("progress-by-marks", false, "leave out what is done when the progress of jobs is stored; every entry host must run a build with this flag")
-	teams := flags.Bool("team-admission", false, "divide congested pools among teams by their shares when new jobs are admitted and waiting ones are ordered")
+	teamsByDefault, err := flagDefault(teamAdmissionVariable)
+	if err != nil {
+		fmt.Fprintln(stderr, "jaybarrow:", err)
+		return exitUsage
+	}
+	teams := flags.Bool("team-admission", teamsByDefault, "divide congested pools among teams by their shares when new jobs are admitted and waiting ones are ordered; the default is the value of "+teamAdmissionVariable)
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
