Leave runs in evacuated data centres out of the division of a pool

Cause: with -team-admission, what runs in an evacuated data centre counted as used by its team, in the load that is divided and in the order of the waiting jobs, while the capacity there was not divided.

Change: usedByTeam builds the use without these runs; the division, the order and the shares use it.

Result: a team is limited and placed by what it uses of the remaining capacity.

Failed before: TestRunsOfAnEvacuatedDataCentreDoNotCountInADivision.

--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -15,7 +15,8 @@
 
 // TeamBacklogs returns the same with what each team has waiting and running in the pool.
 func (p *Pool) TeamBacklogs(priority int, now time.Time) (admission.Load, map[jaybarrow.TeamID]*admission.TeamLoad) {
-	teams := make(map[jaybarrow.TeamID]*admission.TeamLoad, len(p.teamUsed))
+	usedByTeam := p.usedByTeam()
+	teams := make(map[jaybarrow.TeamID]*admission.TeamLoad, len(usedByTeam))
 	of := func(id jaybarrow.TeamID) *admission.TeamLoad {
 		t := teams[id]
 		if t == nil {
@@ -24,7 +25,7 @@
 		}
 		return t
 	}
-	for id, used := range p.teamUsed {
+	for id, used := range usedByTeam {
 		of(id).Used = used
 	}
 	load := p.backlog(priority, now, func(j *job, waiting jaybarrow.Work, tasks int, inTime bool) {
--- a/internal/workload/division_test.go
+++ b/internal/workload/division_test.go
@@ -47,3 +47,31 @@
 		})
 	}
 }
+
+// Guards against runs of an evacuated data centre that count against their team although the capacity there is not divided: the team would be
+// limited by what it cannot give back, and the jobs that it has for the rest of the pool would come last.
+func TestRunsOfAnEvacuatedDataCentreDoNotCountInADivision(t *testing.T) {
+	h := newHarness(t)
+	h.shares = map[jaybarrow.TeamID]jaybarrow.Share{"a": 1, "b": 1}
+	h.addWorkerIn("z1", "w1", 0)
+	h.addJobOf("a", "a-0", tasks(1, 9000))
+	assert.Equal(t, len(h.planAndStart(jaybarrow.StartDone)), 1)
+	h.evacuate("z1")
+	h.addWorkerIn("z2", "w2", 0)
+	h.addJobOf("a", "a-1", tasks(1, 9000))
+	h.addJobOf("b", "b-0", tasks(1, 9000))
+	for n := range 40 {
+		h.addJobOf("b", jaybarrow.JobID(fmt.Sprintf("b-%02d", n+1)), tasks(1, 9000))
+	}
+	load, teams := h.pool.TeamBacklogs(0, h.now)
+	assert.Equal(t, load.Capacity.CPU, jaybarrow.Millicores(10_000))
+	assert.Equal(t, teams["a"].Used, jaybarrow.Resources{})
+	d := admission.Divide(load, map[jaybarrow.TeamID]*admission.TeamLoad{
+		"a": {Share: 1, Waiting: jaybarrow.Work{CPU: 100_000}}, "b": {Share: 1, Waiting: jaybarrow.Work{CPU: 100_000}},
+	}, 1)
+	assert.Assert(t, d.Limited("a") && d.Limited("b"))
+	h.pool.SetDivision(&d)
+	starts := h.planAndStart(jaybarrow.StartDone)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Task.Job, jaybarrow.JobID("a-1"), "within its part of what remains")
+}
--- a/internal/workload/evacuate.go
+++ b/internal/workload/evacuate.go
@@ -40,8 +40,10 @@
 	}
 }
 
-// leaveOutEvacuated takes off what the teams use on workers of evacuated data centres, whose capacity is not shared out either.
-func (p *Pool) leaveOutEvacuated(used map[jaybarrow.TeamID]jaybarrow.Resources) {
+// usedByTeam returns what the teams use, without the runs on workers of evacuated data centres, whose capacity is not shared out either.
+// Lasting tasks do not count.
+func (p *Pool) usedByTeam() map[jaybarrow.TeamID]jaybarrow.Resources {
+	used := maps.Clone(p.teamUsed)
 	for _, w := range p.workers {
 		if len(w.runs) == 0 || !w.evacuated() {
 			continue
@@ -53,6 +55,7 @@
 			}
 		}
 	}
+	return used
 }
 
 // EvacuationsChanged makes the next plan look at every worker, since workers may have become usable or ceased to be.
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -138,7 +138,10 @@
 	delay := p.dispatchDelay
 	divided := p.division != nil && p.division.Divided()
 	var overShare map[jaybarrow.TeamID]int
-	if !divided {
+	var used map[jaybarrow.TeamID]jaybarrow.Resources
+	if divided {
+		used = p.usedByTeam()
+	} else {
 		overShare = p.teamsOverShare(waiting)
 	}
 	for _, j := range waiting {
@@ -147,7 +150,7 @@
 			if !j.ordered {
 				j.ordered, j.promised = true, !p.division.Limited(j.spec.Team)
 			}
-			j.order.overShare = p.division.Place(j.spec.Team, j.promised, p.teamUsed[j.spec.Team], j.slack(now, delay))
+			j.order.overShare = p.division.Place(j.spec.Team, j.promised, used[j.spec.Team], j.slack(now, delay))
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *job) int {
--- a/internal/workload/share.go
+++ b/internal/workload/share.go
@@ -1,20 +1,16 @@
 package workload
 
-import (
-	"maps"
-
-	"github.com/jaybarrow/jaybarrow"
-)
+import "github.com/jaybarrow/jaybarrow"
 
 // teamsOverShare returns 1 for each team that uses more of the pool than its share among the teams with waiting or running tasks,
 // else 0. Lasting tasks do not count, since they hold their resources until their job is cancelled.
 func (p *Pool) teamsOverShare(waiting []*job) map[jaybarrow.TeamID]int {
-	used := make(map[jaybarrow.TeamID]jaybarrow.Resources, len(p.teamUsed))
-	maps.Copy(used, p.teamUsed)
+	used := p.usedByTeam()
 	for _, j := range waiting {
-		used[j.spec.Team] = p.teamUsed[j.spec.Team]
+		if _, found := used[j.spec.Team]; !found {
+			used[j.spec.Team] = jaybarrow.Resources{}
+		}
 	}
-	p.leaveOutEvacuated(used)
 	if len(used) < 2 {
 		return nil
 	}
