Keep parts of an accelerator in the admission of teams

Cause: the capacity that is left to a limited team was cut to whole numbers, so that a part of a few accelerators was none: waits became an hour, and callers were told to return after 20 s. The peak of a team's largest job was cut likewise: one accelerator became none at once.

Change: the work is increased in place of the smaller capacity, and peaks are kept as fractions (Amounts).

Result: teams are judged and called back by their fraction of the accelerators.

Failed before, against the earlier calculation: TestAPartOfFewAcceleratorsIsNotNone, TestAPeakOfOneAcceleratorIsKept.

--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -31,9 +31,9 @@
 // teamDemand is the demand of one team as of a time.
 type teamDemand struct {
 	at             time.Time
-	rate           jaybarrow.Work      // of all jobs in a second
-	largest        jaybarrow.Work      // of the largest job
-	peak           jaybarrow.Resources // that the largest accepted job uses at once
+	rate           jaybarrow.Work // of all jobs in a second
+	largest        jaybarrow.Work // of the largest job
+	peak           Amounts        // that the largest accepted job uses at once
 	peakAt, seenAt time.Time
 }
 
@@ -54,8 +54,9 @@
 	}
 	left := work.Times(decay(age, demandTime))
 	t.rate, t.largest = t.rate.Plus(left.Times(1/demandTime.Seconds())), mostWork(t.largest, left)
-	if before := t.peakLeft(now); !peak.FitsIn(before) {
-		t.peak, t.peakAt = mostResources(before, peak), now
+	before := t.peakLeft(now)
+	if most := mostAmounts(before, AmountsOf(peak)); most != before {
+		t.peak, t.peakAt = most, now
 	}
 }
 
@@ -111,13 +112,13 @@
 	}
 }
 
-// peakLeft returns the peak with its weight of now.
-func (t *teamDemand) peakLeft(now time.Time) jaybarrow.Resources {
-	factor := decay(now.Sub(t.peakAt), peakTime)
-	return jaybarrow.Resources{
-		CPU: jaybarrow.Millicores(factor * float64(t.peak.CPU)), Memory: jaybarrow.Megabytes(factor * float64(t.peak.Memory)),
-		Accelerators: jaybarrow.Accelerators(factor * float64(t.peak.Accelerators)),
+// peakLeft returns the peak with its weight of now. It is no whole number, since a peak of one accelerator would be none at once.
+func (t *teamDemand) peakLeft(now time.Time) Amounts {
+	factor, out := decay(now.Sub(t.peakAt), peakTime), t.peak
+	for r := range out {
+		out[r] *= factor
 	}
+	return out
 }
 
 // decay returns the weight that is left after the time.
@@ -140,7 +141,10 @@
 	return jaybarrow.Work{CPU: max(a.CPU, b.CPU), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators)}
 }
 
-// mostResources returns the larger amount of each resource.
-func mostResources(a, b jaybarrow.Resources) jaybarrow.Resources {
-	return jaybarrow.Resources{CPU: max(a.CPU, b.CPU), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators)}
+// mostAmounts returns the larger amount of each resource.
+func mostAmounts(a, b Amounts) Amounts {
+	for r := range a {
+		a[r] = max(a[r], b[r])
+	}
+	return a
 }
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -57,15 +57,16 @@
 func (g *Gate) Decide(l Load, j Job, now time.Time) Decision {
 	wait := l.Wait()
 	w := waits{inTime: l.InTimeWait(), backlog: wait, all: wait, free: wait + j.CriticalPath - lateFactor*j.Target}
-	return g.decide(w, j, Load{Capacity: l.Capacity.Plus(l.Coming)}, ReasonPool, now)
+	return g.decide(w, j, l.soonTakes(j.Work), ReasonPool, now)
 }
 
 // waits are the times by which a job is judged: until it could begin if it can meet its target, until the work beside which such jobs are
 // admitted has been placed, until all work has, and until a job like it can be admitted.
 type waits struct{ inTime, backlog, all, free time.Duration }
 
-// decide admits or refuses a job by the waits. The refused return as their work fits into the load's capacity, and are told the reason.
-func (g *Gate) decide(w waits, j Job, returning Load, refused Reason, now time.Time) Decision {
+// decide admits or refuses a job by the waits. The refused return one after the other, each after the time that the work of the one before
+// takes, and are told the reason.
+func (g *Gate) decide(w waits, j Job, takes time.Duration, refused Reason, now time.Time) Decision {
 	switch {
 	case w.inTime+j.CriticalPath <= j.Target && w.backlog <= maxBacklog:
 		return Decision{Admitted: true, Wait: w.all, Reason: ReasonInTime}
@@ -77,7 +78,7 @@
 	if g.promisedUntil.After(free) {
 		free = g.promisedUntil
 	}
-	g.promisedUntil = free.Add(max(returning.waitFor(j.Work), j.Advice))
+	g.promisedUntil = free.Add(max(takes, j.Advice))
 	if latest := now.Add(maxReturn); g.promisedUntil.After(latest) {
 		g.promisedUntil = latest
 	}
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -46,6 +46,11 @@
 	)
 }
 
+// soonTakes returns the time that the work takes once the coming hosts are there.
+func (l Load) soonTakes(w jaybarrow.Work) time.Duration {
+	return Load{Capacity: l.Capacity.Plus(l.Coming)}.waitFor(w)
+}
+
 // wait returns the time that work takes at a capacity that rises once.
 func wait(work, now, later float64, risesIn time.Duration) time.Duration {
 	if work <= 0 {
--- a/internal/admission/teams.go
+++ b/internal/admission/teams.go
@@ -19,7 +19,7 @@
 	// Submitted is the work that was lately submitted in a second, LargestJob the largest job's part of the work, and LargestPeak what the
 	// largest accepted job uses at once.
 	Submitted, LargestJob jaybarrow.Work
-	LargestPeak           jaybarrow.Resources
+	LargestPeak           Amounts
 }
 
 // CongestedWait is the wait from which a pool counts as congested. Below it no job is refused, since no target is shorter.
@@ -62,12 +62,20 @@
 	resources // their number
 )
 
+// Amounts are amounts of each resource that need not be whole numbers.
+type Amounts [resources]float64
+
+// AmountsOf returns the amounts of the resources.
+func AmountsOf(a jaybarrow.Resources) Amounts {
+	return Amounts{float64(a.CPU), float64(a.Memory), float64(a.Accelerators)}
+}
+
 func ofWork(w jaybarrow.Work, r resource) float64 {
 	return [resources]float64{w.CPU, w.Memory, w.Accelerators}[r]
 }
 
 func ofResources(a jaybarrow.Resources, r resource) float64 {
-	return [resources]float64{float64(a.CPU), float64(a.Memory), float64(a.Accelerators)}[r]
+	return AmountsOf(a)[r]
 }
 
 // demand returns how much of the resource the team asks for: what it submits, uses, or needs for its waiting work to be done without
@@ -78,7 +86,7 @@
 
 // excess returns the same without the team's largest job.
 func (l *TeamLoad) excess(r resource) float64 {
-	return max(ofWork(l.Submitted, r)-ofWork(l.LargestJob, r)/demandTime.Seconds(), ofResources(l.Used, r)-ofResources(l.LargestPeak, r),
+	return max(ofWork(l.Submitted, r)-ofWork(l.LargestJob, r)/demandTime.Seconds(), ofResources(l.Used, r)-l.LargestPeak[r],
 		(ofWork(l.Waiting, r)-ofWork(l.LargestJob, r))/CongestedWait.Seconds())
 }
 
@@ -217,8 +225,9 @@
 	return placeLast
 }
 
-// loadBefore returns the load as a job of the team meets it: InTime and Waiting come before the job or are its own team's, and Capacity is
-// what they are done with.
+// loadBefore returns the load as a job of the team meets it: InTime and Waiting come before the job or are its own team's. Where the team has
+// only a part of the pool, the work is increased in place of a smaller capacity, since that is in whole numbers: a part of a few accelerators
+// would be none.
 func (d *Division) loadBefore(l Load, team jaybarrow.TeamID) Load {
 	l.InTime, l.InTimeTasks, l.Waiting = d.urgent.Plus(d.inTime), d.urgentTasks+d.inTimeTasks, d.waiting
 	if !d.Limited(team) {
@@ -228,32 +237,23 @@
 	factor := float64(d.limitedShares / own.Share)
 	l.InTime, l.Waiting = l.InTime.Plus(own.InTime.Times(factor)), l.Waiting.Plus(own.Waiting.Times(factor))
 	l.InTimeTasks += int(factor * float64(own.InTimeTasks))
-	l.Capacity, l.Coming, l.StartsPerSecond = scaled(l.Capacity, d.rest), scaled(l.Coming, d.rest), l.StartsPerSecond*d.rest
+	l.InTime, l.Waiting, l.StartsPerSecond = l.InTime.Times(1/d.rest), l.Waiting.Times(1/d.rest), l.StartsPerSecond*d.rest
 	return l
 }
 
-// scaled returns a fraction of the resources.
-func scaled(r jaybarrow.Resources, fraction float64) jaybarrow.Resources {
-	return jaybarrow.Resources{
-		CPU: jaybarrow.Millicores(fraction * float64(r.CPU)), Memory: jaybarrow.Megabytes(fraction * float64(r.Memory)),
-		Accelerators: jaybarrow.Accelerators(fraction * float64(r.Accelerators)),
-	}
-}
-
 // Decide admits or refuses a job of the team; the gate is the team's own. The load is that of the pool, with the jobs admitted before. A
 // job is admitted late by the pool's load, as without the division.
 func (d *Division) Decide(g *Gate, team jaybarrow.TeamID, l Load, j Job, now time.Time) Decision {
 	before := d.loadBefore(l, team)
 	w := waits{inTime: before.InTimeWait(), backlog: max(before.waitFor(before.Waiting), before.Advice), all: l.Wait()}
-	returning := Load{Capacity: l.Capacity.Plus(l.Coming)}
-	reason := ReasonPool
+	reason, own := ReasonPool, j.Work
 	if d.Limited(team) {
 		reason = ReasonTeam
-		returning.Capacity = scaled(returning.Capacity, d.rest*float64(d.loads[team].Share/d.limitedShares))
+		own = own.Times(float64(d.limitedShares/d.loads[team].Share) / d.rest)
 	}
 	// The job is admitted as soon as it would meet its target beside what its team has waiting, though the pool has more.
 	w.free = min(w.all+j.CriticalPath-lateFactor*j.Target, max(w.inTime+j.CriticalPath-j.Target, w.backlog-maxBacklog))
-	return g.decide(w, j, returning, reason, now)
+	return g.decide(w, j, l.soonTakes(own), reason, now)
 }
 
 // Admitted counts a job of the team that was admitted since the loads were read.
--- a/internal/admission/teams_test.go
+++ b/internal/admission/teams_test.go
@@ -174,3 +174,41 @@
 	}
 	assert.Equal(t, d.Teams(), 1024)
 }
+
+// Load pattern: a pool with few accelerators, of which a limited team may use less than one. Guards against a part that is rounded to none, so
+// that the team's jobs are refused and its callers are told to return after the longest time.
+func TestAPartOfFewAcceleratorsIsNotNone(t *testing.T) {
+	job := admission.Job{Work: jaybarrow.Work{Accelerators: 0.1}, CriticalPath: 500 * time.Millisecond, Target: 3 * time.Second}
+	now := time.Unix(1000, 0)
+	divide := func(a, b float64) (admission.Division, admission.Load) {
+		load := admission.Load{Capacity: jaybarrow.Resources{Accelerators: 1}, Waiting: jaybarrow.Work{Accelerators: a + b + 0.15}}
+		load.InTime = load.Waiting
+		waiting := func(amount float64) *admission.TeamLoad {
+			w := jaybarrow.Work{Accelerators: amount}
+			return &admission.TeamLoad{Share: 1, Submitted: w, Waiting: w, InTime: w}
+		}
+		d := admission.Divide(load, map[jaybarrow.TeamID]*admission.TeamLoad{"a": waiting(a), "b": waiting(b), "c": waiting(0.15)}, 1)
+		assert.Assert(t, d.Limited("a") && d.Limited("b") && !d.Limited("c"))
+		return d, load
+	}
+	d, load := divide(0.5, 3)
+	assert.Equal(t, d.Decide(new(admission.Gate), "a", load, job, now).Reason, admission.ReasonInTime)
+	d, load = divide(9, 9)
+	g := new(admission.Gate)
+	first := d.Decide(g, "a", load, job, now)
+	assert.Assert(t, !first.Admitted)
+	second := d.Decide(g, "a", load, job, now)
+	assert.Assert(t, !second.Admitted && second.RetryAfter < 11*time.Second, "%v", second.RetryAfter)
+	assert.Assert(t, second.RetryAfter-first.RetryAfter < 500*time.Millisecond, "%v after %v", second.RetryAfter, first.RetryAfter)
+}
+
+// Guards against the largest job of a team that is held against it as soon as it has been accepted, where it uses one accelerator.
+func TestAPeakOfOneAcceleratorIsKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := admission.NewDemand()
+	d.Add("a", jaybarrow.Work{Accelerators: 1}, jaybarrow.Resources{Accelerators: 1}, now, now)
+	loads := make(map[jaybarrow.TeamID]*admission.TeamLoad)
+	d.Fill(loads, now.Add(time.Second))
+	left := loads["a"].LargestPeak[len(loads["a"].LargestPeak)-1]
+	assert.Assert(t, left > 0.9 && left < 1, "%v", left)
+}
--- a/internal/workload/division_test.go
+++ b/internal/workload/division_test.go
@@ -28,7 +28,7 @@
 			if divided {
 				// What runs counts as the largest job of the team, which is not held against it.
 				load, teams := h.pool.TeamBacklogs(0, h.now)
-				teams["small"].Share, teams["small"].LargestPeak, teams["large"].Share = 1, jaybarrow.Resources{CPU: 5000}, 9
+				teams["small"].Share, teams["small"].LargestPeak, teams["large"].Share = 1, admission.AmountsOf(jaybarrow.Resources{CPU: 5000}), 9
 				d := admission.Divide(load, teams, 1)
 				assert.Assert(t, d.Limited("large") && !d.Limited("small"))
 				h.pool.SetDivision(&d)
