Fetch no hosts for labels of lasting tasks that stay

Cause: lasting tasks in an evacuated data centre need no room elsewhere, but their labels still asked for hosts.

Change: Load takes the demand of each such run off its label.

Result: only labels of short and waiting tasks ask for hosts.

Failed before: TestLabelsOfLastingTasksInAnEvacuatedDataCentreNeedNoHosts.

--- a/internal/workload/evacuate_test.go
+++ b/internal/workload/evacuate_test.go
@@ -455,3 +455,28 @@
 	h.addJob("c", tasks(1, 2000))
 	assert.DeepEqual(t, startedOn(h.planAndStart(jaybarrow.StartDone)), []jaybarrow.WorkerID{"w1"})
 }
+
+// Guards against hosts that are fetched for the labels of lasting tasks which stay where they are, and against none for those of short work.
+func TestLabelsOfLastingTasksInAnEvacuatedDataCentreNeedNoHosts(t *testing.T) {
+	h := newHarness(t)
+	h.pool.SetWorker(jaybarrow.Worker{
+		ID: "w1", Pool: "desk", Address: "192.0.2.1:80", State: jaybarrow.WorkerReady, DataCentre: "z2", Labels: []jaybarrow.Label{"l", "s"},
+		Capacity: jaybarrow.Resources{CPU: 10_000, Memory: 10_000},
+	}, h.now)
+	h.clocks["w1"] = 1000
+	h.report("w1", nil)
+	stays, short := lasting(1), tasks(1, 3000)
+	stays.Requires, short.Requires = "l", "s"
+	h.addJob("lasting", stays)
+	h.addJob("short", short)
+	assert.Equal(t, len(h.planAndStart(jaybarrow.StartDone)), 2)
+	before := h.pool.Load(h.now).Labels
+	assert.Equal(t, before["l"].CPU, jaybarrow.Millicores(1000))
+	h.evacuate("z2")
+	during := h.pool.Load(h.now).Labels
+	_, found := during["l"]
+	assert.Assert(t, !found, "%v", during)
+	assert.Equal(t, during["s"], before["s"])
+	h.evacuate()
+	assert.DeepEqual(t, h.pool.Load(h.now).Labels, before)
+}
--- a/internal/workload/reserve.go
+++ b/internal/workload/reserve.go
@@ -50,6 +50,7 @@
 		if w.evacuated() {
 			// Lasting tasks stay there, so they need no room elsewhere; short ones are followed by others that do.
 			out.Used = out.Used.Minus(w.lastingUsed)
+			out.leaveOutLasting(w)
 			continue
 		}
 		out.Lasting = out.Lasting.Plus(w.lastingUsed)
@@ -64,6 +65,23 @@
 	return out
 }
 
+// leaveOutLasting takes off the demand by label of the worker's lasting runs.
+func (l *Load) leaveOutLasting(w *worker) {
+	if w.lasting == 0 {
+		return
+	}
+	for _, r := range w.runs {
+		spec := r.task.step.spec
+		if !spec.Lasting || spec.Requires == "" {
+			continue
+		}
+		l.Labels[spec.Requires] = l.Labels[spec.Requires].Minus(r.demand)
+		if l.Labels[spec.Requires] == (jaybarrow.Resources{}) {
+			delete(l.Labels, spec.Requires)
+		}
+	}
+}
+
 // addWaiting adds the demand of the job's tasks that could start now.
 func (p *Pool) addWaiting(out *Load, j *job, now time.Time) {
 	late := j.rank(now, 0) == rankLate // by what hosts change, which the dispatch of its tasks is not
