Keep one division of a pool for each priority

Cause: each reading of the load replaced the one division of the pool, also the look at congestion, for which no task counts as in time, so that the wait for starts is left out of its division. Jobs that were admitted in time were placed behind those of limited teams until the next reading. With two queue priorities, jobs were placed by the division of the other.

Change: the pool keeps one division for each priority and orders a job by its own. The look at congestion sets none and reads those that limit a team anew, so that they end with the congestion. A priority for which nobody has asked is ordered by the shares.

Result: jobs are placed in the order that admission counts on.

Failed before, against the earlier behaviour: TestALookAtCongestionKeepsTheDivisionThatHolds, TestJobsAreOrderedByTheDivisionOfTheirPriority.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -94,8 +94,11 @@
 	g.load.Coming, g.load.ComingIn = p.coming.Capacity, p.coming.In
 	g.load.InTimeAdvice, g.load.Advice = p.advice.backlog(priority)
 	g.load.StartsPerSecond = p.startsPerSecond()
-	g.division, g.known = p.divide(g.load, byTeam, now), len(byTeam)
+	g.division, g.known = p.divide(priority, g.load, byTeam, now), len(byTeam)
 	g.dropIdleGates(now)
+	if priority == leastUrgent {
+		p.renewDivisions(now)
+	}
 	return g
 }
 
--- a/internal/scheduler/teamadmission.go
+++ b/internal/scheduler/teamadmission.go
@@ -89,18 +89,30 @@
 	return load, byTeam
 }
 
-// divide divides the pool among its teams if admission weighs them. The lock is held.
-func (p *poolShard) divide(l admission.Load, byTeam teamLoads, now time.Time) *admission.Division {
+// divide divides the pool among its teams for jobs of the priority if admission weighs them. The lock is held.
+func (p *poolShard) divide(priority int, l admission.Load, byTeam teamLoads, now time.Time) *admission.Division {
 	if p.teams == nil {
 		return new(admission.Division)
 	}
 	l.InTimeAdvice, l.Advice = 0, 0 // the adviser's time is not divided
 	d := admission.Divide(l, byTeam, p.deps.Catalog.LeastShare())
-	p.state.SetDivision(&d)
+	if priority != leastUrgent { // no job has that priority
+		p.state.SetDivision(priority, &d)
+	}
 	p.reportLimited(&d, now)
 	return &d
 }
 
+// renewDivisions reads the load anew for the priorities for which the pool is divided, so that a division ends with the congestion though nobody
+// asks for a job. The lock is held.
+func (p *poolShard) renewDivisions(now time.Time) {
+	for priority, g := range p.gates {
+		if priority != leastUrgent && g.division.Divided() {
+			p.readLoad(priority, now)
+		}
+	}
+}
+
 // decide admits or refuses a job; the load is that of the gate, as the job meets it. The lock is held.
 func (p *poolShard) decide(g *gate, r jaybarrow.AdmissionRequest, load admission.Load, j admission.Job, now time.Time) admission.Decision {
 	if p.teams == nil {
--- a/internal/scheduler/teamadmission_test.go
+++ b/internal/scheduler/teamadmission_test.go
@@ -610,3 +610,31 @@
 		})
 	}
 }
+
+// Guards against a look at congestion between the admission of a job and its plan that replaces the division by which the job was admitted, so that it
+// is placed behind the jobs of a limited team, and against a division that outlives the congestion though nobody asks.
+func TestALookAtCongestionKeepsTheDivisionThatHolds(t *testing.T) {
+	h := newJudgedPool(t, true, []replayedTeam{{id: "large", share: 1}, {id: "small", share: 10}, {id: "other", share: 10}})
+	h.addWorkers(8)
+	h.orders = budget.NewOrders(budget.Host{Link: 1}, h.now) // 52 starts in a second, which the jobs wait for longer than for room
+	for n := range 60 {
+		h.accept(jaybarrow.JobID(fmt.Sprintf("large-%02d", n)), "large")
+	}
+	for n := range 5 {
+		h.accept(jaybarrow.JobID(fmt.Sprintf("other-%02d", n)), "other")
+	}
+	h.advance(50 * time.Millisecond)
+	assert.Assert(t, h.ask("small").Admitted)
+	assert.Equal(t, h.reports.last, admission.ReasonInTime)
+	h.accept("small", "small")
+	h.advance(2 * backlogAge)
+	h.readLoad(leastUrgent, h.now)
+	started := slices.ContainsFunc(h.nextPlan(), func(s workload.StartRun) bool { return s.Task.Job == "small" })
+	assert.Assert(t, started, "placed behind the jobs of the limited team")
+	for n := range 60 {
+		h.state.Cancel(jaybarrow.JobID(fmt.Sprintf("large-%02d", n)), h.now)
+	}
+	h.advance(2 * backlogAge)
+	h.readLoad(leastUrgent, h.now)
+	assert.Assert(t, !h.gates[0].division.Divided())
+}
--- a/internal/workload/backlog.go
+++ b/internal/workload/backlog.go
@@ -38,8 +38,15 @@
 	return load, teams
 }
 
-// SetDivision sets how the pool is divided among its teams, by which jobs are ordered; one that limits no team leaves that to the shares.
-func (p *Pool) SetDivision(d *admission.Division) { p.division = d }
+// SetDivision sets how the pool is divided among its teams for jobs of the priority, by which these are ordered; one that limits no team leaves
+// that to the shares.
+func (p *Pool) SetDivision(priority int, d *admission.Division) {
+	if !d.Divided() {
+		delete(p.divisions, priority)
+		return
+	}
+	p.divisions[priority] = d
+}
 
 // RunTimeFactor returns by how much the estimates of the queue's jobs must be multiplied.
 func (p *Pool) RunTimeFactor(queue jaybarrow.QueueID) float64 { return p.runTimes.factor(queue) }
--- a/internal/workload/division_test.go
+++ b/internal/workload/division_test.go
@@ -31,7 +31,7 @@
 				teams["small"].Share, teams["small"].LargestPeak, teams["large"].Share = 1, admission.AmountsOf(jaybarrow.Resources{CPU: 5000}), 9
 				d := admission.Divide(load, teams, 1)
 				assert.Assert(t, d.Limited("large") && !d.Limited("small"))
-				h.pool.SetDivision(&d)
+				h.pool.SetDivision(0, &d)
 			}
 			h.advance(200 * time.Millisecond)
 			h.addJobOf("small", "s-1", tasks(1, 5000))
@@ -70,8 +70,53 @@
 		"a": {Share: 1, Waiting: jaybarrow.Work{CPU: 100_000}}, "b": {Share: 1, Waiting: jaybarrow.Work{CPU: 100_000}},
 	}, 1)
 	assert.Assert(t, d.Limited("a") && d.Limited("b"))
-	h.pool.SetDivision(&d)
+	h.pool.SetDivision(0, &d)
 	starts := h.planAndStart(jaybarrow.StartDone)
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Task.Job, jaybarrow.JobID("a-1"), "within its part of what remains")
 }
+
+// Load pattern: two queues of different priority in one pool, of which one is asked for more than the other by a team. Guards against jobs that are
+// ordered by the division of another priority than the one by which they were admitted.
+func TestJobsAreOrderedByTheDivisionOfTheirPriority(t *testing.T) {
+	divide := func(limited, other jaybarrow.TeamID) *admission.Division {
+		d := admission.Divide(admission.Load{
+			Capacity: jaybarrow.Resources{CPU: 10_000}, Waiting: jaybarrow.Work{CPU: 100_000}, InTime: jaybarrow.Work{CPU: 100_000},
+		}, map[jaybarrow.TeamID]*admission.TeamLoad{limited: {Share: 1, Waiting: jaybarrow.Work{CPU: 99_000}}, other: {Share: 1, Waiting: jaybarrow.Work{CPU: 1000}}}, 1)
+		assert.Assert(t, d.Limited(limited) && !d.Limited(other))
+		return &d
+	}
+	for _, reversed := range []bool{false, true} {
+		h := newHarness(t)
+		h.shares = map[jaybarrow.TeamID]jaybarrow.Share{"a": 1, "b": 1}
+		h.priorities = map[jaybarrow.QueueID]int{"match": 0, "later": 1}
+		h.addWorker("w1")
+		for _, id := range []jaybarrow.JobID{"a-0", "b-0", "a-1", "b-1"} {
+			queue := jaybarrow.QueueID("match")
+			if id[2] == '1' {
+				queue = "later"
+			}
+			h.pool.AddJob(&jaybarrow.Job{
+				ID: id, Queue: queue, Pool: "desk", Team: jaybarrow.TeamID(id[:1]), Spec: "s", Steps: []jaybarrow.Step{tasks(1, 9000)}, AcceptedMs: h.now.UnixMilli(),
+			}, nil, h.now)
+		}
+		h.advance(1200 * time.Millisecond) // the jobs have 0.3 s of slack left
+		h.report("w1", nil)
+		urgent, later := divide("a", "b"), divide("b", "a")
+		if reversed {
+			h.pool.SetDivision(1, later)
+			h.pool.SetDivision(0, urgent)
+		} else {
+			h.pool.SetDivision(0, urgent)
+			h.pool.SetDivision(1, later)
+		}
+		var order []jaybarrow.JobID
+		for range 4 {
+			starts := h.planAndStart(jaybarrow.StartDone)
+			assert.Equal(t, len(starts), 1)
+			order = append(order, starts[0].Task.Job)
+			h.report("w1", nil, h.endReport(starts[0], jaybarrow.EndDone))
+		}
+		assert.DeepEqual(t, order, []jaybarrow.JobID{"b-0", "a-0", "a-1", "b-1"})
+	}
+}
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -133,25 +133,28 @@
 	return waiting
 }
 
-// order sorts the jobs. While admission limits teams to their parts of the pool, the order is the one that admission counts on.
+// order sorts the jobs. While admission limits teams to their parts of the pool, the order is the one that admission counts on for the job's
+// priority.
 func (p *Pool) order(waiting []*job, now time.Time) {
 	delay := p.dispatchDelay
-	divided := p.division != nil && p.division.Divided()
 	var overShare map[jaybarrow.TeamID]int
+	if slices.ContainsFunc(waiting, func(j *job) bool { return p.divisions[j.policy.Priority] == nil }) {
+		overShare = p.teamsOverShare(waiting)
+	}
 	var used map[jaybarrow.TeamID]jaybarrow.Resources
-	if divided {
+	if len(p.divisions) > 0 {
 		used = p.usedByTeam()
-	} else {
-		overShare = p.teamsOverShare(waiting)
 	}
 	for _, j := range waiting {
 		j.order = placementOrder{rank: j.rank(now, delay), priority: j.policy.Priority, overShare: overShare[j.spec.Team]}
-		if divided {
-			if !j.ordered {
-				j.ordered, j.promised = true, !p.division.Limited(j.spec.Team)
-			}
-			j.order.overShare = p.division.Place(j.spec.Team, j.promised, used[j.spec.Team], j.slack(now, delay))
+		division := p.divisions[j.policy.Priority]
+		if division == nil {
+			continue
+		}
+		if !j.ordered {
+			j.ordered, j.promised = true, !division.Limited(j.spec.Team)
 		}
+		j.order.overShare = division.Place(j.spec.Team, j.promised, used[j.spec.Team], j.slack(now, delay))
 	}
 	slices.SortFunc(waiting, func(a, b *job) int {
 		return cmp.Or(
--- a/internal/workload/pool.go
+++ b/internal/workload/pool.go
@@ -97,9 +97,9 @@
 	heldReportedAt time.Time     // when the observer was last told of it
 	placementsDue  bool          // whether a task may have become placeable since the last plan
 	advising       advising
-	division       *admission.Division // of the pool among its teams; nil when admission does not weigh teams
-	sweepDue       bool                // whether the next plan must check every worker and run
-	sweptAt        time.Time           // when a plan last checked every worker and run
+	divisions      map[int]*admission.Division // how the pool is divided among its teams, for jobs of each priority
+	sweepDue       bool                        // whether the next plan must check every worker and run
+	sweptAt        time.Time                   // when a plan last checked every worker and run
 }
 
 // endedJob is what is kept of an ended job until its records are removed.
@@ -132,7 +132,7 @@
 		workers: make(map[jaybarrow.WorkerID]*worker), endedWorkers: make(map[jaybarrow.WorkerID]endedWorker), urgentWrites: make(map[*job]bool), delayedWrites: make(map[*job]bool),
 		blockedWrites: make(map[*job]blockedWrite), unsent: make(map[*run]bool),
 		waiting: make(map[*job]bool), ended: make(map[*job]bool), planned: make(map[*run]bool), stopping: make(map[*run]bool),
-		unstoredEnds: make(map[*worker]bool), teamUsed: make(map[jaybarrow.TeamID]jaybarrow.Resources),
+		divisions: make(map[int]*admission.Division), unstoredEnds: make(map[*worker]bool), teamUsed: make(map[jaybarrow.TeamID]jaybarrow.Resources),
 		labelUsed: make(map[jaybarrow.Label]jaybarrow.Resources), renewInterval: d.Settings.RenewInterval,
 		advising: newAdvising(), due: newDue(), batchDelay: d.Settings.BatchDelay, runTimes: make(runTimes),
 		maxUnsent: math.MaxInt, maxStops: math.MaxInt,
