Say in team admission which jobs keep their place

Cause: two comments could not be understood, and the page said that jobs which were ordered before their team was limited keep their place. A job that was ordered before the pool was divided does not.

Result: no change of behaviour, no test.

--- a/internal/admission/teams.go
+++ b/internal/admission/teams.go
@@ -34,7 +34,7 @@
 //
 //   - A job of a team that is not limited waits for the jobs in time of all such teams.
 //   - A job of a limited team waits for these too, for those that they are expected to submit until then, and for the work that the other
-//     limited teams may do while its own team's is done by its part. It is that the order of the pool lets its team have.
+//     limited teams may do while its own team's is done by its part. The order of the pool gives its team that part.
 //
 // One job may exceed its team's share, since a job cannot be divided: the largest job of a team is not held against it.
 type Division struct {
@@ -182,7 +182,7 @@
 // Divided reports whether a team is limited.
 func (d *Division) Divided() bool { return len(d.limited) > 0 }
 
-// Limited reports whether the team is.
+// Limited reports whether the team is limited to its part of the pool.
 func (d *Division) Limited(team jaybarrow.TeamID) bool {
 	_, limited := d.limited[team]
 	return limited
@@ -210,9 +210,9 @@
 const urgentSlack = 600 * time.Millisecond
 
 // Place returns the place of a job of the team, by what the team uses of the pool and by how much later the job could begin and still meet
-// its target. A job that was promised its time before its team was limited is placed as if the team were not. While the jobs of a team that
-// is not limited can wait for all such jobs and urgentSlack longer, they need not come before those of limited teams, which the pool would
-// otherwise complete too late.
+// its target. A job that was promised its time, since its team was not limited when the job was first ordered in a divided pool, is
+// placed as if the team were not limited now. While the jobs of a team that is not limited can wait for all such jobs and urgentSlack longer,
+// they need not come before those of limited teams, which the pool would otherwise complete too late.
 func (d *Division) Place(team jaybarrow.TeamID, promised bool, used jaybarrow.Resources, slack time.Duration) int {
 	part, limited := d.limited[team]
 	limited = limited && !promised
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -42,7 +42,7 @@
 	dispatchPath time.Duration // criticalPath with the dispatch of each step
 	order        placementOrder
 	ordered      bool // whether the job was ever ordered in a divided pool
-	promised     bool // whether its team was not limited when it first was
+	promised     bool // whether its team was not limited when the job was first ordered in a divided pool
 }
 
 // occurrence is one run of all steps of a job.
--- a/internal/workload/place.go
+++ b/internal/workload/place.go
@@ -152,6 +152,8 @@
 			continue
 		}
 		if !j.ordered {
+			// A job that was ordered before the pool was divided counts from its first order in the divided pool: if its team is limited then,
+			// it is placed as a job of a limited team, whatever it was admitted by.
 			j.ordered, j.promised = true, !division.Limited(j.spec.Team)
 		}
 		j.order.overShare = division.Place(j.spec.Team, j.promised, used[j.spec.Team], j.slack(now, delay))
