Count the entries of peers' messages before decoding them

Cause: only the bytes of a message were bounded. A report of 4 MB with empty entries of two bytes each decodes to over 200 MB; commits likewise. Change: a server codec counts nested messages and list elements with protowire and refuses messages with too many entries: 256, 10,240 in reports of refused jobs, 65,536 between entry hosts of serve. The limit for reports is above the 10,000 jobs that an existing test sends and expects to be cut to 500. Result: such a message is answered with ResourceExhausted before it is decoded.

--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -41,13 +41,29 @@
 // streamWorkers is how many goroutines are kept for calls. Calls are short, and their stacks are then not grown for each of them.
 const streamWorkers = 8
 
+const (
+	// maxCallEntries is above the 32 entries of the largest commit. Commits wait for the store, so that many may be held at once.
+	maxCallEntries = 256
+	// maxReportEntries is above refusal.MaxReportJobs, since the reports of another build may be larger; the rest of them is left out.
+	maxReportEntries = 10_240
+)
+
+// maxEntries returns how many entries a message may have.
+func maxEntries(message any) int {
+	if _, ok := message.(*jobpb.RefusedRequest); ok {
+		return maxReportEntries
+	}
+	return maxCallEntries
+}
+
 // NewServer returns a Server that serves on the listener until Close. A server that stops earlier is reported to onFault.
 func NewServer(log zerolog.Logger, listener net.Listener, handler Handler, onFault rungroup.Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	options := append(clientlimit.ServerOptions(listener),
-		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes), grpc.NumStreamWorkers(streamWorkers))
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes), grpc.NumStreamWorkers(streamWorkers),
+		clientlimit.EntryCodec())
 	s := &Server{handler: handler, cancel: cancel, group: rungroup.New(onFault), grpc: grpc.NewServer(options...)}
-	jobpb.RegisterJobsServer(s.grpc, s)
+	jobpb.RegisterJobsServer(clientlimit.BoundEntries(s.grpc, maxEntries), s)
 	s.group.Keep(ctx, "peer server", func() error {
 		err := s.grpc.Serve(listener)
 		if err != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -24,6 +24,9 @@
 // maxMessageBytes is the largest gRPC message; answers of workers may be larger than requests.
 const maxMessageBytes = 16 << 20
 
+// maxEntries is how many entries, which are members and loads of pools, a message may have; it bounds what an empty entry of two bytes costs.
+const maxEntries = 65_536
+
 // flowControlWindowBytes is the HTTP/2 flow control window. A fixed size turns off the bandwidth estimation of grpc-go, whose
 // pings made up a large part of the heartbeat traffic.
 const flowControlWindowBytes = 1 << 20
@@ -44,13 +47,13 @@
 func NewServer(clock jaybarrow.Clock, log zerolog.Logger, listener net.Listener, local jaybarrow.Runner, config ChangeSource, gossip *Gossip, onFault rungroup.Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{cancel: cancel, group: rungroup.New(onFault), clock: clock, local: local, config: config, gossip: gossip}
-	s.grpc = grpc.NewServer(append(clientlimit.ServerOptions(listener),
+	s.grpc = grpc.NewServer(append(clientlimit.ServerOptions(listener), clientlimit.EntryCodec(),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.InitialWindowSize(flowControlWindowBytes), grpc.InitialConnWindowSize(flowControlWindowBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	)...)
-	peerpb.RegisterPeerServer(s.grpc, s)
+	peerpb.RegisterPeerServer(clientlimit.BoundEntries(s.grpc, func(any) int { return maxEntries }), s)
 	s.group.Keep(ctx, "peer server", func() error {
 		err := s.grpc.Serve(listener)
 		if err != nil {
