Let decoded forms use the room that new bodies may not

Cause: a request held its body's room while it waited for more for the decoded form, under the same limit of three quarters. 69 bodies of 262,144 bytes fill it on a machine of 184 MB, waited for each other for 2 s and got 503. Change: the decoded form may use the whole total, and its room is returned when the body is decoded instead of when the request is answered. Result: the 69 bodies are decoded one after the other. Test that failed before: TestCompleteBodiesDoNotBlockEachOther (with the old limit in HoldDecoded).

--- a/internal/clientlimit/body.go
+++ b/internal/clientlimit/body.go
@@ -30,12 +30,35 @@
 	_ = b.conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
-// Hold takes n more bytes for the decoded form of the body, and returns false if there is no room for them.
+// Hold takes n more bytes for the body or its decompressed form, and returns false if there is no room for them.
 func (b *Body) Hold(n int64) bool {
 	if b == nil || b.bytes == nil {
 		return true
 	}
-	if !b.bytes.reserve(n) {
+	return b.hold(n, b.bytes.limitFor(n))
+}
+
+// HoldDecoded takes n bytes for the decoded form of a complete body, and returns false if there is no room for them; otherwise the caller returns
+// them with ReleaseDecoded when it has decoded the body. It may use the room that new large bodies may not: complete bodies would otherwise
+// wait for each other, since each holds its room while it waits.
+func (b *Body) HoldDecoded(n int64) bool {
+	if b == nil || b.bytes == nil {
+		return true
+	}
+	return b.hold(n, b.bytes.total)
+}
+
+// ReleaseDecoded returns n bytes of HoldDecoded.
+func (b *Body) ReleaseDecoded(n int64) {
+	if b == nil || b.bytes == nil {
+		return
+	}
+	b.held -= n
+	b.bytes.release(n)
+}
+
+func (b *Body) hold(n, limit int64) bool {
+	if !b.bytes.reserve(n, limit) {
 		return false
 	}
 	b.held += n
--- a/internal/clientlimit/bytes.go
+++ b/internal/clientlimit/bytes.go
@@ -55,12 +55,16 @@
 	maxReserveWait = 2 * time.Second
 )
 
-// take takes n bytes if there is room for them.
-func (b *Bytes) take(n int64) bool {
-	limit := b.total
+// limitFor returns how many bytes may be held after a reservation of n bytes for a body.
+func (b *Bytes) limitFor(n int64) int64 {
 	if n > smallBytes {
-		limit = int64(largeFraction * float64(b.total))
+		return int64(largeFraction * float64(b.total))
 	}
+	return b.total
+}
+
+// take takes n bytes if no more than limit are held then.
+func (b *Bytes) take(n, limit int64) bool {
 	for {
 		used := b.used.Load()
 		if used+n > limit {
@@ -94,10 +98,10 @@
 	return b.freed
 }
 
-// reserve takes n bytes. While there is no room, the oldest body that has been arriving for evictAfter has to give way; it returns false
-// when there is no room within maxReserveWait.
-func (b *Bytes) reserve(n int64) bool {
-	if b.take(n) {
+// reserve takes n bytes if no more than limit are held then. While there is no room, the oldest body that has been arriving for evictAfter has
+// to give way; it returns false when there is no room within maxReserveWait.
+func (b *Bytes) reserve(n, limit int64) bool {
+	if b.take(n, limit) {
 		return true
 	}
 	if n > b.total {
@@ -107,7 +111,7 @@
 	for {
 		// The channel is taken before the attempt, so that a release in between is not missed.
 		freed := b.waitForRoom()
-		if b.take(n) {
+		if b.take(n, limit) {
 			return true
 		}
 		now := b.clock.Now()
--- a/internal/clientlimit/bytes_test.go
+++ b/internal/clientlimit/bytes_test.go
@@ -133,6 +133,39 @@
 	})
 }
 
+// Guards against complete bodies that fill their share of the room and wait for each other with their decoded forms, although a part of the
+// room is free.
+func TestCompleteBodiesDoNotBlockEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, decoded = 256 * kilobyte, 1024 * kilobyte
+		b := clientlimit.NewBytes(jaybarrow.SystemClock{}, 23<<20)
+		var bodies []*clientlimit.Body
+		for range 69 { // as many as get room
+			body, err := receive(b, size)
+			assert.NilError(t, err)
+			bodies = append(bodies, body)
+		}
+		begin := time.Now()
+		done := make(chan bool)
+		for _, body := range bodies {
+			go func() {
+				defer body.Release()
+				held := body.HoldDecoded(decoded)
+				if held {
+					time.Sleep(20 * time.Millisecond)
+					body.ReleaseDecoded(decoded)
+				}
+				done <- held
+			}()
+		}
+		for range bodies {
+			assert.Check(t, <-done)
+		}
+		assert.Assert(t, time.Since(begin) < time.Second)
+		assert.Equal(t, b.Used(), int64(0))
+	})
+}
+
 // Guards against counts that differ after many bodies at once, and, with the race detector, against unguarded state.
 func TestManyBodiesAtOnce(t *testing.T) {
 	b := clientlimit.NewBytes(jaybarrow.SystemClock{}, 300*kilobyte)
