End the wait for room of a body that has to give way

Cause: reserve did not look at the eviction of the body it waits for, so that the body kept its room for up to 2 s. A chunked body at its limit had to get room for a larger buffer before it was refused, and could get 503 for 413. Change: eviction closes a channel on which reserve selects; at the limit one byte is read without a larger buffer. Result: the body gives way at once; over the limit it gets 413. Tests that failed before: TestABodyThatWaitsForRoomGivesWay, TestAChunkedBodyOverTheLimitNeedsNoMoreRoom.

--- a/internal/clientlimit/body.go
+++ b/internal/clientlimit/body.go
@@ -4,7 +4,7 @@
 	"errors"
 	"io"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
@@ -21,21 +21,31 @@
 	held    int64
 	since   time.Time
 	shard   int
-	evicted atomic.Bool
+	evicted chan struct{} // closed when the body has to give way
+	once    sync.Once     // guards the close of evicted
 }
 
-// evict makes the pending read of the body fail.
+// evict makes the pending read of the body, or its wait for room, fail.
 func (b *Body) evict() {
-	b.evicted.Store(true)
+	b.once.Do(func() { close(b.evicted) })
 	_ = b.conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
+func (b *Body) isEvicted() bool {
+	select {
+	case <-b.evicted:
+		return true
+	default:
+		return false
+	}
+}
+
 // Hold takes n more bytes for the body or its decompressed form, and returns false if there is no room for them.
 func (b *Body) Hold(n int64) bool {
 	if b == nil || b.bytes == nil {
 		return true
 	}
-	return b.hold(n, b.bytes.limitFor(n))
+	return b.hold(n, b.bytes.limitFor(n), nil)
 }
 
 // HoldDecoded takes n bytes for the decoded form of a complete body, and returns false if there is no room for them; otherwise the caller returns
@@ -45,7 +55,7 @@
 	if b == nil || b.bytes == nil {
 		return true
 	}
-	return b.hold(n, b.bytes.total)
+	return b.hold(n, b.bytes.total, nil)
 }
 
 // ReleaseDecoded returns n bytes of HoldDecoded.
@@ -57,8 +67,16 @@
 	b.bytes.release(n)
 }
 
-func (b *Body) hold(n, limit int64) bool {
-	if !b.bytes.reserve(n, limit) {
+// grow is Hold for a body that is being received, which may have to give way while it waits.
+func (b *Body) grow(n int64) bool {
+	if b.bytes == nil {
+		return true
+	}
+	return b.hold(n, b.bytes.limitFor(n), b.evicted)
+}
+
+func (b *Body) hold(n, limit int64, evicted <-chan struct{}) bool {
+	if !b.bytes.reserve(n, limit, evicted) {
 		return false
 	}
 	b.held += n
@@ -84,10 +102,10 @@
 	if announced > limit {
 		return nil, nil, ErrTooLarge
 	}
-	body := &Body{bytes: bytes, conn: conn}
+	body := &Body{bytes: bytes, conn: conn, evicted: make(chan struct{})}
 	size := announced
 	if announced < 0 {
-		size = min(firstChunkBytes, limit+1)
+		size = min(firstChunkBytes, limit)
 	}
 	if !body.Hold(int64(size)) {
 		return nil, body, ErrNoRoom
@@ -98,7 +116,7 @@
 		defer bytes.remove(body)
 	}
 	data, err := body.read(stream, make([]byte, size), announced < 0, limit)
-	if err != nil && body.evicted.Load() {
+	if err != nil && body.isEvicted() {
 		err = ErrNoRoom
 	}
 	return data, body, err
@@ -108,11 +126,16 @@
 func (b *Body) read(stream io.Reader, buffer []byte, grows bool, limit int) ([]byte, error) {
 	n, err := io.ReadFull(stream, buffer)
 	for grows && err == nil {
-		if n > limit {
-			return nil, ErrTooLarge
+		if n == limit {
+			// The buffer does not grow for a byte that is refused.
+			var one [1]byte
+			if _, err = io.ReadFull(stream, one[:]); err == nil {
+				return nil, ErrTooLarge
+			}
+			break
 		}
-		size := min(2*len(buffer), limit+1)
-		if !b.Hold(int64(size)) {
+		size := min(2*len(buffer), limit)
+		if !b.grow(int64(size)) {
 			return nil, ErrNoRoom
 		}
 		grown := make([]byte, size)
--- a/internal/clientlimit/bytes.go
+++ b/internal/clientlimit/bytes.go
@@ -99,8 +99,8 @@
 }
 
 // reserve takes n bytes if no more than limit are held then. While there is no room, the oldest body that has been arriving for evictAfter has
-// to give way; it returns false when there is no room within maxReserveWait.
-func (b *Bytes) reserve(n, limit int64) bool {
+// to give way; it returns false when there is no room within maxReserveWait or evicted is closed.
+func (b *Bytes) reserve(n, limit int64, evicted <-chan struct{}) bool {
 	if b.take(n, limit) {
 		return true
 	}
@@ -123,6 +123,8 @@
 			wait = min(wait, until)
 		}
 		select {
+		case <-evicted:
+			return false
 		case <-freed:
 		case <-b.clock.After(wait):
 		}
@@ -136,7 +138,7 @@
 		s := &b.shards[i]
 		s.lock.Lock()
 		for body := range s.bodies {
-			if !body.evicted.Load() && (oldest == nil || body.since.Before(oldest.since)) {
+			if !body.isEvicted() && (oldest == nil || body.since.Before(oldest.since)) {
 				oldest = body
 			}
 		}
--- a/internal/clientlimit/bytes_test.go
+++ b/internal/clientlimit/bytes_test.go
@@ -133,6 +133,39 @@
 	})
 }
 
+// Guards against a chunked body over the limit that gets 503 instead of 413, since its buffer would grow for the byte over the limit.
+func TestAChunkedBodyOverTheLimitNeedsNoMoreRoom(t *testing.T) {
+	const limit = 8 * kilobyte
+	b := clientlimit.NewBytes(jaybarrow.SystemClock{}, 12*kilobyte)
+	_, body, err := clientlimit.Receive(b, nil, strings.NewReader(strings.Repeat("b", limit+1)), -1, limit)
+	assert.ErrorIs(t, err, clientlimit.ErrTooLarge)
+	body.Release()
+	assert.Equal(t, b.Used(), int64(0))
+}
+
+// Guards against a body that has to give way and keeps its room while it waits for more.
+func TestABodyThatWaitsForRoomGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := clientlimit.NewBytes(jaybarrow.SystemClock{}, 400*kilobyte)
+		other, err := receive(b, 200*kilobyte)
+		assert.NilError(t, err)
+		server, client := net.Pipe()
+		defer client.Close()
+		begin := time.Now()
+		ended := make(chan time.Duration, 1)
+		go func() {
+			_, body, err := clientlimit.Receive(b, server, server, -1, 1<<20)
+			assert.Check(t, errors.Is(err, clientlimit.ErrNoRoom))
+			body.Release()
+			ended <- time.Since(begin)
+		}()
+		_, err = client.Write(make([]byte, 64*kilobyte)) // then the buffer of 64 KB has no room to double
+		assert.NilError(t, err)
+		assert.Equal(t, <-ended, 500*time.Millisecond)
+		other.Release()
+	})
+}
+
 // Guards against complete bodies that fill their share of the room and wait for each other with their decoded forms, although a part of the
 // room is free.
 func TestCompleteBodiesDoNotBlockEachOther(t *testing.T) {
@@ -162,6 +195,7 @@
 			assert.Check(t, <-done)
 		}
 		assert.Assert(t, time.Since(begin) < time.Second)
+		synctest.Wait()
 		assert.Equal(t, b.Used(), int64(0))
 	})
 }
