Return the count of bytes read from a connection closed meanwhile

Cause: when another goroutine closed a connection during its Read, the bytes were added after Close had returned what the connection held, and stayed counted for ever, in messages of peers and in answers of servers. Change: bytes of messages are added under the shard's lock unless the connection is closed; AnswerConn.Read looks after the addition whether it is closed. Result: nothing stays counted; the read ends with net.ErrClosed. Test that failed before: TestACloseDuringAReadLeavesNothingCounted.

--- a/internal/clientlimit/answers.go
+++ b/internal/clientlimit/answers.go
@@ -45,6 +45,7 @@
 	answers  *Answers
 	received atomic.Int64 // bytes of the present answer
 	held     atomic.Int64 // bytes that are counted
+	closed   atomic.Bool
 }
 
 // Wrap returns the connection with its answers counted.
@@ -66,7 +67,13 @@
 		return n, err
 	}
 	c.held.Add(more)
-	if c.answers.used.Add(more) > c.answers.total {
+	used := c.answers.used.Add(more)
+	if c.closed.Load() {
+		// Close may have returned what the connection held before these bytes were added.
+		c.Release()
+		return 0, net.ErrClosed
+	}
+	if used > c.answers.total {
 		c.answers.reporter.reached("servers", LimitAnswers, "a connection was closed")
 		c.Release()
 		_ = c.Conn.Close()
@@ -98,6 +105,7 @@
 
 // Close closes the connection.
 func (c *AnswerConn) Close() error {
+	c.closed.Store(true)
 	c.Release()
 	return c.Conn.Close()
 }
--- a/internal/clientlimit/calls.go
+++ b/internal/clientlimit/calls.go
@@ -41,9 +41,12 @@
 // receive counts n bytes that were read. When all connections together hold too many bytes of incomplete messages, the one that holds the
 // most is closed.
 func (c *Conn) receive(n int, err error) (int, error) {
-	c.pending.Add(int64(n))
 	l := c.listener
-	if l.messageBytes.Add(int64(n)) <= int64(l.settings.Messages) {
+	total, open := c.addPending(int64(n))
+	if !open {
+		return 0, net.ErrClosed
+	}
+	if total <= int64(l.settings.Messages) {
 		return n, err
 	}
 	l.Reached(LimitMessages, "a connection was closed")
@@ -60,6 +63,18 @@
 	return n, err
 }
 
+// addPending counts n bytes and returns the total of all connections. On a closed connection, whose Close has already returned what it held,
+// it counts nothing and returns false.
+func (c *Conn) addPending(n int64) (int64, bool) {
+	c.shard.lock.Lock()
+	defer c.shard.lock.Unlock()
+	if c.state == stateClosed {
+		return 0, false
+	}
+	c.pending.Add(n)
+	return c.listener.messageBytes.Add(n), true
+}
+
 // forget takes n bytes from the count, or as many as the connection holds.
 func (c *Conn) forget(n int64) {
 	for {
--- a/internal/clientlimit/listener_test.go
+++ b/internal/clientlimit/listener_test.go
@@ -150,6 +150,48 @@
 	assert.Equal(t, answers.Used(), int64(0))
 }
 
+// lateConn is a connection whose Read returns data after the connection was closed by the hook.
+type lateConn struct {
+	net.Conn
+	closeNow func()
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	c.closeNow()
+	return len(p), nil
+}
+
+func (c *lateConn) Close() error { return nil }
+
+func (c *lateConn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+
+// oneListener accepts one connection.
+type oneListener struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l oneListener) Accept() (net.Conn, error) { return l.conn, nil }
+
+// Guards against bytes that stay counted for ever when a connection is closed by another goroutine during its Read.
+func TestACloseDuringAReadLeavesNothingCounted(t *testing.T) {
+	late := new(lateConn)
+	l := clientlimit.New(oneListener{conn: late}, clientlimit.Settings{MaxConnections: 2, Messages: 1 << 20})
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	late.closeNow = func() { _ = c.Close() }
+	_, err = c.Read(make([]byte, 1000))
+	assert.ErrorIs(t, err, net.ErrClosed)
+	assert.Equal(t, l.PendingBytes(), int64(0))
+
+	answers := clientlimit.NewAnswers(1<<20, nil)
+	answer := answers.Wrap(late)
+	late.closeNow = func() { _ = answer.Close() }
+	_, err = answer.Read(make([]byte, 100<<10))
+	assert.ErrorIs(t, err, net.ErrClosed)
+	assert.Equal(t, answers.Used(), int64(0))
+}
+
 // Guards against answers that are allocated by their announced length before they are counted.
 func TestAnnouncedAnswersCountAtTheirHeaders(t *testing.T) {
 	answers := clientlimit.NewAnswers(1<<20, nil)
