Bound the memory of peers' connections

Cause: the number of connections of peers followed from the descriptors only, at 64 KB of buffers each 30 MB on a machine of 184 MB, and the page's share of the memory left them out. Test that failed before: TestThePlanFitsTheMachine with its new bounds.

--- a/internal/clientlimit/plan.go
+++ b/internal/clientlimit/plan.go
@@ -30,6 +30,8 @@
 	peerFraction        = 8
 	connectionMemory    = 6        // connections of callers take up to a sixth of the memory
 	connectionBytes     = 40 << 10 // buffers and stack of a connection whose headers are being read
+	peerMemory          = 16       // connections of peers take up to a sixteenth of the memory
+	peerBytes           = 64 << 10 // the gRPC library's buffers for reading and writing, 32 KB each
 	bodyMemory          = 8
 	messageMemory       = 8
 	answerMemory        = 8
@@ -68,7 +70,7 @@
 	share := func(fraction budget.Bytes) budget.Bytes { return min(max(m.Memory/fraction, minBytes), maxBytes) }
 	return Limits{
 		Callers:  min(max(min(connections/callerFraction, int(m.Memory/connectionMemory/connectionBytes)), minConnections), maxCallers),
-		Peers:    min(max(connections/peerFraction, minConnections), maxPeers),
+		Peers:    min(max(min(connections/peerFraction, int(m.Memory/peerMemory/peerBytes)), minConnections), maxPeers),
 		Balancer: min(max(connections/peerFraction, minConnections), maxBalancer),
 		Metrics:  maxMetrics,
 		Calls:    max(int(m.Memory/callMemory/callBytes), minCalls),
--- a/internal/clientlimit/plan_test.go
+++ b/internal/clientlimit/plan_test.go
@@ -22,6 +22,9 @@
 		assert.Assert(t, connections <= (m.Descriptors-200)/2+l.Metrics, "%d connections of %+v", connections, m)
 		held := l.Bodies + l.Messages + l.Answers + budget.Bytes(l.Callers)*40<<10
 		assert.Assert(t, held <= m.Memory*11/20, "%d MB of %+v", held>>20, m)
+		peers := budget.Bytes(l.Peers) * 64 << 10
+		assert.Assert(t, peers <= m.Memory/16 && held+peers <= m.Memory*61/100, "%d MB and %d MB for peers of %+v", held>>20, peers>>20, m)
+		assert.Assert(t, l.Peers >= 32, "%+v", l)
 		assert.Assert(t, l.Bodies >= 16*largestBody && l.Callers >= 100 && l.Calls >= 1000, "%+v", l)
 	}
 }
