Count a connection as idle only after its whole answer

Cause: the first Write made a connection idle, so that it could be closed in favour of another one in the middle of a large answer. Change: it becomes idle when the server sets the deadline for the next request after a Write. A deadline in the past, which interrupts a read, changes nothing. Result: a connection whose answer is written in part is not closed. Test that failed before: TestAConnectionIsNotIdleBeforeItsAnswerIsComplete (as a time-out; the test has a deadline of its own since).

--- a/internal/clientlimit/listener.go
+++ b/internal/clientlimit/listener.go
@@ -144,6 +144,7 @@
 	listener *Listener
 	shard    *connShard
 	started  atomic.Bool // whether a byte has arrived
+	answered atomic.Bool // whether a part of the present answer has been written
 
 	// The shard's lock guards these.
 	state   state
@@ -175,7 +176,10 @@
 func (c *Conn) Listener() *Listener { return c.listener }
 
 // Serve protects the connection from being closed in favour of another one until its answer is written; it begins when a request is complete.
-func (c *Conn) Serve() { c.setState(stateServing) }
+func (c *Conn) Serve() {
+	c.answered.Store(false)
+	c.setState(stateServing)
+}
 
 // idle ends Serve.
 func (c *Conn) idle() { c.setState(stateIdle) }
@@ -222,8 +226,13 @@
 	return c.state == stateServing
 }
 
-// SetReadDeadline sets the time at which reads fail. A client may wait before its first request as long as between two requests.
+// SetReadDeadline sets the time at which reads fail. A client may wait before its first request as long as between two requests. An HTTP server
+// calls it when it begins to wait for the next request, so that the connection is idle if its answer was written; the answer to one of several
+// requests sent at once may still be in the server's buffer. A deadline in the past only interrupts a read.
 func (c *Conn) SetReadDeadline(t time.Time) error {
+	if c.listener.settings.Messages == 0 && c.answered.Load() && c.isServing() && time.Now().Before(t) {
+		c.idle()
+	}
 	if !t.IsZero() && c.listener.settings.Messages == 0 && !c.started.Load() {
 		t = t.Add(IdleTimeout - HeaderTimeout)
 	}
@@ -246,13 +255,10 @@
 	return n, err
 }
 
-// Write writes an answer, after which the connection is idle.
+// Write writes a part of an answer.
 func (c *Conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if c.listener.settings.Messages == 0 && c.isServing() {
-		c.idle()
-	}
-	return n, err
+	c.answered.Store(true)
+	return c.Conn.Write(p)
 }
 
 // CloseWrite closes the connection for writing.
--- a/internal/clientlimit/listener_test.go
+++ b/internal/clientlimit/listener_test.go
@@ -1,7 +1,9 @@
 package clientlimit_test
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -45,7 +47,7 @@
 // isClosed reports whether the process has closed its end of the connection.
 func isClosed(t *testing.T, c *clientlimit.Conn) bool {
 	t.Helper()
-	return c.SetReadDeadline(time.Now().Add(time.Hour)) != nil
+	return c.Conn.SetReadDeadline(time.Now().Add(time.Hour)) != nil // that of c would make it idle
 }
 
 // answer serves a request on the connection.
@@ -54,6 +56,36 @@
 	c.Serve()
 	_, err := c.Write([]byte("answer"))
 	assert.NilError(t, err)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+}
+
+// Guards against the end of a connection whose answer is written in part only, and of one whose read is interrupted while it serves.
+func TestAConnectionIsNotIdleBeforeItsAnswerIsComplete(t *testing.T) {
+	l := newLimitedListener(t, 1)
+	_, c := l.connect()
+	c.Serve()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+	_, err := c.Write([]byte("ans"))
+	assert.NilError(t, err)
+	assert.NilError(t, c.SetReadDeadline(time.Unix(1, 0)))
+	refused, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer refused.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		next, _ := l.Accept() // returns when a connection is accepted or the listener is closed
+		accepted <- next
+	}()
+	assert.NilError(t, refused.SetReadDeadline(time.Now().Add(10*time.Second)))
+	_, err = refused.Read(make([]byte, 1))
+	assert.Assert(t, err != nil && !errors.Is(err, os.ErrDeadlineExceeded), "the new connection is open: %v", err)
+	assert.Assert(t, !isClosed(t, c))
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+	further, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer further.Close()
+	assert.Assert(t, <-accepted != nil)
+	assert.Assert(t, isClosed(t, c), "an idle connection gives way")
 }
 
 // Guards against more connections than allowed, and against the end of a connection with a request in progress, whose caller would not know
