--- a/internal/clientlimit/body.go
+++ b/internal/clientlimit/body.go
@@ -58,6 +58,9 @@
 	return b.hold(n, b.bytes.total, nil)
 }
 
+// CanHold reports whether n bytes may ever be held.
+func (b *Body) CanHold(n int64) bool { return b == nil || b.bytes == nil || n <= b.bytes.total-b.held }
+
 // ReleaseDecoded returns n bytes of HoldDecoded.
 func (b *Body) ReleaseDecoded(n int64) {
 	if b == nil || b.bytes == nil {
--- a/internal/clientlimit/shape.go
+++ b/internal/clientlimit/shape.go
@@ -3,10 +3,13 @@
 // Shape is what decides how much memory the decoded form of a JSON body takes.
 type Shape struct {
 	Depth   int // of nested objects and lists
-	Objects int
+	Objects int // and other elements of an outer list, for each of which the decoder makes a step
 	Values  int // counted by commas
 }
 
+// stepsDepth is the depth of the list of a job's steps.
+const stepsDepth = 2
+
 // ShapeOf scans a JSON text without decoding it; of a text that is not JSON it returns some shape.
 //
 // Load pattern: bodies within the limit whose decoded form is many times larger, since each `{}` becomes a whole step, or nested so deep that
@@ -14,6 +17,7 @@
 func ShapeOf(text []byte) Shape {
 	var s Shape
 	depth, quoted := 0, false
+	inList, object := false, false // whether the text at stepsDepth is in a list, and whether its present element is an object
 	for i := 0; i < len(text); i++ {
 		c := text[i]
 		if quoted {
@@ -31,13 +35,23 @@
 		case '{', '[':
 			depth++
 			s.Depth = max(s.Depth, depth)
+			if depth == stepsDepth {
+				inList, object = c == '[', false
+			}
 			if c == '{' {
 				s.Objects++
+				object = object || depth == stepsDepth+1
 			}
 		case '}', ']':
 			depth--
 		case ',':
 			s.Values++
+			if depth == stepsDepth && inList {
+				if !object {
+					s.Objects++
+				}
+				object = false
+			}
 		}
 	}
 	return s
