Review case 13: orders of a leader that has given up the lead

A leader that gets SIGTERM gives up its lease at once, but orders for hosts that wait for a connection to a slow machines' service are still sent, up to 0.8 s later and after orders of the successor for the same hosts.

Adds the case as a script with its stand-ins, which the other cases of this review share.

--- /dev/null
+++ b/review/standin-3/main.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// The exit codes of a script.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitCannot = 2
+)
+
+// cases are the scripted cases by name. Each returns whether the rule held; trouble is false for the run without the disruption.
+var cases = map[string]func(s *installation, trouble bool) (held bool, err error){
+	"waiting":   runWaiting,
+	"crashloop": runCrashLoop,
+	"memory":    runMemory,
+	"orders":    runOrders,
+	"takeover":  runTakeover,
+}
+
+// sizes are the hosts and pools of each case, all with workers of the same capacity.
+var sizes = map[string]struct {
+	hosts int
+	pools []pool
+}{
+	"waiting":   {3, []pool{{"desk", 12}}},
+	"crashloop": {3, []pool{{"desk", 2}}},
+	"memory":    {3, []pool{{"desk", 9}}},
+	"orders":    {3, []pool{{"desk", 4}, {"yard", 24}}},
+	"takeover":  {3, []pool{{"desk", 9}}},
+}
+
+var workerCapacity = amounts{CPU: 64000, MemMB: 131072}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE RECORD, in the root of the repository; TROUBLE=0 leaves the disruption out")
+		os.Exit(exitCannot)
+	}
+	os.Exit(play(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0"))
+}
+
+func play(name, recordFile string, trouble bool) int {
+	record, err := os.Create(recordFile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitCannot
+	}
+	defer record.Close()
+	s, err := newInstallation(record, sizes[name].hosts, sizes[name].pools, workerCapacity)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitCannot
+	}
+	defer s.close()
+	s.note("case %s, disruption %v", name, trouble)
+	for _, h := range s.hosts {
+		if err := h.start(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitCannot
+		}
+	}
+	if err := s.awaitReady(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitCannot
+	}
+	time.Sleep(4 * time.Second) // contact_ms and a little more, in calm
+	held, err := cases[name](s, trouble)
+	switch {
+	case err != nil:
+		s.note("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return exitCannot
+	case held:
+		s.note("the rule held")
+		return exitHeld
+	}
+	s.note("the rule was broken")
+	return exitBroken
+}
