--- a/review/standin-3/crashloop.go
+++ b/review/standin-3/crashloop.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// runCrashLoop hands in 19 sound submissions and a lasting one whose work units fail as soon as they have started, on a service of two workers. The
+// runCrashLoop hands in 19 sound submissions and a lasting one whose work units fail as soon as they have started, on a service of nine workers. The
 // last sound one is a chain of 40 short steps. It looks for 3 s in which nothing of the chain runs, from finish_s after the end of the traffic.
 func runCrashLoop(s *installation, trouble bool) (held bool, err error) {
 	post := func(n int, body string) (string, error) {
@@ -27,7 +27,7 @@
 	}
 	if trouble {
 		s.note("disruption: a submission that can never be done")
-		if _, err := post(99, `{"spec":"fail","steps":[{"replicas":4,"cpu":2000,"mem_mb":64,"estimate_ms":500,"daemon":true}]}`); err != nil {
+		if _, err := post(99, `{"spec":"fail","steps":[{"replicas":5,"cpu":2000,"mem_mb":64,"estimate_ms":500,"daemon":true}]}`); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -28,8 +28,8 @@
 	pools []pool
 }{
 	"waiting":   {3, []pool{{"desk", 12}}},
-	"crashloop": {3, []pool{{"desk", 2}}},
-	"memory":    {3, []pool{{"desk", 9}}},
+	"crashloop": {3, []pool{{"desk", 9}}},
+	"memory":    {5, []pool{{"desk", 9}}},
 	"orders":    {3, []pool{{"desk", 4}, {"yard", 24}}},
 	"takeover":  {3, []pool{{"desk", 9}}},
 }
--- a/review/standin-3/takeover.go
+++ b/review/standin-3/takeover.go
@@ -39,7 +39,6 @@
 }
 
 const (
-	burstTenths  = 26 // of the traffic of large submissions, from the kill on: 2.6 times as much
 	retries      = 4
 	deadAirPause = 300 * time.Millisecond // of a caller without an answer
 	finishTime   = 14 * time.Second       // from the end of the traffic until submissions are asked for
@@ -47,25 +46,30 @@
 	watchTime    = 20 * time.Second       // after the rule is decided
 )
 
-// burst is the traffic around the kill of the leading process.
-type burst struct {
+// load is the traffic around the stop of the leading process.
+type load struct {
 	interval  time.Duration // between two large submissions
-	large     int           // submissions before the kill, at most
-	afterFull time.Duration // from the first refusal to the kill
-	afterKill time.Duration // until the end of the traffic
+	large     int           // submissions before that stop, at most
+	afterFull time.Duration // from the first refusal to that stop
+	again     time.Duration // from that stop to that of the next leading process; 0 for none
+	afterStop time.Duration // until the end of the traffic
 }
 
-// runMemory lets callers hand in large submissions until the system refuses them for want of memory, and kills the leading process 4 s later.
+// runMemory lets callers hand in large submissions until the system refuses them for want of memory. 4 s later it stops the leading process with
+// SIGTERM, and the one that leads 6.3 s after that. The traffic stays the same.
 func runMemory(s *installation, trouble bool) (held bool, err error) {
-	return runBurst(s, trouble, burst{interval: 33 * time.Millisecond, large: 400, afterFull: 4 * time.Second, afterKill: 4 * time.Second})
+	return runLoad(s, trouble, load{
+		interval: 33 * time.Millisecond, large: 400, afterFull: 4 * time.Second, again: 6300 * time.Millisecond, afterStop: 5 * time.Second,
+	})
 }
 
-// runTakeover lets callers hand in 60 large submissions, which the system holds with ease, and kills the leading process.
+// runTakeover lets callers hand in 120 large submissions, which the system holds with ease, and stops the leading process with SIGTERM. The traffic goes
+// on.
 func runTakeover(s *installation, trouble bool) (held bool, err error) {
-	return runBurst(s, trouble, burst{interval: 60 * time.Millisecond, large: 60, afterKill: 3 * time.Second})
+	return runLoad(s, trouble, load{interval: 33 * time.Millisecond, large: 120, afterStop: 3 * time.Second})
 }
 
-// traffic is the callers of a case. Like the platform's, they reach another host with each attempt, and come again as often as retries says: when
+// traffic is the callers. Like the platform's, they reach another host with each attempt, and come again as often as retries says: when
 // they were told to, or after a pause when there was no answer.
 type traffic struct {
 	site  *installation
@@ -129,9 +133,10 @@
 	return t.count["429"]
 }
 
-// runBurst plays the traffic, whose large submissions are due in an hour, and kills the leading process, which is started again 1 s later. Small
+// runLoad plays the traffic, whose large submissions are due in an hour, and stops the leading process, which is started
+// again. Small
 // submissions, to be done at once, come from then on. A submission with an occurrence each second is accepted before all others.
-func runBurst(s *installation, trouble bool, b burst) (held bool, err error) {
+func runLoad(s *installation, trouble bool, l load) (held bool, err error) {
 	const (
 		smallBody = `{"spec":"100ms","steps":[{"replicas":2,"cpu":2000,"mem_mb":64,"estimate_ms":100}]}`
 		regularID = "0000000000030000"
@@ -147,34 +152,39 @@
 	body := largeBody(time.Now().Add(time.Hour).UnixMilli())
 	s.note("a large submission has %d bytes", len(body))
 	t := &traffic{site: s, count: make(map[string]int)}
-	var fullAt, killedAt time.Time
+	var fullAt, stoppedAt time.Time
 	for n := 0; ; n++ {
 		switch now := time.Now(); {
-		case fullAt.IsZero() && (t.refusals() > 0 || n >= b.large):
+		case fullAt.IsZero() && (t.refusals() > 0 || n >= l.large):
 			fullAt = now
-		case !fullAt.IsZero() && killedAt.IsZero() && now.Sub(fullAt) >= b.afterFull:
+		case !fullAt.IsZero() && stoppedAt.IsZero() && now.Sub(fullAt) >= l.afterFull:
 			leader := s.leader()
 			if leader == nil {
 				return false, fmt.Errorf("nobody leads")
 			}
 			s.note("answers of large submissions so far: %s; %s leads", t.answers(), leader.name)
-			killedAt = now
+			stoppedAt = now
 			if trouble {
-				leader.signal(syscall.SIGKILL)
+				leader.signal(syscall.SIGTERM)
 			}
 		}
-		if !killedAt.IsZero() && time.Since(killedAt) >= b.afterKill {
+		if l.again > 0 && !stoppedAt.IsZero() && time.Since(stoppedAt) >= l.again {
+			if leader := s.leader(); leader != nil {
+				s.note("answers of large submissions so far: %s; %s leads", t.answers(), leader.name)
+				stoppedAt, l.again = time.Now(), 0
+				if trouble {
+					leader.signal(syscall.SIGTERM)
+				}
+			}
+		}
+		if l.again == 0 && !stoppedAt.IsZero() && time.Since(stoppedAt) >= l.afterStop {
 			break
 		}
 		t.submit(fmt.Sprintf("000000000001%04d", n), body, false)
-		if !killedAt.IsZero() && n%4 == 0 {
+		if !stoppedAt.IsZero() && n%4 == 0 {
 			t.submit(fmt.Sprintf("000000000002%04d", n), smallBody, true)
 		}
-		if killedAt.IsZero() {
-			time.Sleep(b.interval)
-		} else {
-			time.Sleep(b.interval * 10 / burstTenths)
-		}
+		time.Sleep(l.interval)
 	}
 	ended := time.Now()
 	t.end()
