--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -55,6 +57,13 @@
 		return exitCannot
 	}
 	defer s.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-stop
+		s.close()
+		os.Exit(exitCannot)
+	}()
 	s.note("case %s, disruption %v", name, trouble)
 	for _, h := range s.hosts {
 		if err := h.start(); err != nil {
