Review stand-ins: end all processes in every way a script can end

A script whose program was killed left its entry hosts running, and one that was being started again could outlive the end of a case. The hosts now get a death signal, no host is started once the case is being closed, and a case ends itself after 115 s.

--- a/review/standin-3/installation.go
+++ b/review/standin-3/installation.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -216,12 +217,12 @@
 		"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "JAYBARROW_BOOT=" + file, "JAYBARROW_TEAM_ADMISSION=true",
 	}
 	p.Stdout, p.Stderr = out, out
-	if err := p.Start(); err != nil {
+	// The process ends with this program, also when that is killed.
+	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if started, err := h.startUnlessStopped(p); err != nil || !started {
+		_ = out.Close()
 		return err
 	}
-	h.lock.Lock()
-	h.process = p
-	h.lock.Unlock()
 	h.site.note("%s: process started", h.name)
 	ended := make(chan struct{})
 	go h.limitMemory(p, ended)
@@ -237,16 +238,41 @@
 			return
 		}
 		time.Sleep(down)
-		h.lock.Lock()
-		stopped = h.stopped
-		h.lock.Unlock()
-		if !stopped {
-			_ = h.launch(file)
+		if err := h.launch(file); err != nil {
+			h.site.note("%s: process not started: %v", h.name, err)
 		}
 	}()
 	return nil
 }
 
+// startUnlessStopped starts the process unless the installation is being closed; it reports whether it did.
+func (h *host) startUnlessStopped(p *exec.Cmd) (started bool, err error) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if h.stopped {
+		return false, nil
+	}
+	result := make(chan error)
+	starts <- func() { result <- p.Start() }
+	if err := <-result; err != nil {
+		return false, err
+	}
+	h.process = p
+	return true, nil
+}
+
+// starts are carried out by one thread that lasts as long as the program, since the death signal of a process is that of the thread that started it.
+var starts = make(chan func())
+
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+}
+
 // signal sends a signal to the process.
 func (h *host) signal(s syscall.Signal) {
 	h.lock.Lock()
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -15,6 +15,9 @@
 	exitCannot = 2
 )
 
+// timeLimit bounds a script, which may run for 120 s.
+const timeLimit = 115 * time.Second
+
 // cases are the scripted cases by name. Each returns whether the rule held; trouble is false for the run without the disruption.
 var cases = map[string]func(s *installation, trouble bool) (held bool, err error){
 	"crashloop": runCrashLoop,
@@ -60,7 +63,11 @@
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
-		<-stop
+		select {
+		case <-stop:
+		case <-time.After(timeLimit):
+			s.note("the case takes too long")
+		}
 		s.close()
 		os.Exit(exitCannot)
 	}()
