--- a/review/standin-3/takeover.go
+++ b/review/standin-3/takeover.go
@@ -63,10 +63,10 @@
 	})
 }
 
-// runTakeover lets callers hand in 120 large submissions, which the system holds with ease, and stops the leading process with SIGTERM. The traffic goes
+// runTakeover lets callers hand in 200 large submissions, which the system holds with ease, and stops the leading process with SIGTERM. The traffic goes
 // on.
 func runTakeover(s *installation, trouble bool) (held bool, err error) {
-	return runLoad(s, trouble, load{interval: 33 * time.Millisecond, large: 120, afterStop: 3 * time.Second})
+	return runLoad(s, trouble, load{interval: 33 * time.Millisecond, large: 200, afterStop: 3 * time.Second})
 }
 
 // traffic is the callers. Like the platform's, they reach another host with each attempt, and come again as often as retries says: when
