Report waves on condition that the leader's record has not changed

A report of a wave that the store carries out late replaces the report of a later leader, and operators then see a completed wave as running. Cause: the status of a wave was the only write of a leader in force that did not name the revision of the leader's record. Change: ReportWave takes the revision of the leader's record, and the store refuses the report under another leader. Why it works: the record of a new leader always has a new revision, so the store itself refuses whatever an earlier leader sent, however late it arrives.

--- a/following.go
+++ b/following.go
@@ -62,8 +62,9 @@
 	List(ctx context.Context, after Key) (Page[OperatorInput], error)
 	// Changes waits up to wait for changes after the revision, with the errors of JobStore.Changes.
 	Changes(ctx context.Context, after Revision, wait time.Duration) (OperatorInput, Revision, error)
-	// ReportWave reports the status of a wave to operators.
-	ReportWave(ctx context.Context, wave WaveID, status WaveStatus) error
+	// ReportWave reports the status of a wave to operators. It returns KindConflict, and reports nothing, when the leader's record has another
+	// revision, so that a report which is carried out late cannot replace one of a later leader.
+	ReportWave(ctx context.Context, wave WaveID, status WaveStatus, leader Revision) error
 }
 
 // JobStatus is the scheduler's information about a job.
--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -195,7 +195,9 @@
 
 func (w waves) Waves() []fleetkeeper.KnownWave { return w }
 
-func (waves) ReportWave(context.Context, jaybarrow.WaveID, jaybarrow.WaveStatus) error { return nil }
+func (waves) ReportWave(context.Context, jaybarrow.WaveID, jaybarrow.WaveStatus, jaybarrow.Revision) error {
+	return nil
+}
 
 // reportedWaves keeps the last status that was reported.
 type reportedWaves struct {
@@ -204,7 +206,7 @@
 	status jaybarrow.WaveStatus
 }
 
-func (r *reportedWaves) ReportWave(_ context.Context, _ jaybarrow.WaveID, status jaybarrow.WaveStatus) error {
+func (r *reportedWaves) ReportWave(_ context.Context, _ jaybarrow.WaveID, status jaybarrow.WaveStatus, _ jaybarrow.Revision) error {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.status = status
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -41,8 +41,8 @@
 type Waves interface {
 	// Waves returns every known wave with the time at which it was first received.
 	Waves() []KnownWave
-	// ReportWave reports the status of a wave to operators.
-	ReportWave(ctx context.Context, wave jaybarrow.WaveID, status jaybarrow.WaveStatus) error
+	// ReportWave reports the status of a wave to operators, unless the leader's record has another revision.
+	ReportWave(ctx context.Context, wave jaybarrow.WaveID, status jaybarrow.WaveStatus, leader jaybarrow.Revision) error
 }
 
 // KnownWave is a wave and the time at which it was received; its hosts must be maintained within Wave.Within after ReceivedAt.
--- a/internal/fleetkeeper/waves.go
+++ b/internal/fleetkeeper/waves.go
@@ -134,7 +134,7 @@
 	if !unreported || !k.deps.Term.Valid() {
 		return
 	}
-	if err := k.deps.Waves.ReportWave(limited, w.ID, status); err != nil {
+	if err := k.deps.Waves.ReportWave(limited, w.ID, status, k.deps.Term.Revision); err != nil {
 		k.deps.Log.Warn().Err(err).Int64("wave", int64(w.ID)).Msg("cannot report the state of a wave; trying again")
 		return
 	}
--- a/internal/fleetkeeper/waves_test.go
+++ b/internal/fleetkeeper/waves_test.go
@@ -108,7 +108,7 @@
 	return s.revisions[id], nil
 }
 
-func (s *waveStore) ReportWave(ctx context.Context, id jaybarrow.WaveID, status jaybarrow.WaveStatus) error {
+func (s *waveStore) ReportWave(ctx context.Context, id jaybarrow.WaveID, status jaybarrow.WaveStatus, _ jaybarrow.Revision) error {
 	s.lock.Lock()
 	for _, w := range s.waves {
 		if w.ID == id && status.State == jaybarrow.WaveCompleted {
--- a/internal/jobhost/waves.go
+++ b/internal/jobhost/waves.go
@@ -44,7 +44,7 @@
 	return append([]fleetkeeper.KnownWave(nil), w.known...)
 }
 
-// ReportWave reports the status of a wave to operators.
-func (w *waves) ReportWave(ctx context.Context, id jaybarrow.WaveID, status jaybarrow.WaveStatus) error {
-	return w.operators.ReportWave(ctx, id, status)
+// ReportWave reports the status of a wave to operators, unless the leader's record has another revision.
+func (w *waves) ReportWave(ctx context.Context, id jaybarrow.WaveID, status jaybarrow.WaveStatus, leader jaybarrow.Revision) error {
+	return w.operators.ReportWave(ctx, id, status, leader)
 }
