Free the lead after the last order for a host

Cause: an order was checked against the lead once and then waited up to a second for one of four connections, while the end of the term revoked the lease at once. Change: the lead is freed after the last order. Why it works: every order ends before the lease is revoked or can expire, and a successor leads only after that, so the order in which the platform receives the orders is the order of the leads.

--- a/agents.go
+++ b/agents.go
@@ -201,19 +201,28 @@
 	FleetOrderInvalid FleetOrderOutcome = "invalid"
 )
 
+// Lead is the leadership under which an order for a host is sent.
+type Lead struct {
+	Fence FenceToken
+	// Valid reports whether no other entry host can lead yet. The platform need not check the fence, so whoever sends an order asks right before
+	// its last byte, when the order waits for nothing any more.
+	Valid func() bool
+}
+
 // PageToken names a page of a list of hosts.
 type PageToken string
 
-// Fleet lists the hosts of the fleet and sends the platform orders for them. An order ends all runs on the host immediately.
-// A KindStoreUnavailable error means that the order may have been carried out, KindQueueFull that it was not.
+// Fleet lists the hosts of the fleet and sends the platform orders for them. An order ends all runs on the host immediately; it is not sent when
+// the lead is not valid any more, and it cannot reach the platform after the deadline of its context. A KindStoreUnavailable error means that the
+// order may have been carried out unless its effect says otherwise, KindQueueFull that it was not.
 type Fleet interface {
 	// Hosts returns a page of the list of hosts and the token of the page that follows, which is empty after the last page. The first
 	// page has an empty token.
 	Hosts(ctx context.Context, page PageToken) (hosts []FleetHost, next PageToken, err error)
 	// Move takes a host to another pool.
-	Move(ctx context.Context, host HostID, pool PoolID, fence FenceToken) (FleetOrderOutcome, error)
+	Move(ctx context.Context, host HostID, pool PoolID, lead Lead) (FleetOrderOutcome, error)
 	// Maintain starts the maintenance of a host as part of a wave.
-	Maintain(ctx context.Context, host HostID, wave WaveID, fence FenceToken) (FleetOrderOutcome, error)
+	Maintain(ctx context.Context, host HostID, wave WaveID, lead Lead) (FleetOrderOutcome, error)
 }
 
 // DrainObstacle is why a host cannot be emptied for its maintenance at present.
--- a/cmd/jaybarrow/join.go
+++ b/cmd/jaybarrow/join.go
@@ -127,6 +127,7 @@
 func hostSettings(s platform.Settings, progressByMarks bool) jobhost.Settings {
 	settings := jobhost.DefaultSettings()
 	settings.MaxForwardedWrites = platform.StoreConnections / 2
+	settings.Fleet.MaxConcurrentOrders = platform.OrderConnections
 	settings.MaxConfigurationAge = time.Duration(configurationAgeFraction * float64(s.Bounds.ConfigurationDelay+s.Bounds.OutageDelay))
 	settings.EvacuationDelay = s.Bounds.EvacuationDelay
 	settings.Scheduler.Workload.Lease = min(settings.Scheduler.Workload.Lease, s.Bounds.MaxWorkerLease)
--- a/internal/fleetkeeper/fixture_test.go
+++ b/internal/fleetkeeper/fixture_test.go
@@ -27,6 +27,7 @@
 	answerTime atomic.Int64                  // of a call for a page of hosts, in ns
 	lists      atomic.Int64                  // calls for the first page of hosts
 	faulty     atomic.Bool                   // orders panic
+	orderTime  atomic.Int64                  // of a move, in ns; it is carried out when it arrives
 	lock       sync.Mutex
 	orders     map[jaybarrow.HostID]order
 	maintained []maintenance // orders to maintain, while each of which the host is busy for busyTime
@@ -82,11 +83,13 @@
 	return jaybarrow.FleetOrderDone, nil
 }
 
-func (f *fleet) Move(_ context.Context, host jaybarrow.HostID, to jaybarrow.PoolID, _ jaybarrow.FenceToken) (jaybarrow.FleetOrderOutcome, error) {
-	return f.recordFirst(host, to)
+func (f *fleet) Move(_ context.Context, host jaybarrow.HostID, to jaybarrow.PoolID, _ jaybarrow.Lead) (jaybarrow.FleetOrderOutcome, error) {
+	outcome, err := f.recordFirst(host, to)
+	time.Sleep(time.Duration(f.orderTime.Load()))
+	return outcome, err
 }
 
-func (f *fleet) Maintain(_ context.Context, host jaybarrow.HostID, wave jaybarrow.WaveID, _ jaybarrow.FenceToken) (jaybarrow.FleetOrderOutcome, error) {
+func (f *fleet) Maintain(_ context.Context, host jaybarrow.HostID, wave jaybarrow.WaveID, _ jaybarrow.Lead) (jaybarrow.FleetOrderOutcome, error) {
 	f.lock.Lock()
 	busy := slices.ContainsFunc(f.maintained, func(m maintenance) bool { return m.host == host && time.Since(m.at) < f.busyTime })
 	if !busy {
@@ -269,7 +272,18 @@
 	resigned, lapsed, faults := new(atomic.Bool), new(atomic.Bool), new(atomic.Int64)
 	return &keeper{startedAt: time.Now(), fleet: f, resigned: resigned, lapsed: lapsed, faults: faults, Keeper: fleetkeeper.New(fleetkeeper.Deps{
 		Clock: jaybarrow.SystemClock{}, Log: zerolog.Nop(), Fleet: f, Store: store, Catalog: known, Settings: settings, Pools: p, Waves: knownWaves, Evacuated: evacuated,
-		Term: leader.Term{Fence: 1, Valid: func() bool { return !lapsed.Load() }, Resign: func(string) { resigned.Store(true) }},
+		Term: leader.Term{
+			Fence: 1, Valid: func() bool { return !lapsed.Load() }, Resign: func(string) { resigned.Store(true) },
+			Unfenced: func(ctx context.Context, limit time.Duration, call func(context.Context)) error {
+				if lapsed.Load() {
+					return leader.ErrLeadEnded
+				}
+				limited, cancel := context.WithTimeout(ctx, limit)
+				defer cancel()
+				call(limited)
+				return nil
+			},
+		},
 		OnFault: func(rungroup.Fault) {
 			if resigned.Load() {
 				faults.Add(1)
--- a/internal/fleetkeeper/keeper.go
+++ b/internal/fleetkeeper/keeper.go
@@ -60,6 +60,8 @@
 	Host budget.Host
 	// CallTimeout is the timeout of one call to the platform or the store; a call for hosts reads one page.
 	CallTimeout time.Duration
+	// MaxConcurrentOrders is how many orders wait for an answer of the platform at the same time, as many as there are connections for them.
+	MaxConcurrentOrders int
 	// TakeoverDelay is the least time between orders of two leaders for one host.
 	TakeoverDelay time.Duration
 	// MinOrderDuration is the least time that the platform takes to carry out an order. A host that is up was last ordered at least
@@ -76,8 +78,9 @@
 		// A twentieth of the time that a move takes, and well within the platform's rate limit.
 		Interval: 100 * time.Millisecond,
 		// Hundreds of times the platform's usual response time.
-		CallTimeout:   time.Second,
-		TakeoverDelay: 3 * time.Second, MinOrderDuration: 1500 * time.Millisecond,
+		CallTimeout:         time.Second,
+		MaxConcurrentOrders: 4,
+		TakeoverDelay:       3 * time.Second, MinOrderDuration: 1500 * time.Millisecond,
 		// Three times the largest clock step that the platform team states.
 		ClockSkew: 6 * time.Second,
 	}
@@ -104,6 +107,7 @@
 	deps   Deps
 	cancel context.CancelFunc
 	group  *rungroup.Group
+	slots  chan struct{} // has a value for each order that waits for an answer
 	state  state
 }
 
@@ -113,7 +117,9 @@
 		d.Evacuated = func(jaybarrow.DataCentreID) bool { return false }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	k := &Keeper{deps: d, cancel: cancel, group: rungroup.New(d.handleFault), state: newState()}
+	k := &Keeper{
+		deps: d, cancel: cancel, group: rungroup.New(d.handleFault), slots: make(chan struct{}, d.Settings.MaxConcurrentOrders), state: newState(),
+	}
 	k.group.Keep(ctx, "decisions on hosts", func() error { k.decideLoop(ctx); return nil })
 	return k
 }
@@ -249,7 +255,7 @@
 		o := k.state.recordOrder(m.Host, "", m.Wave, k.deps.Clock.Now())
 		k.group.Go("order for a host", func() {
 			k.sendOrder(ctx, m.Host, o, "maintain", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
-				return k.deps.Fleet.Maintain(ctx, m.Host.ID, m.Wave, k.deps.Term.Fence)
+				return k.deps.Fleet.Maintain(ctx, m.Host.ID, m.Wave, k.lead())
 			})
 		})
 	}
@@ -262,7 +268,7 @@
 			Str("reason", m.Reason).Msg("host moves")
 		k.group.Go("order for a host", func() {
 			k.sendOrder(ctx, m.Host, o, "move", func(ctx context.Context) (jaybarrow.FleetOrderOutcome, error) {
-				outcome, err := k.deps.Fleet.Move(ctx, m.Host.ID, m.To, k.deps.Term.Fence)
+				outcome, err := k.deps.Fleet.Move(ctx, m.Host.ID, m.To, k.lead())
 				// Maintenance of an earlier leader may be the reason that an order to maintain counts as done, so only a move shows this.
 				if outcome == jaybarrow.FleetOrderDone && m.Host.Worker != "" {
 					k.deps.Pools.EndWorker(m.Host.Pool, m.Host.Worker)
@@ -279,24 +285,48 @@
 	return ok && p.Spare
 }
 
+// lead returns the leadership under which orders are sent.
+func (k *Keeper) lead() jaybarrow.Lead {
+	return jaybarrow.Lead{Fence: k.deps.Term.Fence, Valid: k.deps.Term.Valid}
+}
+
+// errOrdersUnanswered means that an order was not sent, because the platform has not answered those before it in time.
+var errOrdersUnanswered = jaybarrow.Errorf(jaybarrow.KindQueueFull, "the platform has not answered the orders before").WithEffect(jaybarrow.EffectNotRun)
+
 // sendOrder sends one order to the platform and records its outcome.
 func (k *Keeper) sendOrder(ctx context.Context, host fleetplan.Host, o *order, action string, send func(context.Context) (jaybarrow.FleetOrderOutcome, error)) {
-	if !k.deps.Term.Valid() {
-		// The process may have been paused since the decision, and a successor may give orders by now.
-		k.deps.Log.Warn().Str("host", string(host.ID)).Str("order", action).Msg("order for a host is not sent, since the lead may have ended")
-		k.state.recordOutcome(host.ID, o, "", true, k.deps.Clock.Now())
-		return
-	}
-	limited, cancel := context.WithTimeout(ctx, k.deps.Settings.CallTimeout)
-	defer cancel()
-	outcome, err := send(limited)
-	line := k.deps.Log.Info()
+	outcome, err := k.sendAsLeader(ctx, send)
+	notRun := err != nil && jaybarrow.AsError(err).Effect == jaybarrow.EffectNotRun
+	line, message := k.deps.Log.Info(), "order for a host"
 	if err != nil {
 		line = k.deps.Log.Warn().Err(err)
 	}
-	line.Str("host", string(host.ID)).Str("order", action).Str("outcome", string(outcome)).Msg("order for a host")
+	if notRun && !k.deps.Term.Valid() {
+		message = "order for a host is not sent, since the lead may have ended"
+	}
+	line.Str("host", string(host.ID)).Str("order", action).Str("outcome", string(outcome)).Msg(message)
 	if outcome == jaybarrow.FleetOrderFenced {
 		k.deps.Term.Resign("the platform has seen a higher fencing token")
 	}
-	k.state.recordOutcome(host.ID, o, outcome, err != nil && jaybarrow.AsError(err).Effect == jaybarrow.EffectNotRun, k.deps.Clock.Now())
+	k.state.recordOutcome(host.ID, o, outcome, notRun, k.deps.Clock.Now())
+}
+
+// sendAsLeader sends an order once there is a slot for it, unless the lead may have ended by then: the order may have waited for others, and the
+// process may have been paused since the decision.
+func (k *Keeper) sendAsLeader(
+	ctx context.Context, send func(context.Context) (jaybarrow.FleetOrderOutcome, error),
+) (outcome jaybarrow.FleetOrderOutcome, err error) {
+	select {
+	case <-ctx.Done():
+		return "", leader.ErrLeadEnded
+	case <-k.deps.Clock.After(k.deps.Settings.CallTimeout):
+		return "", errOrdersUnanswered
+	case k.slots <- struct{}{}:
+	}
+	defer func() { <-k.slots }()
+	ended := k.deps.Term.Unfenced(ctx, k.deps.Settings.CallTimeout, func(ctx context.Context) { outcome, err = send(ctx) })
+	if ended != nil {
+		return "", ended
+	}
+	return outcome, err
 }
--- a/internal/fleetkeeper/keeper_test.go
+++ b/internal/fleetkeeper/keeper_test.go
@@ -156,6 +156,26 @@
 	})
 }
 
+// Guards against orders that were decided during the term and wait for those before them while the platform is slow: a successor may have ordered
+// the same hosts when their turn comes.
+func TestOrdersThatWaitAreNotSentAfterTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := fleetkeeper.DefaultSettings()
+		var hosts []jaybarrow.FleetHost
+		for i := range 5 * settings.MaxConcurrentOrders {
+			hosts = append(hosts, hostIn("reserve", jaybarrow.HostID("h"+strconv.Itoa(i))))
+		}
+		k := newKeeper(settings, hosts, newPools(map[jaybarrow.PoolID]workload.Load{"desk": {Waiting: jaybarrow.Resources{CPU: 50_000}}}), waves(nil))
+		k.fleet.orderTime.Store(int64(200 * time.Millisecond))
+		for k.fleet.movedTo("desk") == 0 {
+			advance(settings.Interval / 10)
+		}
+		k.lapsed.Store(true)
+		k.Close()
+		assert.Equal(t, k.fleet.movedTo("desk"), settings.MaxConcurrentOrders)
+	})
+}
+
 // Guards against operators who cannot tell why a wave does not go on: its status names the hosts that cannot be emptied, and why.
 func TestTheStatusOfAWaveNamesHostsThatWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -16,6 +17,8 @@
 	Queues  []Queue
 	Tenants []Tenant
 	Limits  map[string]int // the limits of the manifest that callers keep, or nil for a manifest without them
+	// LeaderKey is the key of the leader's record in the store; each order for a machine notes the record's revision when it arrives.
+	LeaderKey string
 }
 
 // Queue is a route of the manifest.
@@ -47,6 +50,15 @@
 	machines        map[string]*machine
 	ledger          []*Run
 	orders          []string // accepted orders for machines
+	arrivals        []OrderArrival
+	answerTime      time.Duration // of the machine endpoints
+}
+
+// OrderArrival is an order for a machine as it arrived, whether it was accepted or not.
+type OrderArrival struct {
+	Machine string
+	Fence   int64
+	Leader  int64 // revision of the leader's record in the store when the order arrived; 0 when there was none
 }
 
 // machine is up, or down in the state "moving" or "upkeep".
@@ -192,6 +204,41 @@
 	return append([]string(nil), s.orders...)
 }
 
+// Arrivals returns all orders for machines, oldest first.
+func (s *Site) Arrivals() []OrderArrival {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return append([]OrderArrival(nil), s.arrivals...)
+}
+
+// SetMachineAnswerTime sets how long the machine endpoints take for an answer. Orders are carried out when they arrive, and a list is of the
+// time of its answer.
+func (s *Site) SetMachineAnswerTime(d time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.answerTime = d
+}
+
+// answerSlowly waits for the answer time of the machine endpoints.
+func (s *Site) answerSlowly() {
+	s.lock.Lock()
+	d := s.answerTime
+	s.lock.Unlock()
+	time.Sleep(d)
+}
+
+// recordArrival records an order for a machine.
+func (s *Site) recordArrival(machine string, r *http.Request) {
+	fence, err := strconv.ParseInt(r.Header.Get("Jaybarrow-Fencing-Token"), 10, 64)
+	if err != nil {
+		fence = -1 // no leader's
+	}
+	leader := s.Store.revision(s.settings.LeaderKey)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.arrivals = append(s.arrivals, OrderArrival{Machine: machine, Fence: fence, Leader: leader})
+}
+
 func (s *Site) serveMachines(w http.ResponseWriter, r *http.Request) {
 	var in struct {
 		Machine string `json:"machine"`
@@ -203,9 +250,11 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		s.recordArrival(in.Machine, r)
 	}
 	switch r.URL.Path {
 	case "/machines":
+		s.answerSlowly()
 		s.listMachines(w)
 	case "/machine-move":
 		s.changeMachine(w, in.Machine, "moving", "move "+in.Machine+" "+in.Pool, func(m *machine) { m.pool = in.Pool })
@@ -244,6 +293,7 @@
 	}
 	if m.state != "up" {
 		s.lock.Unlock()
+		s.answerSlowly()
 		writeJSON(w, http.StatusConflict, map[string]any{"reason": "busy"})
 		return
 	}
@@ -258,6 +308,7 @@
 		s.Store.Remove("servers/" + worker.ID)
 	}
 	time.AfterFunc(machineDowntime, func() { s.startWorker(id) })
+	s.answerSlowly()
 	writeJSON(w, http.StatusOK, map[string]any{})
 }
 
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -97,6 +97,13 @@
 	return s.items[key].Value
 }
 
+// revision returns the revision of a record, or 0 when there is none.
+func (s *Store) revision(key string) int64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.items[key].Rev
+}
+
 // Compact drops the history, so that watches from earlier revisions fail.
 func (s *Store) Compact() {
 	s.lock.Lock()
