Ignore the answer of an ended instance to a stop

A task can be started a second time beside a run that its worker accepts late. Cause: a stop that the worker answered before it started again counted for the new instance when the answer arrived after the pool had learned of that instance, which does not know of the stop and carries out a late start. Change: a stop names the instance that it is meant for, and its answer counts for no other. Evidence: TestALateAnswerToAStopOfAnEndedInstanceIsIgnored fails before (the task starts again beside the unanswered start) and passes now. Why it works: an answer counts only for the instance that was current when the stop was planned; for a later one the stop is sent again.

--- a/internal/workload/instance_test.go
+++ b/internal/workload/instance_test.go
@@ -112,6 +112,26 @@
 	assert.Equal(t, len(out.Stops), 1)
 }
 
+// Guards against a second run beside one that the new instance accepts late: the answer of the ended instance to a stop arrives after the pool has
+// learned of the new one, which does not know of the stop.
+func TestALateAnswerToAStopOfAnEndedInstanceIsIgnored(t *testing.T) {
+	h, _ := newRestart(t, jaybarrow.StartUnknown)
+	h.reportInstance("w1", firstBorn, 500_100, nil)
+	stops := h.plan().Stops
+	assert.Equal(t, len(stops), 1)
+	h.registerInstance("w1", secondBorn)
+	h.pool.HandleStopOutcome(stops[0], true, h.now)
+	h.advance(time.Millisecond)
+	h.reportInstance("w1", secondBorn, 90, nil)
+	out := h.plan()
+	assert.Equal(t, len(out.Starts), 0)
+	assert.Equal(t, len(out.Stops), 1)
+	h.pool.HandleStopOutcome(out.Stops[0], true, h.now)
+	h.advance(time.Millisecond)
+	h.reportInstance("w1", secondBorn, 120, nil)
+	assert.Equal(t, len(h.plan().Starts), 1)
+}
+
 // Guards against ends of a new instance that are taken for ends of the instance before and acknowledged unread, so that done tasks run again: its
 // start time may be lower, when time of day has jumped back, or the same.
 func TestTheEndsOfEachInstanceAreRead(t *testing.T) {
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -22,6 +22,8 @@
 	Worker jaybarrow.Worker
 	Task   jaybarrow.TaskRef
 	Run    jaybarrow.RunNumber
+	// instance is the worker's that the stop is meant for.
+	instance instanceNumber
 }
 
 // ThrottleRun is a decision to limit a run to a share of its full speed.
@@ -199,7 +201,7 @@
 		}
 		r.stopSentAt = now
 		r.stopsSent++
-		out = append(out, StopRun{Worker: r.worker.entry, Task: r.task.ref, Run: r.number})
+		out = append(out, StopRun{Worker: r.worker.entry, Task: r.task.ref, Run: r.number, instance: r.worker.instance})
 	}
 	return out
 }
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -324,7 +324,8 @@
 	r.stopSentAt, r.stopsSent, r.stopAnsweredAt = time.Time{}, 0, time.Time{}
 }
 
-// HandleStopOutcome records whether the worker answered a stop. It returns true when only a report can show that the run does not
+// HandleStopOutcome records whether the worker answered a stop; an answer to one that was meant for an earlier instance says nothing about the
+// present one. It returns true when only a report can show that the run does not
 // exist: a run that never started has no end that the waiting order would return.
 func (p *Pool) HandleStopOutcome(s StopRun, answered bool, now time.Time) bool {
 	w := p.workers[s.Worker.ID]
@@ -332,7 +333,7 @@
 		return false
 	}
 	r := w.runs[runKey{s.Task, s.Run}]
-	if r == nil || r.phase != runStopping {
+	if r == nil || r.phase != runStopping || s.instance != w.instance {
 		return false
 	}
 	r.stopAnsweredAt = now
