Count the end of a run once although an earlier report arrives after it

Symptom: a job was shown as failed after one failed run of a task, with two allowed. Cause: the answer to a poll may overtake that of the waiting order, or be overtaken by it. A report that was answered before the end of a run, and that was applied after the report of that end, listed the run as running, and the pool took it up again. The record then held the failure and the run; a successor read both and counted the end, which nobody had acknowledged, a second time. Change: a report whose reading of the worker's clock is lower than that of the last one is not applied. Within one millisecond, where readings are equal, a run whose end is known is not taken up again. Why it works: a worker's clock never runs back within an instance, so readings order its answers, whatever order they arrive in; and a run ends once.

--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -76,6 +76,7 @@
 	ref         jaybarrow.TaskRef
 	done        bool
 	run         jaybarrow.RunNumber // number of the last run
+	listedEnd   jaybarrow.RunNumber // the last run whose end was listed by its worker; 0 when there is none
 	failures    int
 	checkpoint  jaybarrow.Checkpoint
 	current     *run
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -109,7 +109,7 @@
 		return false
 	}
 	wasUsable := w.usable(received, p.settings.ReportGrace)
-	if !p.reportInstance(w, report, sent, received) {
+	if !p.reportInstance(w, report, sent, received) || w.hasAnsweredSince(report) {
 		return false
 	}
 	w.firstListed = firstEnd(report.Ended)
@@ -129,6 +129,12 @@
 	return p.placementsDue || len(p.unknownRuns)+len(p.stopping) > 0 || p.HasWritesDue()
 }
 
+// hasAnsweredSince reports whether the last report that was applied was answered after this one and has overtaken it, as one to a poll may. Two
+// answers within a millisecond cannot be told apart.
+func (w *worker) hasAnsweredSince(report jaybarrow.HoldReport) bool {
+	return report.Clock != 0 && report.Clock < w.clock
+}
+
 // processEnds applies listed ends, except those of earlier reports: a worker lists an end until it is acknowledged.
 func (p *Pool) processEnds(w *worker, ends []jaybarrow.EndReport, now time.Time) {
 	for _, e := range ends {
@@ -138,6 +144,7 @@
 		w.processedEnds = e.Number
 		r := w.runs[runKey{e.Task, e.Run}]
 		if r != nil {
+			r.task.listedEnd = e.Run
 			p.endRun(r, e.Kind, e.Checkpoint, now)
 		}
 		if e.Kind == jaybarrow.EndDone && (r == nil || r.task.stray) {
@@ -204,6 +211,10 @@
 		return
 	}
 	t := j.task(report.Task)
+	if t != nil && t.listedEnd == report.Run {
+		// The report was answered before the end. A record with the end and the run would let a successor count the end again.
+		return
+	}
 	if t == nil || t.done || t.current != nil || t.run != report.Run {
 		t = j.strayTask(report.Task)
 	}
