Reproduce a failure that counts twice with entry hosts and a worker that answers late

Cause: the fault was shown by a walk over the pool only, and callers saw it on a running system. Change: a test with two entry hosts, the stand-in of the platform and a worker that answers one poll 150 ms late. The late answer arrives after the run has failed and before the failure is stored, and the leader stops before the worker learns that its report was read.

--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -36,11 +36,15 @@
 	FaultLost    Fault = "lost"    // executed, never answered
 	FaultSilent  Fault = "silent"  // neither executed nor answered
 	FaultDelayed Fault = "delayed" // executed after delayedCallDelay, never answered
+	FaultLate    Fault = "late"    // executed at once, answered after lateAnswerDelay
 )
 
 // delayedCallDelay is how long the execution of a call with FaultDelayed is put off.
 const delayedCallDelay = time.Second
 
+// lateAnswerDelay is how long the answer to a call with FaultLate is put off. It is within the time limits of calls to workers.
+const lateAnswerDelay = 150 * time.Millisecond
+
 // Store is the platform's key-value store.
 type Store struct {
 	lock      sync.Mutex
@@ -187,6 +191,10 @@
 			time.AfterFunc(delayedCallDelay, func() { serve(discardWriter{http.Header{}}, withBody(r, body.String())) })
 		}
 	case FaultSilent:
+	case FaultLate:
+		serve(w, r) // the server sends a short answer when its handler returns
+		time.Sleep(lateAnswerDelay)
+		return
 	default:
 		serve(w, r)
 		return
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -18,8 +19,8 @@
 	Acknowledged bool      // whether a hold call acknowledged the end
 }
 
-// Worker runs tasks. The spec of a task is its run time, such as "50ms"; a task with the spec "fail" fails at once, and one
-// with the spec "last" runs until it is stopped.
+// Worker runs tasks. The spec of a task is its run time, such as "50ms"; a task with the spec "fail" fails at once, one with the
+// spec "fail 50ms" after that time, and one with the spec "last" runs until it is stopped.
 type Worker struct {
 	ID, Zone  string
 	site      *Site
@@ -103,13 +104,15 @@
 		}
 		now := time.Now()
 		for _, r := range w.running {
-			runTime, err := time.ParseDuration(r.Spec)
+			spec, fails := strings.CutPrefix(r.Spec, "fail ")
+			runTime, err := time.ParseDuration(spec)
+			over := err == nil && now.Sub(r.Began) >= runTime
 			switch {
 			case now.After(w.leaseEnd):
 				w.endRun(r, "lapsed")
-			case r.Spec == "fail":
+			case r.Spec == "fail", over && fails:
 				w.endRun(r, "failed")
-			case err == nil && now.Sub(r.Began) >= runTime:
+			case over:
 				w.endRun(r, "done")
 			}
 		}
