Stop a run that is listed again after its end

If an instance of the worker that knows nothing of the end did run it, nobody would stop it. Change: such a run is stopped as any other that is not the current one of its task. It counts for its worker and its team until then, and no record holds it.

--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -22,7 +22,7 @@
 	Worker jaybarrow.Worker
 	Task   jaybarrow.TaskRef
 	Run    jaybarrow.RunNumber
-	// instance is the worker's that the stop is meant for.
+	// instance is the one of the worker that the stop is meant for.
 	instance instanceNumber
 }
 
--- a/internal/workload/reports.go
+++ b/internal/workload/reports.go
@@ -211,11 +211,9 @@
 		return
 	}
 	t := j.task(report.Task)
-	if t != nil && t.listedEnd == report.Run {
-		// The report was answered before the end. A record with the end and the run would let a successor count the end again.
-		return
-	}
-	if t == nil || t.done || t.current != nil || t.run != report.Run {
+	// A run whose end is known is not the task's current one, even if a report from before the end lists it: a record with the end and the run would
+	// let a successor count the end again.
+	if t == nil || t.done || t.current != nil || t.run != report.Run || t.listedEnd == report.Run {
 		t = j.strayTask(report.Task)
 	}
 	r := p.assign(t, w, report.Run, now)
