--- a/internal/workload/walk_test.go
+++ b/internal/workload/walk_test.go
@@ -67,7 +67,7 @@
 	id           jaybarrow.WorkerID
 	startedMs    int64
 	startedAt    time.Time
-	up           bool
+	up           bool  // whether it has started
 	registeredMs int64 // startedMs of the instance in the register, which may be an earlier one
 	fence        jaybarrow.FenceToken
 	lease        jaybarrow.WorkerClock
